--- /dev/null
+++ b/Libraries/LibFront/CallerAnswer.cpp
@@ -0,0 +1,158 @@
+#include <LibFront/CallerAnswer.h>
+#include <LibFront/TextHeader.h>
+#include <LibOpenAi/FormatRefusal.h>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+
+std::string
+FormatChunk(std::string_view aBytes)
+{
+  std::array<char, 2 * sizeof(std::size_t)> digits{};
+  std::to_chars_result const end = std::to_chars(
+    digits.data(), digits.data() + digits.size(), aBytes.size(), 16);
+  std::string chunk;
+  chunk.reserve(aBytes.size() + digits.size() + 2 * kLineEnd.size());
+  chunk.append(digits.data(), end.ptr);
+  chunk += kLineEnd;
+  chunk += aBytes;
+  chunk += kLineEnd;
+  return chunk;
+}
+
+}
+
+caller_answer::caller_answer(Pistache::Http::ResponseWriter aWriter,
+                             Pistache::Tcp::Transport& aTransport,
+                             request_id aRequest)
+  : mWriter(std::move(aWriter))
+  , mTransport(aTransport)
+  , mRequest(std::move(aRequest))
+{
+}
+
+bool
+caller_answer::IsConnected() const
+{
+  return mWriter.getPeer() != nullptr;
+}
+
+void
+caller_answer::AddHeader(std::string aName, std::string aValue)
+{
+  mWriter.headers().add(
+    std::make_shared<text_header>(std::move(aName), std::move(aValue)));
+}
+
+void
+caller_answer::AddCommonHeaders(std::string_view aContentType)
+{
+  AddHeader("X-Request-Id", mRequest.Text());
+  if (!aContentType.empty())
+    AddHeader("Content-Type", std::string{ aContentType });
+}
+
+void
+caller_answer::SendWhole(std::uint16_t aStatus,
+                         std::string_view aContentType,
+                         std::string const& aBody)
+{
+  if (!IsConnected())
+    return;
+  AddCommonHeaders(aContentType);
+  mWriter.send(static_cast<Pistache::Http::Code>(aStatus), aBody);
+}
+
+void
+caller_answer::SendRefusal(refusal const& aRefusal)
+{
+  if (!IsConnected())
+    return;
+  if (mStream)
+    SendRefusalEvent(aRefusal);
+  else
+    SendRefusalWhole(aRefusal);
+}
+
+void
+caller_answer::SendRefusalWhole(refusal const& aRefusal)
+{
+  AddHeader("Lycheeseam-Verdict",
+            std::string{ VerdictName(aRefusal.mVerdict) });
+  if (aRefusal.mRetryAfter)
+    AddHeader("Retry-After", std::to_string(aRefusal.mRetryAfter->count()));
+  SendWhole(RefusalStatus(aRefusal.mCode),
+            "application/json",
+            FormatRefusal(aRefusal, mRequest));
+}
+
+// A broken stream must not look complete. An event stream says what happened
+// and lacks its "[DONE]"; any other stream lacks its last chunk.
+void
+caller_answer::SendRefusalEvent(refusal const& aRefusal)
+{
+  if (!mIsEventStream) {
+    Disconnect();
+    return;
+  }
+  Write(FormatRefusalEvent(aRefusal, mRequest));
+  End();
+}
+
+void
+caller_answer::Begin(std::uint16_t aStatus, std::string_view aContentType)
+{
+  if (!IsConnected())
+    return;
+  mIsEventStream = aContentType.starts_with("text/event-stream");
+  AddCommonHeaders(aContentType);
+  mStream.emplace(mWriter.stream(static_cast<Pistache::Http::Code>(aStatus)));
+}
+
+void
+caller_answer::Write(std::string_view aBytes)
+{
+  std::shared_ptr<Pistache::Tcp::Peer> const peer = mWriter.getPeer();
+  if (!peer || !mStream || aBytes.empty())
+    return;
+  std::string chunk = FormatChunk(aBytes);
+  std::size_t const size = chunk.size();
+  mUnsentBytes += size;
+  std::weak_ptr<caller_answer> const self = weak_from_this();
+  auto const release = [self, size]() {
+    std::shared_ptr<caller_answer> const answer = self.lock();
+    if (answer)
+      answer->mUnsentBytes -= size;
+  };
+  mTransport
+    .asyncWrite(peer->fd(), Pistache::RawBuffer(std::move(chunk), size))
+    .then([release](ssize_t) { release(); },
+          [release](std::exception_ptr const&) { release(); });
+  // Written while the peer is held, so that the descriptor is still its own.
+  mTransport.flush();
+}
+
+void
+caller_answer::End()
+{
+  if (IsConnected() && mStream)
+    mStream->ends();
+}
+
+void
+caller_answer::Disconnect()
+{
+  std::shared_ptr<Pistache::Tcp::Peer> const peer = mWriter.getPeer();
+  if (peer)
+    shutdown(peer->fd(), SHUT_RDWR);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOpenAi/EventStreamScan.cpp
@@ -0,0 +1,49 @@
+#include <LibOpenAi/EventStreamScan.h>
+#include <LibOpenAi/ParseUsage.h>
+
+namespace lycheeseam {
+
+void
+event_stream_scan::Consume(std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    std::size_t const end = aBytes.find('\n');
+    if (end == std::string_view::npos) {
+      mLine += aBytes;
+      return;
+    }
+    // Whole lines are looked at in place; only a broken one is copied.
+    if (mLine.empty()) {
+      ConsumeLine(aBytes.substr(0, end));
+    } else {
+      mLine += aBytes.substr(0, end);
+      ConsumeLine(mLine);
+      mLine.clear();
+    }
+    aBytes.remove_prefix(end + 1);
+  }
+}
+
+void
+event_stream_scan::ConsumeLine(std::string_view aLine)
+{
+  static constexpr std::string_view kData = "data: ";
+  if (!aLine.starts_with(kData))
+    return;
+  std::string_view const data = aLine.substr(kData.size());
+  if (data.starts_with("[DONE]")) {
+    mDone = true;
+    return;
+  }
+  ++mEvents;
+  // Parsing every event would cost more than all else on a token's way, and
+  // only the last one carries counts.
+  if (data.find("\"usage\":{") == std::string_view::npos &&
+      data.find("\"usage\": {") == std::string_view::npos)
+    return;
+  std::optional<token_usage> const usage = ParseUsage(data);
+  if (usage)
+    mUsage = usage;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOpenAi/ParseCompletion.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibRequest/CompletionTerms.h>
+
+#include <string_view>
+
+namespace lycheeseam {
+
+/// Reads what routing needs from a completion request's JSON body. Throws
+/// invalid_input naming the field at fault.
+completion_terms
+ParseCompletion(std::string_view aBody);
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/AttemptNumber.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+namespace lycheeseam {
+
+/// The count of an attempt within one call; the first is 1.
+using attempt_number = ordinal<struct attempt_tag>;
+
+}
--- /dev/null
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -0,0 +1,234 @@
+#include <LibCore/Error.h>
+#include <LibCore/SystemClock.h>
+#include <LibOpenAi/ParseUsage.h>
+#include <LibUpstream/Transfer.h>
+
+namespace lycheeseam {
+
+namespace {
+
+// Whole answers up to this size are held until they are complete, so that a
+// lost backend server can still be answered by a retry or a true refusal.
+constexpr std::size_t kHoldBytes = 4UL * 1024 * 1024;
+
+// An answer that stops for this long is given up.
+constexpr long kStallSeconds = 30;
+
+// From this status on the answer is the backend server's own failure, which
+// control may retry elsewhere; it is never passed on in pieces.
+constexpr std::uint16_t kFirstErrorStatus = 500;
+
+}
+
+transfer::transfer(upstream_request aRequest,
+                   instant aNow,
+                   std::vector<transfer*>& aReceived)
+  : mRequest(std::move(aRequest))
+  , mReceived(aReceived)
+  , mHandle(curl_easy_init())
+  , mFirstByteDeadline(aNow + mRequest.mFirstByteTimeout)
+{
+  if (!mHandle)
+    throw error("libcurl has no memory for a handle");
+  SetMethod();
+  SetHeaders();
+  SetConnection();
+}
+
+void
+transfer::SetMethod()
+{
+  CURL* const handle = mHandle.get();
+  std::string const url =
+    "http://" + mRequest.mServer.Text() + mRequest.mTarget;
+  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+  // The target goes on byte for byte, without the library's tidying.
+  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+  if (mRequest.mMethod == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (mRequest.mBody && !mRequest.mBody->empty()) {
+    // The body is sent from where it stands: a long prompt isn't copied.
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, mRequest.mBody->data());
+    curl_easy_setopt(handle,
+                     CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(mRequest.mBody->size()));
+  }
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, mRequest.mMethod.c_str());
+}
+
+void
+transfer::SetHeaders()
+{
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  for (header_field const& field : mRequest.mHeaders) {
+    std::string const line = field.mName + ": " + field.mValue;
+    list = curl_slist_append(list, line.c_str());
+  }
+  mHeaders.reset(list);
+  curl_easy_setopt(mHandle.get(), CURLOPT_HTTPHEADER, list);
+}
+
+void
+transfer::SetConnection()
+{
+  CURL* const handle = mHandle.get();
+  curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(mRequest.mConnectTimeout.count()));
+  curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+  curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, kStallSeconds);
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &transfer::OnBytes);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  if (mRequest.mMethod == "GET" || mRequest.mMethod == "HEAD")
+    return;
+  // libcurl silently sends a request again when a reused connection dies
+  // before the first byte. Nothing that may have an effect goes over one.
+  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+}
+
+void
+transfer::SetFlow(transfer_flow aFlow)
+{
+  int const bits =
+    aFlow == transfer_flow::Paused ? CURLPAUSE_RECV : CURLPAUSE_CONT;
+  curl_easy_pause(mHandle.get(), bits);
+}
+
+std::size_t
+transfer::OnBytes(char* aData,
+                  std::size_t aSize,
+                  std::size_t aCount,
+                  void* aTransfer)
+{
+  std::size_t const bytes = aSize * aCount;
+  static_cast<transfer*>(aTransfer)->Receive({ aData, bytes });
+  return bytes;
+}
+
+void
+transfer::Receive(std::string_view aBytes)
+{
+  if (mForwarding == forwarding::Undecided) {
+    mFirstByte = system_clock{}.Now();
+    DecideForwarding();
+  }
+  if (mIsEventStream)
+    mScan.Consume(aBytes);
+  mBytes += aBytes;
+  if (!mIsListed)
+    mReceived.push_back(this);
+  mIsListed = true;
+  if (mForwarding == forwarding::Held && mBytes.size() > kHoldBytes)
+    mForwarding = forwarding::PassedOn;
+}
+
+void
+transfer::DecideForwarding()
+{
+  mIsEventStream = ContentType().starts_with("text/event-stream");
+  bool const passOn = mIsEventStream && Status() < kFirstErrorStatus;
+  mForwarding = passOn ? forwarding::PassedOn : forwarding::Held;
+}
+
+std::optional<upstream_head>
+transfer::TakeHead()
+{
+  if (mForwarding != forwarding::PassedOn || mHeadTaken)
+    return std::nullopt;
+  mHeadTaken = true;
+  return upstream_head{ .mCall = mRequest.mCall,
+                        .mAttempt = mRequest.mAttempt,
+                        .mStatus = Status(),
+                        .mContentType = ContentType() };
+}
+
+std::optional<upstream_piece>
+transfer::TakePiece()
+{
+  mIsListed = false;
+  if (mForwarding != forwarding::PassedOn || mBytes.empty())
+    return std::nullopt;
+  mForwardedBytes += mBytes.size();
+  upstream_piece piece{ .mCall = mRequest.mCall,
+                        .mAttempt = mRequest.mAttempt };
+  piece.mBytes.swap(mBytes);
+  return piece;
+}
+
+std::uint16_t
+transfer::Status() const
+{
+  long status = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<std::uint16_t>(status);
+}
+
+std::string
+transfer::ContentType() const
+{
+  char const* type = nullptr;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_CONTENT_TYPE, &type);
+  return type ? type : "";
+}
+
+bool
+transfer::WasConnected() const
+{
+  curl_off_t microseconds = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_CONNECT_TIME_T, &microseconds);
+  return microseconds > 0;
+}
+
+transfer_failure
+transfer::Classify(CURLcode aResult) const
+{
+  if (aResult == CURLE_OK) {
+    // A close-delimited stream that ends early looks whole to libcurl.
+    bool const cutShort = mIsEventStream && !mScan.IsDone();
+    return cutShort ? transfer_failure::ConnectionLost
+                    : transfer_failure::None;
+  }
+  if (!WasConnected())
+    return transfer_failure::NotConnected;
+  if (aResult == CURLE_OPERATION_TIMEDOUT)
+    return transfer_failure::Stalled;
+  return transfer_failure::ConnectionLost;
+}
+
+upstream_end
+transfer::Finish(CURLcode aResult, transfer_failure aFailure, instant aNow)
+{
+  if (aFailure == transfer_failure::None)
+    aFailure = Classify(aResult);
+  upstream_end end{ .mCall = mRequest.mCall,
+                    .mAttempt = mRequest.mAttempt,
+                    .mFailure = aFailure,
+                    .mStatus = Status(),
+                    .mContentType = ContentType(),
+                    .mBody = std::move(mBytes),
+                    .mForwardedBytes = mForwardedBytes,
+                    .mForwardedEvents = mScan.Events(),
+                    .mUsage = mScan.Usage(),
+                    .mFirstByte = mFirstByte,
+                    .mEnd = aNow };
+  if (aFailure == transfer_failure::None)
+    end.mVerdict = verdict::Ran;
+  else if (WasConnected())
+    end.mVerdict = verdict::MayHaveRun;
+  else
+    end.mVerdict = verdict::NotRun;
+  bool const isJson = end.mContentType.starts_with("application/json");
+  if (!end.mUsage && isJson && end.mStatus < kFirstErrorStatus)
+    end.mUsage = ParseUsage(end.mBody);
+  return end;
+}
+
+}
