LibSettings: Read and check the daemon's settings

The daemon needs its addresses, limits and intervals from one JSON file that is checked whole: each fault is named with its path, the value and what is allowed, all at once. Defaults stand in the option structs alone.

--- /dev/null
+++ b/Libraries/LibSettings/AdvertiseSettings.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+
+namespace lycheeseam {
+
+/// The addresses that others are told to use; the listen addresses by default.
+struct advertise_settings
+{
+  endpoint mCallers;
+  endpoint mPeers;
+
+  bool operator==(advertise_settings const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibSettings/AdvertiseSettings.h>
+#include <LibSettings/HeartbeatSettings.h>
+#include <LibSettings/LimitSettings.h>
+#include <LibSettings/ListenSettings.h>
+#include <LibSettings/LogSettings.h>
+#include <LibSettings/OperatorKey.h>
+#include <LibSettings/ThreadSettings.h>
+#include <LibSettings/TimeoutSettings.h>
+#include <LibSettings/TraceSettings.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// Everything that lycheeseamd is told at its start. docs/SETTINGS.md lists
+/// each setting with its unit, default and allowed values.
+struct daemon_settings
+{
+  instance_id mInstance;
+  failure_domain mFailureDomain;
+  listen_settings mListen;
+  advertise_settings mAdvertise;
+  endpoint mPlatform;
+  /// Peers to start from; the platform's list names the others.
+  std::vector<endpoint> mPeers;
+  std::vector<operator_key> mOperators;
+  thread_settings mThreads;
+  limit_settings mLimits;
+  timeout_settings mTimeouts;
+  heartbeat_settings mHeartbeat;
+  trace_settings mTrace;
+  log_settings mLog;
+
+  bool operator==(daemon_settings const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/NumberRange.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// The whole numbers that a setting allows, both ends included.
+struct number_range
+{
+  std::uint64_t mLeast = 0;
+  std::uint64_t mMost = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/OperatorKey.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Digest.h>
+
+#include <string>
+
+namespace lycheeseam {
+
+/// An operator who may use the admin address, with the digest of their key.
+struct operator_key
+{
+  std::string mName;
+  digest mDigest;
+
+  bool operator==(operator_key const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <LibCore/Digest.h>
+#include <LibCore/Endpoint.h>
+#include <LibSettings/FieldPresence.h>
+#include <LibSettings/LogLevel.h>
+#include <LibSettings/NumberRange.h>
+#include <LibSettings/SettingsFault.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Reads the fields of one JSON object and notes each fault.
+///
+/// A target keeps its value where the field is left out or faulty, so that a
+/// settings struct's member initialisers are the only place for defaults.
+class settings_reader
+{
+public:
+  /// Reads aObject, which stands at aPath; faults go to aFaults. Both outlive
+  /// the reader.
+  settings_reader(nlohmann::json const& aObject,
+                  std::string aPath,
+                  std::vector<settings_fault>& aFaults);
+
+  /// Reads the object in a field; an absent one reads as an empty object.
+  [[nodiscard]] settings_reader Section(std::string_view aField);
+
+  /// Reads the objects of a list; an absent field reads as an empty list.
+  [[nodiscard]] std::vector<settings_reader> Sections(std::string_view aField);
+
+  /// Reads a name: letters, digits, '.', '_' and '-', at most 64.
+  void ReadName(std::string_view aField, std::string& aTarget);
+
+  /// Reads a whole number.
+  template<std::unsigned_integral Number>
+  void ReadNumber(std::string_view aField, number_range aRange, Number& aTarget)
+  {
+    std::optional<std::uint64_t> const number = FindNumber(aField, aRange);
+    if (number)
+      aTarget = static_cast<Number>(*number);
+  }
+
+  /// Reads a whole number of milliseconds.
+  void ReadMilliseconds(std::string_view aField,
+                        number_range aRange,
+                        std::chrono::milliseconds& aTarget);
+
+  /// Reads true or false.
+  void ReadFlag(std::string_view aField, bool& aTarget);
+
+  /// Reads an IP number with a port; nothing when absent or faulty.
+  [[nodiscard]] std::optional<endpoint> ReadEndpoint(std::string_view aField,
+                                                     field_presence aPresence);
+
+  /// Reads a list of IP numbers with ports.
+  void ReadEndpoints(std::string_view aField, std::vector<endpoint>& aTarget);
+
+  /// Reads a SHA-256 digest in hexadecimal digits.
+  void ReadDigest(std::string_view aField, digest& aTarget);
+
+  /// Reads a log level by its name.
+  void ReadLogLevel(std::string_view aField, log_level& aTarget);
+
+  /// Notes a fault for each field that no call above asked for.
+  void RefuseUnknownFields();
+
+  /// Notes a fault of a field that is well-formed by itself.
+  void Refuse(std::string_view aField, std::string_view aAllowed);
+
+private:
+  [[nodiscard]] nlohmann::json const* Find(std::string_view aField,
+                                           field_presence aPresence,
+                                           std::string_view aAllowed);
+  [[nodiscard]] nlohmann::json const* FindList(std::string_view aField);
+  [[nodiscard]] std::optional<std::uint64_t> FindNumber(std::string_view aField,
+                                                        number_range aRange);
+  [[nodiscard]] std::optional<endpoint> ParseEndpoint(
+    std::string const& aPath,
+    nlohmann::json const& aValue);
+  [[nodiscard]] std::string PathOf(std::string_view aField) const;
+  void AddFault(std::string aPath,
+                nlohmann::json const* aValue,
+                std::string_view aAllowed);
+
+  nlohmann::json const* mObject;
+  std::string mPath;
+  std::vector<settings_fault>* mFaults;
+  std::set<std::string, std::less<>> mKnownFields;
+};
+
+}
