--- /dev/null
+++ b/Libraries/LibCodec/JsonFault.cpp
@@ -0,0 +1,24 @@
+#include <LibCodec/JsonFault.h>
+
+namespace lycheeseam {
+
+namespace {
+
+/// The longest piece of a refused value that a message shows, in bytes.
+constexpr std::size_t kShownBytes = 80;
+
+}
+
+codec_error
+JsonFault(nlohmann::json const& aValue,
+          json_path const& aPath,
+          std::string_view aAllowed)
+{
+  using handler = nlohmann::json::error_handler_t;
+  std::string shown = aValue.dump(-1, ' ', true, handler::replace);
+  if (shown.size() > kShownBytes)
+    shown = shown.substr(0, kShownBytes) + "...";
+  return codec_error{ aPath.Text(), shown, aAllowed };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCodec/VariantForm.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibCodec/JsonFault.h>
+#include <LibCodec/JsonForm.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheeseam {
+
+/// The name of a variant's alternative in JSON as kName; specialised for
+/// each alternative.
+template<typename Alternative>
+struct json_alternative;
+
+/// A variant stands as an object with one field, which names the alternative
+/// that it holds.
+template<typename... Alternatives>
+struct json_form<std::variant<Alternatives...>>
+{
+  using variant = std::variant<Alternatives...>;
+
+  static variant Read(nlohmann::json const& aJson, json_path const& aPath)
+  {
+    std::optional<variant> result;
+    if (aJson.is_object() && aJson.size() == 1)
+      (ReadAlternative<Alternatives>(aJson, aPath, result), ...);
+    if (!result)
+      throw JsonFault(aJson, aPath, Allowed());
+    return std::move(*result);
+  }
+
+  static nlohmann::json Write(variant const& aValue)
+  {
+    auto const write = []<typename Value>(Value const& aHeld) {
+      nlohmann::json object;
+      std::string const name{ json_alternative<Value>::kName };
+      object[name] = json_form<Value>::Write(aHeld);
+      return object;
+    };
+    return std::visit(write, aValue);
+  }
+
+private:
+  template<typename Alternative>
+  static void ReadAlternative(nlohmann::json const& aJson,
+                              json_path const& aPath,
+                              std::optional<variant>& aResult)
+  {
+    std::string_view const name = json_alternative<Alternative>::kName;
+    auto const found = aJson.find(name);
+    if (found == aJson.end())
+      return;
+    aResult = json_form<Alternative>::Read(*found, aPath.Field(name));
+  }
+
+  static std::string Allowed()
+  {
+    std::string text = "an object with one of these fields is expected:";
+    ((text += " " + std::string{ json_alternative<Alternatives>::kName }), ...);
+    return text;
+  }
+};
+
+}
