--- /dev/null
+++ b/Libraries/LibControl/ControlPorts.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibFront/FrontMessage.h>
+#include <LibUpstream/UpstreamCommand.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+/// How control reaches the traffic threads.
+template<typename Ports>
+concept control_ports = requires(Ports& aPorts,
+                                 front_message aMessage,
+                                 upstream_command aCommand)
+{
+  aPorts.PostFront(std::move(aMessage));
+  aPorts.PostUpstream(std::move(aCommand));
+};
+
+}
--- a/Libraries/LibFront/CallSink.h
+++ b/Libraries/LibFront/CallSink.h
@@ -20,7 +20,8 @@
 concept call_sink = requires(Sink& aSink,
                              caller_request aRequest,
                              call_number aCall,
-                             caller_pace aPace) {
+                             caller_pace aPace)
+{
   aSink.OnCall(std::move(aRequest));
   aSink.OnCallerGone(aCall);
   aSink.OnPace(aCall, aPace);
--- a/Libraries/LibFront/CallerAnswer.cpp
+++ b/Libraries/LibFront/CallerAnswer.cpp
@@ -2,6 +2,7 @@
 #include <LibFront/TextHeader.h>
 #include <LibOpenAi/FormatRefusal.h>
 
+#include <pistache/peer.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -130,16 +131,29 @@
   auto const release = [self, size]() {
     std::shared_ptr<caller_answer> const answer = self.lock();
     if (answer)
-      answer->mUnsentBytes -= size;
+      answer->Release(size);
   };
-  mTransport
-    .asyncWrite(peer->fd(), Pistache::RawBuffer(std::move(chunk), size))
+  mTransport.asyncWrite(peer->fd(), Pistache::RawBuffer(std::move(chunk), size))
     .then([release](ssize_t) { release(); },
           [release](std::exception_ptr const&) { release(); });
   // Written while the peer is held, so that the descriptor is still its own.
   mTransport.flush();
 }
 
+void
+caller_answer::Release(std::size_t aBytes)
+{
+  mUnsentBytes -= aBytes;
+  if (mUnsentBytes == 0 && mOnDrained)
+    mOnDrained();
+}
+
+void
+caller_answer::SetDrainedCallback(std::function<void()> aCallback)
+{
+  mOnDrained = std::move(aCallback);
+}
+
 void
 caller_answer::End()
 {
--- a/Libraries/LibFront/CallerAnswer.h
+++ b/Libraries/LibFront/CallerAnswer.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,9 @@
   /// False once the caller has gone; writes do nothing from then on.
   [[nodiscard]] bool IsConnected() const;
 
+  /// Calls back whenever all bytes handed to the transport are taken.
+  void SetDrainedCallback(std::function<void()> aCallback);
+
   /// Bytes handed to the transport and not yet taken by the kernel.
   [[nodiscard]] std::size_t UnsentBytes() const noexcept
   {
@@ -56,6 +60,7 @@
   void SendRefusalWhole(refusal const& aRefusal);
   void SendRefusalEvent(refusal const& aRefusal);
   void Disconnect();
+  void Release(std::size_t aBytes);
 
   Pistache::Http::ResponseWriter mWriter;
   Pistache::Tcp::Transport& mTransport;
@@ -63,6 +68,7 @@
   std::optional<Pistache::Http::ResponseStream> mStream;
   bool mIsEventStream = false;
   std::size_t mUnsentBytes = 0;
+  std::function<void()> mOnDrained;
 };
 
 }
--- a/Libraries/LibFront/DecodeCall.cpp
+++ b/Libraries/LibFront/DecodeCall.cpp
@@ -14,8 +14,8 @@
 // What may go on to a backend server. It is a list of what is allowed, since
 // a list of what isn't would let the next way to send a key through.
 constexpr std::array kForwardedHeaders{
-  "Accept",   "Accept-Language",     "Content-Type",  "Idempotency-Key",
-  "If-Match", "If-None-Match",       "If-Modified-Since", "Range",
+  "Accept",     "Accept-Language", "Content-Type",      "Idempotency-Key",
+  "If-Match",   "If-None-Match",   "If-Modified-Since", "Range",
   "User-Agent",
 };
 
--- a/Libraries/LibFront/FrontMessage.h
+++ b/Libraries/LibFront/FrontMessage.h
@@ -48,7 +48,7 @@
 };
 
 /// Anything that other threads tell a front worker.
-using front_message = std::
-  variant<front_head, front_piece, front_end, front_answer, front_refusal>;
+using front_message =
+  std::variant<front_head, front_piece, front_end, front_answer, front_refusal>;
 
 }
--- a/Libraries/LibFront/FrontWorker.h
+++ b/Libraries/LibFront/FrontWorker.h
@@ -45,8 +45,7 @@
     StartOnce(aTransport);
     call_number const number = mNextCall;
     mNextCall = mNextCall.Next();
-    request_id id{ mOptions.mRequestIdPrefix +
-                   std::to_string(number.Value()) };
+    request_id id{ mOptions.mRequestIdPrefix + std::to_string(number.Value()) };
     std::shared_ptr<Pistache::Tcp::Peer> const peer = aWriter.getPeer();
     std::shared_ptr<caller_answer> answer =
       std::make_shared<caller_answer>(std::move(aWriter), aTransport, id);
@@ -57,8 +56,10 @@
       answer->SendRefusal(*refused);
       return;
     }
-    mCalls.emplace(number, open_call{ .mPeer = peer->getID(),
-                                      .mAnswer = std::move(answer) });
+    answer->SetDrainedCallback([this, number]() { UpdatePace(number); });
+    mCalls.emplace(
+      number,
+      open_call{ .mPeer = peer->getID(), .mAnswer = std::move(answer) });
     Begin(peer->getID(), std::get<caller_request>(std::move(decoded)));
   }
 
@@ -147,9 +148,8 @@
 
   void Handle(front_piece& aPiece)
   {
-    Write(aPiece.mCall, [&aPiece](caller_answer& aAnswer) {
-      aAnswer.Write(aPiece.mBytes);
-    });
+    Write(aPiece.mCall,
+          [&aPiece](caller_answer& aAnswer) { aAnswer.Write(aPiece.mBytes); });
   }
 
   void Handle(front_end& aEnd)
@@ -161,8 +161,7 @@
   void Handle(front_answer& aAnswer)
   {
     Write(aAnswer.mCall, [&aAnswer](caller_answer& aWriter) {
-      aWriter.SendWhole(
-        aAnswer.mStatus, aAnswer.mContentType, aAnswer.mBody);
+      aWriter.SendWhole(aAnswer.mStatus, aAnswer.mContentType, aAnswer.mBody);
     });
     Finish(aAnswer.mCall);
   }
--- a/Libraries/LibFront/FrontWorkers.h
+++ b/Libraries/LibFront/FrontWorkers.h
@@ -32,16 +32,15 @@
   /// Tells a call's worker something; safe from any thread.
   void Post(front_message aMessage)
   {
-    call_number const call = std::visit(
-      [](auto const& aAny) { return aAny.mCall; }, aMessage);
+    call_number const call =
+      std::visit([](auto const& aAny) { return aAny.mCall; }, aMessage);
     Find(call).Post(std::move(aMessage));
   }
 
 private:
   front_worker<Sink>& Find(call_number aCall)
   {
-    std::size_t const index =
-      aCall.Value() >> front_worker<Sink>::kIndexShift;
+    std::size_t const index = aCall.Value() >> front_worker<Sink>::kIndexShift;
     std::lock_guard const lock{ mMutex };
     return *mWorkers.at(index);
   }
--- /dev/null
+++ b/Libraries/LibRouter/AsioPoster.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace lycheeseam {
+
+/// Runs callbacks on a control thread's context.
+struct asio_poster
+{
+  boost::asio::io_context* mContext;
+
+  void operator()(std::function<void()> aCallback) const
+  {
+    boost::asio::post(*mContext, std::move(aCallback));
+  }
+};
+
+}
--- a/Libraries/LibUpstream/Transfer.cpp
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -193,8 +193,7 @@
   if (aResult == CURLE_OK) {
     // A close-delimited stream that ends early looks whole to libcurl.
     bool const cutShort = mIsEventStream && !mScan.IsDone();
-    return cutShort ? transfer_failure::ConnectionLost
-                    : transfer_failure::None;
+    return cutShort ? transfer_failure::ConnectionLost : transfer_failure::None;
   }
   if (!WasConnected())
     return transfer_failure::NotConnected;
--- a/Libraries/LibUpstream/UpstreamSink.h
+++ b/Libraries/LibUpstream/UpstreamSink.h
@@ -14,7 +14,8 @@
 concept upstream_sink = requires(Sink& aSink,
                                  upstream_head aHead,
                                  upstream_piece aPiece,
-                                 upstream_end aEnd) {
+                                 upstream_end aEnd)
+{
   aSink.OnHead(std::move(aHead));
   aSink.OnPiece(std::move(aPiece));
   aSink.OnEnd(std::move(aEnd));
