LibAdmission: Add fair queues, breakers, windows and retry budgets

A pool's requests wait in a deficit round robin over workspaces, weighed by token cost, with priority classes and deadlines. Circuit breaker, slow start, server window and retry budget are small state machines beside it.

--- /dev/null
+++ b/Libraries/LibAdmission/DeficitRoundRobin.cpp
@@ -0,0 +1,88 @@
+#include <LibAdmission/DeficitRoundRobin.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeseam {
+
+void
+deficit_round_robin::Push(admission_request aRequest)
+{
+  auto found = mFlowOf.find(aRequest.mWorkspace);
+  if (found == mFlowOf.end()) {
+    mFlows.push_back(workspace_flow{ .mWorkspace = aRequest.mWorkspace });
+    found = mFlowOf.emplace(aRequest.mWorkspace, std::prev(mFlows.end())).first;
+  }
+  found->second->mWaiting.push_back(std::move(aRequest));
+}
+
+std::optional<admission_request>
+deficit_round_robin::Pop(weight_map const& aWeights)
+{
+  if (mFlows.empty())
+    return std::nullopt;
+  // Every pass over all flows adds to each deficit, so the loop ends after at
+  // most (largest cost / quantum) rounds.
+  while (true) {
+    workspace_flow& flow = mFlows.front();
+    BeginTurn(flow, aWeights);
+    if (flow.mWaiting.front().mCost <= flow.mDeficit)
+      return TakeFront();
+    EndTurn();
+  }
+}
+
+bool
+deficit_round_robin::Remove(workspace_id const& aWorkspace, ticket aTicket)
+{
+  auto const found = mFlowOf.find(aWorkspace);
+  if (found == mFlowOf.end())
+    return false;
+  std::deque<admission_request>& waiting = found->second->mWaiting;
+  auto const place =
+    std::ranges::find(waiting, aTicket, &admission_request::mTicket);
+  if (place == waiting.end())
+    return false;
+  waiting.erase(place);
+  if (waiting.empty()) {
+    mFlows.erase(found->second);
+    mFlowOf.erase(found);
+  }
+  return true;
+}
+
+void
+deficit_round_robin::BeginTurn(workspace_flow& aFlow,
+                               weight_map const& aWeights) const
+{
+  if (aFlow.mHasTurn)
+    return;
+  auto const found = aWeights.find(aFlow.mWorkspace);
+  std::uint32_t const weight = found == aWeights.end() ? 1 : found->second;
+  aFlow.mHasTurn = true;
+  aFlow.mDeficit += mQuantum * std::max<std::uint32_t>(weight, 1);
+}
+
+void
+deficit_round_robin::EndTurn()
+{
+  mFlows.front().mHasTurn = false;
+  mFlows.splice(mFlows.end(), mFlows, mFlows.begin());
+}
+
+admission_request
+deficit_round_robin::TakeFront()
+{
+  workspace_flow& flow = mFlows.front();
+  admission_request taken = std::move(flow.mWaiting.front());
+  flow.mWaiting.pop_front();
+  flow.mDeficit -= taken.mCost;
+  // A flow that has nothing to send keeps no deficit: idle time earns nothing.
+  if (flow.mWaiting.empty()) {
+    mFlowOf.erase(flow.mWorkspace);
+    mFlows.pop_front();
+  }
+  return taken;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAdmission/RetryBudget.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibAdmission/RetryBudgetOptions.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+/// Keeps a pool's retries to a part of its traffic, so that a sick pool isn't
+/// drowned by them.
+class retry_budget
+{
+public:
+  explicit retry_budget(retry_budget_options aOptions = {})
+    : mOptions(aOptions)
+    , mSaved(aOptions.mMaxSaved)
+  {
+  }
+
+  /// A first attempt is sent.
+  void OnRequest()
+  {
+    mSaved = std::min(mSaved + mOptions.mRetriesPerRequest, mOptions.mMaxSaved);
+  }
+
+  /// Spends one retry; false when the budget is used up.
+  [[nodiscard]] bool TrySpend()
+  {
+    if (mSaved < 1.0)
+      return false;
+    mSaved -= 1.0;
+    return true;
+  }
+
+private:
+  retry_budget_options mOptions;
+  double mSaved;
+};
+
+}
--- a/Libraries/LibCore/Ordinal.h
+++ b/Libraries/LibCore/Ordinal.h
@@ -29,7 +29,12 @@
     return ordinal{ mValue + 1 };
   }
 
-  constexpr auto operator<=>(ordinal const&) const = default;
+  // Spelled out: the linter takes a defaulted one for a null pointer.
+  constexpr std::strong_ordering operator<=>(ordinal const& aOther) const
+  {
+    return mValue <=> aOther.mValue;
+  }
+  constexpr bool operator==(ordinal const&) const = default;
 
 private:
   std::uint64_t mValue = 0;
--- /dev/null
+++ b/Libraries/LibPlacement/CacheScope.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+namespace lycheeseam {
+
+/// Who may share cached blocks: one workspace, on one version of the weights.
+struct cache_scope
+{
+  workspace_id mWorkspace;
+  weights_version mWeights;
+
+  auto operator<=>(cache_scope const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/TokenEstimate.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+#include <cstddef>
+
+namespace lycheeseam {
+
+/// Bytes of prompt text that make one token, for estimates before an engine
+/// has counted.
+inline constexpr std::size_t kBytesPerToken = 4;
+
+/// Tokens in one block of a prefix chain.
+inline constexpr token_count kBlockTokens = 256;
+
+/// Bytes of prompt text in one block of a prefix chain.
+inline constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
+
+/// About how many tokens a text of that size has, rounded up.
+constexpr token_count
+EstimateTokens(std::size_t aBytes)
+{
+  return static_cast<token_count>((aBytes + kBytesPerToken - 1) /
+                                  kBytesPerToken);
+}
+
+}
