--- a/Tests/LibPlacement/TestSimplePolicies.cpp
+++ b/Tests/LibPlacement/TestSimplePolicies.cpp
@@ -53,10 +53,8 @@
 {
   round_robin_policy policy;
   std::vector<placement_candidate> const servers = Servers(3);
-  std::vector<std::size_t> taken;
-  for (int request = 0; request < 6; ++request)
-    taken.push_back(policy.Choose(Prompt(7), servers, instant{})->mIndex);
-  EXPECT_EQ(taken, (std::vector<std::size_t>{ 0, 1, 2, 0, 1, 2 }));
+  for (std::size_t const expected : { 0, 1, 2, 0, 1, 2 })
+    EXPECT_EQ(policy.Choose(Prompt(7), servers, instant{})->mIndex, expected);
 }
 
 TEST(TestSimplePolicies, LeastLoadedCountsWhatItSentItself)
