--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -1,25 +1,31 @@
 #pragma once
 
 #include <LibConfig/ConfigTables.h>
+#include <LibControl/CallCost.h>
 #include <LibControl/CallState.h>
 #include <LibControl/ControlMessage.h>
 #include <LibControl/ControlPorts.h>
+#include <LibControl/MakeUpstreamRequest.h>
+#include <LibControl/PoolRuntime.h>
+#include <LibControl/RetryDecision.h>
 #include <LibRequest/DecideRoute.h>
 
 #include <cassert>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace lycheeseam {
 
 /// Takes each call from its arrival to its end: decides, starts attempts,
 /// and answers what no backend server answers. Runs on the control thread.
-template<control_ports Ports>
+template<control_ports Ports, placement_policy Policy>
 class request_director
 {
 public:
-  explicit request_director(Ports& aPorts)
+  request_director(Ports& aPorts, failure_domain aFailureDomain)
     : mPorts(aPorts)
+    , mFailureDomain(std::move(aFailureDomain))
   {
   }
 
@@ -27,77 +33,248 @@
   void SetTables(std::shared_ptr<config_tables const> aTables)
   {
     mTables = std::move(aTables);
+    std::erase_if(mPools, [this](auto const& aEntry) {
+      return !mTables->FindPool(aEntry.first);
+    });
+    for (auto const& [name, entry] : mTables->mPools)
+      mPools[name].Update(entry.mRow);
+    for (auto const& [name, entry] : mTables->mWorkspaces) {
+      for (auto& [pool, runtime] : mPools)
+        runtime.Queue().SetWeight(name, entry.mRow.mWeight);
+    }
   }
 
-  /// The calls that have no answer yet.
+  /// The calls that have no complete answer yet.
   [[nodiscard]] std::size_t OpenCalls() const { return mCalls.size(); }
 
-  void Handle(call_opened aOpened)
+  /// A caller has sent a request.
+  void Handle(call_opened aOpened, instant aNow)
   {
-    call_number const call = aOpened.mRequest.mCall;
+    call_number const number = aOpened.mRequest.mCall;
     route_decision decision = DecideRoute(*mTables, aOpened.mRequest);
     if (refusal const* const refused = std::get_if<refusal>(&decision)) {
-      Refuse(call, *refused);
+      Answer(number, *refused);
       return;
     }
-    auto const [place, isNew] = mCalls.emplace(
-      call,
-      call_state{ .mRequest = std::move(aOpened.mRequest),
-                  .mAdmitted = std::get<admitted_route>(std::move(decision)) });
-    assert(isNew);
-    Dispatch(place->second);
+    call_state call{ .mRequest = std::move(aOpened.mRequest),
+                     .mAdmitted =
+                       std::get<admitted_route>(std::move(decision)) };
+    call.mChain = ChainOf(call);
+    call.mCharged = CallCost(call.mRequest, call.mAdmitted.mRoute);
+    mCalls.emplace(number, std::move(call));
+    Enqueue(number, aNow);
   }
 
-  void Handle(caller_gone aGone)
+  /// A caller has gone: what it asked for is ended wherever it stands.
+  void Handle(caller_gone aGone, instant aNow)
   {
-    if (mCalls.erase(aGone.mCall) != 0)
+    auto const found = mCalls.find(aGone.mCall);
+    if (found == mCalls.end())
+      return;
+    call_state& call = found->second;
+    pool_runtime<Policy>& pool = PoolOf(call);
+    if (call.mPhase == call_phase::Queued)
+      pool.Queue().Cancel(TicketOf(aGone.mCall));
+    if (call.mPhase == call_phase::Running) {
       mPorts.PostUpstream(cancel_transfer{ .mCall = aGone.mCall });
+      pool.OnEnded(call.mServer.mId, attempt_result::Cancelled, aNow);
+    }
+    pool_name const name = call.mAdmitted.mPool.mName;
+    mCalls.erase(found);
+    Pump(name, aNow);
   }
 
-  void Handle(upstream_end aEnd)
+  /// An attempt has ended.
+  void Handle(upstream_end aEnd, instant aNow)
   {
     auto const found = mCalls.find(aEnd.mCall);
     if (found == mCalls.end() || found->second.mAttempt != aEnd.mAttempt)
       return;
-    if (aEnd.mFailure != transfer_failure::None)
-      Refuse(aEnd.mCall, RefusalFor(aEnd));
-    else if (aEnd.mForwardedBytes > 0)
-      mPorts.PostFront(front_end{ .mCall = aEnd.mCall });
+    call_state& call = found->second;
+    pool_name const name = call.mAdmitted.mPool.mName;
+    PoolOf(call).OnEnded(call.mServer.mId, ResultOf(aEnd), aNow);
+    if (MayRetry(call, aEnd))
+      Retry(call, aNow);
     else
-      PassOn(std::move(aEnd));
-    mCalls.erase(found);
+      Finish(call, std::move(aEnd));
+    Pump(name, aNow);
+  }
+
+  /// Gives up what waited too long; called at NextWake at the latest.
+  void Tick(instant aNow)
+  {
+    for (auto& [name, pool] : mPools)
+      PumpPool(pool, aNow);
+  }
+
+  /// When Tick has work next, if it has any.
+  [[nodiscard]] std::optional<instant> NextWake() const
+  {
+    std::optional<instant> earliest;
+    for (auto const& [name, pool] : mPools) {
+      std::optional<instant> const deadline = pool.Queue().NextDeadline();
+      if (deadline && (!earliest || *deadline < *earliest))
+        earliest = deadline;
+    }
+    return earliest;
   }
 
 private:
-  void Dispatch(call_state& aCall)
-  {
-    std::vector<backend_server> const& servers = aCall.mAdmitted.mPool.mServers;
-    if (servers.empty()) {
-      refusal const none{ .mCode = refusal_code::NoBackendServer,
-                          .mMessage = "the pool has no backend server" };
-      call_number const call = aCall.mRequest.mCall;
-      Refuse(call, none);
-      mCalls.erase(call);
+  using pool = pool_runtime<Policy>;
+
+  static ticket TicketOf(call_number aCall) { return ticket{ aCall.Value() }; }
+
+  static call_number CallOf(ticket aTicket)
+  {
+    return call_number{ aTicket.Value() };
+  }
+
+  static prefix_chain ChainOf(call_state const& aCall)
+  {
+    if (aCall.mRequest.mKind == call_kind::Plain)
+      return {};
+    cache_scope scope{ .mWeights = aCall.mAdmitted.mPool.mWeights };
+    if (aCall.mAdmitted.mWorkspace)
+      scope.mWorkspace = aCall.mAdmitted.mWorkspace->mName;
+    return prefix_chain::OfText(scope, aCall.mRequest.mCompletion.mPrompt);
+  }
+
+  static attempt_result ResultOf(upstream_end const& aEnd)
+  {
+    if (aEnd.mFailure == transfer_failure::Cancelled)
+      return attempt_result::Cancelled;
+    return aEnd.mFailure == transfer_failure::None ? attempt_result::Answered
+                                                   : attempt_result::Lost;
+  }
+
+  pool& PoolOf(call_state const& aCall)
+  {
+    return mPools[aCall.mAdmitted.mPool.mName];
+  }
+
+  // The workspace under which a call waits; open routes share one flow.
+  static workspace_id FlowOf(call_state const& aCall)
+  {
+    if (!aCall.mAdmitted.mWorkspace)
+      return workspace_id{};
+    return aCall.mAdmitted.mWorkspace->mName;
+  }
+
+  void Enqueue(call_number aNumber, instant aNow)
+  {
+    call_state& call = mCalls.at(aNumber);
+    route_row const& route = call.mAdmitted.mRoute;
+    enqueue_result const result = PoolOf(call).Queue().Enqueue(
+      admission_request{ .mTicket = TicketOf(aNumber),
+                         .mWorkspace = FlowOf(call),
+                         .mPriority = route.mPriority,
+                         .mCost = call.mCharged,
+                         .mDeadline = aNow + route.mQueueDeadline });
+    if (result != enqueue_result::Queued) {
+      End(aNumber,
+          refusal{ .mCode = refusal_code::Overloaded,
+                   .mMessage = "too many requests wait for this pool",
+                   .mRetryAfter = kRetryAfterOverload });
+      return;
+    }
+    call.mPhase = call_phase::Queued;
+    Pump(call.mAdmitted.mPool.mName, aNow);
+  }
+
+  void Pump(pool_name const& aName, instant aNow)
+  {
+    auto const found = mPools.find(aName);
+    if (found != mPools.end())
+      PumpPool(found->second, aNow);
+  }
+
+  void PumpPool(pool& aPool, instant aNow)
+  {
+    admission_batch const batch = aPool.Next(aNow);
+    for (ticket const expired : batch.mExpired) {
+      End(CallOf(expired),
+          refusal{ .mCode = refusal_code::QueueDeadline,
+                   .mMessage = "no backend server had room in time",
+                   .mRetryAfter = kRetryAfterOverload });
+    }
+    for (ticket const admitted : batch.mAdmitted)
+      Dispatch(mCalls.at(CallOf(admitted)), aNow);
+  }
+
+  // The key may have been withdrawn, and the pool changed, while the call
+  // waited, so that the tables are asked again.
+  void Dispatch(call_state& aCall, instant aNow)
+  {
+    route_decision decision = DecideRoute(*mTables, aCall.mRequest);
+    if (refusal const* const refused = std::get_if<refusal>(&decision)) {
+      End(aCall.mRequest.mCall, *refused);
+      return;
+    }
+    std::optional<placement_choice> const choice = Choose(aCall, aNow);
+    if (!choice) {
+      End(aCall.mRequest.mCall,
+          refusal{ .mCode = refusal_code::NoBackendServer,
+                   .mMessage = "no backend server can take the request",
+                   .mRetryAfter = kRetryAfterOverload });
       return;
     }
-    aCall.mServer = servers[mNextServer++ % servers.size()];
+    Send(aCall, *choice);
+  }
+
+  std::optional<placement_choice> Choose(call_state const& aCall, instant aNow)
+  {
+    placement_request const request{
+      .mBlocks = aCall.mChain.Blocks(),
+      .mRoot = aCall.mChain.Root(),
+      .mPromptTokens = aCall.mChain.Tokens(),
+      .mFailureDomain = mFailureDomain,
+    };
+    return PoolOf(aCall).Choose(request, aCall.mLost, aNow);
+  }
+
+  void Send(call_state& aCall, placement_choice const& aChoice)
+  {
+    pool& runtime = PoolOf(aCall);
+    backend_server const* const server = runtime.Find(aChoice.mServer);
+    assert(server);
+    aCall.mServer = *server;
     aCall.mAttempt = aCall.mAttempt.Next();
+    aCall.mPhase = call_phase::Running;
+    token_count const uncached =
+      aCall.mChain.Tokens() - aChoice.mExpectedCached;
+    runtime.OnSent(server->mId, uncached);
+    if (aCall.mAttempt.Value() == 1)
+      runtime.Retries().OnRequest();
     mPorts.PostUpstream(MakeUpstreamRequest(aCall));
   }
 
-  static upstream_request MakeUpstreamRequest(call_state const& aCall)
+  bool MayRetry(call_state& aCall, upstream_end const& aEnd)
   {
-    caller_request const& request = aCall.mRequest;
-    return upstream_request{
-      .mCall = request.mCall,
-      .mAttempt = aCall.mAttempt,
-      .mServer = aCall.mServer.mAddress,
-      .mMethod = request.mMethod,
-      .mTarget = request.mTarget,
-      .mHeaders = request.mHeaders,
-      .mBody = request.mBody,
-      .mFirstByteTimeout = aCall.mAdmitted.mRoute.mFirstByteTimeout,
-    };
+    retry_decision const decision =
+      DecideRetry(aCall.mAdmitted.mRoute, aCall.mAttempt, aEnd);
+    if (decision == retry_decision::GiveUp)
+      return false;
+    return PoolOf(aCall).Retries().TrySpend();
+  }
+
+  void Retry(call_state& aCall, instant aNow)
+  {
+    aCall.mLost.insert(aCall.mServer.mId);
+    Dispatch(aCall, aNow);
+  }
+
+  void Finish(call_state& aCall, upstream_end aEnd)
+  {
+    call_number const number = aCall.mRequest.mCall;
+    if (aEnd.mFailure != transfer_failure::None) {
+      End(number, RefusalFor(aEnd));
+      return;
+    }
+    if (aEnd.mForwardedBytes > 0)
+      mPorts.PostFront(front_end{ .mCall = number });
+    else
+      PassOn(std::move(aEnd));
+    mCalls.erase(number);
   }
 
   static refusal RefusalFor(upstream_end const& aEnd)
@@ -109,7 +286,14 @@
                     .mMessage = "the backend server gave no complete answer" };
   }
 
-  void Refuse(call_number aCall, refusal aRefusal)
+  // Ends a call with an error.
+  void End(call_number aCall, refusal aRefusal)
+  {
+    Answer(aCall, std::move(aRefusal));
+    mCalls.erase(aCall);
+  }
+
+  void Answer(call_number aCall, refusal aRefusal)
   {
     mPorts.PostFront(
       front_refusal{ .mCall = aCall, .mRefusal = std::move(aRefusal) });
@@ -123,11 +307,14 @@
                                    .mBody = std::move(aEnd.mBody) });
   }
 
+  static constexpr std::chrono::seconds kRetryAfterOverload{ 1 };
+
   Ports& mPorts;
+  failure_domain mFailureDomain;
   std::shared_ptr<config_tables const> mTables =
     std::make_shared<config_tables const>();
+  std::map<pool_name, pool> mPools;
   std::unordered_map<call_number, call_state> mCalls;
-  std::size_t mNextServer = 0;
 };
 
 }
--- a/Libraries/LibRouter/ControlCore.cpp
+++ b/Libraries/LibRouter/ControlCore.cpp
@@ -6,8 +6,9 @@
                            daemon_settings const& aSettings,
                            traffic& aTraffic,
                            published<config_tables>& aTables)
-  : mTables(aTables)
-  , mDirector(aTraffic)
+  : mTimer(aContext)
+  , mTables(aTables)
+  , mDirector(aTraffic, aSettings.mFailureDomain)
   , mPlatform(
       platform_options{ .mAddress = aSettings.mPlatform,
                         .mCallTimeout = aSettings.mTimeouts.mPlatformRequest },
@@ -19,8 +20,30 @@
 void
 control_core::Handle(control_message aMessage)
 {
-  std::visit([this](auto& aAny) { mDirector.Handle(std::move(aAny)); },
-             aMessage);
+  instant const now = mClock.Now();
+  std::visit(
+    [this, now](auto& aAny) { mDirector.Handle(std::move(aAny), now); },
+    aMessage);
+  ArmTimer();
+}
+
+// The timer always stands at the earliest deadline, and nowhere when there
+// is none: an idle control thread sleeps.
+void
+control_core::ArmTimer()
+{
+  std::optional<instant> const wake = mDirector.NextWake();
+  if (!wake) {
+    mTimer.cancel();
+    return;
+  }
+  mTimer.expires_after(*wake - mClock.Now());
+  mTimer.async_wait([this](boost::system::error_code const& aError) {
+    if (aError)
+      return;
+    mDirector.Tick(mClock.Now());
+    ArmTimer();
+  });
 }
 
 // FIXME: Replace with the log follower, which backs off in an outage and
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -3,12 +3,15 @@
 #include <LibConfig/ConfigTables.h>
 #include <LibControl/RequestDirector.h>
 #include <LibCore/Published.h>
+#include <LibCore/SystemClock.h>
+#include <LibPlacement/RendezvousPolicy.h>
 #include <LibPlatform/PlatformClient.h>
 #include <LibRouter/AsioPoster.h>
 #include <LibRouter/Traffic.h>
 #include <LibSettings/DaemonSettings.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace lycheeseam {
 
@@ -28,9 +31,12 @@
   void ReadLog();
   void HandleRead(read_result const& aResult);
   void Apply(log_entry const& aEntry);
+  void ArmTimer();
 
+  system_clock mClock;
+  boost::asio::steady_timer mTimer;
   published<config_tables>& mTables;
-  request_director<traffic> mDirector;
+  request_director<traffic, rendezvous_policy> mDirector;
   platform_client<asio_poster> mPlatform;
   config_tables mCurrent;
 };
--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -14,8 +14,7 @@
 std::string
 RequestIdPrefix(daemon_settings const& aSettings)
 {
-  std::int64_t const start =
-    system_clock{}.Now().time_since_epoch().count();
+  std::int64_t const start = system_clock{}.Now().time_since_epoch().count();
   return aSettings.mInstance.Text() + "-" + std::to_string(start) + "-";
 }
 
--- a/Libraries/LibRouter/Traffic.cpp
+++ b/Libraries/LibRouter/Traffic.cpp
@@ -80,9 +80,8 @@
 void
 traffic::OnPace(call_number aCall, caller_pace aPace)
 {
-  transfer_flow const flow = aPace == caller_pace::Slow
-                               ? transfer_flow::Paused
-                               : transfer_flow::Flowing;
+  transfer_flow const flow =
+    aPace == caller_pace::Slow ? transfer_flow::Paused : transfer_flow::Flowing;
   PostUpstream(set_transfer_flow{ .mCall = aCall, .mFlow = flow });
 }
 
@@ -109,8 +108,8 @@
 void
 traffic::OnPiece(upstream_piece aPiece)
 {
-  PostFront(front_piece{ .mCall = aPiece.mCall,
-                         .mBytes = std::move(aPiece.mBytes) });
+  PostFront(
+    front_piece{ .mCall = aPiece.mCall, .mBytes = std::move(aPiece.mBytes) });
 }
 
 void
--- a/Services/lycheeseamd/Main.cpp
+++ b/Services/lycheeseamd/Main.cpp
@@ -1,5 +1,4 @@
 #include "ExitCode.h"
-
 #include <LibRouter/Router.h>
 #include <LibSettings/ParseSettings.h>
 #include <LibSettings/SettingsError.h>
