--- a/Libraries/LibControl/ServerRuntime.h
+++ b/Libraries/LibControl/ServerRuntime.h
@@ -17,8 +17,8 @@
   /// Uncached prompt tokens sent since the load was measured.
   token_count mSentTokens = 0;
   server_window mWindow;
-  circuit_breaker mBreaker;
-  slow_start mSlowStart;
+  circuit_breaker mBreaker{ circuit_breaker_options{} };
+  slow_start mSlowStart{ slow_start_options{} };
 };
 
 }
