LibCore: Tell the linter that ordinals hold no pointers

Any source that compares two ordinals with < or >= failed modernize-use-nullptr inside Ordinal.h: clang-tidy 14 takes the zero of the rewritten comparison for a null pointer.

--- a/Libraries/LibCore/Ordinal.h
+++ b/Libraries/LibCore/Ordinal.h
@@ -29,6 +29,8 @@
     return ordinal{ mValue + 1 };
   }
 
+  // The check takes a rewritten comparison's zero for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(ordinal const&) const = default;
 
 private:
--- /dev/null
+++ b/StandIns/Engine/EngineApi.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <StandIns/Engine/EngineControl.h>
+#include <StandIns/Engine/EngineOptions.h>
+#include <StandIns/Engine/Generator.h>
+#include <StandIns/EngineModel/OrderDesk.h>
+#include <StandIns/Http/HttpExchange.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace lycheeseam {
+
+/// Answers an engine's calls; docs/ENGINE-API.md lists them.
+class engine_api
+{
+public:
+  using exchange = std::shared_ptr<http_exchange>;
+
+  engine_api(boost::asio::io_context& aContext, engine_options aOptions);
+
+  /// What a crash does; set once before the first request.
+  void OnCrash(std::function<void()> aCrash) { mCrash = std::move(aCrash); }
+
+  /// Answers one request.
+  void Handle(exchange const& aExchange, std::size_t aPostsOnConnection);
+
+private:
+  void Route(exchange const& aExchange);
+  void Complete(exchange const& aExchange);
+  void TellLoad(exchange const& aExchange);
+  void TellEvents(exchange const& aExchange);
+  void TakeOrder(exchange const& aExchange);
+  void CarryOut(engine_order const& aOrder, exchange const& aExchange);
+  void Cancel(exchange const& aExchange);
+  void ExportBlocks(exchange const& aExchange);
+  void ImportBlocks(exchange const& aExchange);
+  void TellCounts(exchange const& aExchange);
+  void TakeControl(exchange const& aExchange);
+  void ApplyControl(engine_control const& aControl);
+
+  engine_options mOptions;
+  incarnation mIncarnation;
+  generator mGenerator;
+  order_desk mDesk;
+  boost::asio::steady_timer mLoading;
+  bool mIsLoading = false;
+  std::string mCrashOn;
+  std::size_t mCloseAfterPosts = 0;
+  std::function<void()> mCrash;
+};
+
+}
--- /dev/null
+++ b/StandIns/Engine/EngineLoad.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+
+namespace lycheeseam {
+
+/// How busy an engine is.
+struct engine_load
+{
+  /// Sequences in the batch.
+  std::size_t mRunning = 0;
+  /// Sequences that wait for a place in it.
+  std::size_t mWaiting = 0;
+  /// Blocks in the prefix cache.
+  std::size_t mCachedBlocks = 0;
+
+  bool operator==(engine_load const&) const = default;
+};
+
+}
--- /dev/null
+++ b/StandIns/Engine/Main.cpp
@@ -0,0 +1,71 @@
+#include <StandIns/Engine/EngineApi.h>
+#include <StandIns/Http/HttpServer.h>
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_uint32(port, 9001, "TCP port to listen on");
+DEFINE_string(id, "engine-1", "this engine's id");
+DEFINE_string(model, "", "model held at the start; empty answers for any");
+DEFINE_string(weights_version, "v1", "version of the weights held");
+DEFINE_double(tokens_per_second, 50, "rate of a stream that is alone");
+DEFINE_double(slowdown_per_stream, 0.02, "step time added by each stream");
+DEFINE_double(prefill_tokens_per_second, 20000, "uncached prompt tokens");
+DEFINE_uint32(max_batch, 64, "streams that decode together");
+DEFINE_uint32(cache_blocks, 4096, "blocks in the prefix cache");
+DEFINE_uint32(default_max_tokens, 64, "answer length if a request has none");
+DEFINE_uint32(weight_load_ms, 400, "how long new weights take");
+DEFINE_bool(check_fencing, true, "refuse orders with an old fencing number");
+
+namespace lycheeseam {
+namespace {
+
+/// A crashed engine's exit code.
+constexpr int kCrashExitCode = 70;
+
+engine_options
+OptionsFromFlags()
+{
+  return engine_options{
+    .mId = backend_server_id{ FLAGS_id },
+    .mSpeed = { .mTokensPerSecond = FLAGS_tokens_per_second,
+                .mSlowdownPerStream = FLAGS_slowdown_per_stream,
+                .mPrefillTokensPerSecond = FLAGS_prefill_tokens_per_second,
+                .mMaxBatch = FLAGS_max_batch,
+                .mCacheBlocks = FLAGS_cache_blocks },
+    .mModel = model_name{ FLAGS_model },
+    .mVersion = weights_version{ FLAGS_weights_version },
+    .mChecksFencing = FLAGS_check_fencing,
+    .mWeightLoadTime = std::chrono::milliseconds{ FLAGS_weight_load_ms },
+    .mDefaultMaxTokens = FLAGS_default_max_tokens,
+  };
+}
+
+void
+Run()
+{
+  boost::asio::io_context context{ 1 };
+  engine_api api{ context, OptionsFromFlags() };
+  endpoint const address{ .mAddress = FLAGS_address,
+                          .mPort = static_cast<std::uint16_t>(FLAGS_port) };
+  http_server<engine_api> server{ context, address, api };
+  api.OnCrash([&server]() {
+    server.Abort();
+    std::_Exit(kCrashExitCode);
+  });
+  server.Listen();
+  context.run();
+}
+
+}
+}
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  gflags::SetUsageMessage("A stand-in for a model engine.");
+  gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
+  lycheeseam::Run();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/StandIns/EngineModel/OrderAnswer.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// What an engine says to an order.
+enum class order_answer
+{
+  Accepted,
+  /// A newer fencing number has been seen.
+  StaleFencing,
+};
+
+}
--- /dev/null
+++ b/StandIns/EngineModel/OrderDesk.cpp
@@ -0,0 +1,48 @@
+#include <StandIns/EngineModel/OrderDesk.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+order_desk::order_desk(bool aChecksFencing)
+  : mChecksFencing(aChecksFencing)
+{
+}
+
+order_answer
+order_desk::Check(engine_order const& aOrder)
+{
+  bool const isStale = aOrder.mFencing < mNewest;
+  if (isStale && mChecksFencing)
+    return order_answer::StaleFencing;
+  if (isStale)
+    ++mStaleAccepted;
+  mNewest = std::max(mNewest, aOrder.mFencing);
+  return order_answer::Accepted;
+}
+
+void
+order_desk::Complete(engine_order const& aOrder)
+{
+  switch (aOrder.mKind) {
+    case engine_order_kind::LoadWeights:
+      mModel = aOrder.mModel;
+      mVersion = aOrder.mVersion;
+      break;
+    case engine_order_kind::UnloadWeights:
+      mModel = model_name{};
+      mVersion = weights_version{};
+      break;
+    case engine_order_kind::LoadAdapter:
+      mAdapters.insert(aOrder.mAdapter);
+      break;
+    case engine_order_kind::UnloadAdapter:
+      mAdapters.erase(aOrder.mAdapter);
+      break;
+    case engine_order_kind::SetRole:
+      mRole = aOrder.mRole;
+      break;
+  }
+}
+
+}
--- /dev/null
+++ b/StandIns/EngineModel/TokenStep.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <StandIns/EngineModel/Sequence.h>
+
+namespace lycheeseam {
+
+/// Tokens that one sequence got in an advance of the batch.
+struct token_step
+{
+  sequence_id mId;
+  token_count mFirst = 0;
+  token_count mEnd = 0;
+  bool mFinished = false;
+};
+
+}
--- /dev/null
+++ b/StandIns/Http/HttpRequest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/beast/http.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lycheeseam {
+
+/// A request as a stand-in reads it: whole, with its body in memory.
+using http_request =
+  boost::beast::http::request<boost::beast::http::string_body>;
+
+/// The largest request body that a stand-in reads, in bytes.
+inline constexpr std::size_t kMaxStandInBodyBytes = 64U * 1024U * 1024U;
+
+/// The target up to its query.
+std::string_view
+PathOf(http_request const& aRequest);
+
+/// The value of one query parameter as it stands, or empty.
+std::string_view
+QueryValue(http_request const& aRequest, std::string_view aName);
+
+/// The value of a header, or empty.
+std::string_view
+HeaderValue(http_request const& aRequest, std::string_view aName);
+
+}
