--- a/StandIns/Http/HttpRequest.h
+++ b/StandIns/Http/HttpRequest.h
@@ -13,7 +13,8 @@
   boost::beast::http::request<boost::beast::http::string_body>;
 
 /// The largest request body that a stand-in reads, in bytes.
-inline constexpr std::size_t kMaxStandInBodyBytes = 64U * 1024U * 1024U;
+inline constexpr std::size_t kMaxStandInBodyBytes =
+  std::size_t{ 64 } * 1024 * 1024;
 
 /// The target up to its query.
 std::string_view
--- /dev/null
+++ b/StandIns/Http/RunStandIn.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <StandIns/Http/HttpServer.h>
+
+#include <cstdlib>
+
+namespace lycheeseam {
+
+/// A crashed stand-in's exit code.
+inline constexpr int kCrashExitCode = 70;
+
+/// Serves a stand-in's calls on this thread; a crash that the stand-in is told
+/// of resets its connections and ends the process.
+template<http_handler Api>
+void
+RunStandIn(boost::asio::io_context& aContext,
+           Api& aApi,
+           endpoint const& aAddress)
+{
+  http_server<Api> server{ aContext, aAddress, aApi };
+  aApi.OnCrash([&server]() {
+    server.Abort();
+    std::_Exit(kCrashExitCode);
+  });
+  server.Listen();
+  aContext.run();
+}
+
+}
