--- a/StandIns/Engine/Main.cpp
+++ b/StandIns/Engine/Main.cpp
@@ -1,5 +1,5 @@
 #include <StandIns/Engine/EngineApi.h>
-#include <StandIns/Http/HttpServer.h>
+#include <StandIns/Http/RunStandIn.h>
 #include <gflags/gflags.h>
 
 #include <cstdlib>
@@ -21,9 +21,6 @@
 namespace lycheeseam {
 namespace {
 
-/// A crashed engine's exit code.
-constexpr int kCrashExitCode = 70;
-
 engine_options
 OptionsFromFlags()
 {
@@ -49,13 +46,7 @@
   engine_api api{ context, OptionsFromFlags() };
   endpoint const address{ .mAddress = FLAGS_address,
                           .mPort = static_cast<std::uint16_t>(FLAGS_port) };
-  http_server<engine_api> server{ context, address, api };
-  api.OnCrash([&server]() {
-    server.Abort();
-    std::_Exit(kCrashExitCode);
-  });
-  server.Listen();
-  context.run();
+  RunStandIn(context, api, address);
 }
 
 }
--- a/StandIns/Service/Main.cpp
+++ b/StandIns/Service/Main.cpp
@@ -1,4 +1,4 @@
-#include <StandIns/Http/HttpServer.h>
+#include <StandIns/Http/RunStandIn.h>
 #include <StandIns/Service/ServiceApi.h>
 #include <gflags/gflags.h>
 
@@ -11,9 +11,6 @@
 namespace lycheeseam {
 namespace {
 
-/// A crashed service's exit code.
-constexpr int kCrashExitCode = 70;
-
 void
 Run()
 {
@@ -21,13 +18,7 @@
   service_api api{ context, backend_server_id{ FLAGS_id } };
   endpoint const address{ .mAddress = FLAGS_address,
                           .mPort = static_cast<std::uint16_t>(FLAGS_port) };
-  http_server<service_api> server{ context, address, api };
-  api.OnCrash([&server]() {
-    server.Abort();
-    std::_Exit(kCrashExitCode);
-  });
-  server.Listen();
-  context.run();
+  RunStandIn(context, api, address);
 }
 
 }
