--- /dev/null
+++ b/Libraries/LibMetrics/CounterDelta.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibMetrics/CounterSeries.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// What one thread added to a counter since its last hand-over.
+struct counter_delta
+{
+  counter_series mSeries;
+  std::uint64_t mAdded = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMetrics/EncodePrometheus.cpp
@@ -0,0 +1,166 @@
+#include <LibMetrics/EncodePrometheus.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <string_view>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr std::string_view kPrefix = "lycheeseam_";
+
+std::string
+EscapeLabelValue(std::string_view aText)
+{
+  std::string escaped;
+  for (char const character : aText) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '\\' || character == '"')
+      escaped += '\\';
+    escaped += character;
+  }
+  return escaped;
+}
+
+std::string
+NumberText(double aValue)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.9g", aValue);
+  return text.data();
+}
+
+std::string
+SecondsText(duration aSpan)
+{
+  return NumberText(std::chrono::duration<double>{ aSpan }.count());
+}
+
+std::string
+Label(std::string_view aName, std::string_view aValue)
+{
+  return std::string{ aName } + "=\"" + EscapeLabelValue(aValue) + "\"";
+}
+
+std::string
+Labels(counter_series const& aSeries)
+{
+  if (aSeries.mLabel.empty())
+    return "";
+  return "{" + Label(aSeries.mLabel, aSeries.mLabelValue) + "}";
+}
+
+std::string_view
+KindName(latency_kind aKind)
+{
+  switch (aKind) {
+    case latency_kind::FirstToken:
+      return "first_token_seconds";
+    case latency_kind::TokenGap:
+      return "token_gap_seconds";
+    case latency_kind::QueueWait:
+      return "queue_wait_seconds";
+  }
+  return "unknown_seconds";
+}
+
+std::string_view
+ScopeName(latency_scope aScope)
+{
+  return aScope == latency_scope::Pool ? "pool" : "workspace";
+}
+
+// Writes lines, with a TYPE line before each new metric.
+class prometheus_writer
+{
+public:
+  void Line(std::string_view aMetric,
+            std::string_view aType,
+            std::string_view aSuffix,
+            std::string_view aLabels,
+            std::string_view aValue)
+  {
+    std::string const metric = std::string{ kPrefix } + std::string{ aMetric };
+    if (metric != mMetric)
+      mText.append("# TYPE ").append(metric).append(" ").append(aType) += '\n';
+    mMetric = metric;
+    mText.append(metric).append(aSuffix).append(aLabels);
+    mText.append(" ").append(aValue) += '\n';
+  }
+
+  [[nodiscard]] std::string const& Text() const noexcept { return mText; }
+
+private:
+  std::string mMetric;
+  std::string mText;
+};
+
+void
+WriteCounters(prometheus_writer& aWriter, metrics_report const& aReport)
+{
+  for (counter_report const& counter : aReport.mCounters)
+    aWriter.Line(counter.mSeries.mMetric,
+                 "counter",
+                 "",
+                 Labels(counter.mSeries),
+                 std::to_string(counter.mTotal));
+  for (counter_report const& counter : aReport.mCounters)
+    aWriter.Line(counter.mSeries.mMetric + "_per_second",
+                 "gauge",
+                 "",
+                 Labels(counter.mSeries),
+                 NumberText(counter.mPerSecond));
+}
+
+void
+WriteGauges(prometheus_writer& aWriter, metrics_report const& aReport)
+{
+  for (gauge_report const& gauge : aReport.mGauges)
+    aWriter.Line(gauge.mSeries.mMetric,
+                 "gauge",
+                 "",
+                 Labels(gauge.mSeries),
+                 NumberText(gauge.mValue));
+}
+
+void
+WriteLatency(prometheus_writer& aWriter, latency_report const& aLatency)
+{
+  latency_series const& series = aLatency.mSeries;
+  std::string const scope{ ScopeName(series.mScope) };
+  std::string const metric =
+    scope + "_" + std::string{ KindName(series.mKind) };
+  std::string const label = Label(scope, series.mName);
+  auto const writeQuantile = [&](std::string_view aQuantile, duration aValue) {
+    std::string const labels =
+      "{" + label + "," + Label("quantile", aQuantile) + "}";
+    aWriter.Line(metric, "summary", "", labels, SecondsText(aValue));
+  };
+  writeQuantile("0.5", aLatency.mQuantiles.mP50);
+  writeQuantile("0.95", aLatency.mQuantiles.mP95);
+  writeQuantile("0.99", aLatency.mQuantiles.mP99);
+  std::string const labels = "{" + label + "}";
+  aWriter.Line(metric, "summary", "_sum", labels, SecondsText(aLatency.mSum));
+  aWriter.Line(
+    metric, "summary", "_count", labels, std::to_string(aLatency.mCount));
+}
+
+}
+
+std::string
+EncodePrometheus(metrics_report const& aReport)
+{
+  prometheus_writer writer;
+  WriteCounters(writer, aReport);
+  WriteGauges(writer, aReport);
+  for (latency_report const& latency : aReport.mLatencies)
+    WriteLatency(writer, latency);
+  return writer.Text();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMetrics/EncodePrometheus.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibMetrics/MetricsReport.h>
+
+#include <string>
+
+namespace lycheeseam {
+
+/// The report in Prometheus's text format, version 0.0.4. Every metric has
+/// the prefix "lycheeseam_"; latencies are summaries in seconds.
+std::string
+EncodePrometheus(metrics_report const& aReport);
+
+}
--- /dev/null
+++ b/Libraries/LibMetrics/MetricsReport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibMetrics/CounterReport.h>
+#include <LibMetrics/GaugeReport.h>
+#include <LibMetrics/LatencyReport.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// All metrics at one moment, each kind sorted by series.
+struct metrics_report
+{
+  std::vector<counter_report> mCounters;
+  std::vector<gauge_report> mGauges;
+  std::vector<latency_report> mLatencies;
+};
+
+}
