--- /dev/null
+++ b/Libraries/LibTrace/TraceIdSource.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibTrace/SpanId.h>
+#include <LibTrace/TraceId.h>
+
+#include <cstdint>
+#include <random>
+
+namespace lycheeseam {
+
+/// Makes identifiers of traces and spans; each thread has one of its own.
+template<std::uniform_random_bit_generator Random = std::mt19937_64>
+class trace_id_source
+{
+public:
+  explicit trace_id_source(Random aRandom)
+    : mRandom(aRandom)
+  {
+  }
+
+  /// A trace that no other process has.
+  trace_id NewTrace() { return New<trace_id>(); }
+
+  /// A span that no other span of the same trace has.
+  span_id NewSpan() { return New<span_id>(); }
+
+private:
+  template<typename Id>
+  Id New()
+  {
+    Id result;
+    do {
+      for (std::uint8_t& byte : result.mBytes)
+        byte = static_cast<std::uint8_t>(mRandom());
+    } while (result == Id{});
+    return result;
+  }
+
+  Random mRandom;
+};
+
+}
