LibPlatform: Reach the platform over HTTP, with a stand-in that can be broken

Calls run on one thread of libcurl's multi interface; answers are read there and arrive typed through the owner's poster. A refused connection is the only end of an append that is known to have had no effect.

Ordinal's comparison is exempt from one linter check, which takes the zero that the compiler rewrites "<" with for a null pointer.

--- a/Libraries/LibCore/Ordinal.h
+++ b/Libraries/LibCore/Ordinal.h
@@ -29,6 +29,8 @@
     return ordinal{ mValue + 1 };
   }
 
+  // The linter takes the zero that "<" is rewritten with for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(ordinal const&) const = default;
 
 private:
--- /dev/null
+++ b/Libraries/LibPlatform/AppendReply.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+namespace lycheeseam {
+
+/// The platform's answer to an append.
+struct append_reply
+{
+  log_offset mOffset;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpCall.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibPlatform/HttpMethod.h>
+
+#include <chrono>
+#include <string>
+
+namespace lycheeseam {
+
+/// One HTTP request to the platform.
+struct http_call
+{
+  http_method mMethod = http_method::Get;
+  std::string mUrl;
+  std::string mBody;
+  /// The bound on the whole transfer, connecting included.
+  std::chrono::milliseconds mTimeout{ 2000 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpReply.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibPlatform/TransferEnd.h>
+
+#include <string>
+
+namespace lycheeseam {
+
+/// The end of one HTTP call.
+struct http_reply
+{
+  transfer_end mEnd = transfer_end::NoAnswer;
+  /// The HTTP status; 0 unless answered.
+  long mStatus = 0;
+  std::string mBody;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpTransfer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibPlatform/HttpCall.h>
+#include <LibPlatform/HttpReply.h>
+
+#include <curl/curl.h>
+
+#include <functional>
+#include <memory>
+
+namespace lycheeseam {
+
+/// One call on its way: owns the libcurl handle and what it points to.
+class http_transfer
+{
+public:
+  using completion = std::function<void(http_reply)>;
+
+  http_transfer(http_call aCall, completion aDone);
+
+  /// The handle, for the multi interface.
+  [[nodiscard]] CURL* Handle() const noexcept { return mHandle.get(); }
+
+  /// The transfer that a handle belongs to.
+  static http_transfer& Of(CURL* aHandle);
+
+  /// Tells the caller how the transfer ended.
+  void Finish(CURLcode aCode);
+
+private:
+  using handle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+  using header_list =
+    std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+  void SetMethod();
+  static std::size_t OnBody(char const* aData,
+                            std::size_t aSize,
+                            std::size_t aCount,
+                            void* aSelf);
+
+  http_call mCall;
+  http_reply mReply;
+  completion mDone;
+  header_list mHeaders;
+  handle mHandle;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/ReadStatus.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// How a read of the log ended.
+enum class read_status
+{
+  /// The entries are complete from the offset asked for.
+  Complete,
+  /// The offset asked for is older than what the log keeps.
+  BehindRetention,
+  /// The log can't be reached or refused to answer.
+  Unavailable,
+};
+
+}
--- /dev/null
+++ b/StandIns/Platform/DelayedTasks.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace lycheeseam::standin {
+
+/// Runs tasks at their time on one thread; tasks left at the end are dropped.
+class delayed_tasks
+{
+public:
+  delayed_tasks();
+  ~delayed_tasks();
+  delayed_tasks(delayed_tasks const&) = delete;
+  delayed_tasks& operator=(delayed_tasks const&) = delete;
+
+  /// Runs a task after a delay; safe from any thread.
+  void RunAfter(duration aDelay, std::function<void()> aTask);
+
+private:
+  void Run();
+
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::multimap<std::chrono::steady_clock::time_point, std::function<void()>>
+    mTasks;
+  bool mIsEnding = false;
+  std::thread mThread;
+};
+
+}
--- /dev/null
+++ b/StandIns/Platform/Responder.cpp
@@ -0,0 +1,15 @@
+#include "Responder.h"
+
+namespace lycheeseam::standin {
+
+void
+responder::Send(Pistache::Http::Code aCode, std::string const& aBody) const
+{
+  try {
+    mWriter->send(aCode, aBody, MIME(Application, Json));
+  } catch (std::exception const&) {
+    // The caller closed its connection; nobody waits for this answer.
+  }
+}
+
+}
