LibRouter, lycheeseamd: Serve a streamed chat from end to end

Cause of the one fault met: the head of a stream stayed in the library's buffer until the stream's end; it is flushed at once now.

--- a/Libraries/LibFront/CallerAnswer.cpp
+++ b/Libraries/LibFront/CallerAnswer.cpp
@@ -116,6 +116,7 @@
   mIsEventStream = aContentType.starts_with("text/event-stream");
   AddCommonHeaders(aContentType);
   mStream.emplace(mWriter.stream(static_cast<Pistache::Http::Code>(aStatus)));
+  mStream->flush();
 }
 
 void
--- a/Libraries/LibFront/FrontHandler.h
+++ b/Libraries/LibFront/FrontHandler.h
@@ -9,7 +9,7 @@
 
 /// Ties Pistache to the front workers. Pistache copies its handler once for
 /// each worker thread, and each copy has that thread's state.
-template<call_sink Sink>
+template<typename Sink>
 class front_handler : public Pistache::Http::Handler
 {
 public:
--- a/Libraries/LibFront/FrontServer.h
+++ b/Libraries/LibFront/FrontServer.h
@@ -11,7 +11,7 @@
 namespace lycheeseam {
 
 /// Serves callers over HTTP on threads of its own.
-template<call_sink Sink>
+template<typename Sink>
 class front_server
 {
 public:
@@ -22,6 +22,9 @@
     , mEndpoint(Pistache::Address(mOptions.mListen.mAddress,
                                   Pistache::Port(mOptions.mListen.mPort)))
   {
+    // Checked here, since the sink's class holds this one and isn't complete
+    // before.
+    static_assert(call_sink<Sink>);
     Pistache::Tcp::Options const flags = Pistache::Tcp::Options::ReuseAddr;
     mEndpoint.init(Pistache::Http::Endpoint::options()
                      .threads(mOptions.mWorkers)
--- a/Libraries/LibFront/FrontWorker.h
+++ b/Libraries/LibFront/FrontWorker.h
@@ -8,6 +8,8 @@
 #include <LibFront/FrontOptions.h>
 #include <LibFront/WorkerWake.h>
 
+#include <pistache/peer.h>
+
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -19,7 +21,7 @@
 
 /// The state of one Pistache worker thread: its callers and their open
 /// calls. All but Post runs on that thread.
-template<call_sink Sink>
+template<typename Sink>
 class front_worker
 {
 public:
--- a/Libraries/LibFront/FrontWorkers.h
+++ b/Libraries/LibFront/FrontWorkers.h
@@ -9,7 +9,7 @@
 namespace lycheeseam {
 
 /// All front workers; hands a message to the worker that its call is on.
-template<call_sink Sink>
+template<typename Sink>
 class front_workers
 {
 public:
--- a/Libraries/LibUpstream/UpstreamLoop.h
+++ b/Libraries/LibUpstream/UpstreamLoop.h
@@ -22,7 +22,7 @@
 /// Runs attempts at backend servers on a thread of its own, over one libcurl
 /// multi handle. What several transfers bring in one turn of the loop is
 /// passed on once per transfer.
-template<upstream_sink Sink>
+template<typename Sink>
 class upstream_loop
 {
 public:
@@ -33,6 +33,9 @@
     , mCommands(multi_wake{ mMulti })
     , mThread([this]() { Run(); })
   {
+    // Checked here, since the sink's class holds this one and isn't complete
+    // before.
+    static_assert(upstream_sink<Sink>);
   }
 
   upstream_loop(upstream_loop const&) = delete;
--- a/Tests/LibControl/TestRequestDirector.cpp
+++ b/Tests/LibControl/TestRequestDirector.cpp
@@ -1,5 +1,4 @@
 #include "RecordingPorts.h"
-
 #include <LibControl/RequestDirector.h>
 #include <LibPlacement/RoundRobinPolicy.h>
 
@@ -42,14 +41,13 @@
 
   void Open(call_number aCall = kCall)
   {
-    mDirector.Handle(
-      call_opened{ caller_request{
-        .mCall = aCall,
-        .mMethod = "POST",
-        .mTarget = "/stock/12",
-        .mBody = std::make_shared<std::string const>("{}"),
-        .mKey = digest::Of("k") } },
-      mNow);
+    mDirector.Handle(call_opened{ caller_request{
+                       .mCall = aCall,
+                       .mMethod = "POST",
+                       .mTarget = "/stock/12",
+                       .mBody = std::make_shared<std::string const>("{}"),
+                       .mKey = digest::Of("k") } },
+                     mNow);
   }
 
   void EndAttempt(transfer_failure aFailure, verdict aVerdict)
