Scenarios: Run Lua scenarios against real processes

The runner starts programs of the build on free ports, pauses and kills them, cuts the ways between them by a relay of its own, and sends requests that a scenario can watch and drop.

--- /dev/null
+++ b/Tests/Scenarios/ChildProcess.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ExitReport.h"
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace lycheeseam {
+
+/// One process under test. It is killed when this goes out of scope, and by
+/// the kernel if the runner dies first.
+class child_process
+{
+public:
+  /// Starts a program; its output goes to a file.
+  child_process(std::filesystem::path const& aProgram,
+                std::span<std::string const> aArguments,
+                std::filesystem::path aOutput);
+  ~child_process();
+  child_process(child_process const&) = delete;
+  child_process& operator=(child_process const&) = delete;
+
+  /// Sends a signal to this process alone.
+  void Signal(int aSignal) const;
+
+  /// Waits for the end; nothing if it hasn't come within the bound.
+  std::optional<exit_report> Wait(std::chrono::milliseconds aBound);
+
+  /// Where its output goes.
+  [[nodiscard]] std::filesystem::path const& Output() const { return mOutput; }
+
+private:
+  std::filesystem::path mOutput;
+  pid_t mPid = -1;
+  int mPidDescriptor = -1;
+  std::optional<exit_report> mExit;
+};
+
+}
--- /dev/null
+++ b/Tests/Scenarios/HttpCallOptions.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace lycheeseam {
+
+/// A request that a scenario sends.
+struct http_call_options
+{
+  std::string mUrl;
+  std::string mMethod = "GET";
+  std::string mBody;
+  /// Each "Name: value".
+  std::vector<std::string> mHeaders;
+  std::chrono::milliseconds mTimeout{ 10000 };
+};
+
+}
--- /dev/null
+++ b/Tests/Scenarios/HttpVerbs.cpp
@@ -0,0 +1,103 @@
+#include "Verbs.h"
+
+#include <array>
+#include <chrono>
+
+namespace lycheeseam {
+
+namespace {
+
+using nlohmann::json;
+
+http_call_options
+Options(json const& aRequest)
+{
+  http_call_options options{ .mUrl = aRequest.at("url").get<std::string>() };
+  if (aRequest.contains("body")) {
+    json const& body = aRequest["body"];
+    options.mBody = body.is_string() ? body.get<std::string>() : body.dump();
+    options.mMethod = "POST";
+  }
+  options.mMethod = aRequest.value("method", options.mMethod);
+  json const headers = aRequest.value("headers", json::object());
+  for (auto const& header : headers.items())
+    options.mHeaders.push_back(header.key() + ": " +
+                               header.value().get<std::string>());
+  std::int64_t const timeout =
+    aRequest.value("timeout_ms", std::int64_t{ options.mTimeout.count() });
+  options.mTimeout = std::chrono::milliseconds{ timeout };
+  return options;
+}
+
+/// begin{url, method, headers, body, timeout_ms, connection}: sends a request
+/// and goes on; gives the call's number.
+json
+Begin(scenario& aScenario, json const& aArguments)
+{
+  json const& request = aArguments.at(0);
+  return aScenario.Begin(Options(request), request.value("connection", ""));
+}
+
+/// body_so_far(call): the bytes of the answer that have come.
+json
+BodySoFar(scenario& aScenario, json const& aArguments)
+{
+  return aScenario.Call(aArguments.at(0).get<std::uint64_t>()).BodySoFar();
+}
+
+/// drop(call): the caller hangs up.
+json
+Drop(scenario& aScenario, json const& aArguments)
+{
+  aScenario.Call(aArguments.at(0).get<std::uint64_t>()).Drop();
+  return nullptr;
+}
+
+/// finish(call): waits for the end; gives status, headers, body and more.
+json
+Finish(scenario& aScenario, json const& aArguments)
+{
+  http_result const result =
+    aScenario.Finish(aArguments.at(0).get<std::uint64_t>());
+  return { { "status", result.mStatus },
+           { "headers", result.mHeaders },
+           { "body", result.mBody },
+           { "error", result.mError },
+           { "new_connections", result.mNewConnections },
+           { "duration_ms", result.mDuration.count() } };
+}
+
+/// decode(text): a JSON text as a table; nil if it isn't one.
+json
+Decode(scenario&, json const& aArguments)
+{
+  json const value =
+    json::parse(aArguments.at(0).get<std::string>(), nullptr, false);
+  return value.is_discarded() ? json{} : value;
+}
+
+/// encode(table): a table as a JSON text.
+json
+Encode(scenario&, json const& aArguments)
+{
+  return aArguments.at(0).dump();
+}
+
+constexpr std::array kVerbs{
+  scenario_verb{ "begin", &Begin },
+  scenario_verb{ "body_so_far", &BodySoFar },
+  scenario_verb{ "drop", &Drop },
+  scenario_verb{ "finish", &Finish },
+  scenario_verb{ "decode", &Decode },
+  scenario_verb{ "encode", &Encode },
+};
+
+}
+
+std::span<scenario_verb const>
+HttpVerbs()
+{
+  return kVerbs;
+}
+
+}
--- /dev/null
+++ b/Tests/Scenarios/RelayThread.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Relay.h"
+#include "RelayAction.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace lycheeseam {
+
+/// The one thread on which a scenario's relays run.
+class relay_thread
+{
+public:
+  relay_thread();
+  ~relay_thread();
+  relay_thread(relay_thread const&) = delete;
+  relay_thread& operator=(relay_thread const&) = delete;
+
+  /// Adds a relay to a port; returns the relay's own port.
+  std::uint16_t Add(std::string_view aName, std::uint16_t aTargetPort);
+
+  /// Acts on a relay; done when this returns. Throws scenario_failure if
+  /// there is none of this name.
+  void Act(std::string_view aName, relay_action aAction);
+
+private:
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork;
+  std::map<std::string, std::shared_ptr<relay>, std::less<>> mRelays;
+  std::thread mThread;
+};
+
+}
