--- /dev/null
+++ b/Libraries/LibPlacement/BlockMap.cpp
@@ -0,0 +1,223 @@
+#include <LibPlacement/BlockMap.h>
+#include <LibPlacement/TokenEstimate.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// 30 bits of these reach over 124 days of a machine's uptime.
+constexpr duration kTick = std::chrono::milliseconds{ 10 };
+
+// How fast the guess of an engine's retention follows what answers show.
+constexpr double kRetentionGrowth = 1.1;
+constexpr double kRetentionCut = 0.8;
+
+std::uint32_t
+TickOf(instant aTime)
+{
+  return static_cast<std::uint32_t>(aTime.time_since_epoch() / kTick);
+}
+
+instant
+TimeOf(std::uint32_t aTick)
+{
+  return instant{} + aTick * kTick;
+}
+
+duration
+Scaled(duration aSpan, double aFactor)
+{
+  return std::chrono::duration_cast<duration>(aSpan * aFactor);
+}
+
+}
+
+block_map::block_map(block_map_options aOptions)
+  : mOptions(aOptions)
+  , mTable(aOptions.mEntries)
+{
+}
+
+void
+block_map::OnIncarnation(backend_server_id const& aServer,
+                         incarnation aIncarnation)
+{
+  auto const [found, isNew] = mLives.try_emplace(aServer);
+  server_life& life = found->second;
+  if (!isNew && life.mIncarnation >= aIncarnation)
+    return;
+  // A new number orphans all entries of older lives at once; they are never
+  // found again, and full buckets reuse their places.
+  life = server_life{ .mIncarnation = aIncarnation,
+                      .mNumber = ++mLastLifeNumber,
+                      .mRetention = mOptions.mFirstRetention };
+}
+
+void
+block_map::OnGone(backend_server_id const& aServer)
+{
+  mLives.erase(aServer);
+}
+
+void
+block_map::OnEvents(cache_event_batch const& aBatch, instant aNow)
+{
+  server_life* const life = LifeOf(aBatch.mServer, aBatch.mIncarnation);
+  if (life == nullptr)
+    return;
+  bool const isNewest = FollowSequence(*life, aBatch.mSequence, aNow);
+  for (cache_event const& event : aBatch.mEvents) {
+    // A batch that was passed may say "stored" of what a newer one removed.
+    if (event.mChange == cache_change::Removed)
+      mTable.Erase(event.mBlock, life->mNumber);
+    else if (isNewest)
+      RememberEvent(*life, event.mBlock, aNow);
+  }
+}
+
+void
+block_map::OnSent(backend_server_id const& aServer,
+                  incarnation aIncarnation,
+                  std::span<block_hash const> aBlocks,
+                  instant aNow)
+{
+  server_life const* const life = LifeOf(aServer, aIncarnation);
+  if (life == nullptr)
+    return;
+  for (block_hash const block : aBlocks)
+    RememberRequest(*life, block, aNow);
+}
+
+void
+block_map::OnAnswer(backend_server_id const& aServer,
+                    incarnation aIncarnation,
+                    std::span<block_hash const> aBlocks,
+                    token_count aCachedTokens,
+                    instant aNow)
+{
+  server_life* const life = LifeOf(aServer, aIncarnation);
+  if (life == nullptr)
+    return;
+  std::size_t const cachedBlocks =
+    static_cast<std::size_t>(aCachedTokens / kBlockTokens);
+  LearnRetention(*life, aBlocks, cachedBlocks, aNow);
+  // Whatever was missing has been computed, so the server now holds it all.
+  OnSent(aServer, aIncarnation, aBlocks, aNow);
+}
+
+known_prefix
+block_map::Find(backend_server_id const& aServer,
+                incarnation aIncarnation,
+                std::span<block_hash const> aBlocks,
+                instant aNow) const
+{
+  known_prefix known{ .mServer = aServer, .mIncarnation = aIncarnation };
+  auto const found = mLives.find(aServer);
+  if (found == mLives.end() || found->second.mIncarnation != aIncarnation)
+    return known;
+  known.mTokens =
+    static_cast<token_count>(CountTrusted(found->second, aBlocks, aNow)) *
+    kBlockTokens;
+  return known;
+}
+
+server_life*
+block_map::LifeOf(backend_server_id const& aServer, incarnation aIncarnation)
+{
+  OnIncarnation(aServer, aIncarnation);
+  server_life& life = mLives.at(aServer);
+  return life.mIncarnation == aIncarnation ? &life : nullptr;
+}
+
+bool
+block_map::FollowSequence(server_life& aLife,
+                          event_sequence aSequence,
+                          instant aNow) const
+{
+  if (aLife.mHasSeenEvents && aSequence < aLife.mNextSequence)
+    return false;
+  if (aLife.mHasSeenEvents && aSequence > aLife.mNextSequence)
+    aLife.mLastGapTick = TickOf(aNow);
+  aLife.mNextSequence = aSequence.Next();
+  aLife.mHasSeenEvents = true;
+  aLife.mLastBatchAt = aNow;
+  return true;
+}
+
+void
+block_map::RememberEvent(server_life const& aLife,
+                         block_hash aBlock,
+                         instant aNow)
+{
+  block_entry entry = EntryOf(aLife, aBlock);
+  // The batch that shows a gap comes in the gap's own tick, yet is after it.
+  entry.mSeenTick = std::max(TickOf(aNow), aLife.mLastGapTick + 1);
+  entry.mIsFromEvent = 1;
+  mTable.Put(entry);
+}
+
+void
+block_map::RememberRequest(server_life const& aLife,
+                           block_hash aBlock,
+                           instant aNow)
+{
+  block_entry entry = EntryOf(aLife, aBlock);
+  entry.mSeenTick = std::max<std::uint32_t>(TickOf(aNow), entry.mSeenTick);
+  entry.mIsFromRequest = 1;
+  mTable.Put(entry);
+}
+
+block_entry
+block_map::EntryOf(server_life const& aLife, block_hash aBlock) const
+{
+  block_entry const* const found = mTable.Find(aBlock, aLife.mNumber);
+  if (found == nullptr)
+    return block_entry{ .mBlock = aBlock, .mLife = aLife.mNumber };
+  block_entry entry = *found;
+  if (entry.mSeenTick <= aLife.mLastGapTick)
+    entry.mIsFromEvent = 0;
+  return entry;
+}
+
+bool
+block_map::IsTrusted(server_life const& aLife,
+                     block_hash aBlock,
+                     instant aNow) const
+{
+  block_entry const entry = EntryOf(aLife, aBlock);
+  bool const isFollowed = aNow - aLife.mLastBatchAt <= mOptions.mLongestSilence;
+  if (entry.mIsFromEvent == 1 && isFollowed)
+    return true;
+  return entry.mIsFromRequest == 1 &&
+         aNow - TimeOf(entry.mSeenTick) <= aLife.mRetention;
+}
+
+std::size_t
+block_map::CountTrusted(server_life const& aLife,
+                        std::span<block_hash const> aBlocks,
+                        instant aNow) const
+{
+  // Halving would step over a hole that a removal left. Most servers hold no
+  // block of a prompt, and for them the first look ends the search.
+  auto const end = std::ranges::find_if_not(
+    aBlocks, [&](block_hash aBlock) { return IsTrusted(aLife, aBlock, aNow); });
+  return static_cast<std::size_t>(end - aBlocks.begin());
+}
+
+void
+block_map::LearnRetention(server_life& aLife,
+                          std::span<block_hash const> aBlocks,
+                          std::size_t aCachedBlocks,
+                          instant aNow) const
+{
+  std::size_t const trusted = CountTrusted(aLife, aBlocks, aNow);
+  double const factor =
+    aCachedBlocks < trusted ? kRetentionCut : kRetentionGrowth;
+  aLife.mRetention = std::clamp(Scaled(aLife.mRetention, factor),
+                                mOptions.mShortestRetention,
+                                mOptions.mLongestRetention);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/BlockMap.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <LibPlacement/BlockMapOptions.h>
+#include <LibPlacement/BlockTable.h>
+#include <LibPlacement/CacheEventBatch.h>
+#include <LibPlacement/KnownPrefix.h>
+#include <LibPlacement/ServerLife.h>
+
+#include <span>
+#include <unordered_map>
+
+namespace lycheeseam {
+
+/// Which blocks backend servers are believed to hold.
+///
+/// Joined from engines' cache events, which come late and with gaps, and from
+/// requests that were sent and answered. What a dead incarnation held, and what
+/// only events before a gap said, is never counted.
+class block_map
+{
+public:
+  explicit block_map(block_map_options aOptions = {});
+
+  /// A server is seen in some life. A newer one drops all that older ones
+  /// held; an older one is ignored.
+  void OnIncarnation(backend_server_id const& aServer,
+                     incarnation aIncarnation);
+
+  /// A server is gone for good.
+  void OnGone(backend_server_id const& aServer);
+
+  /// Events came from a server's stream.
+  void OnEvents(cache_event_batch const& aBatch, instant aNow);
+
+  /// A request with these blocks was sent: the server will soon hold them.
+  void OnSent(backend_server_id const& aServer,
+              incarnation aIncarnation,
+              std::span<block_hash const> aBlocks,
+              instant aNow);
+
+  /// The server answered, and counted the cached tokens that it found.
+  void OnAnswer(backend_server_id const& aServer,
+                incarnation aIncarnation,
+                std::span<block_hash const> aBlocks,
+                token_count aCachedTokens,
+                instant aNow);
+
+  /// How much of a prompt the server's present life holds; nothing when it
+  /// isn't the one that the map knows.
+  [[nodiscard]] known_prefix Find(backend_server_id const& aServer,
+                                  incarnation aIncarnation,
+                                  std::span<block_hash const> aBlocks,
+                                  instant aNow) const;
+
+  /// The size of the table in bytes.
+  [[nodiscard]] std::size_t Bytes() const { return mTable.Bytes(); }
+
+private:
+  server_life* LifeOf(backend_server_id const& aServer,
+                      incarnation aIncarnation);
+  /// Counts a batch's sequence number; false for one that newer ones passed.
+  bool FollowSequence(server_life& aLife,
+                      event_sequence aSequence,
+                      instant aNow) const;
+  void RememberEvent(server_life const& aLife, block_hash aBlock, instant aNow);
+  void RememberRequest(server_life const& aLife,
+                       block_hash aBlock,
+                       instant aNow);
+  /// What is known of a block, less what a gap has put in doubt.
+  [[nodiscard]] block_entry EntryOf(server_life const& aLife,
+                                    block_hash aBlock) const;
+  [[nodiscard]] bool IsTrusted(server_life const& aLife,
+                               block_hash aBlock,
+                               instant aNow) const;
+  [[nodiscard]] std::size_t CountTrusted(server_life const& aLife,
+                                         std::span<block_hash const> aBlocks,
+                                         instant aNow) const;
+  void LearnRetention(server_life& aLife,
+                      std::span<block_hash const> aBlocks,
+                      std::size_t aCachedBlocks,
+                      instant aNow) const;
+
+  block_map_options mOptions;
+  block_table mTable;
+  std::unordered_map<backend_server_id, server_life> mLives;
+  std::uint32_t mLastLifeNumber = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/BlockMapOptions.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+
+#include <chrono>
+#include <cstddef>
+
+namespace lycheeseam {
+
+/// Bounds of a block_map.
+struct block_map_options
+{
+  /// Entries meant to fit; 24 to 26 bytes each.
+  std::size_t mEntries = 424'000;
+  /// The first guess of how long engines keep an unused block.
+  duration mFirstRetention = std::chrono::seconds{ 10 };
+  duration mShortestRetention = std::chrono::seconds{ 1 };
+  duration mLongestRetention = std::chrono::minutes{ 5 };
+  /// Events of a stream that was silent for longer aren't relied on.
+  duration mLongestSilence = std::chrono::seconds{ 5 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/BlockShard.cpp
@@ -0,0 +1,77 @@
+#include <LibPlacement/BlockShard.h>
+#include <LibPlacement/TokenEstimate.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// The KV store's entries lie beside the servers' under a name that no row of
+// a pool can have; it has one life.
+backend_server_id const&
+StoreName()
+{
+  static backend_server_id const name{ "kv store" };
+  return name;
+}
+
+constexpr incarnation kStoreLife{ 1 };
+
+}
+
+block_answer
+block_shard::Answer(block_lookup const& aLookup,
+                    std::span<placement_candidate const> aCandidates,
+                    instant aNow) const
+{
+  block_answer answer{ .mNumber = aLookup.mNumber };
+  for (placement_candidate const& candidate : aCandidates) {
+    known_prefix known = mMap.Find(
+      candidate.mServer, candidate.mIncarnation, aLookup.mBlocks, aNow);
+    if (known.mTokens > 0)
+      answer.mKnown.push_back(std::move(known));
+  }
+  std::ranges::sort(answer.mKnown, std::greater{}, &known_prefix::mTokens);
+  if (answer.mKnown.size() > kMaxHolders)
+    answer.mKnown.resize(kMaxHolders);
+  token_count const stored =
+    mMap.Find(StoreName(), kStoreLife, aLookup.mBlocks, aNow).mTokens;
+  // The store knows whole pieces only.
+  answer.mStoredTokens = stored / kPieceTokens * kPieceTokens;
+  return answer;
+}
+
+void
+block_shard::OnStored(std::span<block_hash const> aBlocks, instant aNow)
+{
+  mMap.OnSent(StoreName(), kStoreLife, aBlocks, aNow);
+}
+
+void
+block_shard::OnUpdate(block_update const& aUpdate, instant aNow)
+{
+  if (aUpdate.mCachedTokens)
+    mMap.OnAnswer(aUpdate.mServer,
+                  aUpdate.mIncarnation,
+                  aUpdate.mBlocks,
+                  *aUpdate.mCachedTokens,
+                  aNow);
+  else
+    mMap.OnSent(aUpdate.mServer, aUpdate.mIncarnation, aUpdate.mBlocks, aNow);
+}
+
+void
+block_shard::OnEvents(cache_event_batch const& aBatch, instant aNow)
+{
+  mMap.OnEvents(aBatch, aNow);
+}
+
+void
+block_shard::OnIncarnation(backend_server_id const& aServer,
+                           incarnation aIncarnation)
+{
+  mMap.OnIncarnation(aServer, aIncarnation);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/BlockTable.cpp
@@ -0,0 +1,83 @@
+#include <LibPlacement/BlockTable.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// Entries per bucket that are meant to be in use: two thirds of the places,
+// since few buckets then hold more than they have places for.
+constexpr std::size_t kMeantPerBucket = 5;
+
+// An odd constant with well-mixed bits (2^64 divided by the golden ratio).
+constexpr std::uint64_t kLifeMix = 0x9E3779B97F4A7C15;
+
+bool
+HasKey(block_entry const& aEntry, block_hash aBlock, std::uint32_t aLife)
+{
+  return aEntry.mBlock == aBlock && aEntry.mLife == aLife;
+}
+
+/// Empty places sort before all others, then the oldest.
+bool
+IsCheaperToLose(block_entry const& aLeft, block_entry const& aRight)
+{
+  if ((aLeft.mLife == 0) != (aRight.mLife == 0))
+    return aLeft.mLife == 0;
+  return aLeft.mSeenTick < aRight.mSeenTick;
+}
+
+}
+
+block_table::block_table(std::size_t aEntries)
+  : mBuckets(aEntries / kMeantPerBucket + 1)
+{
+}
+
+block_entry const*
+block_table::Find(block_hash aBlock, std::uint32_t aLife) const
+{
+  for (block_entry const& entry : mBuckets[BucketOf(aBlock, aLife)]) {
+    if (HasKey(entry, aBlock, aLife))
+      return &entry;
+  }
+  return nullptr;
+}
+
+void
+block_table::Put(block_entry aEntry)
+{
+  bucket& places = mBuckets[BucketOf(aEntry.mBlock, aEntry.mLife)];
+  auto place = std::ranges::find_if(places, [&](block_entry const& aOther) {
+    return HasKey(aOther, aEntry.mBlock, aEntry.mLife);
+  });
+  if (place == places.end())
+    place = std::ranges::min_element(places, IsCheaperToLose);
+  *place = aEntry;
+}
+
+void
+block_table::Erase(block_hash aBlock, std::uint32_t aLife)
+{
+  for (block_entry& entry : mBuckets[BucketOf(aBlock, aLife)]) {
+    if (HasKey(entry, aBlock, aLife))
+      entry = block_entry{};
+  }
+}
+
+std::size_t
+block_table::Bytes() const
+{
+  return mBuckets.size() * sizeof(bucket);
+}
+
+std::size_t
+block_table::BucketOf(block_hash aBlock, std::uint32_t aLife) const
+{
+  std::uint64_t const mixed = (aBlock.Value() ^ (aLife * kLifeMix)) * kLifeMix;
+  // The high half times the count maps evenly without a division.
+  return static_cast<std::size_t>((mixed >> 32U) * mBuckets.size() >> 32U);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/CacheEvent.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibPlacement/BlockHash.h>
+#include <LibPlacement/CacheChange.h>
+
+namespace lycheeseam {
+
+/// One change of an engine's prefix cache.
+struct cache_event
+{
+  cache_change mChange = cache_change::Stored;
+  block_hash mBlock;
+};
+
+}
--- a/Libraries/LibPlacement/TokenEstimate.h
+++ b/Libraries/LibPlacement/TokenEstimate.h
@@ -16,6 +16,9 @@
 /// Bytes of prompt text in one block of a prefix chain.
 inline constexpr std::size_t kBlockBytes = kBlockTokens * kBytesPerToken;
 
+/// Tokens in one piece of the KV store.
+inline constexpr token_count kPieceTokens = 16 * kBlockTokens;
+
 /// About how many tokens a text of that size has, rounded up.
 constexpr token_count
 EstimateTokens(std::size_t aBytes)
--- /dev/null
+++ b/Tests/LibPlacement/TestBlockMap.cpp
@@ -0,0 +1,161 @@
+#include <LibPlacement/BlockMap.h>
+#include <LibPlacement/TokenEstimate.h>
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace lycheeseam {
+namespace {
+
+using namespace std::chrono_literals;
+
+backend_server_id const kServer{ "worker-1" };
+constexpr incarnation kLife{ 5 };
+constexpr instant kStart = instant{} + 100s;
+
+std::vector<block_hash>
+Blocks(std::uint64_t aFirst, std::size_t aCount)
+{
+  std::vector<block_hash> blocks;
+  blocks.reserve(aCount);
+  for (std::size_t index = 0; index < aCount; ++index)
+    blocks.emplace_back((aFirst + index) * 0x9E3779B97F4A7C15);
+  return blocks;
+}
+
+void
+SendEvents(block_map& aMap,
+           std::uint64_t aSequence,
+           cache_change aChange,
+           std::span<block_hash const> aBlocks,
+           instant aNow,
+           incarnation aLife = kLife)
+{
+  std::vector<cache_event> events;
+  events.reserve(aBlocks.size());
+  for (block_hash const block : aBlocks)
+    events.push_back({ .mChange = aChange, .mBlock = block });
+  aMap.OnEvents({ .mServer = kServer,
+                  .mIncarnation = aLife,
+                  .mSequence = event_sequence{ aSequence },
+                  .mEvents = events },
+                aNow);
+}
+
+class TestBlockMap : public testing::Test
+{
+protected:
+  std::size_t Known(instant aNow, incarnation aLife = kLife) const
+  {
+    return static_cast<std::size_t>(
+      mMap.Find(kServer, aLife, mBlocks, aNow).mTokens / kBlockTokens);
+  }
+
+  block_map mMap;
+  std::vector<block_hash> mBlocks = Blocks(1, 10);
+};
+
+TEST_F(TestBlockMap, KnowsWhatWasSentAndWhatEventsSay)
+{
+  mMap.OnSent(kServer, kLife, std::span(mBlocks).first(4), kStart);
+  EXPECT_EQ(Known(kStart), 4U);
+  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
+  EXPECT_EQ(Known(kStart), 10U);
+  SendEvents(
+    mMap, 2, cache_change::Removed, std::span(mBlocks).last(3), kStart);
+  EXPECT_EQ(Known(kStart), 7U);
+}
+
+TEST_F(TestBlockMap, ADeadIncarnationIsNeverReliedOn)
+{
+  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
+  mMap.OnSent(kServer, kLife, mBlocks, kStart);
+  mMap.OnIncarnation(kServer, kLife.Next());
+  EXPECT_EQ(Known(kStart), 0U);
+  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+  // What the old life still sends late changes nothing.
+  SendEvents(mMap, 2, cache_change::Stored, mBlocks, kStart);
+  mMap.OnAnswer(kServer, kLife, mBlocks, 2560, kStart);
+  EXPECT_EQ(Known(kStart), 0U);
+  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+}
+
+TEST_F(TestBlockMap, ANewLifeShownByEventsDropsTheOld)
+{
+  mMap.OnSent(kServer, kLife, mBlocks, kStart);
+  SendEvents(mMap, 1, cache_change::Stored, {}, kStart, kLife.Next());
+  EXPECT_EQ(Known(kStart), 0U);
+  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+}
+
+TEST_F(TestBlockMap, EventsBeforeAGapAreNotReliedOn)
+{
+  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
+  EXPECT_EQ(Known(kStart), 10U);
+  SendEvents(mMap, 3, cache_change::Stored, {}, kStart);
+  EXPECT_EQ(Known(kStart), 0U);
+  // The batch after the gap counts, also within the clock's tick.
+  SendEvents(
+    mMap, 5, cache_change::Stored, std::span(mBlocks).first(2), kStart);
+  EXPECT_EQ(Known(kStart), 2U);
+}
+
+TEST_F(TestBlockMap, ALateBatchStoresNothingButRemoves)
+{
+  SendEvents(
+    mMap, 3, cache_change::Stored, std::span(mBlocks).first(5), kStart);
+  SendEvents(mMap, 2, cache_change::Stored, mBlocks, kStart);
+  EXPECT_EQ(Known(kStart), 5U);
+  SendEvents(
+    mMap, 1, cache_change::Removed, std::span(mBlocks).subspan(3, 1), kStart);
+  EXPECT_EQ(Known(kStart), 3U);
+}
+
+TEST_F(TestBlockMap, ASilentStreamIsNotReliedOn)
+{
+  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
+  EXPECT_EQ(Known(kStart + 4s), 10U);
+  EXPECT_EQ(Known(kStart + 6s), 0U);
+  SendEvents(mMap, 2, cache_change::Stored, {}, kStart + 6s);
+  EXPECT_EQ(Known(kStart + 6s), 10U);
+}
+
+TEST_F(TestBlockMap, RequestsCountThroughAGapForTheRetentionOnly)
+{
+  mMap.OnSent(kServer, kLife, mBlocks, kStart);
+  SendEvents(mMap, 1, cache_change::Stored, {}, kStart);
+  SendEvents(mMap, 3, cache_change::Stored, {}, kStart);
+  EXPECT_EQ(Known(kStart + 9s), 10U);
+  EXPECT_EQ(Known(kStart + 11s), 0U);
+}
+
+TEST_F(TestBlockMap, AnswersCorrectTheRetention)
+{
+  for (int request = 0; request < 30; ++request) {
+    instant const now = kStart + request * 3s;
+    mMap.OnSent(kServer, kLife, mBlocks, now);
+    // The engine found less than was believed: it evicts faster.
+    mMap.OnAnswer(kServer, kLife, mBlocks, 0, now + 1s);
+  }
+  EXPECT_EQ(Known(kStart + 29 * 3s + 1500ms), 10U);
+  EXPECT_EQ(Known(kStart + 29 * 3s + 3s), 0U);
+}
+
+TEST(TestBlockTable, MemoryStaysFixedAndFewAreLostAtTheMeantSize)
+{
+  constexpr std::size_t kEntries = 50'000;
+  block_map map{ { .mEntries = kEntries } };
+  EXPECT_LE(map.Bytes(), kEntries * 26);
+  std::vector<block_hash> const blocks = Blocks(1, kEntries);
+  map.OnSent(kServer, kLife, blocks, kStart);
+  std::size_t held = 0;
+  for (block_hash const& block : blocks) {
+    if (map.Find(kServer, kLife, std::span{ &block, 1 }, kStart).mTokens > 0)
+      ++held;
+  }
+  EXPECT_GE(held, kEntries * 95 / 100);
+}
+
+}
+}
