LibPlacement: Let each block tell its shard

An engine's event names a block without its root, so a reader couldn't know the shard. A batch of events says which sequence numbers it covers, so that parts of it can be passed on.

--- a/Libraries/LibPlacement/BlockMap.cpp
+++ b/Libraries/LibPlacement/BlockMap.cpp
@@ -67,7 +67,7 @@
   server_life* const life = LifeOf(aBatch.mServer, aBatch.mIncarnation);
   if (life == nullptr)
     return;
-  bool const isNewest = FollowSequence(*life, aBatch.mSequence, aNow);
+  bool const isNewest = FollowSequence(*life, aBatch, aNow);
   for (cache_event const& event : aBatch.mEvents) {
     // A batch that was passed may say "stored" of what a newer one removed.
     if (event.mChange == cache_change::Removed)
@@ -133,14 +133,14 @@
 
 bool
 block_map::FollowSequence(server_life& aLife,
-                          event_sequence aSequence,
-                          instant aNow) const
+                          cache_event_batch const& aBatch,
+                          instant aNow)
 {
-  if (aLife.mHasSeenEvents && aSequence < aLife.mNextSequence)
+  if (aLife.mHasSeenEvents && aBatch.mLast < aLife.mNextSequence)
     return false;
-  if (aLife.mHasSeenEvents && aSequence > aLife.mNextSequence)
+  if (aLife.mHasSeenEvents && aBatch.mFirst > aLife.mNextSequence)
     aLife.mLastGapTick = TickOf(aNow);
-  aLife.mNextSequence = aSequence.Next();
+  aLife.mNextSequence = aBatch.mLast.Next();
   aLife.mHasSeenEvents = true;
   aLife.mLastBatchAt = aNow;
   return true;
--- a/Libraries/LibPlacement/BlockMap.h
+++ b/Libraries/LibPlacement/BlockMap.h
@@ -58,10 +58,10 @@
 private:
   server_life* LifeOf(backend_server_id const& aServer,
                       incarnation aIncarnation);
-  /// Counts a batch's sequence number; false for one that newer ones passed.
-  bool FollowSequence(server_life& aLife,
-                      event_sequence aSequence,
-                      instant aNow) const;
+  /// Counts a batch's sequence; false for one that newer ones passed.
+  static bool FollowSequence(server_life& aLife,
+                             cache_event_batch const& aBatch,
+                             instant aNow);
   void RememberEvent(server_life const& aLife, block_hash aBlock, instant aNow);
   void RememberRequest(server_life const& aLife,
                        block_hash aBlock,
--- a/Libraries/LibPlacement/CacheEventBatch.h
+++ b/Libraries/LibPlacement/CacheEventBatch.h
@@ -8,12 +8,15 @@
 namespace lycheeseam {
 
 /// Events of one engine as its stream delivered them; late, and some lost.
+/// A reader that passes on a part of them says which sequence numbers the part
+/// covers, so that its receiver still sees gaps.
 struct cache_event_batch
 {
   backend_server_id mServer;
   incarnation mIncarnation;
-  /// The sequence number of this batch; each batch of a life has the next one.
-  event_sequence mSequence;
+  /// The first and the last sequence number that this batch covers.
+  event_sequence mFirst;
+  event_sequence mLast;
   /// The events in the engine's order; not owned.
   std::span<cache_event const> mEvents;
 };
--- a/Libraries/LibPlacement/PrefixChain.cpp
+++ b/Libraries/LibPlacement/PrefixChain.cpp
@@ -19,6 +19,14 @@
                   HashText(aScope.mWorkspace.Text(), 0));
 }
 
+/// A chain's hash marked with the shard of its root.
+block_hash
+Marked(std::uint64_t aHash, std::uint64_t aRoot)
+{
+  std::uint64_t const mark = aRoot >> kOwnHashBits << kOwnHashBits;
+  return block_hash{ mark | (aHash >> (64 - kOwnHashBits)) };
+}
+
 std::vector<block_hash>
 HashBlocks(std::string_view aBytes,
            std::size_t aBlockBytes,
@@ -27,9 +35,12 @@
   std::vector<block_hash> blocks;
   blocks.reserve(aBytes.size() / aBlockBytes);
   std::uint64_t chained = aSalt;
+  std::uint64_t root = 0;
   while (aBytes.size() >= aBlockBytes) {
     chained = HashText(aBytes.substr(0, aBlockBytes), chained);
-    blocks.emplace_back(chained);
+    if (blocks.empty())
+      root = chained;
+    blocks.push_back(Marked(chained, root));
     aBytes.remove_prefix(aBlockBytes);
   }
   return blocks;
--- a/Libraries/LibPlacement/ShardOwner.cpp
+++ b/Libraries/LibPlacement/ShardOwner.cpp
@@ -6,13 +6,14 @@
 namespace lycheeseam {
 
 instance_id const*
-ShardOwner(block_hash aRoot, std::span<instance_id const> aInstances)
+ShardOwner(block_hash aBlock, std::span<instance_id const> aInstances)
 {
   if (aInstances.empty())
     return nullptr;
+  block_hash const shard{ ShardKey(aBlock) };
   return &*std::ranges::max_element(
-    aInstances, {}, [aRoot](instance_id const& aInstance) {
-      return RendezvousRank(aRoot, aInstance.Text());
+    aInstances, {}, [shard](instance_id const& aInstance) {
+      return RendezvousRank(shard, aInstance.Text());
     });
 }
 
--- a/Libraries/LibPlacement/ShardOwner.h
+++ b/Libraries/LibPlacement/ShardOwner.h
@@ -7,9 +7,9 @@
 
 namespace lycheeseam {
 
-/// The instance that holds the block knowledge of a root; null without any
-/// instance. All who know the same instances agree.
+/// The instance that holds the knowledge of a block and of all with its root;
+/// null without any instance. All who know the same instances agree.
 instance_id const*
-ShardOwner(block_hash aRoot, std::span<instance_id const> aInstances);
+ShardOwner(block_hash aBlock, std::span<instance_id const> aInstances);
 
 }
--- a/Tests/LibPlacement/TestBlockMap.cpp
+++ b/Tests/LibPlacement/TestBlockMap.cpp
@@ -38,7 +38,8 @@
     events.push_back({ .mChange = aChange, .mBlock = block });
   aMap.OnEvents({ .mServer = kServer,
                   .mIncarnation = aLife,
-                  .mSequence = event_sequence{ aSequence },
+                  .mFirst = event_sequence{ aSequence },
+                  .mLast = event_sequence{ aSequence },
                   .mEvents = events },
                 aNow);
 }
--- a/Tests/LibPlacement/TestBlockShard.cpp
+++ b/Tests/LibPlacement/TestBlockShard.cpp
@@ -71,9 +71,10 @@
     instances.emplace_back("entry-" + std::to_string(index));
   std::vector<instance_id> const fewer(instances.begin(), instances.end() - 1);
   EXPECT_EQ(ShardOwner(block_hash{ 1 }, {}), nullptr);
-  for (std::uint64_t root = 0; root < 200; ++root) {
-    instance_id const before = *ShardOwner(block_hash{ root }, instances);
-    instance_id const after = *ShardOwner(block_hash{ root }, fewer);
+  for (std::uint64_t key = 0; key < 200; ++key) {
+    block_hash const root{ key << kOwnHashBits };
+    instance_id const before = *ShardOwner(root, instances);
+    instance_id const after = *ShardOwner(root, fewer);
     EXPECT_TRUE(before == after || before == instances.back());
   }
 }
--- a/Tests/LibPlacement/TestPrefixChain.cpp
+++ b/Tests/LibPlacement/TestPrefixChain.cpp
@@ -29,6 +29,14 @@
   EXPECT_EQ(one.Root(), two.Root());
 }
 
+TEST(TestPrefixChain, AllBlocksOfARootHaveOneShard)
+{
+  std::string const text(8 * kBlockBytes, 'x');
+  prefix_chain const chain = prefix_chain::OfText(Scope("shop", "v1"), text);
+  for (block_hash const block : chain.Blocks())
+    EXPECT_EQ(ShardKey(block), ShardKey(chain.Root()));
+}
+
 TEST(TestPrefixChain, AChangeChangesAllBlocksAfterIt)
 {
   cache_scope const scope = Scope("shop", "v1");
