Bench: Measure placement and admission in virtual time

bench-decisions runs several instances, each with its own view, before fake engines with continuous batching and an LRU prefix cache. Load is seeded and nested in three levels; cases are steady, a flood, crashes, lost events with crashes and restarted instances, and hot prefixes that move.

--- /dev/null
+++ b/Bench/Decisions/BenchCase.cpp
@@ -0,0 +1,26 @@
+#include <Bench/Decisions/BenchCase.h>
+
+#include <array>
+#include <chrono>
+
+namespace lycheeseam::bench {
+
+using namespace std::chrono_literals;
+
+std::span<bench_case const>
+BenchCases()
+{
+  static std::array const all{
+    bench_case{ .mName = "steady" },
+    bench_case{ .mName = "flood", .mFlood = 5.0 },
+    bench_case{ .mName = "crash", .mCrashEvery = 60s },
+    bench_case{ .mName = "loss-crash",
+                .mEventLoss = 0.2,
+                .mCrashEvery = 60s,
+                .mRestartEvery = 60s },
+    bench_case{ .mName = "moving", .mMoveEvery = 20s },
+  };
+  return all;
+}
+
+}
--- /dev/null
+++ b/Bench/Decisions/EngineJob.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibPlacement/BlockHash.h>
+
+#include <cstddef>
+#include <span>
+
+namespace lycheeseam::bench {
+
+/// One request inside an engine.
+struct engine_job
+{
+  /// The request's place in the run.
+  std::size_t mRequest = 0;
+  std::span<block_hash const> mBlocks;
+  token_count mPromptTokens = 0;
+  token_count mAnswerTokens = 0;
+  /// Tokens to import from the KV store.
+  token_count mStoredTokens = 0;
+  bool mIsStarted = false;
+  token_count mCachedTokens = 0;
+  /// Work before the first token, in tokens of prefill.
+  double mWork = 0;
+  token_count mTokensLeft = 0;
+};
+
+}
--- /dev/null
+++ b/Bench/Decisions/FakeEngine.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibPlacement/CacheEvent.h>
+#include <LibPlacement/ServerLoad.h>
+
+#include <Bench/Decisions/EngineListener.h>
+#include <Bench/Decisions/LruCache.h>
+#include <Bench/Decisions/Scheduler.h>
+
+#include <deque>
+#include <vector>
+
+namespace lycheeseam::bench {
+
+/// A fake of a model engine: continuous batching with chunked prefill, and a
+/// prefix cache that evicts the longest unused blocks.
+class fake_engine
+{
+public:
+  /// Prompt tokens computed in a second.
+  static constexpr double kPrefillRate = 16'000;
+  /// Tokens imported from the KV store in a second.
+  static constexpr double kImportRate = 80'000;
+
+  fake_engine(scheduler& aScheduler, engine_listener aListener);
+
+  /// Takes a request; false when the process is down.
+  bool Submit(engine_job aJob);
+
+  /// The process dies; it comes back cold with the next incarnation.
+  void Crash();
+  void Restart();
+
+  [[nodiscard]] server_load Load() const;
+  [[nodiscard]] incarnation Life() const { return mLife; }
+  [[nodiscard]] bool IsUp() const { return mIsUp; }
+  [[nodiscard]] lru_cache const& Cache() const { return mCache; }
+
+  /// The cache's changes since the last call.
+  std::vector<cache_event> TakeEvents();
+
+private:
+  void StartStep();
+  void EndStep(incarnation aLife);
+  double Prefill();
+  void Begin(engine_job& aJob);
+  void EndPrefill();
+  void Decode();
+
+  scheduler& mScheduler;
+  engine_listener mListener;
+  lru_cache mCache;
+  incarnation mLife{ 1 };
+  bool mIsUp = true;
+  bool mIsInStep = false;
+  std::deque<engine_job> mWaiting;
+  std::vector<engine_job> mRunning;
+  std::vector<cache_event> mEvents;
+};
+
+}
--- /dev/null
+++ b/Bench/Decisions/Main.cpp
@@ -0,0 +1,79 @@
+#include <Bench/Decisions/Measure.h>
+#include <Bench/Decisions/Report.h>
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <vector>
+
+/// \file Measures placement and admission in virtual time.
+
+DEFINE_string(results, "Results", "the folder that JSON is written to");
+DEFINE_string(only_case, "", "measure this case alone");
+DEFINE_string(only_deployment, "", "measure this deployment alone");
+DEFINE_string(only_policy, "", "measure this policy alone");
+DEFINE_uint64(seeds, 3, "how many seeds each figure is taken over");
+
+namespace lycheeseam::bench {
+namespace {
+
+bool
+IsWanted(std::string_view aName, std::string_view aOnly)
+{
+  return aOnly.empty() || aName == aOnly;
+}
+
+std::vector<std::uint64_t>
+Seeds()
+{
+  std::vector<std::uint64_t> seeds(FLAGS_seeds);
+  for (std::size_t index = 0; index < seeds.size(); ++index)
+    seeds[index] = 1000 * (index + 1);
+  return seeds;
+}
+
+void
+MeasureCase(deployment const& aDeployment,
+            bench_case const& aCase,
+            std::vector<case_result>& aResults)
+{
+  for (policy_kind const policy : kPolicyKinds) {
+    if (!IsWanted(PolicyName(policy), FLAGS_only_policy))
+      continue;
+    aResults.push_back(
+      Measure({ .mDeployment = aDeployment, .mCase = aCase, .mPolicy = policy },
+              Seeds()));
+  }
+}
+
+void
+MeasureAll()
+{
+  std::vector<case_result> results;
+  for (deployment const& site : Deployments()) {
+    if (!IsWanted(site.mName, FLAGS_only_deployment))
+      continue;
+    for (bench_case const& wanted : BenchCases()) {
+      if (IsWanted(wanted.mName, FLAGS_only_case))
+        MeasureCase(site, wanted, results);
+    }
+  }
+  PrintTable(results);
+  std::filesystem::create_directories(FLAGS_results);
+  WriteJson(results, std::filesystem::path{ FLAGS_results } / "decisions.json");
+}
+
+}
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  try {
+    lycheeseam::bench::MeasureAll();
+  } catch (std::exception const& failure) {
+    std::fprintf(stderr, "bench-decisions: %s\n", failure.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/Bench/Decisions/Measure.cpp
@@ -0,0 +1,123 @@
+#include <Bench/Decisions/Measure.h>
+#include <Bench/Decisions/Simulation.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace lycheeseam::bench {
+
+namespace {
+
+/// The workspace that floods in its case.
+constexpr std::size_t kFlooding = 1;
+
+/// What is summed over seeds before it is made into measures.
+struct sample
+{
+  std::vector<double> mFirstTokens;
+  std::vector<double> mOthers;
+  std::vector<std::vector<double>> mByWorkspace;
+  double mPromptTokens = 0;
+  double mCachedTokens = 0;
+  double mRecomputedTokens = 0;
+};
+
+double
+Percentile(std::vector<double> aValues, double aPart)
+{
+  if (aValues.empty())
+    return 0;
+  std::size_t const rank =
+    static_cast<std::size_t>(aPart * static_cast<double>(aValues.size() - 1));
+  std::ranges::nth_element(aValues,
+                           aValues.begin() + static_cast<std::ptrdiff_t>(rank));
+  return aValues[rank];
+}
+
+void
+CountFate(request_fate aFate, case_result& aResult)
+{
+  ++aResult.mRequests;
+  aResult.mOverRate += aFate == request_fate::OverRate ? 1 : 0;
+  aResult.mLost += aFate == request_fate::Lost ? 1 : 0;
+  bool const isRefused =
+    aFate == request_fate::Refused || aFate == request_fate::Open;
+  aResult.mRefusedInside += isRefused ? 1 : 0;
+}
+
+void
+AddAnswered(arrival const& aRequest, request_state const& aState, sample& aSum)
+{
+  double const after =
+    std::chrono::duration<double, std::milli>(aState.mFirstTokenAfter).count();
+  aSum.mFirstTokens.push_back(after);
+  aSum.mByWorkspace[aRequest.mWorkspace].push_back(after);
+  if (aRequest.mWorkspace != kFlooding)
+    aSum.mOthers.push_back(after);
+  aSum.mPromptTokens += static_cast<double>(aRequest.mPromptTokens);
+  aSum.mCachedTokens += static_cast<double>(aState.mCachedTokens);
+  aSum.mRecomputedTokens += static_cast<double>(aState.mRecomputedTokens);
+}
+
+void
+AddRun(simulation const& aRun,
+       instant aFrom,
+       sample& aSum,
+       case_result& aResult)
+{
+  for (std::size_t index = 0; index < aRun.Arrivals().size(); ++index) {
+    arrival const& request = aRun.Arrivals()[index];
+    request_state const& state = aRun.States()[index];
+    if (request.mAt < aFrom)
+      continue;
+    CountFate(state.mFate, aResult);
+    if (state.mFate == request_fate::Answered)
+      AddAnswered(request, state, aSum);
+  }
+}
+
+void
+Conclude(sample const& aSum, case_result& aResult)
+{
+  aResult.mHitRate = 100 * aSum.mCachedTokens / aSum.mPromptTokens;
+  aResult.mRecomputed = 100 * aSum.mRecomputedTokens / aSum.mPromptTokens;
+  aResult.mP50Milliseconds = Percentile(aSum.mFirstTokens, 0.5);
+  aResult.mP99Milliseconds = Percentile(aSum.mFirstTokens, 0.99);
+  aResult.mOthersP99 = Percentile(aSum.mOthers, 0.99);
+  std::vector<double> tails;
+  for (std::vector<double> const& workspace : aSum.mByWorkspace)
+    tails.push_back(Percentile(workspace, 0.99));
+  aResult.mWorstWorkspaceP99 = *std::ranges::max_element(tails);
+  aResult.mMedianWorkspaceP99 = Percentile(tails, 0.5);
+}
+
+}
+
+case_result
+Measure(simulation_options const& aOptions,
+        std::span<std::uint64_t const> aSeeds)
+{
+  case_result result{ .mDeployment = aOptions.mDeployment.mName,
+                      .mCase = aOptions.mCase.mName,
+                      .mPolicy = std::string{ PolicyName(aOptions.mPolicy) } };
+  sample sum;
+  sum.mByWorkspace.resize(aOptions.mDeployment.mShares.size());
+  double const instanceSeconds =
+    std::chrono::duration<double>(aOptions.mLength).count() *
+    static_cast<double>(aOptions.mDeployment.mInstances * aSeeds.size());
+  for (std::uint64_t const seed : aSeeds) {
+    simulation_options options = aOptions;
+    options.mSeed = seed;
+    simulation run{ options };
+    run.Run();
+    AddRun(run, instant{} + aOptions.mWarmUp, sum, result);
+    result.mLookupBytes +=
+      static_cast<double>(run.LookupBytes()) / instanceSeconds;
+    result.mEventBytes +=
+      static_cast<double>(run.EventBytes()) / instanceSeconds;
+  }
+  Conclude(sum, result);
+  return result;
+}
+
+}
--- /dev/null
+++ b/Bench/Decisions/RequestState.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibPlacement/BlockAnswer.h>
+#include <LibPlacement/KnowledgeState.h>
+#include <LibPlacement/PlacementChoice.h>
+
+#include <cstdint>
+
+namespace lycheeseam::bench {
+
+/// What became of a request.
+enum class request_fate
+{
+  Open,
+  Answered,
+  /// Its workspace was over its rate for longer than the wait's bound.
+  OverRate,
+  /// Inside its workspace's rate, yet not admitted in time.
+  Refused,
+  /// Lost with a backend server, and the retry budget was spent.
+  Lost,
+};
+
+/// One request's way through the run.
+struct request_state
+{
+  request_fate mFate = request_fate::Open;
+  block_answer mKnown;
+  knowledge_state mKnowledge = knowledge_state::Missing;
+  placement_choice mChoice;
+  std::uint32_t mAttempts = 0;
+  bool mHasFirstToken = false;
+  duration mFirstTokenAfter{};
+  token_count mCachedTokens = 0;
+  /// Tokens computed though some engine had computed them before.
+  token_count mRecomputedTokens = 0;
+};
+
+}
--- /dev/null
+++ b/Bench/Decisions/ServerView.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibAdmission/CircuitBreaker.h>
+#include <LibAdmission/ServerWindow.h>
+#include <LibAdmission/SlowStart.h>
+#include <LibPlacement/LoadTracker.h>
+
+namespace lycheeseam::bench {
+
+/// What one instance knows of one backend server.
+struct server_view
+{
+  incarnation mLife{ 1 };
+  load_tracker mLoad;
+  server_window mWindow{ 0 };
+  circuit_breaker mBreaker;
+  slow_start mSlowStart;
+};
+
+}
--- a/Libraries/LibPlacement/BlockShard.cpp
+++ b/Libraries/LibPlacement/BlockShard.cpp
@@ -12,8 +12,8 @@
 backend_server_id const&
 StoreName()
 {
-  static backend_server_id const name{ "kv store" };
-  return name;
+  static backend_server_id const kName{ "kv store" };
+  return kName;
 }
 
 constexpr incarnation kStoreLife{ 1 };
