LibPlacement: Learn retention from the ages of blocks, not from shortfalls

Cause: each answer with an uncached tail cut the retention, since the send had just refreshed all its blocks; knowledge was dropped long before the engine dropped the block. Now a send keeps the ages from before it, and the answer moves the retention towards the age of a block that proves it wrong.

The test of the retention now looks 300 ms past the age that the answers teach, as the guess nears it from above; before, one short answer cut far below it.

--- a/Libraries/LibPlacement/BlockMap.cpp
+++ b/Libraries/LibPlacement/BlockMap.cpp
@@ -10,9 +10,12 @@
 // 30 bits of these reach over 124 days of a machine's uptime.
 constexpr duration kTick = std::chrono::milliseconds{ 10 };
 
-// How fast the guess of an engine's retention follows what answers show.
-constexpr double kRetentionGrowth = 1.1;
-constexpr double kRetentionCut = 0.8;
+// How much of the way to a block's age the guess of a retention moves when an
+// answer shows the guess to be wrong.
+constexpr double kRetentionStep = 0.2;
+
+// Bounds the memory when answers stay away; about 300 bytes each.
+constexpr std::size_t kMaxPending = 1024;
 
 std::uint32_t
 TickOf(instant aTime)
@@ -26,10 +29,12 @@
   return instant{} + aTick * kTick;
 }
 
+/// A retention moved towards the age of a block that shows it to be wrong.
 duration
-Scaled(duration aSpan, double aFactor)
+MovedTowards(duration aRetention, duration aAge)
 {
-  return std::chrono::duration_cast<duration>(aSpan * aFactor);
+  return aRetention + std::chrono::duration_cast<duration>((aAge - aRetention) *
+                                                           kRetentionStep);
 }
 
 }
@@ -86,6 +91,7 @@
   server_life const* const life = LifeOf(aServer, aIncarnation);
   if (life == nullptr)
     return;
+  RememberSend(*life, aBlocks, aNow);
   for (block_hash const block : aBlocks)
     RememberRequest(*life, block, aNow);
 }
@@ -102,9 +108,10 @@
     return;
   std::size_t const cachedBlocks =
     static_cast<std::size_t>(aCachedTokens / kBlockTokens);
-  LearnRetention(*life, aBlocks, cachedBlocks, aNow);
+  LearnRetention(*life, aBlocks, cachedBlocks);
   // Whatever was missing has been computed, so the server now holds it all.
-  OnSent(aServer, aIncarnation, aBlocks, aNow);
+  for (block_hash const block : aBlocks)
+    RememberRequest(*life, block, aNow);
 }
 
 known_prefix
@@ -206,18 +213,58 @@
   return static_cast<std::size_t>(end - aBlocks.begin());
 }
 
+std::uint64_t
+block_map::SendKey(server_life const& aLife,
+                   std::span<block_hash const> aBlocks)
+{
+  // Equal prompts under way at once share a key; the later one replaces the
+  // earlier, which costs one lesson.
+  return aBlocks.back().Value() ^ aLife.mNumber;
+}
+
+void
+block_map::RememberSend(server_life const& aLife,
+                        std::span<block_hash const> aBlocks,
+                        instant aNow)
+{
+  if (aBlocks.empty())
+    return;
+  if (mPending.size() >= kMaxPending)
+    mPending.erase(mPending.begin());
+  pending_send send{ .mSentTick = TickOf(aNow) };
+  send.mSeenTicks.reserve(aBlocks.size());
+  for (block_hash const block : aBlocks)
+    send.mSeenTicks.push_back(EntryOf(aLife, block).mSeenTick);
+  mPending.insert_or_assign(SendKey(aLife, aBlocks), std::move(send));
+}
+
 void
 block_map::LearnRetention(server_life& aLife,
                           std::span<block_hash const> aBlocks,
-                          std::size_t aCachedBlocks,
-                          instant aNow) const
-{
-  std::size_t const trusted = CountTrusted(aLife, aBlocks, aNow);
-  double const factor =
-    aCachedBlocks < trusted ? kRetentionCut : kRetentionGrowth;
-  aLife.mRetention = std::clamp(Scaled(aLife.mRetention, factor),
-                                mOptions.mShortestRetention,
-                                mOptions.mLongestRetention);
+                          std::size_t aCachedBlocks)
+{
+  if (aBlocks.empty())
+    return;
+  auto const found = mPending.find(SendKey(aLife, aBlocks));
+  if (found == mPending.end())
+    return;
+  pending_send const send = std::move(found->second);
+  mPending.erase(found);
+  auto const ageOf = [&send](std::size_t aIndex) -> duration {
+    return (send.mSentTick -
+            std::min(send.mSeenTicks[aIndex], send.mSentTick)) *
+           kTick;
+  };
+  std::size_t const cached = std::min(aCachedBlocks, send.mSeenTicks.size());
+  // The last block that was still there, and the first that was gone.
+  if (cached > 0 && send.mSeenTicks[cached - 1] != 0 &&
+      ageOf(cached - 1) > aLife.mRetention)
+    aLife.mRetention = MovedTowards(aLife.mRetention, ageOf(cached - 1));
+  if (cached < send.mSeenTicks.size() && send.mSeenTicks[cached] != 0 &&
+      ageOf(cached) < aLife.mRetention)
+    aLife.mRetention = MovedTowards(aLife.mRetention, ageOf(cached));
+  aLife.mRetention = std::clamp(
+    aLife.mRetention, mOptions.mShortestRetention, mOptions.mLongestRetention);
 }
 
 }
--- a/Libraries/LibPlacement/BlockMap.h
+++ b/Libraries/LibPlacement/BlockMap.h
@@ -4,6 +4,7 @@
 #include <LibPlacement/BlockTable.h>
 #include <LibPlacement/CacheEventBatch.h>
 #include <LibPlacement/KnownPrefix.h>
+#include <LibPlacement/PendingSend.h>
 #include <LibPlacement/ServerLife.h>
 
 #include <span>
@@ -75,15 +76,21 @@
   [[nodiscard]] std::size_t CountTrusted(server_life const& aLife,
                                          std::span<block_hash const> aBlocks,
                                          instant aNow) const;
+  /// The key of a prompt that is under way to a server's life.
+  static std::uint64_t SendKey(server_life const& aLife,
+                               std::span<block_hash const> aBlocks);
+  void RememberSend(server_life const& aLife,
+                    std::span<block_hash const> aBlocks,
+                    instant aNow);
   void LearnRetention(server_life& aLife,
                       std::span<block_hash const> aBlocks,
-                      std::size_t aCachedBlocks,
-                      instant aNow) const;
+                      std::size_t aCachedBlocks);
 
   block_map_options mOptions;
   block_table mTable;
   std::unordered_map<backend_server_id, server_life> mLives;
   std::uint32_t mLastLifeNumber = 0;
+  std::unordered_map<std::uint64_t, pending_send> mPending;
 };
 
 }
--- a/Tests/LibPlacement/TestBlockMap.cpp
+++ b/Tests/LibPlacement/TestBlockMap.cpp
@@ -44,10 +44,10 @@
                 aNow);
 }
 
-class TestBlockMap : public testing::Test
+/// A map and a prompt of ten blocks.
+struct map_and_prompt
 {
-protected:
-  std::size_t Known(instant aNow, incarnation aLife = kLife) const
+  [[nodiscard]] std::size_t Known(instant aNow, incarnation aLife = kLife) const
   {
     return static_cast<std::size_t>(
       mMap.Find(kServer, aLife, mBlocks, aNow).mTokens / kBlockTokens);
@@ -57,90 +57,111 @@
   std::vector<block_hash> mBlocks = Blocks(1, 10);
 };
 
-TEST_F(TestBlockMap, KnowsWhatWasSentAndWhatEventsSay)
+TEST(TestBlockMap, KnowsWhatWasSentAndWhatEventsSay)
 {
-  mMap.OnSent(kServer, kLife, std::span(mBlocks).first(4), kStart);
-  EXPECT_EQ(Known(kStart), 4U);
-  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
-  EXPECT_EQ(Known(kStart), 10U);
-  SendEvents(
-    mMap, 2, cache_change::Removed, std::span(mBlocks).last(3), kStart);
-  EXPECT_EQ(Known(kStart), 7U);
+  map_and_prompt given;
+  given.mMap.OnSent(kServer, kLife, std::span(given.mBlocks).first(4), kStart);
+  EXPECT_EQ(given.Known(kStart), 4U);
+  SendEvents(given.mMap, 1, cache_change::Stored, given.mBlocks, kStart);
+  EXPECT_EQ(given.Known(kStart), 10U);
+  SendEvents(given.mMap,
+             2,
+             cache_change::Removed,
+             std::span(given.mBlocks).last(3),
+             kStart);
+  EXPECT_EQ(given.Known(kStart), 7U);
 }
 
-TEST_F(TestBlockMap, ADeadIncarnationIsNeverReliedOn)
+TEST(TestBlockMap, ADeadIncarnationIsNeverReliedOn)
 {
-  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
-  mMap.OnSent(kServer, kLife, mBlocks, kStart);
-  mMap.OnIncarnation(kServer, kLife.Next());
-  EXPECT_EQ(Known(kStart), 0U);
-  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+  map_and_prompt given;
+  SendEvents(given.mMap, 1, cache_change::Stored, given.mBlocks, kStart);
+  given.mMap.OnSent(kServer, kLife, given.mBlocks, kStart);
+  given.mMap.OnIncarnation(kServer, kLife.Next());
+  EXPECT_EQ(given.Known(kStart), 0U);
+  EXPECT_EQ(given.Known(kStart, kLife.Next()), 0U);
   // What the old life still sends late changes nothing.
-  SendEvents(mMap, 2, cache_change::Stored, mBlocks, kStart);
-  mMap.OnAnswer(kServer, kLife, mBlocks, 2560, kStart);
-  EXPECT_EQ(Known(kStart), 0U);
-  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+  SendEvents(given.mMap, 2, cache_change::Stored, given.mBlocks, kStart);
+  given.mMap.OnAnswer(kServer, kLife, given.mBlocks, 2560, kStart);
+  EXPECT_EQ(given.Known(kStart), 0U);
+  EXPECT_EQ(given.Known(kStart, kLife.Next()), 0U);
 }
 
-TEST_F(TestBlockMap, ANewLifeShownByEventsDropsTheOld)
+TEST(TestBlockMap, ANewLifeShownByEventsDropsTheOld)
 {
-  mMap.OnSent(kServer, kLife, mBlocks, kStart);
-  SendEvents(mMap, 1, cache_change::Stored, {}, kStart, kLife.Next());
-  EXPECT_EQ(Known(kStart), 0U);
-  EXPECT_EQ(Known(kStart, kLife.Next()), 0U);
+  map_and_prompt given;
+  given.mMap.OnSent(kServer, kLife, given.mBlocks, kStart);
+  SendEvents(given.mMap, 1, cache_change::Stored, {}, kStart, kLife.Next());
+  EXPECT_EQ(given.Known(kStart), 0U);
+  EXPECT_EQ(given.Known(kStart, kLife.Next()), 0U);
 }
 
-TEST_F(TestBlockMap, EventsBeforeAGapAreNotReliedOn)
+TEST(TestBlockMap, EventsBeforeAGapAreNotReliedOn)
 {
-  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
-  EXPECT_EQ(Known(kStart), 10U);
-  SendEvents(mMap, 3, cache_change::Stored, {}, kStart);
-  EXPECT_EQ(Known(kStart), 0U);
+  map_and_prompt given;
+  SendEvents(given.mMap, 1, cache_change::Stored, given.mBlocks, kStart);
+  EXPECT_EQ(given.Known(kStart), 10U);
+  SendEvents(given.mMap, 3, cache_change::Stored, {}, kStart);
+  EXPECT_EQ(given.Known(kStart), 0U);
   // The batch after the gap counts, also within the clock's tick.
-  SendEvents(
-    mMap, 5, cache_change::Stored, std::span(mBlocks).first(2), kStart);
-  EXPECT_EQ(Known(kStart), 2U);
+  SendEvents(given.mMap,
+             5,
+             cache_change::Stored,
+             std::span(given.mBlocks).first(2),
+             kStart);
+  EXPECT_EQ(given.Known(kStart), 2U);
 }
 
-TEST_F(TestBlockMap, ALateBatchStoresNothingButRemoves)
+TEST(TestBlockMap, ALateBatchStoresNothingButRemoves)
 {
-  SendEvents(
-    mMap, 3, cache_change::Stored, std::span(mBlocks).first(5), kStart);
-  SendEvents(mMap, 2, cache_change::Stored, mBlocks, kStart);
-  EXPECT_EQ(Known(kStart), 5U);
-  SendEvents(
-    mMap, 1, cache_change::Removed, std::span(mBlocks).subspan(3, 1), kStart);
-  EXPECT_EQ(Known(kStart), 3U);
+  map_and_prompt given;
+  SendEvents(given.mMap,
+             3,
+             cache_change::Stored,
+             std::span(given.mBlocks).first(5),
+             kStart);
+  SendEvents(given.mMap, 2, cache_change::Stored, given.mBlocks, kStart);
+  EXPECT_EQ(given.Known(kStart), 5U);
+  SendEvents(given.mMap,
+             1,
+             cache_change::Removed,
+             std::span(given.mBlocks).subspan(3, 1),
+             kStart);
+  EXPECT_EQ(given.Known(kStart), 3U);
 }
 
-TEST_F(TestBlockMap, ASilentStreamIsNotReliedOn)
+TEST(TestBlockMap, ASilentStreamIsNotReliedOn)
 {
-  SendEvents(mMap, 1, cache_change::Stored, mBlocks, kStart);
-  EXPECT_EQ(Known(kStart + 4s), 10U);
-  EXPECT_EQ(Known(kStart + 6s), 0U);
-  SendEvents(mMap, 2, cache_change::Stored, {}, kStart + 6s);
-  EXPECT_EQ(Known(kStart + 6s), 10U);
+  map_and_prompt given;
+  SendEvents(given.mMap, 1, cache_change::Stored, given.mBlocks, kStart);
+  EXPECT_EQ(given.Known(kStart + 4s), 10U);
+  EXPECT_EQ(given.Known(kStart + 6s), 0U);
+  SendEvents(given.mMap, 2, cache_change::Stored, {}, kStart + 6s);
+  EXPECT_EQ(given.Known(kStart + 6s), 10U);
 }
 
-TEST_F(TestBlockMap, RequestsCountThroughAGapForTheRetentionOnly)
+TEST(TestBlockMap, RequestsCountThroughAGapForTheRetentionOnly)
 {
-  mMap.OnSent(kServer, kLife, mBlocks, kStart);
-  SendEvents(mMap, 1, cache_change::Stored, {}, kStart);
-  SendEvents(mMap, 3, cache_change::Stored, {}, kStart);
-  EXPECT_EQ(Known(kStart + 9s), 10U);
-  EXPECT_EQ(Known(kStart + 11s), 0U);
+  map_and_prompt given;
+  given.mMap.OnSent(kServer, kLife, given.mBlocks, kStart);
+  SendEvents(given.mMap, 1, cache_change::Stored, {}, kStart);
+  SendEvents(given.mMap, 3, cache_change::Stored, {}, kStart);
+  EXPECT_EQ(given.Known(kStart + 9s), 10U);
+  EXPECT_EQ(given.Known(kStart + 11s), 0U);
 }
 
-TEST_F(TestBlockMap, AnswersCorrectTheRetention)
+TEST(TestBlockMap, AnswersCorrectTheRetention)
 {
+  map_and_prompt given;
   for (int request = 0; request < 30; ++request) {
     instant const now = kStart + request * 3s;
-    mMap.OnSent(kServer, kLife, mBlocks, now);
+    given.mMap.OnSent(kServer, kLife, given.mBlocks, now);
     // The engine found less than was believed: it evicts faster.
-    mMap.OnAnswer(kServer, kLife, mBlocks, 0, now + 1s);
+    given.mMap.OnAnswer(kServer, kLife, given.mBlocks, 0, now + 1s);
   }
-  EXPECT_EQ(Known(kStart + 29 * 3s + 1500ms), 10U);
-  EXPECT_EQ(Known(kStart + 29 * 3s + 3s), 0U);
+  EXPECT_EQ(given.Known(kStart + 29 * 3s + 1500ms), 10U);
+  // Confirmed by the last answer at one second, gone two seconds later.
+  EXPECT_EQ(given.Known(kStart + 29 * 3s + 3300ms), 0U);
 }
 
 TEST(TestBlockTable, MemoryStaysFixedAndFewAreLostAtTheMeantSize)
--- a/Tests/LibPlacement/TestBlockShard.cpp
+++ b/Tests/LibPlacement/TestBlockShard.cpp
@@ -67,6 +67,7 @@
 TEST(TestShardOwner, AllAgreeAndALossMovesOnlyItsRoots)
 {
   std::vector<instance_id> instances;
+  instances.reserve(8);
   for (int index = 0; index < 8; ++index)
     instances.emplace_back("entry-" + std::to_string(index));
   std::vector<instance_id> const fewer(instances.begin(), instances.end() - 1);
--- a/Tests/LibPlacement/TestPrefixCostPolicy.cpp
+++ b/Tests/LibPlacement/TestPrefixCostPolicy.cpp
@@ -10,10 +10,10 @@
 
 using namespace std::chrono_literals;
 
-class TestPrefixCostPolicy : public testing::Test
+/// Three servers, the second of which holds most of the prompt.
+struct scene
 {
-protected:
-  TestPrefixCostPolicy()
+  scene()
   {
     for (std::size_t index = 0; index < mServers.size(); ++index) {
       mServers[index].mServer = backend_server_id{ std::to_string(index) };
@@ -28,7 +28,7 @@
                  .mKnowledge = knowledge_state::Answered };
   }
 
-  placement_choice Choose() const
+  [[nodiscard]] placement_choice Choose() const
   {
     return *prefix_cost_policy{}.Choose(mRequest, mServers, instant{});
   }
@@ -38,57 +38,66 @@
   placement_request mRequest;
 };
 
-TEST_F(TestPrefixCostPolicy, TakesTheServerThatHoldsThePrefix)
+TEST(TestPrefixCostPolicy, TakesTheServerThatHoldsThePrefix)
 {
-  EXPECT_EQ(Choose().mIndex, 1U);
-  EXPECT_EQ(Choose().mReason, placement_reason::CachedPrefix);
-  EXPECT_EQ(Choose().mExpectedCached, 7000);
+  scene given;
+  EXPECT_EQ(given.Choose().mIndex, 1U);
+  EXPECT_EQ(given.Choose().mReason, placement_reason::CachedPrefix);
+  EXPECT_EQ(given.Choose().mExpectedCached, 7000);
 }
 
-TEST_F(TestPrefixCostPolicy, AHotPrefixSpreadsOnceItsHolderIsBusy)
+TEST(TestPrefixCostPolicy, AHotPrefixSpreadsOnceItsHolderIsBusy)
 {
-  mServers[1].mLoad.mQueuedTokens = 40'000;
-  EXPECT_NE(Choose().mIndex, 1U);
-  EXPECT_EQ(Choose().mReason, placement_reason::Recompute);
+  scene given;
+  given.mServers[1].mLoad.mQueuedTokens = 40'000;
+  EXPECT_NE(given.Choose().mIndex, 1U);
+  EXPECT_EQ(given.Choose().mReason, placement_reason::Recompute);
 }
 
-TEST_F(TestPrefixCostPolicy, AnotherLifeOfTheHolderCountsForNothing)
+TEST(TestPrefixCostPolicy, AnotherLifeOfTheHolderCountsForNothing)
 {
-  mServers[1].mIncarnation = incarnation{ 8 };
-  EXPECT_EQ(Choose().mExpectedCached, 0);
-  EXPECT_EQ(Choose().mReason, placement_reason::Recompute);
+  scene given;
+  given.mServers[1].mIncarnation = incarnation{ 8 };
+  EXPECT_EQ(given.Choose().mExpectedCached, 0);
+  EXPECT_EQ(given.Choose().mReason, placement_reason::Recompute);
 }
 
-TEST_F(TestPrefixCostPolicy, ImportsStoredPiecesWhereThatIsCheaper)
+TEST(TestPrefixCostPolicy, ImportsStoredPiecesWhereThatIsCheaper)
 {
-  mServers[1].mBreaker = breaker_state::Open;
-  mRequest.mStoredTokens = 4096;
-  EXPECT_EQ(Choose().mReason, placement_reason::StoredPieces);
-  EXPECT_EQ(Choose().mStoredTokens, 4096);
-  mServers[1].mBreaker = breaker_state::Closed;
-  EXPECT_EQ(Choose().mReason, placement_reason::CachedPrefix);
+  scene given;
+  given.mServers[1].mBreaker = breaker_state::Open;
+  given.mRequest.mStoredTokens = 4096;
+  EXPECT_EQ(given.Choose().mReason, placement_reason::StoredPieces);
+  EXPECT_EQ(given.Choose().mStoredTokens, 4096);
+  given.mServers[1].mBreaker = breaker_state::Closed;
+  EXPECT_EQ(given.Choose().mReason, placement_reason::CachedPrefix);
 }
 
-TEST_F(TestPrefixCostPolicy, WithoutKnowledgeHashingDecides)
+TEST(TestPrefixCostPolicy, WithoutKnowledgeHashingDecides)
 {
-  mRequest.mKnowledge = knowledge_state::Missing;
-  EXPECT_EQ(Choose().mReason, placement_reason::HashOwner);
+  scene given;
+  given.mRequest.mKnowledge = knowledge_state::Missing;
+  EXPECT_EQ(given.Choose().mReason, placement_reason::HashOwner);
 }
 
-TEST_F(TestPrefixCostPolicy, PrefersTheNearerOfEquals)
+TEST(TestPrefixCostPolicy, PrefersTheNearerOfEquals)
 {
-  mRequest.mKnown = {};
+  scene given;
+  given.mRequest.mKnown = {};
   prefix_cost_policy const exact{ { .mTieWidth = 0ms } };
-  mRequest.mFailureDomain = failure_domain{ "b" };
-  mServers[2].mFailureDomain = failure_domain{ "b" };
-  EXPECT_EQ(exact.Choose(mRequest, mServers, instant{})->mIndex, 2U);
+  given.mRequest.mFailureDomain = failure_domain{ "b" };
+  given.mServers[2].mFailureDomain = failure_domain{ "b" };
+  EXPECT_EQ(exact.Choose(given.mRequest, given.mServers, instant{})->mIndex,
+            2U);
 }
 
-TEST_F(TestPrefixCostPolicy, AgesLoadByItsLag)
+TEST(TestPrefixCostPolicy, AgesLoadByItsLag)
 {
-  mServers[1].mLoad = { .mQueuedTokens = 40'000, .mMeasuredAt = instant{} };
-  placement_choice const later =
-    *prefix_cost_policy{}.Choose(mRequest, mServers, instant{} + 5s);
+  scene given;
+  given.mServers[1].mLoad = { .mQueuedTokens = 40'000,
+                              .mMeasuredAt = instant{} };
+  placement_choice const later = *prefix_cost_policy{}.Choose(
+    given.mRequest, given.mServers, instant{} + 5s);
   EXPECT_EQ(later.mIndex, 1U);
 }
 
