--- a/Bench/Decisions/Main.cpp
+++ b/Bench/Decisions/Main.cpp
@@ -11,6 +11,8 @@
 DEFINE_string(only_case, "", "measure this case alone");
 DEFINE_string(only_deployment, "", "measure this deployment alone");
 DEFINE_string(only_policy, "", "measure this policy alone");
+DEFINE_double(compute_weight, 1.0, "prefix_cost_options::mComputeWeight");
+DEFINE_uint64(window, 8, "requests of one instance on one server");
 DEFINE_uint64(seeds, 3, "how many seeds each figure is taken over");
 
 namespace lycheeseam::bench {
@@ -39,9 +41,12 @@
   for (policy_kind const policy : kPolicyKinds) {
     if (!IsWanted(PolicyName(policy), FLAGS_only_policy))
       continue;
-    aResults.push_back(
-      Measure({ .mDeployment = aDeployment, .mCase = aCase, .mPolicy = policy },
-              Seeds()));
+    simulation_options options{ .mDeployment = aDeployment,
+                                .mCase = aCase,
+                                .mPolicy = policy };
+    options.mCost.mComputeWeight = FLAGS_compute_weight;
+    options.mWindow = static_cast<std::uint32_t>(FLAGS_window);
+    aResults.push_back(Measure(options, Seeds()));
   }
 }
 
--- a/Libraries/LibPlacement/PrefixCostOptions.h
+++ b/Libraries/LibPlacement/PrefixCostOptions.h
@@ -21,9 +21,6 @@
   duration mDistance = std::chrono::milliseconds{ 3 };
   /// What computing costs those who wait behind, as a part of its own time.
   double mComputeWeight = 1.0;
-  /// Servers within this of the cheapest count as equal, and hashing decides
-  /// between them, so that instances agree on a cold prefix's place.
-  duration mTieWidth = std::chrono::milliseconds{ 50 };
 };
 
 }
--- a/Libraries/LibPlacement/PrefixCostPolicy.cpp
+++ b/Libraries/LibPlacement/PrefixCostPolicy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 #include <vector>
 
 namespace lycheeseam {
@@ -30,21 +31,16 @@
   return 0;
 }
 
-/// The highest-ranking one of the choices that cost about the least.
+/// The cheapest choice; hashing decides between equals, so that instances
+/// agree on the place of a prefix that nobody holds.
 placement_choice const&
-PickByHash(std::span<placement_choice const> aChoices,
-           block_hash aRoot,
-           duration aTieWidth)
+PickCheapest(std::span<placement_choice const> aChoices, block_hash aRoot)
 {
-  auto const cheapest =
-    std::ranges::min_element(aChoices, {}, &placement_choice::mExpectedCost);
-  duration const limit = cheapest->mExpectedCost + aTieWidth;
-  auto const rank = [&](placement_choice const& aChoice) -> std::uint64_t {
-    if (aChoice.mExpectedCost > limit)
-      return 0;
-    return RendezvousRank(aRoot, aChoice.mServer.Text());
+  auto const rank = [aRoot](placement_choice const& aChoice) {
+    return std::pair{ aChoice.mExpectedCost,
+                      ~RendezvousRank(aRoot, aChoice.mServer.Text()) };
   };
-  return *std::ranges::max_element(aChoices, {}, rank);
+  return *std::ranges::min_element(aChoices, {}, rank);
 }
 
 }
@@ -66,7 +62,7 @@
   }
   if (choices.empty())
     return std::nullopt;
-  return PickByHash(choices, aRequest.mRoot, mOptions.mTieWidth);
+  return PickCheapest(choices, aRequest.mRoot);
 }
 
 placement_choice
--- a/Tests/LibPlacement/TestPrefixCostPolicy.cpp
+++ b/Tests/LibPlacement/TestPrefixCostPolicy.cpp
@@ -84,11 +84,9 @@
 {
   scene given;
   given.mRequest.mKnown = {};
-  prefix_cost_policy const exact{ { .mTieWidth = 0ms } };
   given.mRequest.mFailureDomain = failure_domain{ "b" };
   given.mServers[2].mFailureDomain = failure_domain{ "b" };
-  EXPECT_EQ(exact.Choose(given.mRequest, given.mServers, instant{})->mIndex,
-            2U);
+  EXPECT_EQ(given.Choose().mIndex, 2U);
 }
 
 TEST(TestPrefixCostPolicy, AgesLoadByItsLag)
