LibPlacement: Let the KV store keep its pieces for longer than engines

Cause: pieces were believed gone after the 10 s that engines start with, though nothing ever corrected the store's guess. It has a map of its own now, with 60 s to start with and an eighth of the entries.

--- a/Bench/Decisions/BenchCase.cpp
+++ b/Bench/Decisions/BenchCase.cpp
@@ -10,7 +10,7 @@
 std::span<bench_case const>
 BenchCases()
 {
-  static std::array const all{
+  static std::array const kAll{
     bench_case{ .mName = "steady" },
     bench_case{ .mName = "flood", .mFlood = 5.0 },
     bench_case{ .mName = "crash", .mCrashEvery = 60s },
@@ -20,7 +20,7 @@
                 .mRestartEvery = 60s },
     bench_case{ .mName = "moving", .mMoveEvery = 20s },
   };
-  return all;
+  return kAll;
 }
 
 }
--- a/Bench/Decisions/Deployment.cpp
+++ b/Bench/Decisions/Deployment.cpp
@@ -10,7 +10,7 @@
 std::span<deployment const>
 Deployments()
 {
-  static std::array const both{
+  static std::array const kBoth{
     deployment{ .mName = "chao-phraya",
                 .mWorkers = 12,
                 .mFailureDomains = 4,
@@ -28,7 +28,7 @@
                 .mArrivalRate = 54,
                 .mShares = { 0.4, 0.3, 0.1, 0.1, 0.1 } },
   };
-  return both;
+  return kBoth;
 }
 
 }
--- a/Bench/Decisions/FakeEngine.cpp
+++ b/Bench/Decisions/FakeEngine.cpp
@@ -36,7 +36,7 @@
 {
   if (!mIsUp)
     return false;
-  mWaiting.push_back(std::move(aJob));
+  mWaiting.push_back(aJob);
   if (!mIsInStep)
     StartStep();
   return true;
@@ -151,7 +151,7 @@
 {
   while (!mWaiting.empty() && mWaiting.front().mIsStarted &&
          mWaiting.front().mWork <= 0) {
-    engine_job job = std::move(mWaiting.front());
+    engine_job const job = mWaiting.front();
     mWaiting.pop_front();
     for (block_hash const block : job.mBlocks) {
       if (!mCache.Holds(block))
--- a/Bench/Decisions/LoadGenerator.cpp
+++ b/Bench/Decisions/LoadGenerator.cpp
@@ -129,14 +129,14 @@
 std::uint64_t
 load_generator::PickCatalogue(instant aAt)
 {
-  static std::vector<double> const weights = []() {
+  static std::vector<double> const kWeights = []() {
     std::vector<double> ranked;
     for (std::uint64_t rank = 1; rank <= kApplications * kCatalogues; ++rank)
       ranked.push_back(std::pow(static_cast<double>(rank), -kZipfExponent));
     return ranked;
   }();
-  std::discrete_distribution<std::uint64_t> byRank(weights.begin(),
-                                                   weights.end());
+  std::discrete_distribution<std::uint64_t> byRank(kWeights.begin(),
+                                                   kWeights.end());
   std::uint64_t const rank = byRank(mRandom);
   if (mCase.mMoveEvery == duration{})
     return rank;
--- a/Bench/Decisions/LruCache.cpp
+++ b/Bench/Decisions/LruCache.cpp
@@ -1,7 +1,6 @@
 #include <Bench/Decisions/LruCache.h>
 
 #include <algorithm>
-#include <ranges>
 
 namespace lycheeseam::bench {
 
@@ -17,7 +16,8 @@
 lru_cache::Use(std::span<block_hash const> aBlocks)
 {
   // From the end on, so that a prompt's last block goes out before its first.
-  for (block_hash const block : std::views::reverse(aBlocks)) {
+  for (auto last = aBlocks.rbegin(); last != aBlocks.rend(); ++last) {
+    block_hash const block = *last;
     auto const found = mPlaces.find(block);
     if (found != mPlaces.end()) {
       mOrder.splice(mOrder.begin(), mOrder, found->second);
--- a/Bench/Decisions/RouterInstance.cpp
+++ b/Bench/Decisions/RouterInstance.cpp
@@ -1,6 +1,7 @@
 #include <Bench/Decisions/RouterInstance.h>
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 #include <string>
 
@@ -13,7 +14,7 @@
                                  any_policy aPolicy)
   : mWindow(aWindow)
   , mFailureDomain(std::move(aFailureDomain))
-  , mPolicy(std::move(aPolicy))
+  , mPolicy(aPolicy)
   , mServers(aServers)
   , mCandidates(aServers)
 {
--- a/Libraries/LibPlacement/BlockShard.cpp
+++ b/Libraries/LibPlacement/BlockShard.cpp
@@ -2,13 +2,13 @@
 #include <LibPlacement/TokenEstimate.h>
 
 #include <algorithm>
+#include <chrono>
 
 namespace lycheeseam {
 
 namespace {
 
-// The KV store's entries lie beside the servers' under a name that no row of
-// a pool can have; it has one life.
+// The KV store stands in a map of its own, with one name and one life.
 backend_server_id const&
 StoreName()
 {
@@ -18,6 +18,19 @@
 
 constexpr incarnation kStoreLife{ 1 };
 
+// The first guess of how long the store keeps unused pieces.
+constexpr duration kStoreRetention = std::chrono::seconds{ 60 };
+
+// The store's part of all entries.
+constexpr std::size_t kStorePart = 8;
+
+}
+
+block_shard::block_shard(block_map_options aOptions)
+  : mMap(aOptions)
+  , mStore({ .mEntries = aOptions.mEntries / kStorePart,
+             .mFirstRetention = kStoreRetention })
+{
 }
 
 block_answer
@@ -36,7 +49,7 @@
   if (answer.mKnown.size() > kMaxHolders)
     answer.mKnown.resize(kMaxHolders);
   token_count const stored =
-    mMap.Find(StoreName(), kStoreLife, aLookup.mBlocks, aNow).mTokens;
+    mStore.Find(StoreName(), kStoreLife, aLookup.mBlocks, aNow).mTokens;
   // The store knows whole pieces only.
   answer.mStoredTokens = stored / kPieceTokens * kPieceTokens;
   return answer;
@@ -45,7 +58,7 @@
 void
 block_shard::OnStored(std::span<block_hash const> aBlocks, instant aNow)
 {
-  mMap.OnSent(StoreName(), kStoreLife, aBlocks, aNow);
+  mStore.OnAnswer(StoreName(), kStoreLife, aBlocks, 0, aNow);
 }
 
 void
--- a/Libraries/LibPlacement/BlockShard.h
+++ b/Libraries/LibPlacement/BlockShard.h
@@ -18,10 +18,7 @@
   /// The most holders that an answer names; more would change no choice.
   static constexpr std::size_t kMaxHolders = 16;
 
-  explicit block_shard(block_map_options aOptions = {})
-    : mMap(aOptions)
-  {
-  }
+  explicit block_shard(block_map_options aOptions = {});
 
   /// Where the blocks are cached, among a pool's servers as this instance
   /// knows them.
@@ -44,10 +41,15 @@
                      incarnation aIncarnation);
 
   /// The knowledge's size in bytes.
-  [[nodiscard]] std::size_t Bytes() const { return mMap.Bytes(); }
+  [[nodiscard]] std::size_t Bytes() const
+  {
+    return mMap.Bytes() + mStore.Bytes();
+  }
 
 private:
   block_map mMap;
+  /// The KV store's blocks; it keeps them for longer than engines do.
+  block_map mStore;
 };
 
 }
