LibPeer: Link instances by framed TCP with FlatBuffers

A link table keeps one link to each peer's newest life: when both ends dial at once both keep the same one, and hellos of older lives are refused. Quiet links are pinged, and silent peers count as dead; the supervisors stand in LibMembership, apart from sockets.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -3,6 +3,8 @@
 
 #include <openssl/sha.h>
 
+#include <algorithm>
+
 namespace lycheeseam {
 
 namespace {
@@ -43,6 +45,14 @@
   return result;
 }
 
+digest
+digest::FromBytes(std::span<std::uint8_t const, kBytes> aBytes) noexcept
+{
+  digest result;
+  std::copy(aBytes.begin(), aBytes.end(), result.mBytes.begin());
+  return result;
+}
+
 std::string
 digest::Hex() const
 {
--- a/Libraries/LibCore/Digest.h
+++ b/Libraries/LibCore/Digest.h
@@ -26,6 +26,10 @@
   /// Parses 64 hexadecimal digits; throws invalid_input on anything else.
   static digest FromHex(std::string_view aHex);
 
+  /// The digest with these bytes.
+  static digest FromBytes(
+    std::span<std::uint8_t const, kBytes> aBytes) noexcept;
+
   /// The digest as 64 lower-case hexadecimal digits.
   [[nodiscard]] std::string Hex() const;
 
--- /dev/null
+++ b/Libraries/LibMembership/FixedHeartbeatSupervisor.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibMembership/FixedHeartbeatOptions.h>
+#include <LibMembership/LinkCheck.h>
+
+namespace lycheeseam {
+
+/// Sends a heartbeat at each interval, whatever else the link carries.
+class fixed_heartbeat_supervisor
+{
+public:
+  fixed_heartbeat_supervisor(fixed_heartbeat_options aOptions, instant aNow);
+
+  /// Anything at all came from the peer.
+  void OnReceived(instant aNow);
+
+  /// To be called at least once an interval.
+  [[nodiscard]] link_check Check(instant aNow);
+
+private:
+  fixed_heartbeat_options mOptions;
+  instant mLastReceived;
+  instant mNextBeat;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/LinkSupervisor.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibMembership/LinkCheck.h>
+
+#include <concepts>
+
+namespace lycheeseam {
+
+/// Decides when a link needs a heartbeat and when its peer counts as dead.
+template<typename Supervisor>
+concept link_supervisor = requires(Supervisor& aSupervisor, instant aNow)
+{
+  aSupervisor.OnReceived(aNow);
+  {
+    aSupervisor.Check(aNow)
+    } -> std::same_as<link_check>;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/EncodePeerMessage.cpp
@@ -0,0 +1,164 @@
+#include <LibPeer/FrameHeader.h>
+#include <LibPeer/PeerCodec.h>
+
+#include <PeerMessage_generated.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// A body's table with the union's name of its type.
+struct encoded_body
+{
+  wire::Body mType = wire::Body::NONE;
+  flatbuffers::Offset<void> mTable;
+};
+
+wire::Digest
+EncodeDigest(digest const& aDigest)
+{
+  return wire::Digest{ flatbuffers::span<std::uint8_t const, digest::kBytes>(
+    aDigest.Bytes().data(), digest::kBytes) };
+}
+
+std::uint64_t
+Milliseconds(std::chrono::milliseconds aSpan)
+{
+  return static_cast<std::uint64_t>(
+    std::max(aSpan, std::chrono::milliseconds{ 0 }).count());
+}
+
+std::uint32_t
+ShortMilliseconds(std::chrono::milliseconds aSpan)
+{
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(Milliseconds(aSpan), kMost));
+}
+
+// Builds the table of each kind of message.
+class body_encoder
+{
+public:
+  explicit body_encoder(flatbuffers::FlatBufferBuilder& aBuilder)
+    : mBuilder(aBuilder)
+  {
+  }
+
+  encoded_body operator()(peer_hello const& aHello)
+  {
+    return Body(wire::Body::Hello,
+                wire::CreateHello(mBuilder,
+                                  aHello.mVersion,
+                                  Text(aHello.mLife.mInstance.Text()),
+                                  aHello.mLife.mIncarnation.Value(),
+                                  Text(aHello.mFailureDomain.Text()),
+                                  Text(aHello.mCallers.Text()),
+                                  Text(aHello.mPeers.Text())));
+  }
+
+  encoded_body operator()(peer_heartbeat const& aBeat)
+  {
+    return Body(wire::Body::Heartbeat,
+                wire::CreateHeartbeat(mBuilder,
+                                      aBeat.mAnswer == heartbeat_answer::Wanted,
+                                      aBeat.mIsLeaving,
+                                      aBeat.mApplied.Value(),
+                                      aBeat.mTail.Value(),
+                                      ShortMilliseconds(aBeat.mTailAge)));
+  }
+
+  encoded_body operator()(snapshot_request const& aRequest)
+  {
+    return Body(
+      wire::Body::SnapshotRequest,
+      wire::CreateSnapshotRequest(mBuilder, aRequest.mNumber.Value()));
+  }
+
+  encoded_body operator()(snapshot_answer const& aAnswer)
+  {
+    return Body(wire::Body::SnapshotAnswer,
+                wire::CreateSnapshotAnswer(mBuilder,
+                                           aAnswer.mNumber.Value(),
+                                           aAnswer.mOffset.Value(),
+                                           Text(aAnswer.mState)));
+  }
+
+  encoded_body operator()(log_relay const& aRelay)
+  {
+    std::vector<flatbuffers::Offset<wire::RelayedEntry>> entries;
+    for (relayed_entry const& entry : aRelay.mEntries)
+      entries.push_back(wire::CreateRelayedEntry(
+        mBuilder, entry.mOffset.Value(), Text(entry.mRecord)));
+    return Body(wire::Body::LogRelay,
+                wire::CreateLogRelay(mBuilder,
+                                     mBuilder.CreateVector(entries),
+                                     aRelay.mTail.Value(),
+                                     ShortMilliseconds(aRelay.mTailAge)));
+  }
+
+  encoded_body operator()(key_withdrawal const& aWithdrawal)
+  {
+    wire::Digest const key = EncodeDigest(aWithdrawal.mKey);
+    return Body(
+      wire::Body::KeyWithdrawal,
+      wire::CreateKeyWithdrawal(mBuilder, &key, aWithdrawal.mOffset.Value()));
+  }
+
+  encoded_body operator()(poison_notice const& aNotice)
+  {
+    wire::Digest const fingerprint = EncodeDigest(aNotice.mFingerprint);
+    return Body(wire::Body::PoisonNotice,
+                wire::CreatePoisonNotice(mBuilder,
+                                         &fingerprint,
+                                         Text(aNotice.mServer.Text()),
+                                         aNotice.mIncarnation.Value(),
+                                         Milliseconds(aNotice.mLapse)));
+  }
+
+  encoded_body operator()(drain_notice const& aNotice)
+  {
+    return Body(
+      wire::Body::DrainNotice,
+      wire::CreateDrainNotice(mBuilder, Milliseconds(aNotice.mAcceptsFor)));
+  }
+
+private:
+  template<typename Table>
+  static encoded_body Body(wire::Body aType, flatbuffers::Offset<Table> aTable)
+  {
+    return { .mType = aType, .mTable = aTable.Union() };
+  }
+
+  flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
+  {
+    return mBuilder.CreateString(aText);
+  }
+
+  flatbuffers::FlatBufferBuilder& mBuilder;
+};
+
+}
+
+encoded_frame
+EncodePeerMessage(peer_message const& aMessage)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  encoded_body const body = std::visit(body_encoder{ builder }, aMessage);
+  wire::FinishEnvelopeBuffer(
+    builder, wire::CreateEnvelope(builder, body.mType, body.mTable));
+
+  std::uint32_t const length = builder.GetSize();
+  std::array<std::uint8_t, kFrameHeaderBytes> const header =
+    EncodeFrameHeader(length);
+  std::vector<std::uint8_t> frame;
+  frame.reserve(header.size() + length);
+  frame.insert(frame.end(), header.begin(), header.end());
+  frame.insert(frame.end(),
+               builder.GetBufferPointer(),
+               builder.GetBufferPointer() + length);
+  return std::make_shared<std::vector<std::uint8_t> const>(std::move(frame));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/EncodedFrame.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace lycheeseam {
+
+/// A frame ready to be sent, header included. A broadcast encodes once and
+/// shares it between links.
+using encoded_frame = std::shared_ptr<std::vector<std::uint8_t> const>;
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/LinkDirection.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// Which end opened a link.
+enum class link_direction
+{
+  Dialled,
+  Accepted,
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/LinkTable.cpp
@@ -0,0 +1,101 @@
+#include <LibPeer/LinkTable.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+hello_decision
+Refuse(link_close_reason aReason)
+{
+  return { .mRefused = aReason };
+}
+
+}
+
+link_table::link_table(instance_life aSelf)
+  : mSelf(std::move(aSelf))
+{
+}
+
+hello_decision
+link_table::OnHello(link_number aLink,
+                    link_direction aDirection,
+                    peer_hello const& aHello)
+{
+  if (aHello.mVersion != kPeerProtocolVersion)
+    return Refuse(link_close_reason::WrongVersion);
+  instance_id const& peer = aHello.mLife.mInstance;
+  if (peer == mSelf.mInstance)
+    return Refuse(link_close_reason::Self);
+  peer_state& state = mPeers[peer];
+  if (aHello.mLife.mIncarnation < state.mNewest)
+    return Refuse(link_close_reason::OlderIncarnation);
+
+  hello_decision decision;
+  if (state.mLink && aHello.mLife.mIncarnation == state.mNewest) {
+    if (!GivesWay(state, aDirection, peer))
+      return Refuse(link_close_reason::Duplicate);
+  } else {
+    decision.mIsNew = true;
+    if (state.mLink)
+      decision.mEnded =
+        instance_life{ .mInstance = peer, .mIncarnation = state.mNewest };
+  }
+  decision.mReplaced = state.mLink;
+  state = { .mNewest = aHello.mLife.mIncarnation,
+            .mLink = aLink,
+            .mDirection = aDirection };
+  return decision;
+}
+
+std::optional<instance_life>
+link_table::OnClosed(link_number aLink)
+{
+  for (auto& [peer, state] : mPeers) {
+    if (state.mLink != aLink)
+      continue;
+    state.mLink.reset();
+    return instance_life{ .mInstance = peer, .mIncarnation = state.mNewest };
+  }
+  return std::nullopt;
+}
+
+std::optional<link_number>
+link_table::Find(instance_id const& aPeer) const
+{
+  auto const found = mPeers.find(aPeer);
+  if (found == mPeers.end())
+    return std::nullopt;
+  return found->second.mLink;
+}
+
+std::vector<link_number>
+link_table::Links() const
+{
+  std::vector<link_number> links;
+  for (auto const& [peer, state] : mPeers) {
+    if (state.mLink)
+      links.push_back(*state.mLink);
+  }
+  return links;
+}
+
+// When both ends dial at once, both must keep the same link: the one that the
+// instance with the lesser name dialled. A second link in the same direction
+// means that the peer gave the first one up.
+bool
+link_table::GivesWay(peer_state const& aState,
+                     link_direction aDirection,
+                     instance_id const& aPeer) const
+{
+  if (aState.mDirection == aDirection)
+    return true;
+  bool const isLesser = mSelf.mInstance < aPeer;
+  link_direction const kept =
+    isLesser ? link_direction::Dialled : link_direction::Accepted;
+  return aDirection == kept;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/LinkTable.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/InstanceLife.h>
+#include <LibPeer/HelloDecision.h>
+#include <LibPeer/LinkDirection.h>
+#include <LibPeer/LinkNumber.h>
+#include <LibPeer/PeerHello.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Decides which link carries each peer's messages: one for each instance,
+/// to its newest life.
+class link_table
+{
+public:
+  explicit link_table(instance_life aSelf);
+
+  /// A link's hello arrived.
+  hello_decision OnHello(link_number aLink,
+                         link_direction aDirection,
+                         peer_hello const& aHello);
+
+  /// A link ended; the life that has no link any more, if any.
+  std::optional<instance_life> OnClosed(link_number aLink);
+
+  /// The link to an instance, if one is up.
+  [[nodiscard]] std::optional<link_number> Find(instance_id const& aPeer) const;
+
+  /// All links that are up, ordered by instance.
+  [[nodiscard]] std::vector<link_number> Links() const;
+
+private:
+  struct peer_state
+  {
+    incarnation mNewest;
+    std::optional<link_number> mLink;
+    link_direction mDirection = link_direction::Dialled;
+  };
+
+  [[nodiscard]] bool GivesWay(peer_state const& aState,
+                              link_direction aDirection,
+                              instance_id const& aPeer) const;
+
+  instance_life mSelf;
+  // FIXME: An instance that never comes back stays here; its name and number
+  // are kept so that a late message of its last life stays known as one.
+  std::map<instance_id, peer_state> mPeers;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/PeerHello.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/InstanceLife.h>
+#include <LibPeer/PeerProtocol.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// The first message on a link, in both directions: who its sender is.
+struct peer_hello
+{
+  std::uint32_t mVersion = kPeerProtocolVersion;
+  instance_life mLife;
+  failure_domain mFailureDomain;
+  /// Where callers reach the sender.
+  endpoint mCallers;
+  /// Where peers reach the sender.
+  endpoint mPeers;
+
+  bool operator==(peer_hello const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/PeerTransport.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibPeer/PeerMessage.h>
+#include <LibPeer/SendResult.h>
+
+#include <concepts>
+
+namespace lycheeseam {
+
+/// Carries messages to peers: TCP links, or a test's network in virtual time.
+template<typename Transport>
+concept peer_transport = requires(Transport& aTransport,
+                                  instance_id const& aPeer,
+                                  peer_message const& aMessage)
+{
+  {
+    aTransport.Send(aPeer, aMessage)
+    } -> std::same_as<send_result>;
+  aTransport.Broadcast(aMessage);
+};
+
+}
