--- /dev/null
+++ b/Libraries/LibConfig/ConfigTable.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibConfig/ConfigTables.h>
+#include <LibConfig/TableKind.h>
+
+#include <string>
+
+/// \file What code that serves every table alike needs to know of each.
+
+namespace lycheeseam {
+
+/// The table that holds a kind of row; specialised for each.
+template<typename Row>
+struct config_table;
+
+template<>
+struct config_table<route_row>
+{
+  using name = route_name;
+  static constexpr table_kind kKind = table_kind::Routes;
+  static constexpr auto kRows = &config_tables::mRoutes;
+  static name const& NameOf(route_row const& aRow) { return aRow.mName; }
+  static std::string Text(name const& aName) { return aName.Text(); }
+};
+
+template<>
+struct config_table<pool_row>
+{
+  using name = pool_name;
+  static constexpr table_kind kKind = table_kind::Pools;
+  static constexpr auto kRows = &config_tables::mPools;
+  static name const& NameOf(pool_row const& aRow) { return aRow.mName; }
+  static std::string Text(name const& aName) { return aName.Text(); }
+};
+
+template<>
+struct config_table<key_row>
+{
+  using name = digest;
+  static constexpr table_kind kKind = table_kind::Keys;
+  static constexpr auto kRows = &config_tables::mKeys;
+  static name const& NameOf(key_row const& aRow) { return aRow.mDigest; }
+  static std::string Text(name const& aName) { return aName.Hex(); }
+};
+
+template<>
+struct config_table<workspace_row>
+{
+  using name = workspace_id;
+  static constexpr table_kind kKind = table_kind::Workspaces;
+  static constexpr auto kRows = &config_tables::mWorkspaces;
+  static name const& NameOf(workspace_row const& aRow) { return aRow.mName; }
+  static std::string Text(name const& aName) { return aName.Text(); }
+};
+
+/// The version of a row, 0 when there is none.
+template<typename Row>
+row_version
+VersionOf(config_tables const& aTables,
+          typename config_table<Row>::name const& aName)
+{
+  auto const& rows = aTables.*config_table<Row>::kRows;
+  auto const found = rows.find(aName);
+  return found == rows.end() ? row_version{} : found->second.mVersion;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibConfig/RowReference.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibConfig/TableKind.h>
+
+#include <string>
+
+namespace lycheeseam {
+
+/// Names a row of any table; a key's name is its digest in hexadecimal.
+struct row_reference
+{
+  table_kind mTable = table_kind::Routes;
+  std::string mName;
+
+  auto operator<=>(row_reference const&) const = default;
+};
+
+}
