--- /dev/null
+++ b/Libraries/LibLimits/BudgetEnvelope.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibLimits/BudgetMessage.h>
+
+namespace lycheeseam {
+
+/// A message to send; an instance also sends to itself.
+struct budget_envelope
+{
+  instance_id mTo;
+  budget_message mMessage;
+
+  bool operator==(budget_envelope const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/BudgetHome.cpp
@@ -0,0 +1,274 @@
+#include <LibLimits/BudgetHome.h>
+#include <LibLimits/HomeSlots.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+// An ask that waits is looked at again after at least this, so that a balance
+// held back by open loans costs few wake-ups.
+constexpr duration kShortestWake = std::chrono::milliseconds{ 2 };
+
+}
+
+budget_home::budget_home(instance_life aSelf,
+                         slot_layout aLayout,
+                         budget_timing aTiming)
+  : mSelf(std::move(aSelf))
+  , mTiming(aTiming)
+  , mLayout(aLayout)
+{
+}
+
+void
+budget_home::OnSlots(slot_fold const& aSlots)
+{
+  std::vector<slot_id> lost;
+  for (auto const& [slot, held] : mHeld) {
+    slot_holder const* const holder = aSlots.Find(slot);
+    if (holder == nullptr || holder->mClaim != held.mClaim)
+      lost.push_back(slot);
+  }
+  for (slot_id const slot : lost)
+    DropSlot(slot);
+}
+
+void
+budget_home::OpenSlot(instant aNow,
+                      slot_id aSlot,
+                      log_offset aClaim,
+                      instant aAccruesFrom)
+{
+  mHeld[aSlot] = { .mClaim = aClaim, .mAccruesFrom = aAccruesFrom };
+  for (auto const& [name, row] : mRows)
+    OpenAccount(aNow, row, aSlot);
+}
+
+std::vector<slot_id>
+budget_home::OpenSlots() const
+{
+  std::vector<slot_id> slots;
+  for (auto const& [slot, held] : mHeld)
+    slots.push_back(slot);
+  return slots;
+}
+
+void
+budget_home::OnLimits(instant aNow, workspace_row const& aRow)
+{
+  mRows[aRow.mName] = aRow;
+  std::vector<slot_id> const homes = HomeSlots(aRow.mName, mLayout);
+  slot_share const share = slot_share::Of(aRow, homes.size());
+  for (auto const& [slot, held] : mHeld) {
+    auto const found = mAccounts.find({ aRow.mName, slot });
+    if (found == mAccounts.end())
+      OpenAccount(aNow, aRow, slot);
+    else
+      found->second.mTokens.SetShare(aNow, share);
+  }
+}
+
+void
+budget_home::OnWorkspaceRemoved(workspace_id const& aWorkspace)
+{
+  mRows.erase(aWorkspace);
+  std::erase_if(mAccounts, [&aWorkspace](auto const& aEntry) {
+    return aEntry.first.mWorkspace == aWorkspace;
+  });
+}
+
+void
+budget_home::OnRequest(instant aNow,
+                       giving_permission aPermission,
+                       token_request const& aRequest)
+{
+  auto const found = mAccounts.find({ aRequest.mWorkspace, aRequest.mSlot });
+  if (found == mAccounts.end()) {
+    Answer(aRequest, grant_result::NotHolder, nullptr);
+    return;
+  }
+  home_account& account = found->second;
+  if (aPermission == giving_permission::Withheld || aRequest.mWanted <= 0) {
+    Answer(aRequest, grant_result::Withheld, &account);
+    return;
+  }
+  Serve(aNow, account, aPermission);
+  if (account.mWaiting.empty() &&
+      account.mTokens.Balance() >= aRequest.mWanted) {
+    Lend(aNow, account, aRequest);
+    return;
+  }
+  if (!WillAccrue(account, aRequest)) {
+    Answer(aRequest, grant_result::Short, &account);
+    return;
+  }
+  duration const patience =
+    std::min(aRequest.mPatience, mTiming.mQueuePatience);
+  account.mWaiting.push_back(
+    { .mRequest = aRequest, .mDeadline = aNow + patience });
+  account.mWaitingTokens += aRequest.mWanted;
+  Answer(aRequest, grant_result::Queued, &account);
+  Serve(aNow, account, aPermission);
+}
+
+token_count
+budget_home::OnRefund(instant aNow, token_refund const& aRefund)
+{
+  home_account* const account =
+    FindAccount(aRefund.mWorkspace, aRefund.mSlot, aRefund.mClaim);
+  return account == nullptr ? 0
+                            : account->mTokens.Refund(aNow, aRefund.mTokens);
+}
+
+void
+budget_home::OnReport(instant aNow, token_report const& aReport)
+{
+  home_account* const account =
+    FindAccount(aReport.mWorkspace, aReport.mSlot, aReport.mClaim);
+  if (account == nullptr)
+    return;
+  for (loan_spend const& spend : aReport.mSpent)
+    account->mTokens.MarkSpent(aNow, spend.mLoan, spend.mTokens);
+}
+
+void
+budget_home::Tick(instant aNow, giving_permission aPermission)
+{
+  for (auto& [key, account] : mAccounts) {
+    if (!account.mWaiting.empty() && account.mServeAt <= aNow)
+      Serve(aNow, account, aPermission);
+  }
+}
+
+std::optional<instant>
+budget_home::NextWake() const
+{
+  std::optional<instant> next;
+  for (auto const& [key, account] : mAccounts) {
+    if (account.mWaiting.empty())
+      continue;
+    next = next ? std::min(*next, account.mServeAt) : account.mServeAt;
+  }
+  return next;
+}
+
+std::vector<budget_envelope>
+budget_home::TakeOutbox()
+{
+  return std::exchange(mOutbox, {});
+}
+
+void
+budget_home::OpenAccount(instant aNow, workspace_row const& aRow, slot_id aSlot)
+{
+  std::vector<slot_id> const homes = HomeSlots(aRow.mName, mLayout);
+  if (!std::binary_search(homes.begin(), homes.end(), aSlot))
+    return;
+  held_slot const& held = mHeld.at(aSlot);
+  slot_account tokens{ slot_share::Of(aRow, homes.size()),
+                       std::max(aNow, held.mAccruesFrom),
+                       mTiming.mHomeLapse };
+  mAccounts.insert_or_assign(
+    account_key{ aRow.mName, aSlot },
+    home_account{ .mClaim = held.mClaim, .mTokens = std::move(tokens) });
+}
+
+void
+budget_home::DropSlot(slot_id aSlot)
+{
+  mHeld.erase(aSlot);
+  std::erase_if(mAccounts, [aSlot](auto const& aEntry) {
+    return aEntry.first.mSlot == aSlot;
+  });
+}
+
+budget_home::home_account*
+budget_home::FindAccount(workspace_id const& aWorkspace,
+                         slot_id aSlot,
+                         log_offset aClaim)
+{
+  auto const found = mAccounts.find({ aWorkspace, aSlot });
+  if (found == mAccounts.end() || found->second.mClaim != aClaim)
+    return nullptr;
+  return &found->second;
+}
+
+bool
+budget_home::WillAccrue(home_account const& aAccount,
+                        token_request const& aRequest) const
+{
+  token_count const burst = aAccount.mTokens.Share().mBurst;
+  if (aRequest.mWanted > burst)
+    return false;
+  token_count const missing =
+    aAccount.mWaitingTokens + aRequest.mWanted - aAccount.mTokens.Balance();
+  duration const patience =
+    std::min(aRequest.mPatience, mTiming.mQueuePatience);
+  return aAccount.mTokens.AccrualTime(missing) <= patience;
+}
+
+void
+budget_home::Answer(token_request const& aRequest,
+                    grant_result aResult,
+                    home_account const* aAccount,
+                    loan_id aLoan)
+{
+  token_grant grant{ .mTo = aRequest.mFrom,
+                     .mSequence = aRequest.mSequence,
+                     .mWorkspace = aRequest.mWorkspace,
+                     .mSlot = aRequest.mSlot,
+                     .mResult = aResult };
+  if (aAccount != nullptr) {
+    grant.mClaim = aAccount->mClaim;
+    grant.mLeft = aAccount->mTokens.Balance() - aAccount->mWaitingTokens;
+  }
+  if (aResult == grant_result::Lent) {
+    grant.mLoan = aLoan;
+    grant.mTokens = aRequest.mWanted;
+  }
+  mOutbox.push_back(
+    { .mTo = aRequest.mFrom.mInstance, .mMessage = std::move(grant) });
+}
+
+void
+budget_home::Lend(instant aNow,
+                  home_account& aAccount,
+                  token_request const& aRequest)
+{
+  loan_id const loan = aAccount.mTokens.Lend(aNow, aRequest.mWanted);
+  Answer(aRequest, grant_result::Lent, &aAccount, loan);
+}
+
+void
+budget_home::Serve(instant aNow,
+                   home_account& aAccount,
+                   giving_permission aPermission)
+{
+  aAccount.mTokens.Advance(aNow);
+  while (!aAccount.mWaiting.empty()) {
+    waiting_ask const head = aAccount.mWaiting.front();
+    bool const isCovered = aAccount.mTokens.Balance() >= head.mRequest.mWanted;
+    bool const mayLend = aPermission == giving_permission::Granted;
+    if (!(isCovered && mayLend) && aNow < head.mDeadline)
+      break;
+    aAccount.mWaiting.pop_front();
+    aAccount.mWaitingTokens -= head.mRequest.mWanted;
+    if (isCovered && mayLend && aNow <= head.mDeadline)
+      Lend(aNow, aAccount, head.mRequest);
+    else
+      Answer(head.mRequest, grant_result::Short, &aAccount);
+  }
+  if (aAccount.mWaiting.empty())
+    return;
+  waiting_ask const& head = aAccount.mWaiting.front();
+  token_count const missing =
+    head.mRequest.mWanted - aAccount.mTokens.Balance();
+  duration const wait =
+    std::max(kShortestWake, aAccount.mTokens.AccrualTime(missing));
+  aAccount.mServeAt = std::min(aNow + wait, head.mDeadline);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/ChargeDecision.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibLimits/ChargeId.h>
+#include <LibLimits/ChargeResult.h>
+
+namespace lycheeseam {
+
+/// The answer to a charge request.
+struct charge_decision
+{
+  charge_id mCharge;
+  charge_result mResult = charge_result::Admitted;
+
+  bool operator==(charge_decision const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/GivingPermission.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// Whether a holder may lend from its slots now; see home_standing.
+enum class giving_permission
+{
+  Granted,
+  Withheld,
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/HomeChooser.cpp
@@ -0,0 +1,132 @@
+#include <LibLimits/HomeChooser.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// Takes what each home is thought to have, from the fullest on.
+std::vector<home_ask>
+TakeFromFullest(token_count aTokens, std::span<home_ask const> aUsable)
+{
+  std::vector<home_ask> asks;
+  for (home_ask const& home : aUsable) {
+    token_count const piece = std::min(aTokens, home.mTokens);
+    if (piece <= 0)
+      break;
+    asks.push_back({ .mSlot = home.mSlot, .mTokens = piece });
+    aTokens -= piece;
+  }
+  return aTokens == 0 ? asks : std::vector<home_ask>{};
+}
+
+}
+
+home_chooser::home_chooser(slot_share aShare, std::span<slot_id const> aHomes)
+  : mShare(aShare)
+{
+  // A home that has not answered yet is taken to be full.
+  for (slot_id const slot : aHomes)
+    mViews[slot] = { .mLeft = aShare.mBurst };
+}
+
+std::vector<home_ask>
+home_chooser::Plan(instant aNow,
+                   token_count aTokens,
+                   slot_fold const& aSlots,
+                   instance_id const& aSelf)
+{
+  std::vector<home_ask> const usable = Usable(aNow, aSlots, aSelf, aTokens);
+  if (usable.empty())
+    return {};
+  std::vector<home_ask> asks = TakeFromFullest(aTokens, usable);
+  if (asks.empty())
+    asks = Spread(aTokens, usable);
+  for (home_ask const& ask : asks)
+    mViews[ask.mSlot].mLeft -= ask.mTokens;
+  return asks;
+}
+
+void
+home_chooser::OnBalance(instant aNow, slot_id aSlot, token_count aLeft)
+{
+  home_view& view = mViews[aSlot];
+  view.mLeft = aLeft;
+  view.mToldAt = aNow;
+}
+
+void
+home_chooser::Pause(slot_id aSlot, instant aUntil)
+{
+  mViews[aSlot].mPausedUntil = aUntil;
+}
+
+std::optional<instant>
+home_chooser::NextPauseEnd(instant aNow) const
+{
+  std::optional<instant> next;
+  for (auto const& [slot, view] : mViews) {
+    if (view.mPausedUntil > aNow)
+      next = next ? std::min(*next, view.mPausedUntil) : view.mPausedUntil;
+  }
+  return next;
+}
+
+token_count
+home_chooser::Estimate(instant aNow, home_view const& aView) const
+{
+  std::chrono::duration<double> const elapsed = aNow - aView.mToldAt;
+  double const accrued = elapsed.count() *
+                         static_cast<double>(mShare.mFleetRate) /
+                         static_cast<double>(mShare.mHomes);
+  double const most = static_cast<double>(mShare.mBurst - aView.mLeft);
+  return aView.mLeft + static_cast<token_count>(std::min(accrued, most));
+}
+
+std::vector<home_ask>
+home_chooser::Usable(instant aNow,
+                     slot_fold const& aSlots,
+                     instance_id const& aSelf,
+                     token_count aTokens) const
+{
+  std::vector<home_ask> usable;
+  std::optional<home_ask> own;
+  for (auto const& [slot, view] : mViews) {
+    slot_holder const* const holder = aSlots.Find(slot);
+    if (holder == nullptr || aNow < view.mPausedUntil)
+      continue;
+    home_ask const home{ .mSlot = slot, .mTokens = Estimate(aNow, view) };
+    // A slot of this instance that covers the need costs no message.
+    if (holder->mInstance == aSelf && home.mTokens >= aTokens && !own)
+      own = home;
+    else
+      usable.push_back(home);
+  }
+  auto const byBalance = [](home_ask const& aLeft, home_ask const& aRight) {
+    return aLeft.mTokens > aRight.mTokens;
+  };
+  std::stable_sort(usable.begin(), usable.end(), byBalance);
+  if (own)
+    usable.insert(usable.begin(), *own);
+  return usable;
+}
+
+std::vector<home_ask>
+home_chooser::Spread(token_count aTokens,
+                     std::span<home_ask const> aUsable) const
+{
+  // Half a burst is what a home is likely to have before long.
+  token_count const likely = std::max<token_count>(1, mShare.mBurst / 2);
+  token_count const wanted = (aTokens + likely - 1) / likely;
+  token_count const pieces =
+    std::min(wanted, static_cast<token_count>(aUsable.size()));
+  token_count const piece = (aTokens + pieces - 1) / pieces;
+  std::vector<home_ask> asks;
+  for (home_ask const& home : aUsable.first(static_cast<std::size_t>(pieces)))
+    asks.push_back(
+      { .mSlot = home.mSlot, .mTokens = std::min(piece, mShare.mBurst) });
+  return asks;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/HomeStanding.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibLimits/BudgetTiming.h>
+#include <LibLimits/GivingPermission.h>
+#include <LibLimits/SlotLayout.h>
+#include <LibLimits/StandingWord.h>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <span>
+
+namespace lycheeseam {
+
+/// Decides whether this instance may lend from the slots it holds.
+///
+/// It may while it has read the log's tail within the confirm bound. In a log
+/// outage it may as long as it has been in touch with the holders of more
+/// than half of the slots without a break since it last read the tail: a slot
+/// that was claimed anew opens only on the word of such a majority that its
+/// former holder is silent (slot_release), and two majorities share a slot.
+class home_standing
+{
+public:
+  home_standing(slot_layout aLayout, budget_timing aTiming);
+
+  /// This instance has folded every entry that the log held at aReadAt.
+  void OnTailRead(instant aReadAt);
+
+  /// The slots that this instance holds and has opened.
+  void OnOwnSlots(std::span<slot_id const> aSlots);
+
+  /// A holder of slots has answered a probe.
+  void OnWord(instant aNow, standing_word const& aWord);
+
+  /// Whether tokens may be lent now.
+  [[nodiscard]] giving_permission At(instant aNow) const;
+
+private:
+  [[nodiscard]] std::size_t Majority() const;
+  [[nodiscard]] instant MajorityContactAt() const;
+
+  slot_layout mLayout;
+  budget_timing mTiming;
+  bool mEverRead = false;
+  /// Lending is allowed up to here.
+  instant mHoldsUntil;
+  std::set<slot_id> mOwnSlots;
+  /// When the probe was sent that each slot's holder answered last.
+  std::map<slot_id, instant> mContacts;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/LoanPurse.cpp
@@ -0,0 +1,51 @@
+#include <LibLimits/LoanPurse.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace lycheeseam {
+
+void
+loan_purse::Add(charge_part const& aLoan, instant aLapsesAt)
+{
+  auto const byLapse = [](instant aAt, held_loan const& aHeld) {
+    return aAt < aHeld.mLapsesAt;
+  };
+  auto const place =
+    std::upper_bound(mLoans.begin(), mLoans.end(), aLapsesAt, byLapse);
+  mLoans.insert(place, { .mLeft = aLoan, .mLapsesAt = aLapsesAt });
+  mAvailable += aLoan.mTokens;
+}
+
+void
+loan_purse::Expire(instant aNow)
+{
+  auto const isUsable = [aNow](held_loan const& aHeld) {
+    return aNow < aHeld.mLapsesAt;
+  };
+  auto const firstUsable = std::ranges::find_if(mLoans, isUsable);
+  for (auto loan = mLoans.begin(); loan != firstUsable; ++loan)
+    mAvailable -= loan->mLeft.mTokens;
+  mLoans.erase(mLoans.begin(), firstUsable);
+}
+
+std::vector<charge_part>
+loan_purse::Take(token_count aTokens)
+{
+  assert(aTokens <= mAvailable);
+  mAvailable -= aTokens;
+  std::vector<charge_part> parts;
+  while (aTokens > 0) {
+    charge_part& loan = mLoans.front().mLeft;
+    charge_part part = loan;
+    part.mTokens = std::min(aTokens, loan.mTokens);
+    loan.mTokens -= part.mTokens;
+    aTokens -= part.mTokens;
+    if (loan.mTokens == 0)
+      mLoans.erase(mLoans.begin());
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLimits/SlotAccount.cpp
@@ -0,0 +1,131 @@
+#include <LibLimits/SlotAccount.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr token_count kMicrosecondsPerSecond = 1'000'000;
+
+// Longer gaps accrue no more than this; it keeps the product of a time and a
+// rate inside 64 bits up to a rate of 10^9 tokens a second.
+constexpr std::chrono::microseconds kLongestAccrual = std::chrono::hours{ 2 };
+
+}
+
+slot_account::slot_account(slot_share aShare,
+                           instant aAccruesFrom,
+                           duration aHomeLapse)
+  : mShare(aShare)
+  , mHomeLapse(aHomeLapse)
+  , mAccruedAt(aAccruesFrom)
+{
+}
+
+void
+slot_account::SetShare(instant aNow, slot_share aShare)
+{
+  Advance(aNow);
+  mShare = aShare;
+  mFraction = 0;
+  mBalance = std::min(mBalance, std::max<token_count>(0, Room() + mBalance));
+}
+
+void
+slot_account::Advance(instant aNow)
+{
+  while (!mLoans.empty() && mLoans.front().mLapsesAt <= aNow) {
+    // Accrual up to here had to leave room for the loan.
+    AccrueUntil(mLoans.front().mLapsesAt);
+    mOutstanding -= mLoans.front().mUnspent;
+    mLoans.pop_front();
+  }
+  AccrueUntil(aNow);
+}
+
+loan_id
+slot_account::Lend(instant aNow, token_count aTokens)
+{
+  Advance(aNow);
+  assert(aTokens > 0 && aTokens <= mBalance);
+  mBalance -= aTokens;
+  mOutstanding += aTokens;
+  mLastLoan = mLastLoan.Next();
+  mLoans.push_back(
+    { .mId = mLastLoan, .mUnspent = aTokens, .mLapsesAt = aNow + mHomeLapse });
+  return mLastLoan;
+}
+
+void
+slot_account::MarkSpent(instant aNow, loan_id aLoan, token_count aTokens)
+{
+  Advance(aNow);
+  auto const byId = [](open_loan const& aOpen, loan_id aId) {
+    return aOpen.mId < aId;
+  };
+  auto const found =
+    std::lower_bound(mLoans.begin(), mLoans.end(), aLoan, byId);
+  if (found == mLoans.end() || found->mId != aLoan)
+    return;
+  token_count const spent =
+    std::clamp<token_count>(aTokens, 0, found->mUnspent);
+  found->mUnspent -= spent;
+  mOutstanding -= spent;
+}
+
+token_count
+slot_account::Refund(instant aNow, token_count aTokens)
+{
+  Advance(aNow);
+  token_count const room = std::max<token_count>(0, Room());
+  token_count const taken = std::clamp<token_count>(aTokens, 0, room);
+  mBalance += taken;
+  return taken;
+}
+
+duration
+slot_account::AccrualTime(token_count aTokens) const
+{
+  if (aTokens <= 0)
+    return duration::zero();
+  if (mShare.mFleetRate <= 0)
+    return kLongestAccrual;
+  double const seconds = static_cast<double>(aTokens) *
+                         static_cast<double>(mShare.mHomes) /
+                         static_cast<double>(mShare.mFleetRate);
+  std::chrono::duration<double> const exact{ seconds };
+  if (exact > kLongestAccrual)
+    return kLongestAccrual;
+  return std::chrono::ceil<std::chrono::microseconds>(exact);
+}
+
+token_count
+slot_account::Room() const noexcept
+{
+  return mShare.mBurst - mBalance - mOutstanding;
+}
+
+void
+slot_account::AccrueUntil(instant aNow)
+{
+  if (aNow <= mAccruedAt)
+    return;
+  std::chrono::microseconds const elapsed =
+    std::chrono::floor<std::chrono::microseconds>(aNow - mAccruedAt);
+  mAccruedAt += elapsed;
+  token_count const unit = kMicrosecondsPerSecond * mShare.mHomes;
+  token_count const accrued =
+    std::min(elapsed, kLongestAccrual).count() * mShare.mFleetRate + mFraction;
+  token_count const room = std::max<token_count>(0, Room());
+  if (accrued / unit >= room) {
+    mBalance += room;
+    mFraction = 0;
+    return;
+  }
+  mBalance += accrued / unit;
+  mFraction = accrued % unit;
+}
+
+}
--- /dev/null
+++ b/Tests/LibLimits/TestSlotRelease.cpp
@@ -0,0 +1,91 @@
+#include <LibLimits/SlotRelease.h>
+
+#include <gtest/gtest.h>
+
+namespace lycheeseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+instance_life const kSelf{ instance_id{ "new" }, incarnation{ 4 } };
+instant const kReadAt{ std::chrono::seconds{ 100 } };
+
+/// Slot 1 passed from "old" to this instance with offset 9.
+slot_fold
+TakenOver()
+{
+  slot_fold fold{ { .mSlots = 3 } };
+  fold.Restore(
+    { { slot_id{ 1 },
+        { .mInstance = kSelf.mInstance,
+          .mIncarnation = kSelf.mIncarnation,
+          .mClaim = log_offset{ 9 },
+          .mFormer = { instance_id{ "old" }, kSelf.mInstance } } } });
+  return fold;
+}
+
+standing_word
+Word(char const* aFrom,
+     std::uint64_t aSlot,
+     instant aProbeSentAt,
+     std::uint64_t aFolded,
+     std::vector<instance_id> aSilent)
+{
+  return { .mFrom = { instance_id{ aFrom }, incarnation{ 1 } },
+           .mTo = kSelf,
+           .mProbeSentAt = aProbeSentAt,
+           .mSlots = { slot_id{ aSlot } },
+           .mFolded = log_offset{ aFolded },
+           .mSilent = std::move(aSilent) };
+}
+
+class test_slot_release : public testing::Test
+{
+protected:
+  test_slot_release() { mRelease.OnSlots(kReadAt, TakenOver()); }
+
+  slot_release mRelease{ kSelf, {} };
+  std::vector<instance_id> mOld{ instance_id{ "old" } };
+  std::vector<slot_id> mSlot{ slot_id{ 1 } };
+};
+
+TEST_F(test_slot_release, WaitsForTheFormerHolder)
+{
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt + milliseconds{ 10 }).empty());
+  EXPECT_TRUE(mRelease.IsWaiting());
+}
+
+TEST_F(test_slot_release, OpensWhenTheFormerHolderHasFoldedTheClaim)
+{
+  mRelease.OnWord(Word("old", 2, kReadAt, 8, {}));
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt).empty());
+  mRelease.OnWord(Word("old", 2, kReadAt, 9, {}));
+  EXPECT_EQ(mRelease.TakeReleased(kReadAt), mSlot);
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt).empty());
+}
+
+TEST_F(test_slot_release, OpensOnTheWordOfAMajorityOfSlots)
+{
+  mRelease.OnWord(Word("b", 2, kReadAt, 1, mOld));
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt).empty());
+  mRelease.OnWord(Word("c", 3, kReadAt, 1, mOld));
+  EXPECT_EQ(mRelease.TakeReleased(kReadAt), mSlot);
+}
+
+TEST_F(test_slot_release, TakesNoWordThatWasAskedBeforeTheClaimWasRead)
+{
+  mRelease.OnWord(Word("b", 2, kReadAt - milliseconds{ 1 }, 1, mOld));
+  mRelease.OnWord(Word("c", 3, kReadAt, 1, mOld));
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt).empty());
+}
+
+TEST_F(test_slot_release, TakesNoOldWord)
+{
+  mRelease.OnWord(Word("b", 2, kReadAt, 1, mOld));
+  mRelease.OnWord(Word("c", 3, kReadAt, 1, mOld));
+  duration const late = budget_timing{}.mWordBound + milliseconds{ 1 };
+  EXPECT_TRUE(mRelease.TakeReleased(kReadAt + late).empty());
+}
+
+}
+}
