LibOnce: Run keyed requests at most once by claims in the log

Cause: a booking that is sent twice, to any instances and over restarts, must run at most once, and "not run" must be true.

Change: claim_fold, claim_batcher, once_gate and the retry policy. request_claim and request_outcome of LibRecords gain mNumber (claim_number): without it a release cannot be told from a later claim of the same instance for the same key.

--- /dev/null
+++ b/Libraries/LibOnce/ClaimFold.cpp
@@ -0,0 +1,139 @@
+#include <LibOnce/ClaimFold.h>
+#include <LibRecords/LogFold.h>
+
+namespace lycheeseam {
+
+static_assert(log_fold<claim_fold>);
+
+namespace {
+
+template<typename Batch>
+instance_life
+OwnerOf(Batch const& aBatch)
+{
+  return { .mInstance = aBatch.mOrigin.mInstance,
+           .mIncarnation = aBatch.mOrigin.mIncarnation };
+}
+
+}
+
+void
+claim_fold::Apply(log_entry const& aEntry)
+{
+  Forget(aEntry.mOffset);
+  if (auto const* claims = std::get_if<request_claim_batch>(&aEntry.mRecord))
+    ApplyClaims(aEntry.mOffset, *claims);
+  // An outcome counts however late it lands: it only tells what has happened.
+  if (auto const* ended = std::get_if<request_outcome_batch>(&aEntry.mRecord))
+    for (request_outcome const& outcome : ended->mOutcomes)
+      ApplyOutcome(aEntry.mOffset, OwnerOf(*ended), outcome);
+}
+
+claim_entry const*
+claim_fold::Find(request_key const& aKey) const
+{
+  auto const found = mClaims.find(aKey);
+  return found == mClaims.end() ? nullptr : &found->second;
+}
+
+void
+claim_fold::ApplyClaims(log_offset aOffset, request_claim_batch const& aBatch)
+{
+  if (aOffset > aBatch.mOrigin.mLastOffset)
+    return;
+  for (request_claim const& claim : aBatch.mClaims) {
+    claim_identity const identity{ .mOwner = OwnerOf(aBatch),
+                                   .mNumber = claim.mNumber };
+    // Forgetting the release here would let a doubled append win later.
+    if (mReleased.contains(identity))
+      continue;
+    if (IsFull() || mClaims.contains(claim.mKey))
+      continue;
+    mClaims.emplace(claim.mKey,
+                    claim_entry{ .mClaim = identity,
+                                 .mFingerprint = claim.mFingerprint,
+                                 .mOffset = aOffset });
+    mClaimAges.push_back({ .mOffset = aOffset, .mKey = claim.mKey });
+  }
+}
+
+void
+claim_fold::ApplyOutcome(log_offset aOffset,
+                         instance_life const& aOwner,
+                         request_outcome const& aOutcome)
+{
+  claim_identity const identity{ .mOwner = aOwner,
+                                 .mNumber = aOutcome.mNumber };
+  auto const found = mClaims.find(aOutcome.mKey);
+  bool const isHolder =
+    found != mClaims.end() && found->second.mClaim == identity;
+  if (aOutcome.mVerdict == verdict::NotRun) {
+    bool const isOpen = isHolder && !found->second.mOutcome;
+    if (isOpen)
+      Erase(found);
+    // The claim itself may still land, or land again.
+    if ((isOpen || !isHolder) && mReleased.insert(identity).second)
+      mReleaseAges.push_back({ .mOffset = aOffset, .mClaim = identity });
+    return;
+  }
+  if (isHolder && !found->second.mOutcome)
+    KeepOutcome(aOffset, found->second, aOutcome);
+}
+
+void
+claim_fold::KeepOutcome(log_offset aOffset,
+                        claim_entry& aEntry,
+                        request_outcome const& aOutcome)
+{
+  aEntry.mOutcome = aOutcome;
+  if (aOutcome.mBody.empty())
+    return;
+  mBodyBytes += aOutcome.mBody.size();
+  mBodyAges.push_back({ .mOffset = aOffset, .mKey = aOutcome.mKey });
+  while (mBodyBytes > mWindow.mMostBodyBytes) {
+    auto const oldest = mClaims.find(mBodyAges.front().mKey);
+    mBodyAges.pop_front();
+    if (oldest != mClaims.end())
+      DropBody(oldest->second);
+  }
+}
+
+void
+claim_fold::Erase(std::map<request_key, claim_entry>::iterator aEntry)
+{
+  DropBody(aEntry->second);
+  mClaims.erase(aEntry);
+}
+
+void
+claim_fold::DropBody(claim_entry& aEntry)
+{
+  if (!aEntry.mOutcome)
+    return;
+  mBodyBytes -= aEntry.mOutcome->mBody.size();
+  aEntry.mOutcome->mBody.clear();
+}
+
+void
+claim_fold::Forget(log_offset aOffset)
+{
+  auto const isOld = [&](log_offset aAge) {
+    return aAge.Value() + mWindow.mOffsets < aOffset.Value();
+  };
+  while (!mClaimAges.empty() && isOld(mClaimAges.front().mOffset)) {
+    auto const found = mClaims.find(mClaimAges.front().mKey);
+    // The key may have been released and claimed again since.
+    if (found != mClaims.end() &&
+        found->second.mOffset == mClaimAges.front().mOffset)
+      Erase(found);
+    mClaimAges.pop_front();
+  }
+  while (!mReleaseAges.empty() && isOld(mReleaseAges.front().mOffset)) {
+    mReleased.erase(mReleaseAges.front().mClaim);
+    mReleaseAges.pop_front();
+  }
+  while (!mBodyAges.empty() && isOld(mBodyAges.front().mOffset))
+    mBodyAges.pop_front();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/OnceGate.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <LibOnce/ClaimBatcher.h>
+#include <LibOnce/ClaimFold.h>
+#include <LibOnce/LogState.h>
+#include <LibOnce/OnceDecision.h>
+#include <LibOnce/OnceRequest.h>
+#include <LibOnce/OwnerLiveness.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Lets each request with an idempotency key run at most once over all
+/// instances and restarts.
+class once_gate
+{
+public:
+  once_gate(instance_life aSelf, batch_limits aLimits, claim_window aWindow);
+
+  /// A request has come. Its decision comes through TakeDecisions, at once or
+  /// when the log has shown who may run it.
+  template<owner_liveness Liveness>
+  void Begin(instant aNow,
+             once_request const& aRequest,
+             log_state aLog,
+             Liveness const& aIsAlive);
+
+  /// Folds the next entry of the log.
+  void OnEntry(log_entry const& aEntry);
+
+  /// Decides what the entries and the time have settled.
+  template<owner_liveness Liveness>
+  void Tick(instant aNow, Liveness const& aIsAlive);
+
+  /// Whether a request that was told to run may still be sent. Asked right
+  /// before sending: after a long pause the claim may have been forgotten.
+  [[nodiscard]] bool MayDispatch(instant aNow, request_id const& aId) const;
+
+  /// A request that was told to run has ended. NotRun frees its key.
+  void End(instant aNow, request_id const& aId, request_outcome aOutcome);
+
+  /// The records to append now.
+  std::vector<log_record> TakeRecords(instant aNow, log_offset aTail);
+
+  /// Decisions on requests, taken once.
+  [[nodiscard]] std::vector<once_decision> TakeDecisions();
+
+  /// When Tick or TakeRecords has work next.
+  [[nodiscard]] std::optional<instant> NextWake() const;
+
+  [[nodiscard]] claim_fold const& Claims() const noexcept { return mFold; }
+
+private:
+  struct waiting_request
+  {
+    once_request mRequest;
+    /// Set when this instance has claimed for the request.
+    std::optional<claim_number> mClaim;
+  };
+
+  struct running_request
+  {
+    std::optional<request_key> mKey;
+    claim_number mClaim;
+    instant mDecidedAt;
+  };
+
+  void Run(instant aNow, waiting_request const& aWaiting);
+  void Decide(request_id const& aId,
+              once_action aAction,
+              std::optional<request_outcome> aOutcome = std::nullopt);
+  void Claim(instant aNow, waiting_request& aWaiting);
+  void Release(instant aNow, waiting_request const& aWaiting);
+  template<owner_liveness Liveness>
+  [[nodiscard]] bool Settle(instant aNow,
+                            waiting_request const& aWaiting,
+                            claim_entry const& aEntry,
+                            Liveness const& aIsAlive);
+  [[nodiscard]] bool SettleByOwner(waiting_request const& aWaiting,
+                                   claim_entry const& aEntry,
+                                   bool aOwnerIsAlive);
+  [[nodiscard]] bool IsOwn(waiting_request const& aWaiting,
+                           claim_entry const& aEntry) const;
+  void Reclaim(instant aNow,
+               waiting_request& aWaiting,
+               claim_entry const* aEntry);
+  [[nodiscard]] bool Expire(instant aNow, waiting_request const& aWaiting);
+
+  instance_life mSelf;
+  claim_fold mFold;
+  claim_batcher mBatcher;
+  claim_number mLastClaim;
+  std::map<request_id, waiting_request> mWaiting;
+  std::map<request_id, running_request> mRunning;
+  std::vector<once_decision> mDecisions;
+};
+
+template<owner_liveness Liveness>
+void
+once_gate::Begin(instant aNow,
+                 once_request const& aRequest,
+                 log_state aLog,
+                 Liveness const& aIsAlive)
+{
+  waiting_request waiting{ .mRequest = aRequest };
+  bool const needsClaim =
+    aRequest.mKey && aRequest.mIdempotency == idempotency::NonIdempotent;
+  if (!needsClaim) {
+    Run(aNow, waiting);
+    return;
+  }
+  claim_entry const* const entry = mFold.Find(*aRequest.mKey);
+  if (entry != nullptr) {
+    if (!Settle(aNow, waiting, *entry, aIsAlive))
+      mWaiting.emplace(aRequest.mId, std::move(waiting));
+    return;
+  }
+  if (aLog == log_state::Out) {
+    Decide(aRequest.mId, once_action::RefuseLogOut);
+    return;
+  }
+  if (mFold.IsFull()) {
+    Decide(aRequest.mId, once_action::RefuseFull);
+    return;
+  }
+  Claim(aNow, waiting);
+  mWaiting.emplace(aRequest.mId, std::move(waiting));
+}
+
+template<owner_liveness Liveness>
+void
+once_gate::Tick(instant aNow, Liveness const& aIsAlive)
+{
+  for (auto next = mWaiting.begin(); next != mWaiting.end();) {
+    waiting_request& waiting = next->second;
+    claim_entry const* const entry = mFold.Find(*waiting.mRequest.mKey);
+    bool const isOver =
+      (entry != nullptr && Settle(aNow, waiting, *entry, aIsAlive)) ||
+      Expire(aNow, waiting);
+    if (isOver) {
+      next = mWaiting.erase(next);
+      continue;
+    }
+    Reclaim(aNow, waiting, entry);
+    ++next;
+  }
+}
+
+template<owner_liveness Liveness>
+bool
+once_gate::Settle(instant aNow,
+                  waiting_request const& aWaiting,
+                  claim_entry const& aEntry,
+                  Liveness const& aIsAlive)
+{
+  if (!IsOwn(aWaiting, aEntry)) {
+    instance_life const& owner = aEntry.mClaim.mOwner;
+    bool const isEarlierLife = owner.mInstance == mSelf.mInstance &&
+                               owner.mIncarnation < mSelf.mIncarnation;
+    return SettleByOwner(aWaiting, aEntry, !isEarlierLife && aIsAlive(owner));
+  }
+  // Past its deadline the request is refused as not run, and released.
+  if (aNow >= aWaiting.mRequest.mDeadline)
+    return false;
+  Run(aNow, aWaiting);
+  return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/RetryPlace.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// Where a failed request may be tried again.
+enum class retry_place
+{
+  Nowhere,
+  /// On another backend server of the same failure domain.
+  SameFailureDomain,
+  /// On any other backend server.
+  Anywhere,
+};
+
+}
--- a/Libraries/LibRecords/RequestClaim.h
+++ b/Libraries/LibRecords/RequestClaim.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Digest.h>
+#include <LibRecords/ClaimNumber.h>
 #include <LibRecords/RequestKey.h>
 
 namespace lycheeseam {
@@ -12,6 +13,8 @@
   /// The digest of method, path and body: a key used again for other work is
   /// refused.
   digest mFingerprint;
+  /// Unique among the claims of the batch's instance and incarnation.
+  claim_number mNumber;
 
   bool operator==(request_claim const&) const = default;
 };
--- a/Libraries/LibRecords/RequestOutcome.h
+++ b/Libraries/LibRecords/RequestOutcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Verdict.h>
+#include <LibRecords/ClaimNumber.h>
 #include <LibRecords/RequestKey.h>
 
 #include <cstdint>
@@ -13,6 +14,8 @@
 struct request_outcome
 {
   request_key mKey;
+  /// The claim that ended; the batch names its instance and incarnation.
+  claim_number mNumber;
   verdict mVerdict = verdict::MayHaveRun;
   /// The backend server's HTTP status; 0 unless the verdict is Ran.
   std::uint16_t mStatus = 0;
--- a/Libraries/LibRecords/RequestOutcomeBatch.h
+++ b/Libraries/LibRecords/RequestOutcomeBatch.h
@@ -11,8 +11,8 @@
 struct request_outcome_batch
 {
   record_origin mOrigin;
-  /// The proposal of each claim that an outcome belongs to is the batch's
-  /// own instance and incarnation; others' claims are left alone.
+  /// Outcomes of claims of the batch's own instance and incarnation; others'
+  /// claims are left alone.
   std::vector<request_outcome> mOutcomes;
 
   bool operator==(request_outcome_batch const&) const = default;
--- /dev/null
+++ b/Tests/LibOnce/TestClaimBatcher.cpp
@@ -0,0 +1,62 @@
+#include <LibOnce/ClaimBatcher.h>
+
+#include <gtest/gtest.h>
+
+namespace lycheeseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+instant const kNow{ std::chrono::seconds{ 9 } };
+instance_life const kSelf{ instance_id{ "a" }, incarnation{ 1 } };
+
+TEST(TestClaimBatcher, GathersClaimsForItsDelay)
+{
+  claim_batcher batcher{ kSelf, {} };
+  for (std::uint64_t i = 0; i < 50; ++i)
+    batcher.Add(kNow, request_claim{ .mNumber = claim_number{ i } });
+  EXPECT_TRUE(batcher.Due(kNow, log_offset{ 7 }).empty());
+  EXPECT_EQ(batcher.NextWake(), kNow + milliseconds{ 20 });
+  std::vector<log_record> const records =
+    batcher.Due(kNow + milliseconds{ 20 }, log_offset{ 7 });
+  ASSERT_EQ(records.size(), 1U);
+  auto const& batch = std::get<request_claim_batch>(records.front());
+  EXPECT_EQ(batch.mClaims.size(), 50U);
+  EXPECT_EQ(batch.mOrigin.mLastOffset, log_offset{ 5007 });
+  EXPECT_EQ(batcher.NextWake(), std::nullopt);
+}
+
+TEST(TestClaimBatcher, AFullBatchDoesNotWait)
+{
+  claim_batcher batcher{ kSelf, { .mMostEntries = 2 } };
+  batcher.Add(kNow, request_claim{});
+  batcher.Add(kNow, request_claim{});
+  EXPECT_EQ(batcher.Due(kNow, log_offset{}).size(), 1U);
+}
+
+TEST(TestClaimBatcher, AppendsOutcomesUntilTheyAreReadBack)
+{
+  claim_batcher batcher{ kSelf, {} };
+  batcher.Add(kNow, request_outcome{ .mVerdict = verdict::Ran });
+  instant const due = kNow + milliseconds{ 20 };
+  std::vector<log_record> const first = batcher.Due(due, log_offset{});
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_TRUE(batcher.Due(due + milliseconds{ 10 }, log_offset{}).empty());
+  instant const retry = due + batch_limits{}.mRetryAfter;
+  EXPECT_EQ(batcher.Due(retry, log_offset{}), first);
+  batcher.OnEntry({ .mOffset = log_offset{ 1 }, .mRecord = first.front() });
+  EXPECT_EQ(batcher.NextWake(), std::nullopt);
+}
+
+TEST(TestClaimBatcher, LeavesALargeAnswerOut)
+{
+  claim_batcher batcher{ kSelf, { .mLargestBody = 3 } };
+  batcher.Add(kNow, request_outcome{ .mBody = "long" });
+  std::vector<log_record> const records =
+    batcher.Due(kNow + milliseconds{ 20 }, log_offset{});
+  auto const& batch = std::get<request_outcome_batch>(records.front());
+  EXPECT_TRUE(batch.mOutcomes.front().mBody.empty());
+}
+
+}
+}
--- /dev/null
+++ b/Tests/LibOnce/TestRetryPolicy.cpp
@@ -0,0 +1,48 @@
+#include <LibOnce/RetryPolicy.h>
+
+#include <gtest/gtest.h>
+
+namespace lycheeseam {
+namespace {
+
+TEST(TestRetryPolicy, NonIdempotentWorkIsRetriedOnlyWhenNothingWasSent)
+{
+  attempt_history history{ .mIdempotency = idempotency::NonIdempotent,
+                           .mFailure = attempt_failure::NotSent,
+                           .mUnsent = 1 };
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::Anywhere);
+  EXPECT_EQ(VerdictFor(history), verdict::NotRun);
+  history.mFailure = attempt_failure::BrokenBeforeAnswer;
+  history.mSent = 1;
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::Nowhere);
+  EXPECT_EQ(VerdictFor(history), verdict::MayHaveRun);
+}
+
+TEST(TestRetryPolicy, IdempotentWorkIsRetriedOnceInItsFailureDomain)
+{
+  attempt_history history{ .mIdempotency = idempotency::Idempotent,
+                           .mFailure = attempt_failure::BrokenBeforeAnswer,
+                           .mSent = 1 };
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::SameFailureDomain);
+  history.mSent = 2;
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::Nowhere);
+}
+
+TEST(TestRetryPolicy, GivesUpAfterThreeRefusedConnections)
+{
+  attempt_history const history{ .mIdempotency = idempotency::Idempotent,
+                                 .mFailure = attempt_failure::NotSent,
+                                 .mUnsent = 3 };
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::Nowhere);
+}
+
+TEST(TestRetryPolicy, ABrokenAnswerIsNotRetried)
+{
+  attempt_history const history{ .mIdempotency = idempotency::Idempotent,
+                                 .mFailure = attempt_failure::BrokenInAnswer,
+                                 .mSent = 1 };
+  EXPECT_EQ(RetryPlaceFor(history), retry_place::Nowhere);
+}
+
+}
+}
