LibOnce: Bound what a poison request may cost to two servers

Cause: a request that crashes each server that runs it is sent again and again, through several instances at once; reports of crashes alone come too late.

One home for all fingerprints of one fallback server grants permits, so that crashes and running servers are never more than two together.

--- /dev/null
+++ b/Libraries/LibOnce/CrashReport.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibCore/Digest.h>
+#include <LibOnce/ServerLife.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// Tells all instances that a backend server crashed, and what the sender had
+/// running on it.
+struct crash_report
+{
+  server_life mServer;
+  std::vector<digest> mFingerprints;
+
+  bool operator==(crash_report const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/FingerprintHome.cpp
@@ -0,0 +1,43 @@
+#include <LibOnce/FingerprintHome.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cstdint>
+#include <string>
+
+namespace lycheeseam {
+
+namespace {
+
+template<typename Name>
+Name
+HighestScore(std::uint64_t aKey, std::span<Name const> aNames)
+{
+  assert(!aNames.empty());
+  auto const score = [aKey](Name const& aName) {
+    std::string const& text = aName.Text();
+    return XXH3_64bits_withSeed(text.data(), text.size(), aKey);
+  };
+  return *std::ranges::max_element(aNames, {}, score);
+}
+
+}
+
+backend_server_id
+FallbackServer(digest const& aFingerprint,
+               std::span<backend_server_id const> aServers)
+{
+  return HighestScore(std::hash<digest>{}(aFingerprint), aServers);
+}
+
+instance_id
+PermitHomeOf(backend_server_id const& aFallback,
+             std::span<instance_id const> aInstances)
+{
+  std::string const& text = aFallback.Text();
+  return HighestScore(XXH3_64bits(text.data(), text.size()), aInstances);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/PermitHome.cpp
@@ -0,0 +1,158 @@
+#include <LibOnce/PermitHome.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeseam {
+
+run_answer
+permit_home::OnAsk(instant aNow,
+                   run_ask const& aAsk,
+                   poison_table const& aTable)
+{
+  Expire(aNow);
+  run_permission const permission = Decide(aNow, aAsk, aTable);
+  if (permission == run_permission::Granted)
+    mRunning[aAsk.mFingerprint].insert_or_assign(
+      aAsk.mRequest, permit{ .mOwner = aAsk.mFrom, .mServer = aAsk.mServer });
+  return { .mRequest = aAsk.mRequest,
+           .mPermission = permission,
+           .mCrashes = aTable.Crashes(aNow, aAsk.mFingerprint).size() };
+}
+
+void
+permit_home::OnAnnounced(run_ask const& aAsk)
+{
+  mRunning[aAsk.mFingerprint].insert_or_assign(
+    aAsk.mRequest, permit{ .mOwner = aAsk.mFrom, .mServer = aAsk.mServer });
+}
+
+std::optional<suspicion_cleared>
+permit_home::OnEnd(instant aNow, run_end const& aEnd, poison_table& aTable)
+{
+  auto const found = mRunning.find(aEnd.mFingerprint);
+  if (found == mRunning.end())
+    return std::nullopt;
+  auto const ended = found->second.find(aEnd.mRequest);
+  if (ended == found->second.end())
+    return std::nullopt;
+  server_life const server = ended->second.mServer;
+  found->second.erase(ended);
+  if (found->second.empty())
+    mRunning.erase(found);
+  // The end may overtake the report of the crash; between them the permit
+  // must not look as if it had ended well.
+  if (aEnd.mResult == run_result::Crashed)
+    OnCrash(aNow,
+            { .mServer = server, .mFingerprints = { aEnd.mFingerprint } },
+            aTable);
+  bool const isCleared = aEnd.mResult == run_result::Completed &&
+                         !aTable.Crashes(aNow, aEnd.mFingerprint).empty();
+  if (!isCleared)
+    return std::nullopt;
+  aTable.Clear(aEnd.mFingerprint);
+  return suspicion_cleared{ .mFingerprint = aEnd.mFingerprint };
+}
+
+void
+permit_home::OnCrash(instant aNow,
+                     crash_report const& aReport,
+                     poison_table& aTable)
+{
+  crash_report known = aReport;
+  for (auto& [fingerprint, running] : mRunning) {
+    std::size_t const ended = std::erase_if(running, [&](auto const& aEntry) {
+      return aEntry.second.mServer == aReport.mServer;
+    });
+    if (ended > 0)
+      known.mFingerprints.push_back(fingerprint);
+  }
+  std::erase_if(mRunning,
+                [](auto const& aEntry) { return aEntry.second.empty(); });
+  aTable.OnCrash(aNow, known);
+}
+
+void
+permit_home::OnInstanceGone(instant aNow, instance_life const& aLife)
+{
+  for (auto& [fingerprint, running] : mRunning) {
+    for (auto& [request, permit] : running) {
+      if (permit.mOwner == aLife && !permit.mOrphanedUntil)
+        permit.mOrphanedUntil = aNow + mTiming.mOrphanTime;
+    }
+  }
+}
+
+void
+permit_home::Expire(instant aNow)
+{
+  auto const isOver = [aNow](auto const& aEntry) {
+    std::optional<instant> const& until = aEntry.second.mOrphanedUntil;
+    return until && aNow >= *until;
+  };
+  for (auto& [fingerprint, running] : mRunning)
+    std::erase_if(running, isOver);
+  std::erase_if(mRunning,
+                [](auto const& aEntry) { return aEntry.second.empty(); });
+}
+
+std::set<backend_server_id>
+permit_home::Occupied(run_ask const& aAsk) const
+{
+  std::set<backend_server_id> servers;
+  auto const found = mRunning.find(aAsk.mFingerprint);
+  if (found == mRunning.end())
+    return servers;
+  // An ask whose answer was lost is asked again.
+  for (auto const& [request, permit] : found->second) {
+    if (request != aAsk.mRequest)
+      servers.insert(permit.mServer.mServer);
+  }
+  return servers;
+}
+
+bool
+permit_home::IsServerTakenBySuspect(instant aNow,
+                                    run_ask const& aAsk,
+                                    poison_table const& aTable) const
+{
+  for (auto const& [fingerprint, running] : mRunning) {
+    if (aTable.Crashes(aNow, fingerprint).empty())
+      continue;
+    auto const isThere = [&aAsk](auto const& aEntry) {
+      return aEntry.first != aAsk.mRequest &&
+             aEntry.second.mServer.mServer == aAsk.mServer.mServer;
+    };
+    if (std::ranges::any_of(running, isThere))
+      return true;
+  }
+  return false;
+}
+
+run_permission
+permit_home::Decide(instant aNow,
+                    run_ask const& aAsk,
+                    poison_table const& aTable) const
+{
+  std::size_t const crashes = aTable.Crashes(aNow, aAsk.mFingerprint).size();
+  if (crashes >= poison_table::kMostCrashes)
+    return run_permission::Refused;
+  std::set<backend_server_id> others = Occupied(aAsk);
+  if (crashes > 0) {
+    if (aAsk.mServer.mServer != aAsk.mFallback)
+      return run_permission::UseFallback;
+    // One run at a time tells whether this request is the one that crashes.
+    bool const isAlone =
+      others.empty() && !IsServerTakenBySuspect(aNow, aAsk, aTable);
+    return isAlone ? run_permission::Granted : run_permission::Wait;
+  }
+  others.erase(aAsk.mFallback);
+  others.erase(aAsk.mServer.mServer);
+  bool const isFallback = aAsk.mServer.mServer == aAsk.mFallback;
+  bool const isSettled = aNow >= mStartedAt + mTiming.mSettleTime;
+  if (!isFallback && !(isSettled && others.empty()))
+    return run_permission::UseFallback;
+  return run_permission::Granted;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/RunAsk.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibCore/Digest.h>
+#include <LibCore/InstanceLife.h>
+#include <LibOnce/ServerLife.h>
+
+namespace lycheeseam {
+
+/// Asks a fingerprint's home for a permit to run it on a server.
+struct run_ask
+{
+  instance_life mFrom;
+  request_id mRequest;
+  /// The digest of workspace and body.
+  digest mFingerprint;
+  server_life mServer;
+  /// The server on which the fingerprint may run without a permit; every
+  /// instance names the same one.
+  backend_server_id mFallback;
+
+  bool operator==(run_ask const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/RunPermission.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace lycheeseam {
+
+/// A home's word on a run ask.
+enum class run_permission
+{
+  Granted,
+  /// Ask again, for the fallback server.
+  UseFallback,
+  /// Ask again later: as many servers run it as it may cost.
+  Wait,
+  /// It has crashed two servers.
+  Refused,
+};
+
+}
--- /dev/null
+++ b/Libraries/LibOnce/RunRequest.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibOnce/RunAsk.h>
+
+namespace lycheeseam {
+
+/// A request that wants to run on a server, and until when it may wait.
+struct run_request
+{
+  run_ask mAsk;
+  /// The fallback server's life as this instance knows it.
+  server_life mFallback;
+  instant mDeadline;
+};
+
+}
