--- a/Tests/Scenarios/ProcessVerbs.cpp
+++ b/Tests/Scenarios/ProcessVerbs.cpp
@@ -50,11 +50,12 @@
   return WaitForEnd(aScenario, Name(aArguments), aArguments.at(1));
 }
 
-/// ask_to_stop(name): asks for an orderly end and doesn't wait.
+/// ask_to_stop(name), freeze(name), thaw(name): sends a signal, doesn't wait.
+template<int Signal>
 json
-AskToStop(scenario& aScenario, json const& aArguments)
+SendSignal(scenario& aScenario, json const& aArguments)
 {
-  aScenario.Process(Name(aArguments)).Signal(SIGTERM);
+  aScenario.Process(Name(aArguments)).Signal(Signal);
   return nullptr;
 }
 
@@ -74,22 +75,6 @@
   return WaitForEnd(aScenario, Name(aArguments), kBoundMilliseconds);
 }
 
-/// freeze(name): pauses it.
-json
-Freeze(scenario& aScenario, json const& aArguments)
-{
-  aScenario.Process(Name(aArguments)).Signal(SIGSTOP);
-  return nullptr;
-}
-
-/// thaw(name): lets it go on.
-json
-Thaw(scenario& aScenario, json const& aArguments)
-{
-  aScenario.Process(Name(aArguments)).Signal(SIGCONT);
-  return nullptr;
-}
-
 /// settings(name, table): writes a settings file; gives its path.
 json
 Settings(scenario& aScenario, json const& aArguments)
@@ -121,11 +106,11 @@
 constexpr std::array kVerbs{
   scenario_verb{ "start_process", &Start },
   scenario_verb{ "stop", &Stop },
-  scenario_verb{ "ask_to_stop", &AskToStop },
+  scenario_verb{ "ask_to_stop", &SendSignal<SIGTERM> },
   scenario_verb{ "wait_for_end", &AwaitEnd },
   scenario_verb{ "kill", &Kill },
-  scenario_verb{ "freeze", &Freeze },
-  scenario_verb{ "thaw", &Thaw },
+  scenario_verb{ "freeze", &SendSignal<SIGSTOP> },
+  scenario_verb{ "thaw", &SendSignal<SIGCONT> },
   scenario_verb{ "settings", &Settings },
   scenario_verb{ "rest", &Rest },
   scenario_verb{ "now_ms", &NowMilliseconds },
