--- a/StandIns/Engine/AnswerWriter.cpp
+++ b/StandIns/Engine/AnswerWriter.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Engine/AnswerWriter.h
+++ b/StandIns/Engine/AnswerWriter.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Writes one answer in OpenAI's form, streamed or whole.
 class answer_writer
--- a/StandIns/Engine/CompletionRequest.cpp
+++ b/StandIns/Engine/CompletionRequest.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Engine/CompletionRequest.h
+++ b/StandIns/Engine/CompletionRequest.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Which of OpenAI's calls a request is.
 enum class completion_kind
--- a/StandIns/Engine/EngineApi.cpp
+++ b/StandIns/Engine/EngineApi.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Engine/EngineApi.h
+++ b/StandIns/Engine/EngineApi.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <string_view>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Answers an engine's calls; docs/ENGINE-API.md lists them.
 class engine_api
--- a/StandIns/Engine/EngineControl.cpp
+++ b/StandIns/Engine/EngineControl.cpp
@@ -3,7 +3,7 @@
 #include <StandIns/Engine/EngineControl.h>
 #include <nlohmann/json.hpp>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Engine/EngineControl.h
+++ b/StandIns/Engine/EngineControl.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What a POST to /control sets; what it doesn't name stays as it is.
 struct engine_control
--- a/StandIns/Engine/EngineCounts.h
+++ b/StandIns/Engine/EngineCounts.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What a stand-in engine has seen since its start, for tests to ask.
 struct engine_counts
--- a/StandIns/Engine/EngineJson.cpp
+++ b/StandIns/Engine/EngineJson.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <cstdio>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Engine/EngineJson.h
+++ b/StandIns/Engine/EngineJson.h
@@ -13,7 +13,7 @@
 
 /// \file The JSON forms of what an engine tells and takes.
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Blocks as 16 hexadecimal digits each.
 nlohmann::json
--- a/StandIns/Engine/EngineLoad.h
+++ b/StandIns/Engine/EngineLoad.h
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// How busy an engine is.
 struct engine_load
--- a/StandIns/Engine/EngineOptions.h
+++ b/StandIns/Engine/EngineOptions.h
@@ -6,7 +6,7 @@
 
 #include <chrono>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// A stand-in engine's command line.
 struct engine_options
--- a/StandIns/Engine/Generator.cpp
+++ b/StandIns/Engine/Generator.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 generator::generator(boost::asio::io_context& aContext,
                      engine_settings const& aSettings)
--- a/StandIns/Engine/Generator.h
+++ b/StandIns/Engine/Generator.h
@@ -15,7 +15,7 @@
 #include <map>
 #include <memory>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Produces answers: the batch and the prefix cache, driven by one timer that
 /// is armed only while something is to be produced.
--- a/StandIns/Engine/Main.cpp
+++ b/StandIns/Engine/Main.cpp
@@ -18,7 +18,7 @@
 DEFINE_uint32(weight_load_ms, 400, "how long new weights take");
 DEFINE_bool(check_fencing, true, "refuse orders with an old fencing number");
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 namespace {
 
 engine_options
@@ -57,6 +57,6 @@
 {
   gflags::SetUsageMessage("A stand-in for a model engine.");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  lycheeseam::Run();
+  lycheeseam::standin::Run();
   return EXIT_SUCCESS;
 }
--- a/StandIns/EngineModel/CacheEvent.h
+++ b/StandIns/EngineModel/CacheEvent.h
@@ -7,7 +7,7 @@
 
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What happened to the blocks of a cache event.
 enum class cache_event_kind
--- a/StandIns/EngineModel/CacheEventLog.cpp
+++ b/StandIns/EngineModel/CacheEventLog.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/EngineModel/CacheEventLog.h
+++ b/StandIns/EngineModel/CacheEventLog.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// An engine's recent cache events. They can be told late and with gaps.
 class cache_event_log
--- a/StandIns/EngineModel/EngineBatch.cpp
+++ b/StandIns/EngineModel/EngineBatch.cpp
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/EngineModel/EngineBatch.h
+++ b/StandIns/EngineModel/EngineBatch.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Tells how many of a sequence's prompt tokens must be computed.
 template<typename Lookup>
--- a/StandIns/EngineModel/EngineOrder.h
+++ b/StandIns/EngineModel/EngineOrder.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What an order asks of an engine.
 enum class engine_order_kind
--- a/StandIns/EngineModel/EngineSettings.h
+++ b/StandIns/EngineModel/EngineSettings.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// How fast and how large a stand-in engine is.
 struct engine_settings
--- a/StandIns/EngineModel/Lagged.h
+++ b/StandIns/EngineModel/Lagged.h
@@ -5,7 +5,7 @@
 #include <deque>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// A value that is told with a lag: its history is kept for that long.
 template<typename Value>
--- a/StandIns/EngineModel/OrderAnswer.h
+++ b/StandIns/EngineModel/OrderAnswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What an engine says to an order.
 enum class order_answer
--- a/StandIns/EngineModel/OrderDesk.cpp
+++ b/StandIns/EngineModel/OrderDesk.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 order_desk::order_desk(bool aChecksFencing)
   : mChecksFencing(aChecksFencing)
--- a/StandIns/EngineModel/OrderDesk.h
+++ b/StandIns/EngineModel/OrderDesk.h
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Takes orders: checks their fencing numbers, or doesn't, and keeps what the
 /// engine holds.
--- a/StandIns/EngineModel/PrefixCache.cpp
+++ b/StandIns/EngineModel/PrefixCache.cpp
@@ -1,6 +1,6 @@
 #include <StandIns/EngineModel/PrefixCache.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 prefix_cache::prefix_cache(std::size_t aCapacityBlocks)
   : mCapacityBlocks(aCapacityBlocks)
--- a/StandIns/EngineModel/PrefixCache.h
+++ b/StandIns/EngineModel/PrefixCache.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// An engine's cache of prompt blocks, the least recently used leaving first.
 class prefix_cache
--- a/StandIns/EngineModel/PromptChain.cpp
+++ b/StandIns/EngineModel/PromptChain.cpp
@@ -1,7 +1,7 @@
 #include <StandIns/EngineModel/PromptChain.h>
 #include <xxhash.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 token_count
 TokensOf(std::string_view aText)
--- a/StandIns/EngineModel/PromptChain.h
+++ b/StandIns/EngineModel/PromptChain.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// The bytes of text that a stand-in engine counts as one token.
 inline constexpr std::size_t kBytesPerToken = 4;
--- a/StandIns/EngineModel/Sequence.h
+++ b/StandIns/EngineModel/Sequence.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// One answer that a stand-in engine produces, known within the engine alone.
 using sequence_id = ordinal<struct sequence_tag>;
--- a/StandIns/EngineModel/TokenStep.h
+++ b/StandIns/EngineModel/TokenStep.h
@@ -2,7 +2,7 @@
 
 #include <StandIns/EngineModel/Sequence.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Tokens that one sequence got in an advance of the batch.
 struct token_step
--- a/StandIns/Http/HttpConnection.h
+++ b/StandIns/Http/HttpConnection.h
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// One caller's connection: reads a request, has it answered, reads the next.
 template<http_handler Handler>
--- a/StandIns/Http/HttpExchange.cpp
+++ b/StandIns/Http/HttpExchange.cpp
@@ -5,7 +5,7 @@
 #include <sstream>
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Http/HttpExchange.h
+++ b/StandIns/Http/HttpExchange.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// One request and its answer. Lives on the stand-in's only thread.
 class http_exchange : public std::enable_shared_from_this<http_exchange>
--- a/StandIns/Http/HttpHandler.h
+++ b/StandIns/Http/HttpHandler.h
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <memory>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// What answers a stand-in's requests: it gets each request with the number
 /// of POSTs that its connection has carried so far, this one included.
--- a/StandIns/Http/HttpRequest.cpp
+++ b/StandIns/Http/HttpRequest.cpp
@@ -1,6 +1,6 @@
 #include <StandIns/Http/HttpRequest.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Http/HttpRequest.h
+++ b/StandIns/Http/HttpRequest.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// A request as a stand-in reads it: whole, with its body in memory.
 using http_request =
--- a/StandIns/Http/HttpServer.h
+++ b/StandIns/Http/HttpServer.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Accepts connections for a stand-in, all on the io_context's one thread.
 template<http_handler Handler>
--- a/StandIns/Http/RunStandIn.h
+++ b/StandIns/Http/RunStandIn.h
@@ -4,7 +4,7 @@
 
 #include <cstdlib>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// A crashed stand-in's exit code.
 inline constexpr int kCrashExitCode = 70;
--- a/StandIns/Service/Main.cpp
+++ b/StandIns/Service/Main.cpp
@@ -8,7 +8,7 @@
 DEFINE_uint32(port, 9101, "TCP port to listen on");
 DEFINE_string(id, "service-1", "this service's id");
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 namespace {
 
 void
@@ -29,6 +29,6 @@
 {
   gflags::SetUsageMessage("A stand-in for a plain service.");
   gflags::ParseCommandLineFlags(&aArgumentCount, &aArguments, true);
-  lycheeseam::Run();
+  lycheeseam::standin::Run();
   return EXIT_SUCCESS;
 }
--- a/StandIns/Service/RunCounts.h
+++ b/StandIns/Service/RunCounts.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// How often each request with an identity ran.
 class run_counts
--- a/StandIns/Service/ServiceApi.cpp
+++ b/StandIns/Service/ServiceApi.cpp
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 namespace {
 
--- a/StandIns/Service/ServiceApi.h
+++ b/StandIns/Service/ServiceApi.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <string>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 /// Answers a plain service's calls: echoes each request, counts each booking
 /// and transfer. docs/SERVICE-API.md lists what can be set.
--- a/StandIns/Service/ServiceControl.cpp
+++ b/StandIns/Service/ServiceControl.cpp
@@ -3,7 +3,7 @@
 #include <StandIns/Service/ServiceControl.h>
 #include <nlohmann/json.hpp>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 
 service_control
 ParseServiceControl(std::string_view aBody)
--- a/Tests/EngineModel/TestEngineBatch.cpp
+++ b/Tests/EngineModel/TestEngineBatch.cpp
@@ -1,7 +1,7 @@
 #include <StandIns/EngineModel/EngineBatch.h>
 #include <gtest/gtest.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 namespace {
 
 using namespace std::chrono_literals;
--- a/Tests/EngineModel/TestPrefixCache.cpp
+++ b/Tests/EngineModel/TestPrefixCache.cpp
@@ -3,7 +3,7 @@
 #include <StandIns/EngineModel/PromptChain.h>
 #include <gtest/gtest.h>
 
-namespace lycheeseam {
+namespace lycheeseam::standin {
 namespace {
 
 using namespace std::chrono_literals;
