--- a/Tests/Scenarios/HttpVerbs.cpp
+++ b/Tests/Scenarios/HttpVerbs.cpp
@@ -1,4 +1,5 @@
 #include "Verbs.h"
+#include <LibCore/Digest.h>
 
 #include <array>
 #include <chrono>
@@ -83,6 +84,13 @@
   return aArguments.at(0).dump();
 }
 
+/// sha256(text): a text's digest in hexadecimal, as keys are stored.
+json
+Sha256(scenario&, json const& aArguments)
+{
+  return digest::Of(aArguments.at(0).get<std::string>()).Hex();
+}
+
 constexpr std::array kVerbs{
   scenario_verb{ "begin", &Begin },
   scenario_verb{ "body_so_far", &BodySoFar },
@@ -90,6 +98,7 @@
   scenario_verb{ "finish", &Finish },
   scenario_verb{ "decode", &Decode },
   scenario_verb{ "encode", &Encode },
+  scenario_verb{ "sha256", &Sha256 },
 };
 
 }
