LibCodec: Write the numbers of claims and outcomes

Cause: claims got numbers while their JSON form was made; without them a release would free the wrong claim. The round-trip test covers both.

--- a/Libraries/LibCodec/RecordForms.h
+++ b/Libraries/LibCodec/RecordForms.h
@@ -62,6 +62,7 @@
   static constexpr std::tuple kFields{
     RequiredField("key", &request_claim::mKey),
     RequiredField("fingerprint", &request_claim::mFingerprint),
+    RequiredField("number", &request_claim::mNumber),
   };
 };
 
@@ -79,6 +80,7 @@
 {
   static constexpr std::tuple kFields{
     RequiredField("key", &request_outcome::mKey),
+    RequiredField("number", &request_outcome::mNumber),
     RequiredField("verdict", &request_outcome::mVerdict),
     OptionalField("status", &request_outcome::mStatus),
     OptionalField("content_type", &request_outcome::mContentType),
--- a/Tests/LibCodec/TestRecordCodec.cpp
+++ b/Tests/LibCodec/TestRecordCodec.cpp
@@ -55,7 +55,7 @@
 Claims()
 {
   request_key const key{ workspace_id{ "riga" }, idempotency_key{ "b-1" } };
-  return { Origin(), { { key, digest::Of("body") } } };
+  return { Origin(), { { key, digest::Of("body"), claim_number{ 3 } } } };
 }
 
 request_outcome_batch
@@ -63,9 +63,11 @@
 {
   request_key const key{ workspace_id{ "riga" }, idempotency_key{ "b-1" } };
   // Bodies are bytes: neither UTF-8 nor of a length that fills base64 groups.
-  return { Origin(),
-           { { key, verdict::Ran, 201, "image/png", "\xff\x01z\n" },
-             { key, verdict::NotRun, 0, "", "" } } };
+  return {
+    Origin(),
+    { { key, claim_number{ 3 }, verdict::Ran, 201, "image/png", "\xff\x01z\n" },
+      { key, claim_number{ 4 }, verdict::NotRun, 0, "", "" } }
+  };
 }
 
 TEST(TestRecordCodec, RoundTripOfConfigProposal)
