--- /dev/null
+++ b/Libraries/LibPeer/DecodeBlockMessage.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibPeer/BlockMessage.h>
+
+#include <PeerMessage_generated.h>
+
+namespace lycheeseam {
+
+/// Each turns a verified table into its message.
+block_message
+DecodeBlockMessage(wire::BlockLookup const& aTable);
+block_message
+DecodeBlockMessage(wire::BlockAnswer const& aTable);
+block_message
+DecodeBlockMessage(wire::BlockUpdate const& aTable);
+
+}
--- a/Libraries/LibPeer/DecodePeerMessage.cpp
+++ b/Libraries/LibPeer/DecodePeerMessage.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/InvalidInput.h>
+#include <LibPeer/DecodeBlockMessage.h>
+#include <LibPeer/DecodeBudgetMessage.h>
 #include <LibPeer/PeerCodec.h>
 
-#include <PeerMessage_generated.h>
-
 #include <cstring>
 
 namespace lycheeseam {
@@ -119,6 +119,24 @@
       return Decode(*aEnvelope.body_as_PoisonNotice());
     case wire::Body::DrainNotice:
       return Decode(*aEnvelope.body_as_DrainNotice());
+    case wire::Body::TokenRequest:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenRequest());
+    case wire::Body::TokenGrant:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenGrant());
+    case wire::Body::TokenRefund:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenRefund());
+    case wire::Body::TokenReport:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenReport());
+    case wire::Body::StandingProbe:
+      return DecodeBudgetMessage(*aEnvelope.body_as_StandingProbe());
+    case wire::Body::StandingWord:
+      return DecodeBudgetMessage(*aEnvelope.body_as_StandingWord());
+    case wire::Body::BlockLookup:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockLookup());
+    case wire::Body::BlockAnswer:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockAnswer());
+    case wire::Body::BlockUpdate:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockUpdate());
     case wire::Body::NONE:
       break;
   }
--- a/Libraries/LibPeer/EncodePeerMessage.cpp
+++ b/Libraries/LibPeer/EncodePeerMessage.cpp
@@ -1,21 +1,14 @@
+#include <LibPeer/EncodeBlockMessage.h>
+#include <LibPeer/EncodeBudgetMessage.h>
 #include <LibPeer/FrameHeader.h>
 #include <LibPeer/PeerCodec.h>
 
-#include <PeerMessage_generated.h>
-
 #include <algorithm>
 
 namespace lycheeseam {
 
 namespace {
 
-// A body's table with the union's name of its type.
-struct encoded_body
-{
-  wire::Body mType = wire::Body::NONE;
-  flatbuffers::Offset<void> mTable;
-};
-
 wire::Digest
 EncodeDigest(digest const& aDigest)
 {
@@ -48,41 +41,42 @@
 
   encoded_body operator()(peer_hello const& aHello)
   {
-    return Body(wire::Body::Hello,
-                wire::CreateHello(mBuilder,
-                                  aHello.mVersion,
-                                  Text(aHello.mLife.mInstance.Text()),
-                                  aHello.mLife.mIncarnation.Value(),
-                                  Text(aHello.mFailureDomain.Text()),
-                                  Text(aHello.mCallers.Text()),
-                                  Text(aHello.mPeers.Text())));
+    return MakeBody(wire::Body::Hello,
+                    wire::CreateHello(mBuilder,
+                                      aHello.mVersion,
+                                      Text(aHello.mLife.mInstance.Text()),
+                                      aHello.mLife.mIncarnation.Value(),
+                                      Text(aHello.mFailureDomain.Text()),
+                                      Text(aHello.mCallers.Text()),
+                                      Text(aHello.mPeers.Text())));
   }
 
   encoded_body operator()(peer_heartbeat const& aBeat)
   {
-    return Body(wire::Body::Heartbeat,
-                wire::CreateHeartbeat(mBuilder,
-                                      aBeat.mAnswer == heartbeat_answer::Wanted,
-                                      aBeat.mIsLeaving,
-                                      aBeat.mApplied.Value(),
-                                      aBeat.mTail.Value(),
-                                      ShortMilliseconds(aBeat.mTailAge)));
+    return MakeBody(
+      wire::Body::Heartbeat,
+      wire::CreateHeartbeat(mBuilder,
+                            aBeat.mAnswer == heartbeat_answer::Wanted,
+                            aBeat.mIsLeaving,
+                            aBeat.mApplied.Value(),
+                            aBeat.mTail.Value(),
+                            ShortMilliseconds(aBeat.mTailAge)));
   }
 
   encoded_body operator()(snapshot_request const& aRequest)
   {
-    return Body(
+    return MakeBody(
       wire::Body::SnapshotRequest,
       wire::CreateSnapshotRequest(mBuilder, aRequest.mNumber.Value()));
   }
 
   encoded_body operator()(snapshot_answer const& aAnswer)
   {
-    return Body(wire::Body::SnapshotAnswer,
-                wire::CreateSnapshotAnswer(mBuilder,
-                                           aAnswer.mNumber.Value(),
-                                           aAnswer.mOffset.Value(),
-                                           Text(aAnswer.mState)));
+    return MakeBody(wire::Body::SnapshotAnswer,
+                    wire::CreateSnapshotAnswer(mBuilder,
+                                               aAnswer.mNumber.Value(),
+                                               aAnswer.mOffset.Value(),
+                                               Text(aAnswer.mState)));
   }
 
   encoded_body operator()(log_relay const& aRelay)
@@ -91,17 +85,17 @@
     for (relayed_entry const& entry : aRelay.mEntries)
       entries.push_back(wire::CreateRelayedEntry(
         mBuilder, entry.mOffset.Value(), Text(entry.mRecord)));
-    return Body(wire::Body::LogRelay,
-                wire::CreateLogRelay(mBuilder,
-                                     mBuilder.CreateVector(entries),
-                                     aRelay.mTail.Value(),
-                                     ShortMilliseconds(aRelay.mTailAge)));
+    return MakeBody(wire::Body::LogRelay,
+                    wire::CreateLogRelay(mBuilder,
+                                         mBuilder.CreateVector(entries),
+                                         aRelay.mTail.Value(),
+                                         ShortMilliseconds(aRelay.mTailAge)));
   }
 
   encoded_body operator()(key_withdrawal const& aWithdrawal)
   {
     wire::Digest const key = EncodeDigest(aWithdrawal.mKey);
-    return Body(
+    return MakeBody(
       wire::Body::KeyWithdrawal,
       wire::CreateKeyWithdrawal(mBuilder, &key, aWithdrawal.mOffset.Value()));
   }
@@ -109,28 +103,32 @@
   encoded_body operator()(poison_notice const& aNotice)
   {
     wire::Digest const fingerprint = EncodeDigest(aNotice.mFingerprint);
-    return Body(wire::Body::PoisonNotice,
-                wire::CreatePoisonNotice(mBuilder,
-                                         &fingerprint,
-                                         Text(aNotice.mServer.Text()),
-                                         aNotice.mIncarnation.Value(),
-                                         Milliseconds(aNotice.mLapse)));
+    return MakeBody(wire::Body::PoisonNotice,
+                    wire::CreatePoisonNotice(mBuilder,
+                                             &fingerprint,
+                                             Text(aNotice.mServer.Text()),
+                                             aNotice.mIncarnation.Value(),
+                                             Milliseconds(aNotice.mLapse)));
   }
 
   encoded_body operator()(drain_notice const& aNotice)
   {
-    return Body(
+    return MakeBody(
       wire::Body::DrainNotice,
       wire::CreateDrainNotice(mBuilder, Milliseconds(aNotice.mAcceptsFor)));
   }
 
-private:
-  template<typename Table>
-  static encoded_body Body(wire::Body aType, flatbuffers::Offset<Table> aTable)
+  encoded_body operator()(budget_message const& aMessage)
   {
-    return { .mType = aType, .mTable = aTable.Union() };
+    return EncodeBudgetMessage(mBuilder, aMessage);
   }
 
+  encoded_body operator()(block_message const& aMessage)
+  {
+    return EncodeBlockMessage(mBuilder, aMessage);
+  }
+
+private:
   flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
   {
     return mBuilder.CreateString(aText);
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -45,9 +45,83 @@
 struct DrainNotice;
 struct DrainNoticeBuilder;
 
+struct LoanSpend;
+
+struct Life;
+struct LifeBuilder;
+
+struct TokenRequest;
+struct TokenRequestBuilder;
+
+struct TokenGrant;
+struct TokenGrantBuilder;
+
+struct TokenRefund;
+struct TokenRefundBuilder;
+
+struct TokenReport;
+struct TokenReportBuilder;
+
+struct StandingProbe;
+struct StandingProbeBuilder;
+
+struct StandingWord;
+struct StandingWordBuilder;
+
+struct BlockLookup;
+struct BlockLookupBuilder;
+
+struct KnownPrefix;
+struct KnownPrefixBuilder;
+
+struct BlockAnswer;
+struct BlockAnswerBuilder;
+
+struct BlockUpdate;
+struct BlockUpdateBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
+enum class GrantResult : uint8_t {
+  Lent = 0,
+  Queued = 1,
+  Short = 2,
+  Withheld = 3,
+  NotHolder = 4,
+  MIN = Lent,
+  MAX = NotHolder
+};
+
+inline const GrantResult (&EnumValuesGrantResult())[5] {
+  static const GrantResult values[] = {
+    GrantResult::Lent,
+    GrantResult::Queued,
+    GrantResult::Short,
+    GrantResult::Withheld,
+    GrantResult::NotHolder
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesGrantResult() {
+  static const char * const names[6] = {
+    "Lent",
+    "Queued",
+    "Short",
+    "Withheld",
+    "NotHolder",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameGrantResult(GrantResult e) {
+  if (flatbuffers::IsOutRange(e, GrantResult::Lent, GrantResult::NotHolder)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesGrantResult()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -58,11 +132,20 @@
   KeyWithdrawal = 6,
   PoisonNotice = 7,
   DrainNotice = 8,
+  TokenRequest = 9,
+  TokenGrant = 10,
+  TokenRefund = 11,
+  TokenReport = 12,
+  StandingProbe = 13,
+  StandingWord = 14,
+  BlockLookup = 15,
+  BlockAnswer = 16,
+  BlockUpdate = 17,
   MIN = NONE,
-  MAX = DrainNotice
+  MAX = BlockUpdate
 };
 
-inline const Body (&EnumValuesBody())[9] {
+inline const Body (&EnumValuesBody())[18] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -72,13 +155,22 @@
     Body::LogRelay,
     Body::KeyWithdrawal,
     Body::PoisonNotice,
-    Body::DrainNotice
+    Body::DrainNotice,
+    Body::TokenRequest,
+    Body::TokenGrant,
+    Body::TokenRefund,
+    Body::TokenReport,
+    Body::StandingProbe,
+    Body::StandingWord,
+    Body::BlockLookup,
+    Body::BlockAnswer,
+    Body::BlockUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[10] = {
+  static const char * const names[19] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -88,13 +180,22 @@
     "KeyWithdrawal",
     "PoisonNotice",
     "DrainNotice",
+    "TokenRequest",
+    "TokenGrant",
+    "TokenRefund",
+    "TokenReport",
+    "StandingProbe",
+    "StandingWord",
+    "BlockLookup",
+    "BlockAnswer",
+    "BlockUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::DrainNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BlockUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -135,6 +236,42 @@
   static const Body enum_value = Body::DrainNotice;
 };
 
+template<> struct BodyTraits<lycheeseam::wire::TokenRequest> {
+  static const Body enum_value = Body::TokenRequest;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::TokenGrant> {
+  static const Body enum_value = Body::TokenGrant;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::TokenRefund> {
+  static const Body enum_value = Body::TokenRefund;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::TokenReport> {
+  static const Body enum_value = Body::TokenReport;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::StandingProbe> {
+  static const Body enum_value = Body::StandingProbe;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::StandingWord> {
+  static const Body enum_value = Body::StandingWord;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::BlockLookup> {
+  static const Body enum_value = Body::BlockLookup;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::BlockAnswer> {
+  static const Body enum_value = Body::BlockAnswer;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::BlockUpdate> {
+  static const Body enum_value = Body::BlockUpdate;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -155,6 +292,29 @@
 };
 FLATBUFFERS_STRUCT_END(Digest, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoanSpend FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t loan_;
+  int64_t tokens_;
+
+ public:
+  LoanSpend()
+      : loan_(0),
+        tokens_(0) {
+  }
+  LoanSpend(uint64_t _loan, int64_t _tokens)
+      : loan_(flatbuffers::EndianScalar(_loan)),
+        tokens_(flatbuffers::EndianScalar(_tokens)) {
+  }
+  uint64_t loan() const {
+    return flatbuffers::EndianScalar(loan_);
+  }
+  int64_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoanSpend, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -797,144 +957,1210 @@
   return builder_.Finish();
 }
 
-struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EnvelopeBuilder Builder;
+struct Life FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LifeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_INSTANCE = 4,
+    VT_INCARNATION = 6
   };
-  lycheeseam::wire::Body body_type() const {
-    return static_cast<lycheeseam::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
   }
-  template<typename T> const T *body_as() const;
-  const lycheeseam::wire::Hello *body_as_Hello() const {
-    return body_type() == lycheeseam::wire::Body::Hello ? static_cast<const lycheeseam::wire::Hello *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
   }
-  const lycheeseam::wire::Heartbeat *body_as_Heartbeat() const {
-    return body_type() == lycheeseam::wire::Body::Heartbeat ? static_cast<const lycheeseam::wire::Heartbeat *>(body()) : nullptr;
+};
+
+struct LifeBuilder {
+  typedef Life Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(Life::VT_INSTANCE, instance);
   }
-  const lycheeseam::wire::SnapshotRequest *body_as_SnapshotRequest() const {
-    return body_type() == lycheeseam::wire::Body::SnapshotRequest ? static_cast<const lycheeseam::wire::SnapshotRequest *>(body()) : nullptr;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Life::VT_INCARNATION, incarnation, 0);
   }
-  const lycheeseam::wire::SnapshotAnswer *body_as_SnapshotAnswer() const {
-    return body_type() == lycheeseam::wire::Body::SnapshotAnswer ? static_cast<const lycheeseam::wire::SnapshotAnswer *>(body()) : nullptr;
+  explicit LifeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const lycheeseam::wire::LogRelay *body_as_LogRelay() const {
-    return body_type() == lycheeseam::wire::Body::LogRelay ? static_cast<const lycheeseam::wire::LogRelay *>(body()) : nullptr;
+  flatbuffers::Offset<Life> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Life>(end);
+    fbb_.Required(o, Life::VT_INSTANCE);
+    return o;
   }
-  const lycheeseam::wire::KeyWithdrawal *body_as_KeyWithdrawal() const {
-    return body_type() == lycheeseam::wire::Body::KeyWithdrawal ? static_cast<const lycheeseam::wire::KeyWithdrawal *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<Life> CreateLife(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    uint64_t incarnation = 0) {
+  LifeBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_instance(instance);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Life> CreateLifeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    uint64_t incarnation = 0) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  return lycheeseam::wire::CreateLife(
+      _fbb,
+      instance__,
+      incarnation);
+}
+
+struct TokenRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_SEQUENCE = 6,
+    VT_WORKSPACE = 8,
+    VT_SLOT = 10,
+    VT_WANTED = 12,
+    VT_PATIENCE_NS = 14
+  };
+  const lycheeseam::wire::Life *from() const {
+    return GetPointer<const lycheeseam::wire::Life *>(VT_FROM);
   }
-  const lycheeseam::wire::PoisonNotice *body_as_PoisonNotice() const {
-    return body_type() == lycheeseam::wire::Body::PoisonNotice ? static_cast<const lycheeseam::wire::PoisonNotice *>(body()) : nullptr;
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
-  const lycheeseam::wire::DrainNotice *body_as_DrainNotice() const {
-    return body_type() == lycheeseam::wire::Body::DrainNotice ? static_cast<const lycheeseam::wire::DrainNotice *>(body()) : nullptr;
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint64_t slot() const {
+    return GetField<uint64_t>(VT_SLOT, 0);
+  }
+  int64_t wanted() const {
+    return GetField<int64_t>(VT_WANTED, 0);
+  }
+  int64_t patience_ns() const {
+    return GetField<int64_t>(VT_PATIENCE_NS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffsetRequired(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffsetRequired(verifier, VT_FROM) &&
+           verifier.VerifyTable(from()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint64_t>(verifier, VT_SLOT, 8) &&
+           VerifyField<int64_t>(verifier, VT_WANTED, 8) &&
+           VerifyField<int64_t>(verifier, VT_PATIENCE_NS, 8) &&
            verifier.EndTable();
   }
 };
 
-template<> inline const lycheeseam::wire::Hello *Envelope::body_as<lycheeseam::wire::Hello>() const {
-  return body_as_Hello();
-}
+struct TokenRequestBuilder {
+  typedef TokenRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(flatbuffers::Offset<lycheeseam::wire::Life> from) {
+    fbb_.AddOffset(TokenRequest::VT_FROM, from);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TokenRequest::VT_SEQUENCE, sequence, 0);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenRequest::VT_WORKSPACE, workspace);
+  }
+  void add_slot(uint64_t slot) {
+    fbb_.AddElement<uint64_t>(TokenRequest::VT_SLOT, slot, 0);
+  }
+  void add_wanted(int64_t wanted) {
+    fbb_.AddElement<int64_t>(TokenRequest::VT_WANTED, wanted, 0);
+  }
+  void add_patience_ns(int64_t patience_ns) {
+    fbb_.AddElement<int64_t>(TokenRequest::VT_PATIENCE_NS, patience_ns, 0);
+  }
+  explicit TokenRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenRequest>(end);
+    fbb_.Required(o, TokenRequest::VT_FROM);
+    fbb_.Required(o, TokenRequest::VT_WORKSPACE);
+    return o;
+  }
+};
 
-template<> inline const lycheeseam::wire::Heartbeat *Envelope::body_as<lycheeseam::wire::Heartbeat>() const {
-  return body_as_Heartbeat();
+inline flatbuffers::Offset<TokenRequest> CreateTokenRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> from = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint64_t slot = 0,
+    int64_t wanted = 0,
+    int64_t patience_ns = 0) {
+  TokenRequestBuilder builder_(_fbb);
+  builder_.add_patience_ns(patience_ns);
+  builder_.add_wanted(wanted);
+  builder_.add_slot(slot);
+  builder_.add_sequence(sequence);
+  builder_.add_workspace(workspace);
+  builder_.add_from(from);
+  return builder_.Finish();
 }
 
-template<> inline const lycheeseam::wire::SnapshotRequest *Envelope::body_as<lycheeseam::wire::SnapshotRequest>() const {
-  return body_as_SnapshotRequest();
+inline flatbuffers::Offset<TokenRequest> CreateTokenRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> from = 0,
+    uint64_t sequence = 0,
+    const char *workspace = nullptr,
+    uint64_t slot = 0,
+    int64_t wanted = 0,
+    int64_t patience_ns = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return lycheeseam::wire::CreateTokenRequest(
+      _fbb,
+      from,
+      sequence,
+      workspace__,
+      slot,
+      wanted,
+      patience_ns);
 }
 
-template<> inline const lycheeseam::wire::SnapshotAnswer *Envelope::body_as<lycheeseam::wire::SnapshotAnswer>() const {
-  return body_as_SnapshotAnswer();
-}
+struct TokenGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TO = 4,
+    VT_SEQUENCE = 6,
+    VT_WORKSPACE = 8,
+    VT_SLOT = 10,
+    VT_RESULT = 12,
+    VT_CLAIM = 14,
+    VT_LOAN = 16,
+    VT_TOKENS = 18,
+    VT_LEFT = 20
+  };
+  const lycheeseam::wire::Life *to() const {
+    return GetPointer<const lycheeseam::wire::Life *>(VT_TO);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint64_t slot() const {
+    return GetField<uint64_t>(VT_SLOT, 0);
+  }
+  lycheeseam::wire::GrantResult result() const {
+    return static_cast<lycheeseam::wire::GrantResult>(GetField<uint8_t>(VT_RESULT, 0));
+  }
+  uint64_t claim() const {
+    return GetField<uint64_t>(VT_CLAIM, 0);
+  }
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  int64_t left() const {
+    return GetField<int64_t>(VT_LEFT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_TO) &&
+           verifier.VerifyTable(to()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint64_t>(verifier, VT_SLOT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEFT, 8) &&
+           verifier.EndTable();
+  }
+};
 
-template<> inline const lycheeseam::wire::LogRelay *Envelope::body_as<lycheeseam::wire::LogRelay>() const {
-  return body_as_LogRelay();
-}
+struct TokenGrantBuilder {
+  typedef TokenGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_to(flatbuffers::Offset<lycheeseam::wire::Life> to) {
+    fbb_.AddOffset(TokenGrant::VT_TO, to);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TokenGrant::VT_SEQUENCE, sequence, 0);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenGrant::VT_WORKSPACE, workspace);
+  }
+  void add_slot(uint64_t slot) {
+    fbb_.AddElement<uint64_t>(TokenGrant::VT_SLOT, slot, 0);
+  }
+  void add_result(lycheeseam::wire::GrantResult result) {
+    fbb_.AddElement<uint8_t>(TokenGrant::VT_RESULT, static_cast<uint8_t>(result), 0);
+  }
+  void add_claim(uint64_t claim) {
+    fbb_.AddElement<uint64_t>(TokenGrant::VT_CLAIM, claim, 0);
+  }
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(TokenGrant::VT_LOAN, loan, 0);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(TokenGrant::VT_TOKENS, tokens, 0);
+  }
+  void add_left(int64_t left) {
+    fbb_.AddElement<int64_t>(TokenGrant::VT_LEFT, left, 0);
+  }
+  explicit TokenGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenGrant>(end);
+    fbb_.Required(o, TokenGrant::VT_TO);
+    fbb_.Required(o, TokenGrant::VT_WORKSPACE);
+    return o;
+  }
+};
 
-template<> inline const lycheeseam::wire::KeyWithdrawal *Envelope::body_as<lycheeseam::wire::KeyWithdrawal>() const {
-  return body_as_KeyWithdrawal();
+inline flatbuffers::Offset<TokenGrant> CreateTokenGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> to = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint64_t slot = 0,
+    lycheeseam::wire::GrantResult result = lycheeseam::wire::GrantResult::Lent,
+    uint64_t claim = 0,
+    uint64_t loan = 0,
+    int64_t tokens = 0,
+    int64_t left = 0) {
+  TokenGrantBuilder builder_(_fbb);
+  builder_.add_left(left);
+  builder_.add_tokens(tokens);
+  builder_.add_loan(loan);
+  builder_.add_claim(claim);
+  builder_.add_slot(slot);
+  builder_.add_sequence(sequence);
+  builder_.add_workspace(workspace);
+  builder_.add_to(to);
+  builder_.add_result(result);
+  return builder_.Finish();
 }
 
-template<> inline const lycheeseam::wire::PoisonNotice *Envelope::body_as<lycheeseam::wire::PoisonNotice>() const {
-  return body_as_PoisonNotice();
+inline flatbuffers::Offset<TokenGrant> CreateTokenGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> to = 0,
+    uint64_t sequence = 0,
+    const char *workspace = nullptr,
+    uint64_t slot = 0,
+    lycheeseam::wire::GrantResult result = lycheeseam::wire::GrantResult::Lent,
+    uint64_t claim = 0,
+    uint64_t loan = 0,
+    int64_t tokens = 0,
+    int64_t left = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return lycheeseam::wire::CreateTokenGrant(
+      _fbb,
+      to,
+      sequence,
+      workspace__,
+      slot,
+      result,
+      claim,
+      loan,
+      tokens,
+      left);
 }
 
-template<> inline const lycheeseam::wire::DrainNotice *Envelope::body_as<lycheeseam::wire::DrainNotice>() const {
-  return body_as_DrainNotice();
-}
+struct TokenRefund FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenRefundBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_SLOT = 6,
+    VT_CLAIM = 8,
+    VT_TOKENS = 10
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint64_t slot() const {
+    return GetField<uint64_t>(VT_SLOT, 0);
+  }
+  uint64_t claim() const {
+    return GetField<uint64_t>(VT_CLAIM, 0);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint64_t>(verifier, VT_SLOT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
 
-struct EnvelopeBuilder {
-  typedef Envelope Table;
+struct TokenRefundBuilder {
+  typedef TokenRefund Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(lycheeseam::wire::Body body_type) {
-    fbb_.AddElement<uint8_t>(Envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenRefund::VT_WORKSPACE, workspace);
   }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(Envelope::VT_BODY, body);
+  void add_slot(uint64_t slot) {
+    fbb_.AddElement<uint64_t>(TokenRefund::VT_SLOT, slot, 0);
   }
-  explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_claim(uint64_t claim) {
+    fbb_.AddElement<uint64_t>(TokenRefund::VT_CLAIM, claim, 0);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(TokenRefund::VT_TOKENS, tokens, 0);
+  }
+  explicit TokenRefundBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Envelope> Finish() {
+  flatbuffers::Offset<TokenRefund> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Envelope>(end);
-    fbb_.Required(o, Envelope::VT_BODY);
+    auto o = flatbuffers::Offset<TokenRefund>(end);
+    fbb_.Required(o, TokenRefund::VT_WORKSPACE);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Envelope> CreateEnvelope(
+inline flatbuffers::Offset<TokenRefund> CreateTokenRefund(
     flatbuffers::FlatBufferBuilder &_fbb,
-    lycheeseam::wire::Body body_type = lycheeseam::wire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  EnvelopeBuilder builder_(_fbb);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint64_t slot = 0,
+    uint64_t claim = 0,
+    int64_t tokens = 0) {
+  TokenRefundBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_claim(claim);
+  builder_.add_slot(slot);
+  builder_.add_workspace(workspace);
   return builder_.Finish();
 }
 
-inline bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type) {
-  switch (type) {
-    case Body::NONE: {
-      return true;
-    }
-    case Body::Hello: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::Hello *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::Heartbeat: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::Heartbeat *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::SnapshotRequest: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::SnapshotRequest *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::SnapshotAnswer: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::SnapshotAnswer *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::LogRelay: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::LogRelay *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::KeyWithdrawal: {
-      auto ptr = reinterpret_cast<const lycheeseam::wire::KeyWithdrawal *>(obj);
-      return verifier.VerifyTable(ptr);
+inline flatbuffers::Offset<TokenRefund> CreateTokenRefundDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    uint64_t slot = 0,
+    uint64_t claim = 0,
+    int64_t tokens = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return lycheeseam::wire::CreateTokenRefund(
+      _fbb,
+      workspace__,
+      slot,
+      claim,
+      tokens);
+}
+
+struct TokenReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_SLOT = 6,
+    VT_CLAIM = 8,
+    VT_SPENT = 10
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint64_t slot() const {
+    return GetField<uint64_t>(VT_SLOT, 0);
+  }
+  uint64_t claim() const {
+    return GetField<uint64_t>(VT_CLAIM, 0);
+  }
+  const flatbuffers::Vector<const lycheeseam::wire::LoanSpend *> *spent() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::LoanSpend *> *>(VT_SPENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint64_t>(verifier, VT_SLOT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
+           VerifyOffsetRequired(verifier, VT_SPENT) &&
+           verifier.VerifyVector(spent()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TokenReportBuilder {
+  typedef TokenReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenReport::VT_WORKSPACE, workspace);
+  }
+  void add_slot(uint64_t slot) {
+    fbb_.AddElement<uint64_t>(TokenReport::VT_SLOT, slot, 0);
+  }
+  void add_claim(uint64_t claim) {
+    fbb_.AddElement<uint64_t>(TokenReport::VT_CLAIM, claim, 0);
+  }
+  void add_spent(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::LoanSpend *>> spent) {
+    fbb_.AddOffset(TokenReport::VT_SPENT, spent);
+  }
+  explicit TokenReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenReport>(end);
+    fbb_.Required(o, TokenReport::VT_WORKSPACE);
+    fbb_.Required(o, TokenReport::VT_SPENT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokenReport> CreateTokenReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint64_t slot = 0,
+    uint64_t claim = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::LoanSpend *>> spent = 0) {
+  TokenReportBuilder builder_(_fbb);
+  builder_.add_claim(claim);
+  builder_.add_slot(slot);
+  builder_.add_spent(spent);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TokenReport> CreateTokenReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    uint64_t slot = 0,
+    uint64_t claim = 0,
+    const std::vector<lycheeseam::wire::LoanSpend> *spent = nullptr) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  auto spent__ = spent ? _fbb.CreateVectorOfStructs<lycheeseam::wire::LoanSpend>(*spent) : 0;
+  return lycheeseam::wire::CreateTokenReport(
+      _fbb,
+      workspace__,
+      slot,
+      claim,
+      spent__);
+}
+
+struct StandingProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StandingProbeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_SENT_AT_NS = 6
+  };
+  const lycheeseam::wire::Life *from() const {
+    return GetPointer<const lycheeseam::wire::Life *>(VT_FROM);
+  }
+  int64_t sent_at_ns() const {
+    return GetField<int64_t>(VT_SENT_AT_NS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_FROM) &&
+           verifier.VerifyTable(from()) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT_NS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct StandingProbeBuilder {
+  typedef StandingProbe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(flatbuffers::Offset<lycheeseam::wire::Life> from) {
+    fbb_.AddOffset(StandingProbe::VT_FROM, from);
+  }
+  void add_sent_at_ns(int64_t sent_at_ns) {
+    fbb_.AddElement<int64_t>(StandingProbe::VT_SENT_AT_NS, sent_at_ns, 0);
+  }
+  explicit StandingProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StandingProbe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StandingProbe>(end);
+    fbb_.Required(o, StandingProbe::VT_FROM);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StandingProbe> CreateStandingProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> from = 0,
+    int64_t sent_at_ns = 0) {
+  StandingProbeBuilder builder_(_fbb);
+  builder_.add_sent_at_ns(sent_at_ns);
+  builder_.add_from(from);
+  return builder_.Finish();
+}
+
+struct StandingWord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StandingWordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_TO = 6,
+    VT_PROBE_SENT_AT_NS = 8,
+    VT_SLOTS = 10,
+    VT_FOLDED = 12,
+    VT_SILENT = 14
+  };
+  const lycheeseam::wire::Life *from() const {
+    return GetPointer<const lycheeseam::wire::Life *>(VT_FROM);
+  }
+  const lycheeseam::wire::Life *to() const {
+    return GetPointer<const lycheeseam::wire::Life *>(VT_TO);
+  }
+  int64_t probe_sent_at_ns() const {
+    return GetField<int64_t>(VT_PROBE_SENT_AT_NS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *slots() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SLOTS);
+  }
+  uint64_t folded() const {
+    return GetField<uint64_t>(VT_FOLDED, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *silent() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SILENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_FROM) &&
+           verifier.VerifyTable(from()) &&
+           VerifyOffsetRequired(verifier, VT_TO) &&
+           verifier.VerifyTable(to()) &&
+           VerifyField<int64_t>(verifier, VT_PROBE_SENT_AT_NS, 8) &&
+           VerifyOffsetRequired(verifier, VT_SLOTS) &&
+           verifier.VerifyVector(slots()) &&
+           VerifyField<uint64_t>(verifier, VT_FOLDED, 8) &&
+           VerifyOffsetRequired(verifier, VT_SILENT) &&
+           verifier.VerifyVector(silent()) &&
+           verifier.VerifyVectorOfStrings(silent()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StandingWordBuilder {
+  typedef StandingWord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(flatbuffers::Offset<lycheeseam::wire::Life> from) {
+    fbb_.AddOffset(StandingWord::VT_FROM, from);
+  }
+  void add_to(flatbuffers::Offset<lycheeseam::wire::Life> to) {
+    fbb_.AddOffset(StandingWord::VT_TO, to);
+  }
+  void add_probe_sent_at_ns(int64_t probe_sent_at_ns) {
+    fbb_.AddElement<int64_t>(StandingWord::VT_PROBE_SENT_AT_NS, probe_sent_at_ns, 0);
+  }
+  void add_slots(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> slots) {
+    fbb_.AddOffset(StandingWord::VT_SLOTS, slots);
+  }
+  void add_folded(uint64_t folded) {
+    fbb_.AddElement<uint64_t>(StandingWord::VT_FOLDED, folded, 0);
+  }
+  void add_silent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> silent) {
+    fbb_.AddOffset(StandingWord::VT_SILENT, silent);
+  }
+  explicit StandingWordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StandingWord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StandingWord>(end);
+    fbb_.Required(o, StandingWord::VT_FROM);
+    fbb_.Required(o, StandingWord::VT_TO);
+    fbb_.Required(o, StandingWord::VT_SLOTS);
+    fbb_.Required(o, StandingWord::VT_SILENT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StandingWord> CreateStandingWord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> from = 0,
+    flatbuffers::Offset<lycheeseam::wire::Life> to = 0,
+    int64_t probe_sent_at_ns = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> slots = 0,
+    uint64_t folded = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> silent = 0) {
+  StandingWordBuilder builder_(_fbb);
+  builder_.add_folded(folded);
+  builder_.add_probe_sent_at_ns(probe_sent_at_ns);
+  builder_.add_silent(silent);
+  builder_.add_slots(slots);
+  builder_.add_to(to);
+  builder_.add_from(from);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StandingWord> CreateStandingWordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Life> from = 0,
+    flatbuffers::Offset<lycheeseam::wire::Life> to = 0,
+    int64_t probe_sent_at_ns = 0,
+    const std::vector<uint64_t> *slots = nullptr,
+    uint64_t folded = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *silent = nullptr) {
+  auto slots__ = slots ? _fbb.CreateVector<uint64_t>(*slots) : 0;
+  auto silent__ = silent ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*silent) : 0;
+  return lycheeseam::wire::CreateStandingWord(
+      _fbb,
+      from,
+      to,
+      probe_sent_at_ns,
+      slots__,
+      folded,
+      silent__);
+}
+
+struct BlockLookup FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BlockLookupBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_POOL = 6,
+    VT_BLOCKS = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::Vector<uint64_t> *blocks() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BLOCKS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffsetRequired(verifier, VT_BLOCKS) &&
+           verifier.VerifyVector(blocks()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BlockLookupBuilder {
+  typedef BlockLookup Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(BlockLookup::VT_NUMBER, number, 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(BlockLookup::VT_POOL, pool);
+  }
+  void add_blocks(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> blocks) {
+    fbb_.AddOffset(BlockLookup::VT_BLOCKS, blocks);
+  }
+  explicit BlockLookupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BlockLookup> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BlockLookup>(end);
+    fbb_.Required(o, BlockLookup::VT_POOL);
+    fbb_.Required(o, BlockLookup::VT_BLOCKS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BlockLookup> CreateBlockLookup(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> blocks = 0) {
+  BlockLookupBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_blocks(blocks);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BlockLookup> CreateBlockLookupDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *pool = nullptr,
+    const std::vector<uint64_t> *blocks = nullptr) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto blocks__ = blocks ? _fbb.CreateVector<uint64_t>(*blocks) : 0;
+  return lycheeseam::wire::CreateBlockLookup(
+      _fbb,
+      number,
+      pool__,
+      blocks__);
+}
+
+struct KnownPrefix FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KnownPrefixBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_INCARNATION = 6,
+    VT_TOKENS = 8
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct KnownPrefixBuilder {
+  typedef KnownPrefix Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(KnownPrefix::VT_SERVER, server);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(KnownPrefix::VT_INCARNATION, incarnation, 0);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(KnownPrefix::VT_TOKENS, tokens, 0);
+  }
+  explicit KnownPrefixBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KnownPrefix> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KnownPrefix>(end);
+    fbb_.Required(o, KnownPrefix::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KnownPrefix> CreateKnownPrefix(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t incarnation = 0,
+    int64_t tokens = 0) {
+  KnownPrefixBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_incarnation(incarnation);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<KnownPrefix> CreateKnownPrefixDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t incarnation = 0,
+    int64_t tokens = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return lycheeseam::wire::CreateKnownPrefix(
+      _fbb,
+      server__,
+      incarnation,
+      tokens);
+}
+
+struct BlockAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BlockAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_KNOWN = 6,
+    VT_STORED_TOKENS = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>> *known() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>> *>(VT_KNOWN);
+  }
+  int64_t stored_tokens() const {
+    return GetField<int64_t>(VT_STORED_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_KNOWN) &&
+           verifier.VerifyVector(known()) &&
+           verifier.VerifyVectorOfTables(known()) &&
+           VerifyField<int64_t>(verifier, VT_STORED_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct BlockAnswerBuilder {
+  typedef BlockAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(BlockAnswer::VT_NUMBER, number, 0);
+  }
+  void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>>> known) {
+    fbb_.AddOffset(BlockAnswer::VT_KNOWN, known);
+  }
+  void add_stored_tokens(int64_t stored_tokens) {
+    fbb_.AddElement<int64_t>(BlockAnswer::VT_STORED_TOKENS, stored_tokens, 0);
+  }
+  explicit BlockAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BlockAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BlockAnswer>(end);
+    fbb_.Required(o, BlockAnswer::VT_KNOWN);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BlockAnswer> CreateBlockAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>>> known = 0,
+    int64_t stored_tokens = 0) {
+  BlockAnswerBuilder builder_(_fbb);
+  builder_.add_stored_tokens(stored_tokens);
+  builder_.add_number(number);
+  builder_.add_known(known);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BlockAnswer> CreateBlockAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>> *known = nullptr,
+    int64_t stored_tokens = 0) {
+  auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::KnownPrefix>>(*known) : 0;
+  return lycheeseam::wire::CreateBlockAnswer(
+      _fbb,
+      number,
+      known__,
+      stored_tokens);
+}
+
+struct BlockUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BlockUpdateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_INCARNATION = 6,
+    VT_BLOCKS = 8,
+    VT_CACHED_TOKENS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *blocks() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BLOCKS);
+  }
+  int64_t cached_tokens() const {
+    return GetField<int64_t>(VT_CACHED_TOKENS, -1LL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffsetRequired(verifier, VT_BLOCKS) &&
+           verifier.VerifyVector(blocks()) &&
+           VerifyField<int64_t>(verifier, VT_CACHED_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct BlockUpdateBuilder {
+  typedef BlockUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(BlockUpdate::VT_SERVER, server);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(BlockUpdate::VT_INCARNATION, incarnation, 0);
+  }
+  void add_blocks(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> blocks) {
+    fbb_.AddOffset(BlockUpdate::VT_BLOCKS, blocks);
+  }
+  void add_cached_tokens(int64_t cached_tokens) {
+    fbb_.AddElement<int64_t>(BlockUpdate::VT_CACHED_TOKENS, cached_tokens, -1LL);
+  }
+  explicit BlockUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BlockUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BlockUpdate>(end);
+    fbb_.Required(o, BlockUpdate::VT_SERVER);
+    fbb_.Required(o, BlockUpdate::VT_BLOCKS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BlockUpdate> CreateBlockUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> blocks = 0,
+    int64_t cached_tokens = -1LL) {
+  BlockUpdateBuilder builder_(_fbb);
+  builder_.add_cached_tokens(cached_tokens);
+  builder_.add_incarnation(incarnation);
+  builder_.add_blocks(blocks);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BlockUpdate> CreateBlockUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t incarnation = 0,
+    const std::vector<uint64_t> *blocks = nullptr,
+    int64_t cached_tokens = -1LL) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto blocks__ = blocks ? _fbb.CreateVector<uint64_t>(*blocks) : 0;
+  return lycheeseam::wire::CreateBlockUpdate(
+      _fbb,
+      server__,
+      incarnation,
+      blocks__,
+      cached_tokens);
+}
+
+struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EnvelopeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  lycheeseam::wire::Body body_type() const {
+    return static_cast<lycheeseam::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const lycheeseam::wire::Hello *body_as_Hello() const {
+    return body_type() == lycheeseam::wire::Body::Hello ? static_cast<const lycheeseam::wire::Hello *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::Heartbeat *body_as_Heartbeat() const {
+    return body_type() == lycheeseam::wire::Body::Heartbeat ? static_cast<const lycheeseam::wire::Heartbeat *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::SnapshotRequest *body_as_SnapshotRequest() const {
+    return body_type() == lycheeseam::wire::Body::SnapshotRequest ? static_cast<const lycheeseam::wire::SnapshotRequest *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::SnapshotAnswer *body_as_SnapshotAnswer() const {
+    return body_type() == lycheeseam::wire::Body::SnapshotAnswer ? static_cast<const lycheeseam::wire::SnapshotAnswer *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::LogRelay *body_as_LogRelay() const {
+    return body_type() == lycheeseam::wire::Body::LogRelay ? static_cast<const lycheeseam::wire::LogRelay *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::KeyWithdrawal *body_as_KeyWithdrawal() const {
+    return body_type() == lycheeseam::wire::Body::KeyWithdrawal ? static_cast<const lycheeseam::wire::KeyWithdrawal *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::PoisonNotice *body_as_PoisonNotice() const {
+    return body_type() == lycheeseam::wire::Body::PoisonNotice ? static_cast<const lycheeseam::wire::PoisonNotice *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::DrainNotice *body_as_DrainNotice() const {
+    return body_type() == lycheeseam::wire::Body::DrainNotice ? static_cast<const lycheeseam::wire::DrainNotice *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::TokenRequest *body_as_TokenRequest() const {
+    return body_type() == lycheeseam::wire::Body::TokenRequest ? static_cast<const lycheeseam::wire::TokenRequest *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::TokenGrant *body_as_TokenGrant() const {
+    return body_type() == lycheeseam::wire::Body::TokenGrant ? static_cast<const lycheeseam::wire::TokenGrant *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::TokenRefund *body_as_TokenRefund() const {
+    return body_type() == lycheeseam::wire::Body::TokenRefund ? static_cast<const lycheeseam::wire::TokenRefund *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::TokenReport *body_as_TokenReport() const {
+    return body_type() == lycheeseam::wire::Body::TokenReport ? static_cast<const lycheeseam::wire::TokenReport *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::StandingProbe *body_as_StandingProbe() const {
+    return body_type() == lycheeseam::wire::Body::StandingProbe ? static_cast<const lycheeseam::wire::StandingProbe *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::StandingWord *body_as_StandingWord() const {
+    return body_type() == lycheeseam::wire::Body::StandingWord ? static_cast<const lycheeseam::wire::StandingWord *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::BlockLookup *body_as_BlockLookup() const {
+    return body_type() == lycheeseam::wire::Body::BlockLookup ? static_cast<const lycheeseam::wire::BlockLookup *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::BlockAnswer *body_as_BlockAnswer() const {
+    return body_type() == lycheeseam::wire::Body::BlockAnswer ? static_cast<const lycheeseam::wire::BlockAnswer *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::BlockUpdate *body_as_BlockUpdate() const {
+    return body_type() == lycheeseam::wire::Body::BlockUpdate ? static_cast<const lycheeseam::wire::BlockUpdate *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffsetRequired(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+};
+
+template<> inline const lycheeseam::wire::Hello *Envelope::body_as<lycheeseam::wire::Hello>() const {
+  return body_as_Hello();
+}
+
+template<> inline const lycheeseam::wire::Heartbeat *Envelope::body_as<lycheeseam::wire::Heartbeat>() const {
+  return body_as_Heartbeat();
+}
+
+template<> inline const lycheeseam::wire::SnapshotRequest *Envelope::body_as<lycheeseam::wire::SnapshotRequest>() const {
+  return body_as_SnapshotRequest();
+}
+
+template<> inline const lycheeseam::wire::SnapshotAnswer *Envelope::body_as<lycheeseam::wire::SnapshotAnswer>() const {
+  return body_as_SnapshotAnswer();
+}
+
+template<> inline const lycheeseam::wire::LogRelay *Envelope::body_as<lycheeseam::wire::LogRelay>() const {
+  return body_as_LogRelay();
+}
+
+template<> inline const lycheeseam::wire::KeyWithdrawal *Envelope::body_as<lycheeseam::wire::KeyWithdrawal>() const {
+  return body_as_KeyWithdrawal();
+}
+
+template<> inline const lycheeseam::wire::PoisonNotice *Envelope::body_as<lycheeseam::wire::PoisonNotice>() const {
+  return body_as_PoisonNotice();
+}
+
+template<> inline const lycheeseam::wire::DrainNotice *Envelope::body_as<lycheeseam::wire::DrainNotice>() const {
+  return body_as_DrainNotice();
+}
+
+template<> inline const lycheeseam::wire::TokenRequest *Envelope::body_as<lycheeseam::wire::TokenRequest>() const {
+  return body_as_TokenRequest();
+}
+
+template<> inline const lycheeseam::wire::TokenGrant *Envelope::body_as<lycheeseam::wire::TokenGrant>() const {
+  return body_as_TokenGrant();
+}
+
+template<> inline const lycheeseam::wire::TokenRefund *Envelope::body_as<lycheeseam::wire::TokenRefund>() const {
+  return body_as_TokenRefund();
+}
+
+template<> inline const lycheeseam::wire::TokenReport *Envelope::body_as<lycheeseam::wire::TokenReport>() const {
+  return body_as_TokenReport();
+}
+
+template<> inline const lycheeseam::wire::StandingProbe *Envelope::body_as<lycheeseam::wire::StandingProbe>() const {
+  return body_as_StandingProbe();
+}
+
+template<> inline const lycheeseam::wire::StandingWord *Envelope::body_as<lycheeseam::wire::StandingWord>() const {
+  return body_as_StandingWord();
+}
+
+template<> inline const lycheeseam::wire::BlockLookup *Envelope::body_as<lycheeseam::wire::BlockLookup>() const {
+  return body_as_BlockLookup();
+}
+
+template<> inline const lycheeseam::wire::BlockAnswer *Envelope::body_as<lycheeseam::wire::BlockAnswer>() const {
+  return body_as_BlockAnswer();
+}
+
+template<> inline const lycheeseam::wire::BlockUpdate *Envelope::body_as<lycheeseam::wire::BlockUpdate>() const {
+  return body_as_BlockUpdate();
+}
+
+struct EnvelopeBuilder {
+  typedef Envelope Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_body_type(lycheeseam::wire::Body body_type) {
+    fbb_.AddElement<uint8_t>(Envelope::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(Envelope::VT_BODY, body);
+  }
+  explicit EnvelopeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Envelope> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Envelope>(end);
+    fbb_.Required(o, Envelope::VT_BODY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Envelope> CreateEnvelope(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    lycheeseam::wire::Body body_type = lycheeseam::wire::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  EnvelopeBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+inline bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type) {
+  switch (type) {
+    case Body::NONE: {
+      return true;
+    }
+    case Body::Hello: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::Hello *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::Heartbeat: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::Heartbeat *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::SnapshotRequest: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::SnapshotRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::SnapshotAnswer: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::SnapshotAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LogRelay: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::LogRelay *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::KeyWithdrawal: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::KeyWithdrawal *>(obj);
+      return verifier.VerifyTable(ptr);
     }
     case Body::PoisonNotice: {
       auto ptr = reinterpret_cast<const lycheeseam::wire::PoisonNotice *>(obj);
@@ -944,6 +2170,42 @@
       auto ptr = reinterpret_cast<const lycheeseam::wire::DrainNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::TokenRequest: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::TokenRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TokenGrant: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::TokenGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TokenRefund: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::TokenRefund *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TokenReport: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::TokenReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StandingProbe: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::StandingProbe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StandingWord: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::StandingWord *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BlockLookup: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::BlockLookup *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BlockAnswer: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::BlockAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BlockUpdate: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::BlockUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibLimits/BudgetMessage.h>
+#include <LibPeer/BlockMessage.h>
 #include <LibPeer/DrainNotice.h>
 #include <LibPeer/KeyWithdrawal.h>
 #include <LibPeer/LogRelay.h>
@@ -21,6 +23,8 @@
                                   log_relay,
                                   key_withdrawal,
                                   poison_notice,
-                                  drain_notice>;
+                                  drain_notice,
+                                  budget_message,
+                                  block_message>;
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 std::vector<peer_message>
-OneOfEach()
+OneOfEachLinkMessage()
 {
   digest const hash = digest::Of("x");
   return {
@@ -42,6 +42,77 @@
   };
 }
 
+std::vector<budget_message>
+OneOfEachBudgetMessage()
+{
+  instance_life const life{ .mInstance = instance_id{ "entry-1" },
+                            .mIncarnation = incarnation{ 7 } };
+  return {
+    token_request{ .mFrom = life,
+                   .mSequence = 1,
+                   .mWorkspace = workspace_id{ "w" },
+                   .mSlot = slot_id{ 2 },
+                   .mWanted = 300,
+                   .mPatience = milliseconds{ 40 } },
+    token_grant{ .mTo = life,
+                 .mSequence = 1,
+                 .mWorkspace = workspace_id{ "w" },
+                 .mSlot = slot_id{ 2 },
+                 .mResult = grant_result::Lent,
+                 .mClaim = log_offset{ 3 },
+                 .mLoan = loan_id{ 4 },
+                 .mTokens = 300,
+                 .mLeft = -5 },
+    token_refund{ .mWorkspace = workspace_id{ "w" },
+                  .mSlot = slot_id{ 2 },
+                  .mClaim = log_offset{ 3 },
+                  .mTokens = 6 },
+    token_report{ .mWorkspace = workspace_id{ "w" },
+                  .mSlot = slot_id{ 2 },
+                  .mClaim = log_offset{ 3 },
+                  .mSpent = { { .mLoan = loan_id{ 4 }, .mTokens = 5 } } },
+    standing_probe{ .mFrom = life, .mSentAt = instant{} + milliseconds{ 9 } },
+    standing_word{ .mFrom = life,
+                   .mTo = life,
+                   .mProbeSentAt = instant{} + milliseconds{ 9 },
+                   .mSlots = { slot_id{ 1 }, slot_id{ 2 } },
+                   .mFolded = log_offset{ 8 },
+                   .mSilent = { instance_id{ "entry-2" } } },
+  };
+}
+
+std::vector<block_message>
+OneOfEachBlockMessage()
+{
+  std::vector<block_hash> const blocks{ block_hash{ 1 }, block_hash{ 2 } };
+  known_prefix const known{ .mServer = backend_server_id{ "w1" },
+                            .mIncarnation = incarnation{ 2 },
+                            .mTokens = 4096 };
+  return {
+    block_lookup{ .mNumber = lookup_number{ 1 },
+                  .mPool = pool_name{ "p" },
+                  .mBlocks = blocks },
+    block_answer{
+      .mNumber = lookup_number{ 1 }, .mKnown = { known }, .mStoredTokens = 8 },
+    block_update{ .mServer = known.mServer,
+                  .mIncarnation = known.mIncarnation,
+                  .mBlocks = blocks,
+                  .mCachedTokens = 0 },
+    block_update{ .mServer = known.mServer },
+  };
+}
+
+std::vector<peer_message>
+OneOfEach()
+{
+  std::vector<peer_message> messages = OneOfEachLinkMessage();
+  for (budget_message const& message : OneOfEachBudgetMessage())
+    messages.emplace_back(message);
+  for (block_message const& message : OneOfEachBlockMessage())
+    messages.emplace_back(message);
+  return messages;
+}
+
 std::span<std::uint8_t const>
 ContentOf(encoded_frame const& aFrame)
 {
@@ -60,9 +131,18 @@
 TEST(TestPeerCodec, NoKindIsLeftOut)
 {
   std::set<std::size_t> kinds;
-  for (peer_message const& message : OneOfEach())
+  for (peer_message const& message : OneOfEachLinkMessage())
+    kinds.insert(message.index());
+  constexpr std::size_t kNested = 2;
+  EXPECT_EQ(kinds.size(), std::variant_size_v<peer_message> - kNested);
+  kinds.clear();
+  for (budget_message const& message : OneOfEachBudgetMessage())
+    kinds.insert(message.index());
+  EXPECT_EQ(kinds.size(), std::variant_size_v<budget_message>);
+  kinds.clear();
+  for (block_message const& message : OneOfEachBlockMessage())
     kinds.insert(message.index());
-  EXPECT_EQ(kinds.size(), std::variant_size_v<peer_message>);
+  EXPECT_EQ(kinds.size(), std::variant_size_v<block_message>);
 }
 
 TEST(TestPeerCodec, AnyBytesDecodeOrAreRefused)
