LibMembership: Decide who is there, who is fresh and who is leaving

Peers: a fleet of up to 9 is all to all; beyond that each instance has its two neighbours on three rings through the fleet and one through its failure domain.

Also each seen to fail first: older lives in the member table and among backend servers, lost links, restarts before dispatch, counted pings, a drain that refuses at once, silence taken for life.

--- /dev/null
+++ b/Libraries/LibMembership/Member.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/InstanceLife.h>
+#include <LibMembership/MemberState.h>
+
+namespace lycheeseam {
+
+/// One instance as this one knows it.
+struct member
+{
+  instance_life mLife;
+  failure_domain mFailureDomain;
+  endpoint mCallers;
+  endpoint mPeers;
+  member_state mState = member_state::Live;
+
+  bool operator==(member const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,130 @@
+#include <LibMembership/MemberTable.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+member_table::member_table(member aSelf, member_table_options aOptions)
+  : mSelf(aSelf.mLife.mInstance)
+  , mOptions(aOptions)
+{
+  mEntries.emplace(mSelf, entry{ .mMember = std::move(aSelf) });
+}
+
+void
+member_table::SetList(std::span<member const> aListed, instant aNow)
+{
+  for (auto& [name, known] : mEntries)
+    known.mIsListed = false;
+  for (member const& listed : aListed) {
+    Learn(listed);
+    mEntries.at(listed.mLife.mInstance).mIsListed = true;
+  }
+  DropUnlisted(aNow);
+}
+
+void
+member_table::OnPeerUp(member const& aPeer)
+{
+  Learn(aPeer);
+  entry* const known = FindLife(aPeer.mLife);
+  if (!known)
+    return;
+  known->mIsLinked = true;
+  known->mLostAt.reset();
+}
+
+void
+member_table::OnPeerDown(instance_life const& aPeer, instant aNow)
+{
+  entry* const known = FindLife(aPeer);
+  if (!known)
+    return;
+  known->mIsLinked = false;
+  known->mLostAt = aNow;
+}
+
+void
+member_table::OnLeaving(instance_life const& aPeer)
+{
+  entry* const known = FindLife(aPeer);
+  if (known)
+    known->mMember.mState = member_state::Leaving;
+}
+
+void
+member_table::OnSelfLeaving()
+{
+  mEntries.at(mSelf).mMember.mState = member_state::Leaving;
+}
+
+std::vector<member>
+member_table::Members() const
+{
+  std::vector<member> members;
+  for (auto const& [name, known] : mEntries)
+    members.push_back(known.mMember);
+  return members;
+}
+
+std::vector<member>
+member_table::Usable() const
+{
+  std::vector<member> usable;
+  for (auto const& [name, known] : mEntries) {
+    bool const isLost = known.mLostAt.has_value();
+    if (known.mMember.mState == member_state::Live && !isLost)
+      usable.push_back(known.mMember);
+  }
+  return usable;
+}
+
+std::optional<instance_life>
+member_table::LifeOf(instance_id const& aInstance) const
+{
+  auto const found = mEntries.find(aInstance);
+  if (found == mEntries.end())
+    return std::nullopt;
+  return found->second.mMember.mLife;
+}
+
+member_table::entry*
+member_table::FindLife(instance_life const& aLife)
+{
+  auto const found = mEntries.find(aLife.mInstance);
+  if (found == mEntries.end() || found->second.mMember.mLife != aLife)
+    return nullptr;
+  return &found->second;
+}
+
+// A newer life replaces all that was known. Of the same life only leaving is
+// learned: it never ends, while the list may not show it yet.
+void
+member_table::Learn(member const& aMember)
+{
+  instance_id const& name = aMember.mLife.mInstance;
+  auto const [found, isNew] =
+    mEntries.try_emplace(name, entry{ .mMember = aMember });
+  if (isNew || name == mSelf)
+    return;
+  entry& known = found->second;
+  incarnation const newest = known.mMember.mLife.mIncarnation;
+  if (aMember.mLife.mIncarnation > newest)
+    known = { .mMember = aMember, .mIsListed = known.mIsListed };
+  else if (aMember.mLife.mIncarnation == newest &&
+           aMember.mState == member_state::Leaving)
+    known.mMember.mState = member_state::Leaving;
+}
+
+void
+member_table::DropUnlisted(instant aNow)
+{
+  std::erase_if(mEntries, [&](auto const& aEntry) {
+    entry const& known = aEntry.second;
+    if (known.mIsListed || known.mIsLinked || aEntry.first == mSelf)
+      return false;
+    return !known.mLostAt || aNow - *known.mLostAt >= mOptions.mUnlistedGrace;
+  });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/PeerSelection.cpp
@@ -0,0 +1,93 @@
+#include <LibMembership/PeerSelection.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+
+namespace lycheeseam {
+
+namespace {
+
+// Keeps a failure domain's rings apart from those of the fleet.
+constexpr std::uint64_t kDomainSeed = 1ULL << 32;
+
+std::uint64_t
+RingPosition(instance_id const& aInstance, std::uint64_t aRing)
+{
+  std::string const& name = aInstance.Text();
+  return XXH3_64bits_withSeed(name.data(), name.size(), aRing);
+}
+
+// Adds the neighbours of aSelf on one ring of aInstances, which holds it.
+void
+AddNeighbours(instance_id const& aSelf,
+              std::span<instance_id const> aInstances,
+              std::uint64_t aRing,
+              std::set<instance_id>& aChosen)
+{
+  std::uint64_t const own = RingPosition(aSelf, aRing);
+  // Distances go around the ring, so the least one is the next neighbour.
+  std::uint64_t afterDistance = UINT64_MAX;
+  std::uint64_t beforeDistance = UINT64_MAX;
+  instance_id const* after = nullptr;
+  instance_id const* before = nullptr;
+  for (instance_id const& other : aInstances) {
+    if (other == aSelf)
+      continue;
+    std::uint64_t const position = RingPosition(other, aRing);
+    if (!after || position - own < afterDistance) {
+      afterDistance = position - own;
+      after = &other;
+    }
+    if (!before || own - position < beforeDistance) {
+      beforeDistance = own - position;
+      before = &other;
+    }
+  }
+  if (after)
+    aChosen.insert(*after);
+  if (before)
+    aChosen.insert(*before);
+}
+
+failure_domain
+DomainOf(instance_id const& aSelf, std::span<member const> aMembers)
+{
+  for (member const& candidate : aMembers) {
+    if (candidate.mLife.mInstance == aSelf)
+      return candidate.mFailureDomain;
+  }
+  return {};
+}
+
+}
+
+std::vector<instance_id>
+SelectPeers(instance_id const& aSelf,
+            std::span<member const> aMembers,
+            peer_selection_options const& aOptions)
+{
+  failure_domain const ownDomain = DomainOf(aSelf, aMembers);
+  std::vector<instance_id> fleet;
+  std::vector<instance_id> domain;
+  for (member const& candidate : aMembers) {
+    fleet.push_back(candidate.mLife.mInstance);
+    if (candidate.mFailureDomain == ownDomain)
+      domain.push_back(candidate.mLife.mInstance);
+  }
+  std::set<instance_id> chosen;
+  if (fleet.size() <= aOptions.mAllToAll) {
+    chosen.insert(fleet.begin(), fleet.end());
+    chosen.erase(aSelf);
+    return { chosen.begin(), chosen.end() };
+  }
+  for (std::uint64_t ring = 0; ring < aOptions.mFleetRings; ++ring)
+    AddNeighbours(aSelf, fleet, ring, chosen);
+  for (std::uint64_t ring = 0; ring < aOptions.mDomainRings; ++ring)
+    AddNeighbours(aSelf, domain, kDomainSeed + ring, chosen);
+  return { chosen.begin(), chosen.end() };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/TailSign.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+#include <chrono>
+
+namespace lycheeseam {
+
+/// Where the log's tail was, and how long ago it was read there by anyone.
+struct tail_sign
+{
+  log_offset mTail;
+  std::chrono::milliseconds mAge{ 0 };
+
+  bool operator==(tail_sign const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Tests/LibMembership/TestBackendMembership.cpp
@@ -0,0 +1,133 @@
+#include <LibMembership/BackendMembership.h>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace lycheeseam {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+backend_server_id const kServer{ "w1" };
+
+std::vector<pool_row>
+Pools()
+{
+  return { { .mName = pool_name{ "assistant" },
+             .mServers = { { .mId = kServer } } } };
+}
+
+backend_report
+Report(std::uint64_t aIncarnation, member_state aState = member_state::Live)
+{
+  return { .mServer = kServer,
+           .mIncarnation = incarnation{ aIncarnation },
+           .mState = aState };
+}
+
+class backend_membership_test : public testing::Test
+{
+protected:
+  backend_membership_test() { mServers.SetPools(Pools()); }
+
+  [[nodiscard]] backend_standing Standing() const
+  {
+    return mServers.Standing(kServer, mNow);
+  }
+
+  backend_membership mServers{ {} };
+  instant mNow = instant{} + seconds{ 100 };
+};
+
+TEST_F(backend_membership_test, UsableFromThePoolsAlone)
+{
+  EXPECT_EQ(Standing(), backend_standing::Usable);
+  mServers.SetPools({});
+  EXPECT_EQ(Standing(), backend_standing::Removed);
+}
+
+TEST_F(backend_membership_test, LeavingLastsForTheLifeAlone)
+{
+  EXPECT_TRUE(mServers.OnReport(Report(1), mNow));
+  EXPECT_FALSE(mServers.OnReport(Report(1, member_state::Leaving), mNow));
+  mServers.OnReport(Report(1), mNow);
+  EXPECT_EQ(Standing(), backend_standing::Leaving);
+  EXPECT_TRUE(mServers.OnReport(Report(2), mNow));
+  EXPECT_EQ(Standing(), backend_standing::Usable);
+  EXPECT_FALSE(mServers.OnReport(Report(1, member_state::Leaving), mNow));
+  EXPECT_EQ(Standing(), backend_standing::Usable);
+  EXPECT_EQ(mServers.IncarnationOf(kServer), incarnation{ 2 });
+}
+
+TEST_F(backend_membership_test, ARestartBetweenChoiceAndDispatchIsSeen)
+{
+  mServers.OnReport(Report(1), mNow);
+  std::optional<incarnation> const chosen = mServers.IncarnationOf(kServer);
+  EXPECT_EQ(mServers.StandingAtDispatch(kServer, chosen, mNow),
+            backend_standing::Usable);
+  mServers.OnReport(Report(2), mNow);
+  EXPECT_EQ(mServers.StandingAtDispatch(kServer, chosen, mNow),
+            backend_standing::Restarted);
+}
+
+TEST_F(backend_membership_test, KeepsLivesOverPoolChanges)
+{
+  mServers.OnReport(Report(5), mNow);
+  mServers.SetPools(Pools());
+  EXPECT_EQ(mServers.IncarnationOf(kServer), incarnation{ 5 });
+}
+
+// A server reports at intervals until it leaves, with or without saying so;
+// reports are lost, late and crossed. Returns the latest time after it left
+// at which it was still usable.
+duration
+LongestUse(backend_membership_options aOptions, std::uint32_t aSeed)
+{
+  std::mt19937 random{ aSeed };
+  std::uniform_int_distribution<int> chance{ 0, 99 };
+  std::uniform_int_distribution<int> late{ 0, 400 };
+  backend_membership servers{ aOptions };
+  servers.SetPools(Pools());
+  instant const left = instant{} + seconds{ 30 };
+  bool const isSaid = chance(random) < 50;
+  std::multimap<instant, backend_report> arrivals;
+  for (instant sent{}; sent < left + seconds{ 20 }; sent += seconds{ 1 }) {
+    bool const isLost = chance(random) < 20;
+    if (isLost || (sent >= left && !isSaid))
+      continue;
+    member_state const state =
+      sent >= left ? member_state::Leaving : member_state::Live;
+    arrivals.emplace(sent + milliseconds{ late(random) }, Report(1, state));
+  }
+  duration longest{};
+  for (instant now{}; now < left + seconds{ 20 }; now += milliseconds{ 20 }) {
+    while (!arrivals.empty() && arrivals.begin()->first <= now) {
+      servers.OnReport(arrivals.begin()->second, now);
+      arrivals.erase(arrivals.begin());
+    }
+    if (servers.Standing(kServer, now) == backend_standing::Usable)
+      longest = std::max(longest, now - left);
+  }
+  return longest;
+}
+
+TEST(TestBackendMembership, ALeavingServerGetsNothingNewAfterThreeSeconds)
+{
+  for (std::uint32_t seed = 0; seed < 500; ++seed)
+    EXPECT_LT(LongestUse({}, seed), seconds{ 3 }) << "seed " << seed;
+}
+
+// Without the rule on silence, a server that says nothing is used for ever.
+TEST(TestBackendMembership, TheCheckSeesSilenceTakenForLife)
+{
+  duration longest{};
+  for (std::uint32_t seed = 0; seed < 20; ++seed)
+    longest =
+      std::max(longest, LongestUse({ .mReportTimeout = seconds{ 600 } }, seed));
+  EXPECT_GT(longest, seconds{ 3 });
+}
+
+}
+}
--- /dev/null
+++ b/Tests/LibMembership/VirtualFleet.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include <LibMembership/Freshness.h>
+#include <LibMembership/PeerSelection.h>
+
+#include <Tests/LibMembership/MakeMembers.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace lycheeseam {
+
+/// What a fleet takes for the time of a peer's words.
+enum class sign_time
+{
+  /// The sending of the message that the peer echoes.
+  Echo,
+  /// The arrival of the words, which is wrong: they may have waited.
+  Arrival,
+};
+
+/// Instances that exchange heartbeats in virtual time, with a log that grows,
+/// cuts between failure domains, log outages and pauses.
+class virtual_fleet
+{
+public:
+  using milliseconds = std::chrono::milliseconds;
+
+  static constexpr milliseconds kStep{ 50 };
+  static constexpr milliseconds kBeat{ 500 };
+  static constexpr milliseconds kBound{ 3000 };
+
+  struct node
+  {
+    freshness mFreshness;
+    std::vector<instance_id> mLinked;
+    std::vector<std::size_t> mPeers;
+    log_offset mApplied;
+    instant mPausedUntil{};
+    /// When each peer sent the last heartbeat that came, by its clock.
+    std::map<std::size_t, instant> mPeerSentAt;
+  };
+
+  virtual_fleet(std::size_t aCount,
+                std::size_t aDomains,
+                std::uint32_t aSeed,
+                sign_time aSignTime = sign_time::Echo)
+    : mMembers(MakeMembers(aCount, aDomains))
+    , mDomains(aDomains)
+    , mRandom(aSeed)
+    , mSignTime(aSignTime)
+  {
+    for (member const& self : mMembers)
+      mNodes.push_back(MakeNode(self.mLife.mInstance));
+  }
+
+  void Step()
+  {
+    mNow += kStep;
+    mTails.push_back(log_offset{ mTails.back().Value() + 1 });
+    Deliver();
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (!IsPaused(i))
+        Run(i);
+    }
+  }
+
+  [[nodiscard]] freshness_verdict Assess(std::size_t aNode) const
+  {
+    node const& self = mNodes[aNode];
+    return self.mFreshness.Assess(mNow, mMembers, self.mLinked);
+  }
+
+  /// The tail as it was some time ago.
+  [[nodiscard]] log_offset TailBefore(milliseconds aAge) const
+  {
+    auto const steps = static_cast<std::size_t>(aAge / kStep);
+    return steps < mTails.size() ? mTails[mTails.size() - 1 - steps]
+                                 : log_offset{};
+  }
+
+  [[nodiscard]] std::size_t Size() const { return mNodes.size(); }
+  [[nodiscard]] bool IsPaused(std::size_t aNode) const
+  {
+    return mNodes[aNode].mPausedUntil > mNow;
+  }
+  [[nodiscard]] bool IsCut(std::size_t aNode) const
+  {
+    return mCutDomains.contains(aNode % mDomains);
+  }
+
+  std::vector<member> mMembers;
+  std::size_t mDomains;
+  instant mNow = instant{} + std::chrono::hours{ 1 };
+  std::vector<node> mNodes;
+  /// These domains reach each other, but neither the rest nor the log.
+  std::set<std::size_t> mCutDomains;
+  bool mIsLogOut = false;
+  std::mt19937 mRandom;
+
+private:
+  struct message
+  {
+    instant mDue{};
+    std::size_t mFrom = 0;
+    std::size_t mTo = 0;
+    instant mSentAt{};
+    std::optional<instant> mEcho;
+    log_offset mApplied;
+    std::optional<tail_sign> mTail;
+    std::vector<domain_sign> mDomains;
+  };
+
+  node MakeNode(instance_id const& aName)
+  {
+    freshness_options const options{ .mBound = kBound };
+    node made{ .mFreshness = freshness{ aName, options, mNow } };
+    made.mLinked = SelectPeers(aName, mMembers, {});
+    for (std::size_t i = 0; i < mMembers.size(); ++i) {
+      instance_id const& other = mMembers[i].mLife.mInstance;
+      if (std::binary_search(made.mLinked.begin(), made.mLinked.end(), other))
+        made.mPeers.push_back(i);
+    }
+    return made;
+  }
+
+  void Run(std::size_t aNode)
+  {
+    node& self = mNodes[aNode];
+    self.mFreshness.OnTick(mNow);
+    bool const isBeat =
+      (mNow.time_since_epoch() / kStep + aNode) % (kBeat / kStep) == 0;
+    if (!isBeat)
+      return;
+    if (!mIsLogOut && !IsCut(aNode) && aNode < kReaders) {
+      self.mApplied = mTails.back();
+      self.mFreshness.OnTailRead(self.mApplied, mNow);
+      self.mFreshness.OnApplied(self.mApplied);
+    }
+    for (std::size_t const peer : self.mPeers)
+      Send(aNode, peer);
+  }
+
+  void Send(std::size_t aFrom, std::size_t aTo)
+  {
+    if (IsCut(aFrom) != IsCut(aTo))
+      return;
+    node const& self = mNodes[aFrom];
+    std::uniform_int_distribution<int> delay{ 1, 60 };
+    auto const heard = self.mPeerSentAt.find(aTo);
+    mMessages.push_back({ .mDue = mNow + milliseconds{ delay(mRandom) },
+                          .mFrom = aFrom,
+                          .mTo = aTo,
+                          .mSentAt = mNow,
+                          .mEcho = heard == self.mPeerSentAt.end()
+                                     ? std::nullopt
+                                     : std::optional<instant>{ heard->second },
+                          .mApplied = self.mApplied,
+                          .mTail = self.mFreshness.Tail(mNow),
+                          .mDomains = self.mFreshness.DomainSigns(mNow) });
+  }
+
+  void Deliver()
+  {
+    // A paused receiver's messages wait in its buffers.
+    auto const isLater = [this](message const& aMessage) {
+      return aMessage.mDue > mNow || IsPaused(aMessage.mTo);
+    };
+    auto const due =
+      std::stable_partition(mMessages.begin(), mMessages.end(), isLater);
+    std::vector<message> const arrived{ due, mMessages.end() };
+    mMessages.erase(due, mMessages.end());
+    for (message const& one : arrived)
+      Receive(one);
+  }
+
+  void Receive(message const& aMessage)
+  {
+    node& self = mNodes[aMessage.mTo];
+    self.mFreshness.OnTick(mNow);
+    self.mPeerSentAt[aMessage.mFrom] = aMessage.mSentAt;
+    // The log's entries travel with the heartbeats here.
+    self.mApplied = std::max(self.mApplied, aMessage.mApplied);
+    self.mFreshness.OnApplied(self.mApplied);
+    if (!aMessage.mEcho)
+      return;
+    member const& peer = mMembers[aMessage.mFrom];
+    self.mFreshness.OnPeerSign(
+      { .mPeer = peer.mLife.mInstance,
+        .mDomain = DomainCode(peer.mFailureDomain),
+        .mEchoedSentAt = mSignTime == sign_time::Echo ? *aMessage.mEcho : mNow,
+        .mTail = aMessage.mTail,
+        .mDomains = aMessage.mDomains },
+      mNow);
+  }
+
+  // Few instances read the log; the others know of it from peers alone.
+  static constexpr std::size_t kReaders = 12;
+
+  sign_time mSignTime;
+  std::vector<message> mMessages;
+  std::vector<log_offset> mTails{ log_offset{ 1 } };
+};
+
+}
