LibPeer: Let heartbeats echo, and tell of the tail and of domains

Freshness needs the moment of the message that a peer answers to, and signs of failure domains to judge reach in a fleet that isn't all to all. A link sets both times itself. Log relays carry entries alone.

--- a/Libraries/LibPeer/DecodePeerMessage.cpp
+++ b/Libraries/LibPeer/DecodePeerMessage.cpp
@@ -43,13 +43,21 @@
 peer_message
 Decode(wire::Heartbeat const& aBeat)
 {
-  return peer_heartbeat{ .mAnswer = aBeat.wants_answer()
-                                      ? heartbeat_answer::Wanted
-                                      : heartbeat_answer::NotWanted,
-                         .mIsLeaving = aBeat.leaving(),
-                         .mApplied = log_offset{ aBeat.applied() },
-                         .mTail = log_offset{ aBeat.tail() },
-                         .mTailAge = Milliseconds(aBeat.tail_age_ms()) };
+  peer_heartbeat beat{ .mAnswer = aBeat.wants_answer()
+                                    ? heartbeat_answer::Wanted
+                                    : heartbeat_answer::NotWanted,
+                       .mIsLeaving = aBeat.leaving(),
+                       .mSentAt = instant{ duration{ aBeat.sent_at_ns() } },
+                       .mApplied = log_offset{ aBeat.applied() } };
+  if (aBeat.echo_ns() != 0)
+    beat.mEcho = instant{ duration{ aBeat.echo_ns() } };
+  if (aBeat.tail() != 0)
+    beat.mTail = tail_sign{ .mTail = log_offset{ aBeat.tail() },
+                            .mAge = Milliseconds(aBeat.tail_age_ms()) };
+  for (wire::DomainSign const* const sign : *aBeat.domains())
+    beat.mDomains.push_back({ .mDomain = domain_code{ sign->domain() },
+                              .mAge = Milliseconds(sign->age_ms()) });
+  return beat;
 }
 
 peer_message
@@ -69,8 +77,7 @@
 peer_message
 Decode(wire::LogRelay const& aRelay)
 {
-  log_relay relay{ .mTail = log_offset{ aRelay.tail() },
-                   .mTailAge = Milliseconds(aRelay.tail_age_ms()) };
+  log_relay relay;
   for (wire::RelayedEntry const* const entry : *aRelay.entries())
     relay.mEntries.push_back({ .mOffset = log_offset{ entry->offset() },
                                .mRecord = entry->record()->str() });
--- a/Libraries/LibPeer/EncodePeerMessage.cpp
+++ b/Libraries/LibPeer/EncodePeerMessage.cpp
@@ -53,14 +53,23 @@
 
   encoded_body operator()(peer_heartbeat const& aBeat)
   {
+    std::vector<wire::DomainSign> domains;
+    for (domain_sign const& sign : aBeat.mDomains)
+      domains.emplace_back(static_cast<std::uint32_t>(sign.mDomain.Value()),
+                           ShortMilliseconds(sign.mAge));
+    tail_sign const tail = aBeat.mTail.value_or(tail_sign{});
+    instant const echo = aBeat.mEcho.value_or(instant{});
     return MakeBody(
       wire::Body::Heartbeat,
       wire::CreateHeartbeat(mBuilder,
                             aBeat.mAnswer == heartbeat_answer::Wanted,
                             aBeat.mIsLeaving,
+                            aBeat.mSentAt.time_since_epoch().count(),
+                            echo.time_since_epoch().count(),
                             aBeat.mApplied.Value(),
-                            aBeat.mTail.Value(),
-                            ShortMilliseconds(aBeat.mTailAge)));
+                            tail.mTail.Value(),
+                            ShortMilliseconds(tail.mAge),
+                            mBuilder.CreateVectorOfStructs(domains)));
   }
 
   encoded_body operator()(snapshot_request const& aRequest)
@@ -85,11 +94,9 @@
     for (relayed_entry const& entry : aRelay.mEntries)
       entries.push_back(wire::CreateRelayedEntry(
         mBuilder, entry.mOffset.Value(), Text(entry.mRecord)));
-    return MakeBody(wire::Body::LogRelay,
-                    wire::CreateLogRelay(mBuilder,
-                                         mBuilder.CreateVector(entries),
-                                         aRelay.mTail.Value(),
-                                         ShortMilliseconds(aRelay.mTailAge)));
+    return MakeBody(
+      wire::Body::LogRelay,
+      wire::CreateLogRelay(mBuilder, mBuilder.CreateVector(entries)));
   }
 
   encoded_body operator()(key_withdrawal const& aWithdrawal)
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -21,6 +21,8 @@
 struct Hello;
 struct HelloBuilder;
 
+struct DomainSign;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -292,6 +294,29 @@
 };
 FLATBUFFERS_STRUCT_END(Digest, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) DomainSign FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t domain_;
+  uint32_t age_ms_;
+
+ public:
+  DomainSign()
+      : domain_(0),
+        age_ms_(0) {
+  }
+  DomainSign(uint32_t _domain, uint32_t _age_ms)
+      : domain_(flatbuffers::EndianScalar(_domain)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t domain() const {
+    return flatbuffers::EndianScalar(domain_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(DomainSign, 8);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoanSpend FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t loan_;
@@ -441,9 +466,12 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WANTS_ANSWER = 4,
     VT_LEAVING = 6,
-    VT_APPLIED = 8,
-    VT_TAIL = 10,
-    VT_TAIL_AGE_MS = 12
+    VT_SENT_AT_NS = 8,
+    VT_ECHO_NS = 10,
+    VT_APPLIED = 12,
+    VT_TAIL = 14,
+    VT_TAIL_AGE_MS = 16,
+    VT_DOMAINS = 18
   };
   bool wants_answer() const {
     return GetField<uint8_t>(VT_WANTS_ANSWER, 0) != 0;
@@ -451,6 +479,12 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  int64_t sent_at_ns() const {
+    return GetField<int64_t>(VT_SENT_AT_NS, 0);
+  }
+  int64_t echo_ns() const {
+    return GetField<int64_t>(VT_ECHO_NS, 0);
+  }
   uint64_t applied() const {
     return GetField<uint64_t>(VT_APPLIED, 0);
   }
@@ -460,13 +494,20 @@
   uint32_t tail_age_ms() const {
     return GetField<uint32_t>(VT_TAIL_AGE_MS, 0);
   }
+  const flatbuffers::Vector<const lycheeseam::wire::DomainSign *> *domains() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::DomainSign *> *>(VT_DOMAINS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_ANSWER, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT_NS, 8) &&
+           VerifyField<int64_t>(verifier, VT_ECHO_NS, 8) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
            VerifyField<uint64_t>(verifier, VT_TAIL, 8) &&
            VerifyField<uint32_t>(verifier, VT_TAIL_AGE_MS, 4) &&
+           VerifyOffsetRequired(verifier, VT_DOMAINS) &&
+           verifier.VerifyVector(domains()) &&
            verifier.EndTable();
   }
 };
@@ -481,6 +522,12 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_sent_at_ns(int64_t sent_at_ns) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_SENT_AT_NS, sent_at_ns, 0);
+  }
+  void add_echo_ns(int64_t echo_ns) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_ECHO_NS, echo_ns, 0);
+  }
   void add_applied(uint64_t applied) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_APPLIED, applied, 0);
   }
@@ -490,6 +537,9 @@
   void add_tail_age_ms(uint32_t tail_age_ms) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_TAIL_AGE_MS, tail_age_ms, 0);
   }
+  void add_domains(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::DomainSign *>> domains) {
+    fbb_.AddOffset(Heartbeat::VT_DOMAINS, domains);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -497,6 +547,7 @@
   flatbuffers::Offset<Heartbeat> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<Heartbeat>(end);
+    fbb_.Required(o, Heartbeat::VT_DOMAINS);
     return o;
   }
 };
@@ -505,18 +556,47 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     bool wants_answer = false,
     bool leaving = false,
+    int64_t sent_at_ns = 0,
+    int64_t echo_ns = 0,
     uint64_t applied = 0,
     uint64_t tail = 0,
-    uint32_t tail_age_ms = 0) {
+    uint32_t tail_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::DomainSign *>> domains = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_tail(tail);
   builder_.add_applied(applied);
+  builder_.add_echo_ns(echo_ns);
+  builder_.add_sent_at_ns(sent_at_ns);
+  builder_.add_domains(domains);
   builder_.add_tail_age_ms(tail_age_ms);
   builder_.add_leaving(leaving);
   builder_.add_wants_answer(wants_answer);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool wants_answer = false,
+    bool leaving = false,
+    int64_t sent_at_ns = 0,
+    int64_t echo_ns = 0,
+    uint64_t applied = 0,
+    uint64_t tail = 0,
+    uint32_t tail_age_ms = 0,
+    const std::vector<lycheeseam::wire::DomainSign> *domains = nullptr) {
+  auto domains__ = domains ? _fbb.CreateVectorOfStructs<lycheeseam::wire::DomainSign>(*domains) : 0;
+  return lycheeseam::wire::CreateHeartbeat(
+      _fbb,
+      wants_answer,
+      leaving,
+      sent_at_ns,
+      echo_ns,
+      applied,
+      tail,
+      tail_age_ms,
+      domains__);
+}
+
 struct SnapshotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SnapshotRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -701,26 +781,16 @@
 struct LogRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LogRelayBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4,
-    VT_TAIL = 6,
-    VT_TAIL_AGE_MS = 8
+    VT_ENTRIES = 4
   };
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>> *>(VT_ENTRIES);
   }
-  uint64_t tail() const {
-    return GetField<uint64_t>(VT_TAIL, 0);
-  }
-  uint32_t tail_age_ms() const {
-    return GetField<uint32_t>(VT_TAIL_AGE_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
-           VerifyField<uint64_t>(verifier, VT_TAIL, 8) &&
-           VerifyField<uint32_t>(verifier, VT_TAIL_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -732,12 +802,6 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>>> entries) {
     fbb_.AddOffset(LogRelay::VT_ENTRIES, entries);
   }
-  void add_tail(uint64_t tail) {
-    fbb_.AddElement<uint64_t>(LogRelay::VT_TAIL, tail, 0);
-  }
-  void add_tail_age_ms(uint32_t tail_age_ms) {
-    fbb_.AddElement<uint32_t>(LogRelay::VT_TAIL_AGE_MS, tail_age_ms, 0);
-  }
   explicit LogRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -752,27 +816,19 @@
 
 inline flatbuffers::Offset<LogRelay> CreateLogRelay(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>>> entries = 0,
-    uint64_t tail = 0,
-    uint32_t tail_age_ms = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>>> entries = 0) {
   LogRelayBuilder builder_(_fbb);
-  builder_.add_tail(tail);
-  builder_.add_tail_age_ms(tail_age_ms);
   builder_.add_entries(entries);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<LogRelay> CreateLogRelayDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>> *entries = nullptr,
-    uint64_t tail = 0,
-    uint32_t tail_age_ms = 0) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>> *entries = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::RelayedEntry>>(*entries) : 0;
   return lycheeseam::wire::CreateLogRelay(
       _fbb,
-      entries__,
-      tail,
-      tail_age_ms);
+      entries__);
 }
 
 struct KeyWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibPeer/PeerHeartbeat.h
+++ b/Libraries/LibPeer/PeerHeartbeat.h
@@ -1,23 +1,31 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibCore/Instant.h>
+#include <LibMembership/DomainSign.h>
+#include <LibMembership/TailSign.h>
 #include <LibPeer/HeartbeatAnswer.h>
 
-#include <chrono>
+#include <optional>
+#include <vector>
 
 namespace lycheeseam {
 
-/// A sign of life with what its sender knows of the log.
+/// A sign of life with what its sender knows of the log and of others.
 struct peer_heartbeat
 {
   heartbeat_answer mAnswer = heartbeat_answer::NotWanted;
   bool mIsLeaving = false;
+  /// When it was sent, by the sender's clock; set by the link.
+  instant mSentAt{};
+  /// The mSentAt of the last heartbeat that the sender had received on the
+  /// link, by the receiver's clock; set by the link.
+  std::optional<instant> mEcho;
   /// The sender has applied every entry up to this one.
   log_offset mApplied;
-  /// The newest tail of the log that the sender knows of.
-  log_offset mTail;
-  /// How long ago that tail was read from the platform, by anyone.
-  std::chrono::milliseconds mTailAge{ 0 };
+  /// What the sender knows of the log's tail.
+  std::optional<tail_sign> mTail;
+  std::vector<domain_sign> mDomains;
 
   bool operator==(peer_heartbeat const&) const = default;
 };
--- a/Libraries/LibPeer/PeerHub.h
+++ b/Libraries/LibPeer/PeerHub.h
@@ -91,6 +91,8 @@
     instant mOpenedAt{};
     /// Who the peer is, from its hello on.
     std::optional<instance_life> mPeer;
+    /// When the peer sent its last heartbeat, by its own clock.
+    std::optional<instant> mPeerSentAt;
     Supervisor mSupervisor;
   };
 
@@ -102,7 +104,10 @@
                link_direction aDirection,
                std::optional<endpoint> aDialled);
   void OnHello(link_number aLink, link_state& aState, peer_hello const& aHello);
-  void OnMessage(link_state& aState, peer_message& aMessage);
+  void OnMessage(link_number aLink, link_state& aState, peer_message& aMessage);
+  void SendHeartbeat(link_number aLink,
+                     link_state const& aState,
+                     heartbeat_answer aAnswer);
   void CloseLink(link_number aLink, link_close_reason aReason);
   send_result SendFrame(link_number aLink, encoded_frame const& aFrame);
   [[nodiscard]] bool IsLinkedTo(peer_contact const& aContact) const;
--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -182,10 +182,10 @@
       silent.push_back(number);
     if (check != link_check::Beat && check != link_check::Ping)
       continue;
-    peer_heartbeat beat = mMakeHeartbeat();
-    beat.mAnswer = check == link_check::Ping ? heartbeat_answer::Wanted
-                                             : heartbeat_answer::NotWanted;
-    SendFrame(number, EncodePeerMessage(beat));
+    SendHeartbeat(number,
+                  state,
+                  check == link_check::Ping ? heartbeat_answer::Wanted
+                                            : heartbeat_answer::NotWanted);
   }
   for (link_number const link : late)
     CloseLink(link, link_close_reason::HelloTimeout);
@@ -212,6 +212,7 @@
                              .mDialled = aDialled,
                              .mOpenedAt = now,
                              .mPeer = std::nullopt,
+                             .mPeerSentAt = std::nullopt,
                              .mSupervisor = mMakeSupervisor(now) });
   if (!aDialled)
     return added->Start();
@@ -248,7 +249,7 @@
   state.mSupervisor.OnReceived(mClock.Now());
   if (hello)
     return OnHello(aLink, state, *hello);
-  OnMessage(state, *message);
+  OnMessage(aLink, state, *message);
 }
 
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
@@ -277,17 +278,33 @@
 
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
-peer_hub<Handler, Supervisor, Clock>::OnMessage(link_state& aState,
+peer_hub<Handler, Supervisor, Clock>::OnMessage(link_number aLink,
+                                                link_state& aState,
                                                 peer_message& aMessage)
 {
   // The handler may close links, so the peer's life is copied first.
   instance_life const peer = *aState.mPeer;
   peer_heartbeat const* const beat = std::get_if<peer_heartbeat>(&aMessage);
+  if (beat)
+    aState.mPeerSentAt = beat->mSentAt;
   if (beat && beat->mAnswer == heartbeat_answer::Wanted)
-    Send(peer.mInstance, mMakeHeartbeat());
+    SendHeartbeat(aLink, aState, heartbeat_answer::NotWanted);
   mHandler.OnPeerMessage(peer, aMessage);
 }
 
+template<typename Handler, link_supervisor Supervisor, clock_source Clock>
+void
+peer_hub<Handler, Supervisor, Clock>::SendHeartbeat(link_number aLink,
+                                                    link_state const& aState,
+                                                    heartbeat_answer aAnswer)
+{
+  peer_heartbeat beat = mMakeHeartbeat();
+  beat.mAnswer = aAnswer;
+  beat.mSentAt = mClock.Now();
+  beat.mEcho = aState.mPeerSentAt;
+  SendFrame(aLink, EncodePeerMessage(beat));
+}
+
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
 peer_hub<Handler, Supervisor, Clock>::CloseLink(link_number aLink,
