--- a/Libraries/LibPeer/DecodePeerMessage.cpp
+++ b/Libraries/LibPeer/DecodePeerMessage.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/InvalidInput.h>
+#include <LibPeer/DecodeBlockMessage.h>
+#include <LibPeer/DecodeBudgetMessage.h>
 #include <LibPeer/PeerCodec.h>
 
-#include <PeerMessage_generated.h>
-
 #include <cstring>
 
 namespace lycheeseam {
@@ -43,13 +43,21 @@
 peer_message
 Decode(wire::Heartbeat const& aBeat)
 {
-  return peer_heartbeat{ .mAnswer = aBeat.wants_answer()
-                                      ? heartbeat_answer::Wanted
-                                      : heartbeat_answer::NotWanted,
-                         .mIsLeaving = aBeat.leaving(),
-                         .mApplied = log_offset{ aBeat.applied() },
-                         .mTail = log_offset{ aBeat.tail() },
-                         .mTailAge = Milliseconds(aBeat.tail_age_ms()) };
+  peer_heartbeat beat{ .mAnswer = aBeat.wants_answer()
+                                    ? heartbeat_answer::Wanted
+                                    : heartbeat_answer::NotWanted,
+                       .mIsLeaving = aBeat.leaving(),
+                       .mSentAt = instant{ duration{ aBeat.sent_at_ns() } },
+                       .mApplied = log_offset{ aBeat.applied() } };
+  if (aBeat.echo_ns() != 0)
+    beat.mEcho = instant{ duration{ aBeat.echo_ns() } };
+  if (aBeat.tail() != 0)
+    beat.mTail = tail_sign{ .mTail = log_offset{ aBeat.tail() },
+                            .mAge = Milliseconds(aBeat.tail_age_ms()) };
+  for (wire::DomainSign const* const sign : *aBeat.domains())
+    beat.mDomains.push_back({ .mDomain = domain_code{ sign->domain() },
+                              .mAge = Milliseconds(sign->age_ms()) });
+  return beat;
 }
 
 peer_message
@@ -69,8 +77,7 @@
 peer_message
 Decode(wire::LogRelay const& aRelay)
 {
-  log_relay relay{ .mTail = log_offset{ aRelay.tail() },
-                   .mTailAge = Milliseconds(aRelay.tail_age_ms()) };
+  log_relay relay;
   for (wire::RelayedEntry const* const entry : *aRelay.entries())
     relay.mEntries.push_back({ .mOffset = log_offset{ entry->offset() },
                                .mRecord = entry->record()->str() });
@@ -119,6 +126,24 @@
       return Decode(*aEnvelope.body_as_PoisonNotice());
     case wire::Body::DrainNotice:
       return Decode(*aEnvelope.body_as_DrainNotice());
+    case wire::Body::TokenRequest:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenRequest());
+    case wire::Body::TokenGrant:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenGrant());
+    case wire::Body::TokenRefund:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenRefund());
+    case wire::Body::TokenReport:
+      return DecodeBudgetMessage(*aEnvelope.body_as_TokenReport());
+    case wire::Body::StandingProbe:
+      return DecodeBudgetMessage(*aEnvelope.body_as_StandingProbe());
+    case wire::Body::StandingWord:
+      return DecodeBudgetMessage(*aEnvelope.body_as_StandingWord());
+    case wire::Body::BlockLookup:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockLookup());
+    case wire::Body::BlockAnswer:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockAnswer());
+    case wire::Body::BlockUpdate:
+      return DecodeBlockMessage(*aEnvelope.body_as_BlockUpdate());
     case wire::Body::NONE:
       break;
   }
