LibConfigLog: Never let a late double answer for its proposal

A proposal beyond its last offset is now ignored and not remembered, and outcomes are kept by last offset, with 4096 offsets beyond it for authors that jumped. That also closes a second hole: one refused because its last offset lay too far ahead could be accepted as a double later.

--- a/Libraries/LibCodec/OutcomeForms.h
+++ b/Libraries/LibCodec/OutcomeForms.h
@@ -86,6 +86,7 @@
   static constexpr std::tuple kFields{
     RequiredField("proposal", &proposal_outcome::mProposal),
     RequiredField("offset", &proposal_outcome::mOffset),
+    RequiredField("last_offset", &proposal_outcome::mLastOffset),
     RequiredField("status", &proposal_outcome::mStatus),
     RequiredField("conflicts", &proposal_outcome::mConflicts),
     RequiredField("faults", &proposal_outcome::mFaults),
--- a/Libraries/LibConfigLog/ConfigFold.cpp
+++ b/Libraries/LibConfigLog/ConfigFold.cpp
@@ -30,36 +30,58 @@
 void
 config_fold::ApplyProposal(config_proposal const& aProposal, log_offset aOffset)
 {
+  // Beyond its last offset it doesn't count, and isn't remembered either: it
+  // may be the double of one whose outcome has been forgotten.
+  if (aOffset > aProposal.mOrigin.mLastOffset)
+    return;
   // An append may land twice; the first landing decided it.
   if (FindOutcome(aProposal.mOrigin.mProposal))
     return;
+  Remember(Decide(aProposal, aOffset));
+}
+
+proposal_outcome
+config_fold::Decide(config_proposal const& aProposal, log_offset aOffset)
+{
   proposal_outcome outcome{ .mProposal = aProposal.mOrigin.mProposal,
-                            .mOffset = aOffset };
+                            .mOffset = aOffset,
+                            .mLastOffset = aProposal.mOrigin.mLastOffset };
   outcome.mFaults = CheckProposal(aProposal, aOffset);
-  if (outcome.mFaults.empty())
-    outcome.mConflicts = FindConflicts(mState.mTables, aProposal.mChanges);
-  if (!outcome.mConflicts.empty())
-    outcome.mStatus = proposal_status::Conflict;
+  if (!outcome.mFaults.empty())
+    return outcome;
 
-  if (outcome.mFaults.empty() && outcome.mConflicts.empty()) {
-    // All rows change or none: the rules look at the tables as they would be.
-    config_tables next = mState.mTables;
-    WriteRows(next, aProposal.mChanges, row_version{ aOffset.Value() });
-    outcome.mFaults = CheckChangedTables(next, aProposal.mChanges);
-    if (outcome.mFaults.empty()) {
-      outcome.mStatus = proposal_status::Accepted;
-      mState.mTables = std::move(next);
-    }
+  outcome.mConflicts = FindConflicts(mState.mTables, aProposal.mChanges);
+  if (!outcome.mConflicts.empty()) {
+    outcome.mStatus = proposal_status::Conflict;
+    return outcome;
   }
-  mState.mRecent.push_back(std::move(outcome));
+
+  // All rows change or none: the rules look at the tables as they would be.
+  config_tables next = mState.mTables;
+  WriteRows(next, aProposal.mChanges, row_version{ aOffset.Value() });
+  outcome.mFaults = CheckChangedTables(next, aProposal.mChanges);
+  if (!outcome.mFaults.empty())
+    return outcome;
+
+  outcome.mStatus = proposal_status::Accepted;
+  mState.mTables = std::move(next);
+  return outcome;
+}
+
+void
+config_fold::Remember(proposal_outcome aOutcome)
+{
+  auto const place = std::ranges::upper_bound(
+    mState.mRecent, aOutcome.mLastOffset, {}, &proposal_outcome::mLastOffset);
+  mState.mRecent.insert(place, std::move(aOutcome));
 }
 
 void
 config_fold::ForgetOldOutcomes(log_offset aOffset)
 {
-  // A double of an older proposal is past its last offset and refused.
+  // A double of an older proposal is past its last offset.
   auto const isOld = [aOffset](proposal_outcome const& aOutcome) {
-    return aOutcome.mOffset.Value() + kLongestWindow < aOffset.Value();
+    return aOutcome.mLastOffset.Value() + kOutcomeMemory < aOffset.Value();
   };
   while (!mState.mRecent.empty() && isOld(mState.mRecent.front()))
     mState.mRecent.pop_front();
--- a/Libraries/LibConfigLog/ConfigFold.h
+++ b/Libraries/LibConfigLog/ConfigFold.h
@@ -22,6 +22,10 @@
   /// where it lands, in offsets.
   static constexpr std::uint64_t kLongestWindow = 4096;
 
+  /// How long an outcome is remembered beyond the last offset of its
+  /// proposal, for authors that jumped over it, in offsets.
+  static constexpr std::uint64_t kOutcomeMemory = 4096;
+
   /// Applies the next entry of the log; offsets must rise.
   void Apply(log_entry const& aEntry);
 
@@ -31,8 +35,8 @@
     return mState.mTables;
   }
 
-  /// What became of a proposal, or null when it didn't land within the last
-  /// kLongestWindow offsets.
+  /// What became of a proposal; null when it hasn't landed in time, or when
+  /// its last offset lies more than kOutcomeMemory back.
   [[nodiscard]] proposal_outcome const* FindOutcome(
     proposal_id const& aProposal) const;
 
@@ -44,6 +48,8 @@
 
 private:
   void ApplyProposal(config_proposal const& aProposal, log_offset aOffset);
+  proposal_outcome Decide(config_proposal const& aProposal, log_offset aOffset);
+  void Remember(proposal_outcome aOutcome);
   void ForgetOldOutcomes(log_offset aOffset);
 
   config_state mState;
--- a/Libraries/LibConfigLog/ConfigRule.h
+++ b/Libraries/LibConfigLog/ConfigRule.h
@@ -7,7 +7,7 @@
 {
   /// It has changes, and changes each row once.
   DistinctChanges,
-  /// It landed by its last offset, which is not too far ahead.
+  /// Its last offset is not too far ahead.
   LastOffset,
   /// A row's name is well formed and the one it is filed under.
   RowName,
--- a/Libraries/LibConfigLog/ConfigState.h
+++ b/Libraries/LibConfigLog/ConfigState.h
@@ -11,7 +11,8 @@
 struct config_state
 {
   config_tables mTables;
-  /// Outcomes of proposals whose doubles may still land, in log order.
+  /// Outcomes of proposals whose doubles may still land, and some older ones,
+  /// in the order of their last offsets.
   std::deque<proposal_outcome> mRecent;
 
   bool operator==(config_state const&) const = default;
--- a/Libraries/LibConfigLog/ProposalCheck.cpp
+++ b/Libraries/LibConfigLog/ProposalCheck.cpp
@@ -11,15 +11,6 @@
 
 namespace {
 
-config_fault
-LateFault(log_offset aLast, log_offset aOffset)
-{
-  return { .mRule = config_rule::LastOffset,
-           .mReason = "the proposal counted up to offset " +
-                      std::to_string(aLast.Value()) + " and landed at " +
-                      std::to_string(aOffset.Value()) };
-}
-
 config_fault
 FarFault()
 {
@@ -50,8 +41,6 @@
 {
   std::vector<config_fault> faults;
   log_offset const last = aProposal.mOrigin.mLastOffset;
-  if (aOffset > last)
-    faults.push_back(LateFault(last, aOffset));
   if (last.Value() > aOffset.Value() + config_fold::kLongestWindow)
     faults.push_back(FarFault());
   if (aProposal.mChanges.empty())
--- a/Libraries/LibConfigLog/ProposalCheck.h
+++ b/Libraries/LibConfigLog/ProposalCheck.h
@@ -11,8 +11,8 @@
 
 namespace lycheeseam {
 
-/// Checks what can be told without the tables: the last offset, and that the
-/// changes are of distinct rows.
+/// Checks what can be told without the tables: that the last offset is
+/// not too far ahead, and that the changes are of distinct rows.
 std::vector<config_fault>
 CheckProposal(config_proposal const& aProposal, log_offset aOffset);
 
--- a/Libraries/LibConfigLog/ProposalOutcome.h
+++ b/Libraries/LibConfigLog/ProposalOutcome.h
@@ -15,6 +15,8 @@
   proposal_id mProposal;
   /// Where it landed; the version of the rows that it wrote.
   log_offset mOffset;
+  /// No double counts beyond this offset.
+  log_offset mLastOffset;
   proposal_status mStatus = proposal_status::Refused;
   std::vector<row_conflict> mConflicts;
   std::vector<config_fault> mFaults;
