--- a/Tests/Scenarios/Relay.cpp
+++ b/Tests/Scenarios/Relay.cpp
@@ -27,6 +27,8 @@
 {
   tcp::socket mCaller;
   tcp::socket mTarget;
+  /// Whether the next byte of an answer ends the connection.
+  bool mLosesAnswer = false;
 
   /// Ends both sides with a reset.
   void Abort()
@@ -133,10 +135,14 @@
   while (!error) {
     std::size_t const size = co_await from.async_read_some(
       boost::asio::buffer(buffer), redirect_error(use_awaitable, error));
+    // Bound to the first request read from now on: the answer to an earlier
+    // one, whose caller may have gone, must not take its place.
+    if (!isAnswer && size > 0 && std::exchange(mLosesNextAnswer, false))
+      aLink->mLosesAnswer = true;
     co_await UntilHealed();
     if (error)
       break;
-    if (isAnswer && std::exchange(mLosesNextAnswer, false)) {
+    if (isAnswer && aLink->mLosesAnswer) {
       aLink->Abort();
       co_return;
     }
--- a/Tests/Scenarios/Relay.h
+++ b/Tests/Scenarios/Relay.h
@@ -34,8 +34,8 @@
   /// Resets all connections.
   void Reset();
 
-  /// Lets the next request through and resets its connection at the first
-  /// byte of the answer.
+  /// Lets the next request that comes in through, and resets its connection at
+  /// the first byte of the answer.
   void LoseNextAnswer() { mLosesNextAnswer = true; }
 
 private:
