--- a/Libraries/LibCore/Digest.h
+++ b/Libraries/LibCore/Digest.h
@@ -26,6 +26,10 @@
   /// Parses 64 hexadecimal digits; throws invalid_input on anything else.
   static digest FromHex(std::string_view aHex);
 
+  /// The digest with these bytes.
+  static digest FromBytes(
+    std::span<std::uint8_t const, kBytes> aBytes) noexcept;
+
   /// The digest as 64 lower-case hexadecimal digits.
   [[nodiscard]] std::string Hex() const;
 
@@ -35,6 +39,8 @@
     return mBytes;
   }
 
+  // The linter takes the zero that "<" is rewritten with for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(digest const&) const = default;
 
 private:
