--- a/Libraries/LibControl/CallState.h
+++ b/Libraries/LibControl/CallState.h
@@ -7,6 +7,7 @@
 #include <LibRequest/CallerRequest.h>
 
 #include <set>
+#include <string>
 
 namespace lycheeseam {
 
@@ -23,8 +24,26 @@
   attempt_number mAttempt;
   /// The backend server of the running attempt.
   backend_server mServer;
+  /// True once the caller has the head of a streamed answer.
+  bool mHasBegun = false;
+  /// The text of a streamed answer whose backend servers were lost.
+  std::string mTextSoFar;
+  /// Of the workspace, method, path and body: equal for repeats.
+  digest mFingerprint;
   /// Backend servers that were lost under this call.
   std::set<backend_server_id> mLost;
+  /// True once the workspace's budget has paid for the call.
+  bool mIsCharged = false;
+  /// True when the caller has gone and the call runs on for its outcome.
+  bool mIsAbandoned = false;
+
+  /// The workspace that the call runs for; empty on routes open to all.
+  [[nodiscard]] workspace_id Workspace() const
+  {
+    if (!mAdmitted.mWorkspace)
+      return workspace_id{};
+    return mAdmitted.mWorkspace->mName;
+  }
 };
 
 }
--- a/Libraries/LibControl/MakeUpstreamRequest.cpp
+++ b/Libraries/LibControl/MakeUpstreamRequest.cpp
@@ -1,23 +1,38 @@
 #include <LibControl/CallCost.h>
 #include <LibControl/MakeUpstreamRequest.h>
-#include <LibOpenAi/AddMaxTokens.h>
+#include <LibOpenAi/AddBodyFields.h>
 
 namespace lycheeseam {
 
 namespace {
 
-// What was charged is a bound on the answer only if the engine knows it.
+// What was charged is a bound on the answer only if the engine knows it, and
+// a lost stream is gone on with behind what its caller has.
 std::shared_ptr<std::string const>
-BoundedBody(call_state const& aCall)
+BodyOf(call_state const& aCall)
 {
   caller_request const& request = aCall.mRequest;
   bool const isBounded = request.mKind == call_kind::Plain ||
                          request.mCompletion.mMaxTokens.has_value();
-  if (isBounded)
+  if (isBounded && aCall.mTextSoFar.empty())
     return request.mBody;
-  token_count const limit = AnswerLimit(request, aCall.mAdmitted.mRoute);
-  return std::make_shared<std::string const>(
-    AddMaxTokens(*request.mBody, limit));
+  std::string body = *request.mBody;
+  if (!isBounded) {
+    token_count const limit = AnswerLimit(request, aCall.mAdmitted.mRoute);
+    body = AddMaxTokens(body, limit);
+  }
+  if (!aCall.mTextSoFar.empty())
+    body = AddResumeFrom(body, aCall.mTextSoFar);
+  return std::make_shared<std::string const>(std::move(body));
+}
+
+event_recording
+RecordingFor(call_state const& aCall)
+{
+  bool const mayResume =
+    aCall.mAdmitted.mRoute.mResume == stream_resume::OtherServer &&
+    aCall.mRequest.mKind == call_kind::Completion;
+  return mayResume ? event_recording::Kept : event_recording::Off;
 }
 
 void
@@ -47,7 +62,10 @@
     .mMethod = request.mMethod,
     .mTarget = request.mTarget,
     .mHeaders = request.mHeaders,
-    .mBody = BoundedBody(aCall),
+    .mBody = BodyOf(aCall),
+    .mPosition = aCall.mHasBegun ? answer_position::Continuation
+                                 : answer_position::Start,
+    .mRecording = RecordingFor(aCall),
     .mFirstByteTimeout = aCall.mAdmitted.mRoute.mFirstByteTimeout,
   };
   AddRoutingHeaders(aCall, attempt.mHeaders);
--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -5,26 +5,49 @@
 #include <LibControl/CallState.h>
 #include <LibControl/ControlMessage.h>
 #include <LibControl/ControlPorts.h>
+#include <LibControl/InstanceView.h>
 #include <LibControl/MakeUpstreamRequest.h>
-#include <LibControl/PoolRuntime.h>
+#include <LibControl/PoolTable.h>
 #include <LibControl/RetryDecision.h>
+#include <LibControl/StageRefusals.h>
+#include <LibLimits/FleetBudget.h>
+#include <LibOnce/OnceGate.h>
+#include <LibOnce/PoisonTable.h>
+#include <LibOpenAi/AnswerText.h>
 #include <LibRequest/DecideRoute.h>
 
 #include <cassert>
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace lycheeseam {
 
-/// Takes each call from its arrival to its end: decides, starts attempts,
-/// and answers what no backend server answers. Runs on the control thread.
-template<control_ports Ports, placement_policy Policy>
+/// The machines that a director asks on its calls' way; they outlive it.
+struct director_parts
+{
+  fleet_budget& mBudget;
+  once_gate& mGate;
+  poison_table& mPoison;
+};
+
+/// Takes each call from its arrival to its end: route and key, claim, charge,
+/// queue, placement, attempts, answer. Runs on the control thread.
+///
+/// Whoever feeds the gate or the budget calls Tick afterwards, which takes
+/// their decisions.
+template<control_ports Ports, instance_view View, placement_policy Policy>
 class request_director
 {
 public:
-  request_director(Ports& aPorts, failure_domain aFailureDomain)
+  request_director(Ports& aPorts,
+                   View const& aView,
+                   director_parts aParts,
+                   failure_domain aFailureDomain)
     : mPorts(aPorts)
+    , mView(aView)
+    , mParts(aParts)
     , mFailureDomain(std::move(aFailureDomain))
   {
   }
@@ -33,36 +56,45 @@
   void SetTables(std::shared_ptr<config_tables const> aTables)
   {
     mTables = std::move(aTables);
-    std::erase_if(mPools, [this](auto const& aEntry) {
-      return !mTables->FindPool(aEntry.first);
-    });
-    for (auto const& [name, entry] : mTables->mPools)
-      mPools[name].Update(entry.mRow);
-    for (auto const& [name, entry] : mTables->mWorkspaces) {
-      for (auto& [pool, runtime] : mPools)
-        runtime.Queue().SetWeight(name, entry.mRow.mWeight);
-    }
+    mPools.Update(*mTables);
   }
 
   /// The calls that have no complete answer yet.
   [[nodiscard]] std::size_t OpenCalls() const { return mCalls.size(); }
 
+  /// The pools as this instance runs them.
+  [[nodiscard]] pool_table<Policy>& Pools() noexcept { return mPools; }
+
+  /// Crashes of backend servers to tell all instances, taken once.
+  [[nodiscard]] std::vector<crash_report> TakeCrashReports()
+  {
+    return std::exchange(mCrashes, {});
+  }
+
   /// A caller has sent a request.
   void Handle(call_opened aOpened, instant aNow)
   {
     call_number const number = aOpened.mRequest.mCall;
-    route_decision decision = DecideRoute(*mTables, aOpened.mRequest);
+    if (!mView.Accepts(aNow)) {
+      Answer(number, ShuttingDownRefusal());
+      return;
+    }
+    route_decision decision = Decide(aOpened.mRequest, aNow);
     if (refusal const* const refused = std::get_if<refusal>(&decision)) {
       Answer(number, *refused);
       return;
     }
-    call_state call{ .mRequest = std::move(aOpened.mRequest),
-                     .mAdmitted =
-                       std::get<admitted_route>(std::move(decision)) };
-    call.mChain = ChainOf(call);
-    call.mCharged = CallCost(call.mRequest, call.mAdmitted.mRoute);
-    mCalls.emplace(number, std::move(call));
-    Enqueue(number, aNow);
+    call_state call = MakeCall(std::move(aOpened.mRequest),
+                               std::get<admitted_route>(std::move(decision)));
+    if (mParts.mPoison.IsRefused(aNow, call.mFingerprint)) {
+      Answer(number, PoisonRefusal());
+      return;
+    }
+    auto const [place, isNew] = mCalls.emplace(number, std::move(call));
+    assert(isNew);
+    mNumbers.emplace(place->second.mRequest.mId, number);
+    Claim(place->second, aNow);
+    Tick(aNow);
   }
 
   /// A caller has gone: what it asked for is ended wherever it stands.
@@ -72,16 +104,28 @@
     if (found == mCalls.end())
       return;
     call_state& call = found->second;
-    pool_runtime<Policy>& pool = PoolOf(call);
-    if (call.mPhase == call_phase::Queued)
-      pool.Queue().Cancel(TicketOf(aGone.mCall));
-    if (call.mPhase == call_phase::Running) {
+    // A claimed booking whose caller hung up still runs to its end, since its
+    // repeat needs the outcome.
+    if (call.mPhase == call_phase::Running && IsClaimed(call)) {
+      call.mIsAbandoned = true;
+      return;
+    }
+    bool const wasRunning = call.mPhase == call_phase::Running;
+    if (wasRunning) {
       mPorts.PostUpstream(cancel_transfer{ .mCall = aGone.mCall });
-      pool.OnEnded(call.mServer.mId, attempt_result::Cancelled, aNow);
+      mPools.Of(call).OnEnded(
+        call.mServer.mId, attempt_result::Cancelled, aNow);
     }
-    pool_name const name = call.mAdmitted.mPool.mName;
-    mCalls.erase(found);
-    Pump(name, aNow);
+    if (call.mPhase == call_phase::Queued)
+      mPools.Of(call).Queue().Cancel(TicketOf(aGone.mCall));
+    if (call.mPhase == call_phase::Charging)
+      mParts.mBudget.Cancel(ChargeOf(aGone.mCall));
+    Close(call,
+          request_outcome{ .mVerdict = wasRunning ? verdict::MayHaveRun
+                                                  : verdict::NotRun },
+          wasRunning ? call.mCharged : 0,
+          aNow);
+    Tick(aNow);
   }
 
   /// An attempt has ended.
@@ -91,170 +135,293 @@
     if (found == mCalls.end() || found->second.mAttempt != aEnd.mAttempt)
       return;
     call_state& call = found->second;
-    pool_name const name = call.mAdmitted.mPool.mName;
-    PoolOf(call).OnEnded(call.mServer.mId, ResultOf(aEnd), aNow);
-    if (MayRetry(call, aEnd))
+    mPools.Of(call).OnEnded(call.mServer.mId, ResultOf(aEnd), aNow);
+    NoteCrash(call, aEnd, aNow);
+    if (MayResume(call, aEnd))
+      Resume(call, aEnd, aNow);
+    else if (MayRetry(call, aEnd, aNow))
       Retry(call, aNow);
     else
-      Finish(call, std::move(aEnd));
-    Pump(name, aNow);
+      Finish(call, std::move(aEnd), aNow);
+    Tick(aNow);
   }
 
-  /// Gives up what waited too long; called at NextWake at the latest.
+  /// Takes the decisions that are due in the gate, the budget and the queues.
   void Tick(instant aNow)
   {
-    for (auto& [name, pool] : mPools)
-      PumpPool(pool, aNow);
+    mParts.mGate.Tick(aNow, [this](instance_life const& aLife) {
+      return mView.IsAlive(aLife);
+    });
+    for (once_decision& decision : mParts.mGate.TakeDecisions())
+      OnClaimed(decision, aNow);
+    mParts.mBudget.Tick(aNow);
+    for (charge_decision const& decision : mParts.mBudget.TakeDecisions())
+      OnCharged(decision, aNow);
+    for (pool_runtime<Policy>* const pool : mPools.All())
+      Admit(*pool, aNow);
   }
 
-  /// When Tick has work next, if it has any.
-  [[nodiscard]] std::optional<instant> NextWake() const
+  /// When Tick has work next at the latest, if it has any.
+  [[nodiscard]] std::optional<instant> NextWake(instant aNow) const
   {
-    std::optional<instant> earliest;
-    for (auto const& [name, pool] : mPools) {
-      std::optional<instant> const deadline = pool.Queue().NextDeadline();
-      if (deadline && (!earliest || *deadline < *earliest))
-        earliest = deadline;
-    }
-    return earliest;
+    std::optional<instant> earliest = mPools.NextDeadline();
+    std::optional<instant> const gate = mParts.mGate.NextWake();
+    if (gate && (!earliest || *gate < *earliest))
+      earliest = gate;
+    instant const budget = mParts.mBudget.NextWake(aNow);
+    return earliest ? std::min(*earliest, budget) : budget;
   }
 
 private:
-  using pool = pool_runtime<Policy>;
-
   static ticket TicketOf(call_number aCall) { return ticket{ aCall.Value() }; }
 
-  static call_number CallOf(ticket aTicket)
+  static charge_id ChargeOf(call_number aCall)
   {
-    return call_number{ aTicket.Value() };
+    return charge_id{ aCall.Value() };
+  }
+
+  static attempt_result ResultOf(upstream_end const& aEnd)
+  {
+    if (aEnd.mFailure == transfer_failure::Cancelled)
+      return attempt_result::Cancelled;
+    return aEnd.mFailure == transfer_failure::None ? attempt_result::Answered
+                                                   : attempt_result::Lost;
+  }
+
+  static bool IsClaimed(call_state const& aCall)
+  {
+    return aCall.mRequest.mIdempotencyKey.has_value() &&
+           aCall.mAdmitted.mRoute.mIdempotency == idempotency::NonIdempotent;
+  }
+
+  route_decision Decide(caller_request const& aRequest, instant aNow) const
+  {
+    route_decision decision = DecideRoute(*mTables, aRequest);
+    admitted_route const* const admitted =
+      std::get_if<admitted_route>(&decision);
+    bool const isKeyed =
+      admitted && admitted->mRoute.mAccess == route_access::Keyed;
+    if (isKeyed && mView.Freshness(aNow) == freshness_verdict::CutOff)
+      return NotConfirmedRefusal();
+    return decision;
+  }
+
+  static call_state MakeCall(caller_request aRequest, admitted_route aAdmitted)
+  {
+    call_state call{ .mRequest = std::move(aRequest),
+                     .mAdmitted = std::move(aAdmitted) };
+    call.mCharged = CallCost(call.mRequest, call.mAdmitted.mRoute);
+    call.mChain = ChainOf(call);
+    call.mFingerprint = digest::Of(call.Workspace().Text() + ' ' +
+                                   call.mRequest.mFingerprint.Hex());
+    return call;
   }
 
   static prefix_chain ChainOf(call_state const& aCall)
   {
     if (aCall.mRequest.mKind == call_kind::Plain)
       return {};
-    cache_scope scope{ .mWeights = aCall.mAdmitted.mPool.mWeights };
-    if (aCall.mAdmitted.mWorkspace)
-      scope.mWorkspace = aCall.mAdmitted.mWorkspace->mName;
+    cache_scope const scope{ .mWorkspace = aCall.Workspace(),
+                             .mWeights = aCall.mAdmitted.mPool.mWeights };
     return prefix_chain::OfText(scope, aCall.mRequest.mCompletion.mPrompt);
   }
 
-  static attempt_result ResultOf(upstream_end const& aEnd)
+  void Claim(call_state& aCall, instant aNow)
   {
-    if (aEnd.mFailure == transfer_failure::Cancelled)
-      return attempt_result::Cancelled;
-    return aEnd.mFailure == transfer_failure::None ? attempt_result::Answered
-                                                   : attempt_result::Lost;
+    caller_request const& request = aCall.mRequest;
+    once_request claim{ .mId = request.mId,
+                        .mIdempotency = aCall.mAdmitted.mRoute.mIdempotency,
+                        .mFingerprint = request.mFingerprint,
+                        .mDeadline =
+                          aNow + aCall.mAdmitted.mRoute.mQueueDeadline };
+    if (request.mIdempotencyKey) {
+      claim.mKey = request_key{ .mWorkspace = aCall.Workspace(),
+                                .mKey = *request.mIdempotencyKey };
+    }
+    mParts.mGate.Begin(
+      aNow, claim, mView.Log(aNow), [this](instance_life const& aLife) {
+        return mView.IsAlive(aLife);
+      });
   }
 
-  pool& PoolOf(call_state const& aCall)
+  void OnClaimed(once_decision& aDecision, instant aNow)
   {
-    return mPools[aCall.mAdmitted.mPool.mName];
+    auto const found = mNumbers.find(aDecision.mId);
+    if (found == mNumbers.end()) {
+      // Its caller has gone meanwhile; the claim is given back.
+      mParts.mGate.End(
+        aNow, aDecision.mId, request_outcome{ .mVerdict = verdict::NotRun });
+      return;
+    }
+    call_state& call = mCalls.at(found->second);
+    if (aDecision.mAction == once_action::Run) {
+      Charge(call, aNow);
+      return;
+    }
+    if (aDecision.mAction == once_action::Replay)
+      Replay(call, std::move(*aDecision.mOutcome));
+    else
+      Answer(call.mRequest.mCall, RefusalFor(aDecision.mAction));
+    Forget(call);
   }
 
-  // The workspace under which a call waits; open routes share one flow.
-  static workspace_id FlowOf(call_state const& aCall)
+  void Replay(call_state const& aCall, request_outcome aOutcome)
   {
-    if (!aCall.mAdmitted.mWorkspace)
-      return workspace_id{};
-    return aCall.mAdmitted.mWorkspace->mName;
+    mPorts.PostFront(
+      front_answer{ .mCall = aCall.mRequest.mCall,
+                    .mStatus = aOutcome.mStatus,
+                    .mContentType = std::move(aOutcome.mContentType),
+                    .mBody = std::move(aOutcome.mBody) });
   }
 
-  void Enqueue(call_number aNumber, instant aNow)
+  void Charge(call_state& aCall, instant aNow)
   {
-    call_state& call = mCalls.at(aNumber);
-    route_row const& route = call.mAdmitted.mRoute;
-    enqueue_result const result = PoolOf(call).Queue().Enqueue(
-      admission_request{ .mTicket = TicketOf(aNumber),
-                         .mWorkspace = FlowOf(call),
-                         .mPriority = route.mPriority,
-                         .mCost = call.mCharged,
-                         .mDeadline = aNow + route.mQueueDeadline });
-    if (result != enqueue_result::Queued) {
-      End(aNumber,
-          refusal{ .mCode = refusal_code::Overloaded,
-                   .mMessage = "too many requests wait for this pool",
-                   .mRetryAfter = kRetryAfterOverload });
+    if (!aCall.mAdmitted.mWorkspace) {
+      Enqueue(aCall, aNow);
       return;
     }
-    call.mPhase = call_phase::Queued;
-    Pump(call.mAdmitted.mPool.mName, aNow);
+    aCall.mPhase = call_phase::Charging;
+    mParts.mBudget.Charge(
+      aNow,
+      charge_request{ .mCharge = ChargeOf(aCall.mRequest.mCall),
+                      .mWorkspace = aCall.Workspace(),
+                      .mTokens = aCall.mCharged,
+                      .mDeadline =
+                        aNow + aCall.mAdmitted.mRoute.mQueueDeadline });
   }
 
-  void Pump(pool_name const& aName, instant aNow)
+  void OnCharged(charge_decision const& aDecision, instant aNow)
   {
-    auto const found = mPools.find(aName);
-    if (found != mPools.end())
-      PumpPool(found->second, aNow);
+    auto const found = mCalls.find(call_number{ aDecision.mCharge.Value() });
+    if (found == mCalls.end())
+      return;
+    call_state& call = found->second;
+    if (aDecision.mResult == charge_result::Admitted) {
+      call.mIsCharged = true;
+      Enqueue(call, aNow);
+      return;
+    }
+    Refuse(call, RefusalFor(aDecision.mResult), aNow);
+  }
+
+  void Enqueue(call_state& aCall, instant aNow)
+  {
+    route_row const& route = aCall.mAdmitted.mRoute;
+    aCall.mPhase = call_phase::Queued;
+    enqueue_result const result = mPools.Of(aCall).Queue().Enqueue(
+      admission_request{ .mTicket = TicketOf(aCall.mRequest.mCall),
+                         .mWorkspace = aCall.Workspace(),
+                         .mPriority = route.mPriority,
+                         .mCost = aCall.mCharged,
+                         .mDeadline = aNow + route.mQueueDeadline });
+    if (result != enqueue_result::Queued)
+      Refuse(aCall, OverloadRefusal(), aNow);
   }
 
-  void PumpPool(pool& aPool, instant aNow)
+  void Admit(pool_runtime<Policy>& aPool, instant aNow)
   {
     admission_batch const batch = aPool.Next(aNow);
-    for (ticket const expired : batch.mExpired) {
-      End(CallOf(expired),
-          refusal{ .mCode = refusal_code::QueueDeadline,
-                   .mMessage = "no backend server had room in time",
-                   .mRetryAfter = kRetryAfterOverload });
-    }
+    for (ticket const expired : batch.mExpired)
+      Refuse(CallOf(expired), QueueDeadlineRefusal(), aNow);
     for (ticket const admitted : batch.mAdmitted)
-      Dispatch(mCalls.at(CallOf(admitted)), aNow);
+      Dispatch(CallOf(admitted), aNow);
+  }
+
+  call_state& CallOf(ticket aTicket)
+  {
+    return mCalls.at(call_number{ aTicket.Value() });
   }
 
-  // The key may have been withdrawn, and the pool changed, while the call
-  // waited, so that the tables are asked again.
+  // The key may have been withdrawn, the pool changed, the claim forgotten and
+  // the request found to be poison while the call waited, so that all are
+  // asked again.
   void Dispatch(call_state& aCall, instant aNow)
   {
-    route_decision decision = DecideRoute(*mTables, aCall.mRequest);
+    route_decision decision = Decide(aCall.mRequest, aNow);
     if (refusal const* const refused = std::get_if<refusal>(&decision)) {
-      End(aCall.mRequest.mCall, *refused);
+      Refuse(aCall, *refused, aNow);
       return;
     }
-    std::optional<placement_choice> const choice = Choose(aCall, aNow);
-    if (!choice) {
-      End(aCall.mRequest.mCall,
-          refusal{ .mCode = refusal_code::NoBackendServer,
-                   .mMessage = "no backend server can take the request",
-                   .mRetryAfter = kRetryAfterOverload });
+    if (mParts.mPoison.IsRefused(aNow, aCall.mFingerprint)) {
+      Refuse(aCall, PoisonRefusal(), aNow);
       return;
     }
-    Send(aCall, *choice);
+    if (IsClaimed(aCall) &&
+        !mParts.mGate.MayDispatch(aNow, aCall.mRequest.mId)) {
+      Refuse(aCall, QueueDeadlineRefusal(), aNow);
+      return;
+    }
+    std::optional<placement_choice> const choice =
+      mPools.Of(aCall).Choose(PlacementOf(aCall), aCall.mLost, aNow);
+    if (choice)
+      Send(aCall, *choice);
+    else
+      Refuse(aCall, NoServerRefusal(), aNow);
   }
 
-  std::optional<placement_choice> Choose(call_state const& aCall, instant aNow)
+  placement_request PlacementOf(call_state const& aCall) const
   {
-    placement_request const request{
-      .mBlocks = aCall.mChain.Blocks(),
-      .mRoot = aCall.mChain.Root(),
-      .mPromptTokens = aCall.mChain.Tokens(),
-      .mFailureDomain = mFailureDomain,
-    };
-    return PoolOf(aCall).Choose(request, aCall.mLost, aNow);
+    return placement_request{ .mBlocks = aCall.mChain.Blocks(),
+                              .mRoot = aCall.mChain.Root(),
+                              .mPromptTokens = aCall.mChain.Tokens(),
+                              .mFailureDomain = mFailureDomain };
   }
 
   void Send(call_state& aCall, placement_choice const& aChoice)
   {
-    pool& runtime = PoolOf(aCall);
-    backend_server const* const server = runtime.Find(aChoice.mServer);
+    pool_runtime<Policy>& pool = mPools.Of(aCall);
+    backend_server const* const server = pool.Find(aChoice.mServer);
     assert(server);
     aCall.mServer = *server;
     aCall.mAttempt = aCall.mAttempt.Next();
     aCall.mPhase = call_phase::Running;
-    token_count const uncached =
-      aCall.mChain.Tokens() - aChoice.mExpectedCached;
-    runtime.OnSent(server->mId, uncached);
-    if (aCall.mAttempt.Value() == 1)
-      runtime.Retries().OnRequest();
+    pool.OnSent(server->mId, aCall.mChain.Tokens() - aChoice.mExpectedCached);
+    if (aCall.mAttempt == attempt_number{ 1 })
+      pool.Retries().OnRequest();
     mPorts.PostUpstream(MakeUpstreamRequest(aCall));
   }
 
-  bool MayRetry(call_state& aCall, upstream_end const& aEnd)
+  // A connection that breaks under a model engine is taken for its crash.
+  void NoteCrash(call_state const& aCall,
+                 upstream_end const& aEnd,
+                 instant aNow)
+  {
+    if (aEnd.mFailure != transfer_failure::ConnectionLost)
+      return;
+    crash_report report{ .mServer = { .mServer = aCall.mServer.mId },
+                         .mFingerprints = { aCall.mFingerprint } };
+    mParts.mPoison.OnCrash(aNow, report);
+    mCrashes.push_back(std::move(report));
+  }
+
+  bool MayResume(call_state const& aCall, upstream_end const& aEnd)
+  {
+    bool const isLost = aEnd.mFailure == transfer_failure::ConnectionLost ||
+                        aEnd.mFailure == transfer_failure::Stalled;
+    bool const isOpen = aEnd.mForwardedBytes > 0 && !aCall.mIsAbandoned;
+    return isLost && isOpen && aCall.mLost.empty() &&
+           aCall.mAdmitted.mRoute.mResume == stream_resume::OtherServer &&
+           aCall.mRequest.mKind == call_kind::Completion;
+  }
+
+  void Resume(call_state& aCall, upstream_end const& aEnd, instant aNow)
+  {
+    aCall.mTextSoFar += AnswerText(aEnd.mRecorded);
+    aCall.mHasBegun = true;
+    Retry(aCall, aNow);
+  }
+
+  bool MayRetry(call_state const& aCall,
+                upstream_end const& aEnd,
+                instant aNow)
   {
     retry_decision const decision =
       DecideRetry(aCall.mAdmitted.mRoute, aCall.mAttempt, aEnd);
     if (decision == retry_decision::GiveUp)
       return false;
-    return PoolOf(aCall).Retries().TrySpend();
+    if (mParts.mPoison.IsRefused(aNow, aCall.mFingerprint))
+      return false;
+    return mPools.Of(aCall).Retries().TrySpend();
   }
 
   void Retry(call_state& aCall, instant aNow)
@@ -263,58 +430,91 @@
     Dispatch(aCall, aNow);
   }
 
-  void Finish(call_state& aCall, upstream_end aEnd)
+  void Finish(call_state& aCall, upstream_end aEnd, instant aNow)
   {
     call_number const number = aCall.mRequest.mCall;
-    if (aEnd.mFailure != transfer_failure::None) {
-      End(number, RefusalFor(aEnd));
-      return;
-    }
-    if (aEnd.mForwardedBytes > 0)
+    token_count const used = UsedTokens(aCall, aEnd);
+    request_outcome outcome{ .mVerdict = aEnd.mVerdict,
+                             .mStatus = aEnd.mStatus,
+                             .mContentType = aEnd.mContentType };
+    if (IsClaimed(aCall) && aEnd.mFailure == transfer_failure::None)
+      outcome.mBody = aEnd.mBody;
+    if (aEnd.mFailure != transfer_failure::None)
+      Answer(number, RefusalFor(aEnd));
+    else if (aEnd.mForwardedBytes > 0 || aCall.mHasBegun)
       mPorts.PostFront(front_end{ .mCall = number });
     else
       PassOn(std::move(aEnd));
-    mCalls.erase(number);
+    Close(aCall, std::move(outcome), used, aNow);
   }
 
-  static refusal RefusalFor(upstream_end const& aEnd)
+  // What is settled for a call: the engine's own count where it gave one.
+  static token_count UsedTokens(call_state const& aCall,
+                                upstream_end const& aEnd)
   {
-    bool const isTimeout = aEnd.mFailure == transfer_failure::FirstByteTimeout;
-    return refusal{ .mCode = isTimeout ? refusal_code::BackendTimeout
-                                       : refusal_code::BackendFailed,
-                    .mVerdict = aEnd.mVerdict,
-                    .mMessage = "the backend server gave no complete answer" };
+    if (aEnd.mVerdict == verdict::NotRun)
+      return 0;
+    if (aEnd.mUsage)
+      return aEnd.mUsage->mPrompt + aEnd.mUsage->mCompletion;
+    return aCall.mCharged;
   }
 
-  // Ends a call with an error.
-  void End(call_number aCall, refusal aRefusal)
+  void PassOn(upstream_end aEnd)
   {
-    Answer(aCall, std::move(aRefusal));
-    mCalls.erase(aCall);
+    mPorts.PostFront(front_answer{ .mCall = aEnd.mCall,
+                                   .mStatus = aEnd.mStatus,
+                                   .mContentType = std::move(aEnd.mContentType),
+                                   .mBody = std::move(aEnd.mBody) });
   }
 
-  void Answer(call_number aCall, refusal aRefusal)
+  // Ends a call with an error; what ran before on other servers may have run.
+  void Refuse(call_state& aCall, refusal aRefusal, instant aNow)
   {
-    mPorts.PostFront(
-      front_refusal{ .mCall = aCall, .mRefusal = std::move(aRefusal) });
+    bool const wasSent = aCall.mAttempt.Value() > 0;
+    if (wasSent)
+      aRefusal.mVerdict = verdict::MayHaveRun;
+    Answer(aCall.mRequest.mCall, aRefusal);
+    Close(aCall,
+          request_outcome{ .mVerdict = aRefusal.mVerdict },
+          wasSent ? aCall.mCharged : 0,
+          aNow);
   }
 
-  void PassOn(upstream_end aEnd)
+  // Settles what a call holds and forgets it.
+  void Close(call_state& aCall,
+             request_outcome aOutcome,
+             token_count aUsed,
+             instant aNow)
   {
-    mPorts.PostFront(front_answer{ .mCall = aEnd.mCall,
-                                   .mStatus = aEnd.mStatus,
-                                   .mContentType = std::move(aEnd.mContentType),
-                                   .mBody = std::move(aEnd.mBody) });
+    mParts.mGate.End(aNow, aCall.mRequest.mId, std::move(aOutcome));
+    if (aCall.mIsCharged)
+      mParts.mBudget.Settle(ChargeOf(aCall.mRequest.mCall), aUsed);
+    Forget(aCall);
   }
 
-  static constexpr std::chrono::seconds kRetryAfterOverload{ 1 };
+  void Forget(call_state const& aCall)
+  {
+    call_number const number = aCall.mRequest.mCall;
+    mNumbers.erase(aCall.mRequest.mId);
+    mCalls.erase(number);
+  }
+
+  void Answer(call_number aCall, refusal aRefusal)
+  {
+    mPorts.PostFront(
+      front_refusal{ .mCall = aCall, .mRefusal = std::move(aRefusal) });
+  }
 
   Ports& mPorts;
+  View const& mView;
+  director_parts mParts;
   failure_domain mFailureDomain;
   std::shared_ptr<config_tables const> mTables =
     std::make_shared<config_tables const>();
-  std::map<pool_name, pool> mPools;
+  pool_table<Policy> mPools;
   std::unordered_map<call_number, call_state> mCalls;
+  std::unordered_map<request_id, call_number> mNumbers;
+  std::vector<crash_report> mCrashes;
 };
 
 }
--- a/Libraries/LibFront/DecodeCall.cpp
+++ b/Libraries/LibFront/DecodeCall.cpp
@@ -69,6 +69,13 @@
   return path == "/v1/chat/completions" || path == "/v1/completions";
 }
 
+digest
+FingerprintOf(caller_request const& aCall)
+{
+  digest const body = digest::Of(*aCall.mBody);
+  return digest::Of(aCall.mMethod + ' ' + aCall.mTarget + ' ' + body.Hex());
+}
+
 caller_request
 Decode(Request const& aRequest, call_number aCall, request_id const& aId)
 {
@@ -84,6 +91,7 @@
     .mTraceparent = HeaderValue(aRequest, "traceparent"),
     .mArrival = system_clock{}.Now(),
   };
+  call.mFingerprint = FingerprintOf(call);
   if (!IsCompletion(aRequest))
     return call;
   if (aRequest.method() != Pistache::Http::Method::Post)
--- a/Libraries/LibOnce/ClaimFold.cpp
+++ b/Libraries/LibOnce/ClaimFold.cpp
@@ -1,6 +1,8 @@
 #include <LibOnce/ClaimFold.h>
 #include <LibRecords/LogFold.h>
 
+#include <algorithm>
+
 namespace lycheeseam {
 
 static_assert(log_fold<claim_fold>);
@@ -29,6 +31,41 @@
       ApplyOutcome(aEntry.mOffset, OwnerOf(*ended), outcome);
 }
 
+claim_state
+claim_fold::State() const
+{
+  claim_state state;
+  for (auto const& [key, entry] : mClaims)
+    state.mClaims.push_back({ .mKey = key, .mEntry = entry });
+  for (aged_release const& release : mReleaseAges) {
+    state.mReleases.push_back(
+      { .mOffset = release.mOffset, .mClaim = release.mClaim });
+  }
+  return state;
+}
+
+void
+claim_fold::Restore(claim_state const& aState)
+{
+  *this = claim_fold{ mWindow };
+  for (kept_claim const& kept : aState.mClaims) {
+    claim_entry const& entry = kept.mEntry;
+    mClaims.emplace(kept.mKey, entry);
+    mClaimAges.push_back({ .mOffset = entry.mOffset, .mKey = kept.mKey });
+    if (!entry.mOutcome || entry.mOutcome->mBody.empty())
+      continue;
+    mBodyBytes += entry.mOutcome->mBody.size();
+    mBodyAges.push_back({ .mOffset = entry.mOffset, .mKey = kept.mKey });
+  }
+  // The state is in order of keys; what is forgotten first comes first.
+  std::ranges::sort(mClaimAges, {}, &aged_key::mOffset);
+  std::ranges::sort(mBodyAges, {}, &aged_key::mOffset);
+  for (kept_release const& kept : aState.mReleases) {
+    mReleased.insert(kept.mClaim);
+    mReleaseAges.push_back({ .mOffset = kept.mOffset, .mClaim = kept.mClaim });
+  }
+}
+
 claim_entry const*
 claim_fold::Find(request_key const& aKey) const
 {
--- a/Libraries/LibOnce/ClaimFold.h
+++ b/Libraries/LibOnce/ClaimFold.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibOnce/ClaimEntry.h>
+#include <LibOnce/ClaimState.h>
 #include <LibOnce/ClaimWindow.h>
 #include <LibRecords/LogEntry.h>
 
@@ -24,6 +25,12 @@
   /// Takes the next entry in log order.
   void Apply(log_entry const& aEntry);
 
+  /// Everything that the fold knows.
+  [[nodiscard]] claim_state State() const;
+
+  /// Goes on from a checkpoint or a peer's snapshot.
+  void Restore(claim_state const& aState);
+
   /// The claim that has the right, or null.
   [[nodiscard]] claim_entry const* Find(request_key const& aKey) const;
 
--- /dev/null
+++ b/Libraries/LibOnce/ClaimState.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibOnce/ClaimEntry.h>
+#include <LibRecords/RequestKey.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// A remembered claim with the request that it is for.
+struct kept_claim
+{
+  request_key mKey;
+  claim_entry mEntry;
+
+  bool operator==(kept_claim const&) const = default;
+};
+
+/// A claim that was released, with the offset of its release.
+struct kept_release
+{
+  log_offset mOffset;
+  claim_identity mClaim;
+
+  bool operator==(kept_release const&) const = default;
+};
+
+/// Everything that the fold of claims knows, for checkpoints and snapshots.
+struct claim_state
+{
+  std::vector<kept_claim> mClaims;
+  std::vector<kept_release> mReleases;
+
+  bool operator==(claim_state const&) const = default;
+};
+
+}
--- a/Libraries/LibOnce/OnceGate.h
+++ b/Libraries/LibOnce/OnceGate.h
@@ -31,6 +31,9 @@
   /// Folds the next entry of the log.
   void OnEntry(log_entry const& aEntry);
 
+  /// Goes on from a checkpoint or a peer's snapshot.
+  void Restore(claim_state const& aState) { mFold.Restore(aState); }
+
   /// Decides what the entries and the time have settled.
   template<owner_liveness Liveness>
   void Tick(instant aNow, Liveness const& aIsAlive);
--- a/Libraries/LibRequest/CallerRequest.h
+++ b/Libraries/LibRequest/CallerRequest.h
@@ -28,6 +28,8 @@
   /// The headers that may go on, chosen by an allow list.
   std::vector<header_field> mHeaders;
   std::shared_ptr<std::string const> mBody;
+  /// Of method, target and body.
+  digest mFingerprint;
   std::optional<digest> mKey;
   std::optional<idempotency_key> mIdempotencyKey;
   /// W3C trace context as it came; empty when there was none.
--- /dev/null
+++ b/Libraries/LibRouter/InstanceStatus.cpp
@@ -0,0 +1,74 @@
+#include <LibRouter/InstanceStatus.h>
+
+namespace lycheeseam {
+
+namespace {
+
+member
+SelfAsMember(daemon_settings const& aSettings, instance_life const& aSelf)
+{
+  return member{ .mLife = aSelf,
+                 .mFailureDomain = aSettings.mFailureDomain,
+                 .mCallers = aSettings.mAdvertise.mCallers,
+                 .mPeers = aSettings.mAdvertise.mPeers };
+}
+
+}
+
+instance_status::instance_status(daemon_settings const& aSettings,
+                                 instance_life aSelf,
+                                 instant aNow)
+  : mSelf(std::move(aSelf))
+  , mLogBound(aSettings.mTimeouts.mLogPollWait +
+              aSettings.mHeartbeat.mFreshnessBound)
+  , mMembers(SelfAsMember(aSettings, mSelf), {})
+  , mFreshness(mSelf.mInstance,
+               { .mBound = aSettings.mHeartbeat.mFreshnessBound },
+               aNow)
+  , mDrain({ .mAddressTtl = aSettings.mTimeouts.mAddressTtl,
+             .mFinish = aSettings.mTimeouts.mShutdown })
+{
+}
+
+freshness_verdict
+instance_status::Freshness(instant aNow) const
+{
+  return mFreshness.Assess(aNow, mMembers.Members(), mLinked);
+}
+
+log_state
+instance_status::Log(instant aNow) const
+{
+  bool const isRecent = mTailReadAt && aNow - *mTailReadAt <= mLogBound;
+  return isRecent ? log_state::Reachable : log_state::Out;
+}
+
+bool
+instance_status::Accepts(instant aNow) const
+{
+  return mDrain.Accepts(aNow);
+}
+
+bool
+instance_status::IsAlive(instance_life const& aLife) const
+{
+  std::optional<instance_life> const newest =
+    mMembers.LifeOf(aLife.mInstance);
+  return newest && newest->mIncarnation <= aLife.mIncarnation;
+}
+
+void
+instance_status::OnTailRead(log_offset aTail, instant aSentAt)
+{
+  mTailReadAt = aSentAt;
+  mFreshness.OnApplied(aTail);
+  mFreshness.OnTailRead(aTail, aSentAt);
+}
+
+void
+instance_status::SetLinked(std::vector<instance_id> aLinked)
+{
+  mLinked = std::move(aLinked);
+}
+
+}
--- a/Libraries/LibRouter/Router.h
+++ b/Libraries/LibRouter/Router.h
@@ -24,8 +24,13 @@
   router& operator=(router const&) = delete;
   ~router();
 
+  /// Begins a planned stop: takes no new callers, finishes what is open, and
+  /// returns when nothing is open any more or the settings' bound has passed.
+  void Drain();
+
 private:
   daemon_settings mSettings;
+  instance_life mSelf;
   published<config_tables> mTables;
   published<std::string> mInstancesBody;
   control_thread mControl;
--- a/Libraries/LibUpstream/Transfer.cpp
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -18,6 +18,9 @@
 // control may retry elsewhere; it is never passed on in pieces.
 constexpr std::uint16_t kFirstErrorStatus = 500;
 
+// What ends an event of an event stream.
+constexpr std::string_view kEventEnd = "\n\n";
+
 }
 
 transfer::transfer(upstream_request aRequest,
@@ -144,22 +147,43 @@
   if (mForwarding != forwarding::PassedOn || mHeadTaken)
     return std::nullopt;
   mHeadTaken = true;
+  if (mRequest.mPosition == answer_position::Continuation)
+    return std::nullopt;
   return upstream_head{ .mCall = mRequest.mCall,
                         .mAttempt = mRequest.mAttempt,
                         .mStatus = Status(),
                         .mContentType = ContentType() };
 }
 
+// Of an event stream only whole events are passed on: when its backend server
+// is lost, another one can go on behind the last of them.
+std::size_t
+transfer::PassableBytes() const
+{
+  if (!mIsEventStream)
+    return mBytes.size();
+  std::size_t const end = mBytes.rfind(kEventEnd);
+  return end == std::string::npos ? 0 : end + kEventEnd.size();
+}
+
 std::optional<upstream_piece>
 transfer::TakePiece()
 {
   mIsListed = false;
-  if (mForwarding != forwarding::PassedOn || mBytes.empty())
+  std::size_t const passable = PassableBytes();
+  if (mForwarding != forwarding::PassedOn || passable == 0)
     return std::nullopt;
-  mForwardedBytes += mBytes.size();
   upstream_piece piece{ .mCall = mRequest.mCall,
                         .mAttempt = mRequest.mAttempt };
-  piece.mBytes.swap(mBytes);
+  if (passable == mBytes.size()) {
+    piece.mBytes.swap(mBytes);
+  } else {
+    piece.mBytes = mBytes.substr(0, passable);
+    mBytes.erase(0, passable);
+  }
+  mForwardedBytes += passable;
+  if (mRequest.mRecording == event_recording::Kept)
+    mRecorded += piece.mBytes;
   return piece;
 }
 
@@ -215,6 +239,7 @@
                     .mBody = std::move(mBytes),
                     .mForwardedBytes = mForwardedBytes,
                     .mForwardedEvents = mScan.Events(),
+                    .mRecorded = std::move(mRecorded),
                     .mUsage = mScan.Usage(),
                     .mFirstByte = mFirstByte,
                     .mEnd = aNow };
--- a/Libraries/LibUpstream/Transfer.h
+++ b/Libraries/LibUpstream/Transfer.h
@@ -85,6 +85,7 @@
                              void* aTransfer);
   void Receive(std::string_view aBytes);
   void DecideForwarding();
+  [[nodiscard]] std::size_t PassableBytes() const;
   void SetMethod();
   void SetHeaders();
   void SetConnection();
@@ -105,6 +106,7 @@
   bool mIsEventStream = false;
   event_stream_scan mScan;
   std::string mBytes;
+  std::string mRecorded;
   std::uint64_t mForwardedBytes = 0;
 };
 
--- a/Libraries/LibUpstream/UpstreamEnd.h
+++ b/Libraries/LibUpstream/UpstreamEnd.h
@@ -30,6 +30,8 @@
   std::uint64_t mForwardedBytes = 0;
   /// Events of an event stream already passed on.
   std::uint64_t mForwardedEvents = 0;
+  /// The events passed on, when the attempt was to keep them.
+  std::string mRecorded;
   std::optional<token_usage> mUsage;
   /// When the answer's first byte came; nothing when none did.
   std::optional<instant> mFirstByte;
--- a/Libraries/LibUpstream/UpstreamRequest.h
+++ b/Libraries/LibUpstream/UpstreamRequest.h
@@ -12,6 +12,22 @@
 
 namespace lycheeseam {
 
+/// Whether an attempt begins its call's answer or goes on with one whose
+/// backend server was lost.
+enum class answer_position
+{
+  Start,
+  Continuation,
+};
+
+/// Whether the events passed on are kept, so that another backend server can
+/// go on behind them.
+enum class event_recording
+{
+  Off,
+  Kept,
+};
+
 /// One attempt of a call at one backend server.
 struct upstream_request
 {
@@ -22,6 +38,8 @@
   std::string mTarget;
   std::vector<header_field> mHeaders;
   std::shared_ptr<std::string const> mBody;
+  answer_position mPosition = answer_position::Start;
+  event_recording mRecording = event_recording::Off;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   std::chrono::milliseconds mFirstByteTimeout{ 30000 };
 };
--- a/Services/lycheeseamd/Main.cpp
+++ b/Services/lycheeseamd/Main.cpp
@@ -34,9 +34,10 @@
 Run(daemon_settings aSettings)
 {
   sigset_t const signals = BlockStopSignals();
-  router const running{ std::move(aSettings) };
+  router running{ std::move(aSettings) };
   int signal = 0;
   sigwait(&signals, &signal);
+  running.Drain();
   return exit_code::Success;
 }
 
