--- a/Libraries/LibLimits/HomeStanding.cpp
+++ b/Libraries/LibLimits/HomeStanding.cpp
@@ -16,7 +16,10 @@
 home_standing::OnTailRead(instant aReadAt)
 {
   mEverRead = true;
-  mHoldsUntil = std::max(mHoldsUntil, aReadAt + mTiming.mConfirmBound);
+  mReadUntil = std::max(mReadUntil, aReadAt + mTiming.mConfirmBound);
+  // Contact that began only after the read proves nothing about the time
+  // before it: former silence may by then have been testified to.
+  mIsChained = mContactSince <= aReadAt && aReadAt <= mContactUntil;
 }
 
 void
@@ -32,12 +35,14 @@
     instant& contact = mContacts[slot];
     contact = std::max(contact, aWord.mProbeSentAt);
   }
-  // A contact that comes after the permission ran out doesn't mend the break:
-  // a slot may have been claimed anew in between, and only the log can tell.
-  if (aNow > mHoldsUntil)
-    return;
-  instant const contactUntil = MajorityContactAt() + mTiming.mConfirmBound;
-  mHoldsUntil = std::max(mHoldsUntil, contactUntil);
+  instant const contactAt = MajorityContactAt();
+  bool const isBroken = aNow > mContactUntil;
+  if (isBroken) {
+    // A slot may have been claimed anew in between; only the log can tell.
+    mIsChained = false;
+    mContactSince = aNow;
+  }
+  mContactUntil = std::max(mContactUntil, contactAt + mTiming.mConfirmBound);
 }
 
 giving_permission
@@ -45,7 +50,9 @@
 {
   // Without a vote of the slots held here no majority can form elsewhere.
   bool const isMajority = mOwnSlots.size() >= Majority();
-  bool const holds = mEverRead && (isMajority || aNow <= mHoldsUntil);
+  bool const isInTouch = mIsChained && aNow <= mContactUntil;
+  bool const holds =
+    mEverRead && (isMajority || isInTouch || aNow <= mReadUntil);
   return holds ? giving_permission::Granted : giving_permission::Withheld;
 }
 
@@ -60,7 +67,7 @@
 {
   // Own slots are always in touch; the others must make up the rest.
   if (mOwnSlots.size() >= Majority())
-    return mHoldsUntil;
+    return {};
   std::size_t const others = Majority() - mOwnSlots.size();
   std::vector<instant> contacts;
   for (auto const& [slot, contact] : mContacts) {
--- a/Libraries/LibLimits/HomeStanding.h
+++ b/Libraries/LibLimits/HomeStanding.h
@@ -44,8 +44,14 @@
   slot_layout mLayout;
   budget_timing mTiming;
   bool mEverRead = false;
-  /// Lending is allowed up to here.
-  instant mHoldsUntil;
+  /// The last read allows lending up to here.
+  instant mReadUntil;
+  /// A majority has been in touch from mContactSince to mContactUntil without
+  /// a break.
+  instant mContactSince;
+  instant mContactUntil;
+  /// The contact has not broken since a read of the tail.
+  bool mIsChained = false;
   std::set<slot_id> mOwnSlots;
   /// When the probe was sent that each slot's holder answered last.
   std::map<slot_id, instant> mContacts;
