--- /dev/null
+++ b/Libraries/LibOrders/LeaseFold.cpp
@@ -0,0 +1,35 @@
+#include <LibOrders/LeaseFold.h>
+#include <LibRecords/LogFold.h>
+
+namespace lycheeseam {
+
+static_assert(log_fold<lease_fold>);
+
+void
+lease_fold::Apply(log_entry const& aEntry)
+{
+  auto const* grant = std::get_if<lease_grant>(&aEntry.mRecord);
+  if (grant == nullptr || aEntry.mOffset > grant->mOrigin.mLastOffset)
+    return;
+  lease const* const current = Find(grant->mPool);
+  log_offset const standing =
+    current == nullptr ? log_offset{} : current->mGrant;
+  // Of several candidates that saw the same grant, the first wins.
+  if (grant->mBase != standing)
+    return;
+  mLeases[grant->mPool] = { .mHolder = { .mInstance = grant->mOrigin.mInstance,
+                                         .mIncarnation =
+                                           grant->mOrigin.mIncarnation },
+                            .mProposal = grant->mOrigin.mProposal,
+                            .mGrant = aEntry.mOffset,
+                            .mTerm = grant->mTerm };
+}
+
+lease const*
+lease_fold::Find(pool_name const& aPool) const
+{
+  auto const found = mLeases.find(aPool);
+  return found == mLeases.end() ? nullptr : &found->second;
+}
+
+}
--- a/Tests/LibOnce/TestPoison.cpp
+++ b/Tests/LibOnce/TestPoison.cpp
@@ -262,10 +262,10 @@
     crashed.mUpAt = mNow + Time(200, 600);
     // Each instance comes to see the server's new life.
     Broadcast({ .mServer = life });
-    for (auto const& [id, run] : lost)
-      Later([this, id, run]() {
+    for (auto const& entry : lost)
+      Later([this, run = entry.second]() {
         if (mMembers[run.mMember].mLife == run.mLife)
-          mMembers[run.mMember].mGuard.End(id, run_result::Crashed);
+          mMembers[run.mMember].mGuard.End(run.mRequest, run_result::Crashed);
       });
   }
 
