--- a/StandIns/Engine/EngineApi.cpp
+++ b/StandIns/Engine/EngineApi.cpp
@@ -1,7 +1,7 @@
 #include <LibCore/InvalidInput.h>
 
 #include <StandIns/Engine/EngineApi.h>
-#include <StandIns/Engine/EngineJson.h>
+#include <StandIns/Engine/RespondJson.h>
 
 #include <charconv>
 #include <chrono>
@@ -24,30 +24,6 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(now).count()) };
 }
 
-void
-RespondError(http_exchange& aExchange,
-             status aStatus,
-             std::string_view aCode,
-             std::string_view aMessage)
-{
-  json const error{ { "code", aCode }, { "message", aMessage } };
-  aExchange.Respond(aStatus, json{ { "error", error } }.dump());
-}
-
-void
-RespondOk(http_exchange& aExchange, json const& aBody)
-{
-  aExchange.Respond(status::ok, aBody.dump());
-}
-
-std::uint64_t
-NumberIn(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  return value;
-}
-
 }
 
 engine_api::engine_api(boost::asio::io_context& aContext,
@@ -136,79 +112,6 @@
   mGenerator.Start(request, mDesk.Version(), aExchange);
 }
 
-void
-engine_api::TellLoad(exchange const& aExchange)
-{
-  json load = LoadToJson(mGenerator.Load().Read(system_clock{}.Now()));
-  load["id"] = mOptions.mId.Text();
-  load["incarnation"] = mIncarnation.Value();
-  load["max_batch"] = mOptions.mSpeed.mMaxBatch;
-  load["cache_blocks"] = mOptions.mSpeed.mCacheBlocks;
-  load["tokens_per_second"] = mOptions.mSpeed.mTokensPerSecond;
-  load["prefill_tokens_per_second"] = mOptions.mSpeed.mPrefillTokensPerSecond;
-  load["model"] = mDesk.Model().Text();
-  load["version"] = mDesk.Version().Text();
-  load["adapters"] = mDesk.Adapters();
-  load["role"] = mDesk.Role();
-  load["is_loading"] = mIsLoading;
-  RespondOk(*aExchange, load);
-}
-
-void
-engine_api::TellEvents(exchange const& aExchange)
-{
-  event_sequence const from{ NumberIn(
-    QueryValue(aExchange->Request(), "from")) };
-  instant const now = system_clock{}.Now();
-  cache_event_log const& events = mGenerator.Events();
-  RespondOk(*aExchange,
-            { { "incarnation", mIncarnation.Value() },
-              { "version", mDesk.Version().Text() },
-              { "earliest", events.Earliest().Value() },
-              { "next", events.NextVisible(now).Value() },
-              { "events", EventsToJson(events.From(from, now)) } });
-}
-
-void
-engine_api::TakeOrder(exchange const& aExchange)
-{
-  engine_order const order = ParseOrder(aExchange->Request().body());
-  if (mDesk.Check(order) == order_answer::StaleFencing) {
-    json const error{ { "code", "stale_fencing" },
-                      { "newest", mDesk.Newest().Value() } };
-    aExchange->Respond(status::conflict, json{ { "error", error } }.dump());
-    return;
-  }
-  if (order.mKind != engine_order_kind::LoadWeights)
-    return CarryOut(order, aExchange);
-  mIsLoading = true;
-  mLoading.expires_after(mOptions.mWeightLoadTime);
-  mLoading.async_wait(
-    [this, order, aExchange](boost::system::error_code aError) {
-      // A later load has taken this one's place.
-      if (aError)
-        return RespondError(
-          *aExchange, status::conflict, "superseded", "a newer load began");
-      mIsLoading = false;
-      mGenerator.ClearCache();
-      CarryOut(order, aExchange);
-    });
-}
-
-void
-engine_api::CarryOut(engine_order const& aOrder, exchange const& aExchange)
-{
-  mDesk.Complete(aOrder);
-  if (aOrder.mKind == engine_order_kind::UnloadWeights)
-    mGenerator.ClearCache();
-  RespondOk(*aExchange,
-            { { "model", mDesk.Model().Text() },
-              { "version", mDesk.Version().Text() },
-              { "role", mDesk.Role() },
-              { "adapters", mDesk.Adapters() },
-              { "incarnation", mIncarnation.Value() } });
-}
-
 void
 engine_api::Cancel(exchange const& aExchange)
 {
@@ -217,42 +120,6 @@
   RespondOk(*aExchange, { { "cancelled", mGenerator.Cancel(id) } });
 }
 
-void
-engine_api::ExportBlocks(exchange const& aExchange)
-{
-  json const body = json::parse(aExchange->Request().body());
-  std::vector<block_hash> held = BlocksFromJson(body.at("blocks"));
-  std::erase_if(held, [this](block_hash aBlock) {
-    return !mGenerator.Cache().Contains(aBlock);
-  });
-  RespondOk(*aExchange,
-            { { "incarnation", mIncarnation.Value() },
-              { "version", mDesk.Version().Text() },
-              { "blocks", BlocksToJson(held) } });
-}
-
-void
-engine_api::ImportBlocks(exchange const& aExchange)
-{
-  json const body = json::parse(aExchange->Request().body());
-  if (body.at("version").get<std::string>() != mDesk.Version().Text())
-    return RespondError(*aExchange,
-                        status::conflict,
-                        "other_weights",
-                        "the blocks belong to other weights");
-  mGenerator.Import(BlocksFromJson(body.at("blocks")));
-  RespondOk(*aExchange, { { "incarnation", mIncarnation.Value() } });
-}
-
-void
-engine_api::TellCounts(exchange const& aExchange)
-{
-  json counts = CountsToJson(mGenerator.Counts());
-  counts["stale_orders_accepted"] = mDesk.StaleAccepted();
-  counts["incarnation"] = mIncarnation.Value();
-  RespondOk(*aExchange, counts);
-}
-
 void
 engine_api::TakeControl(exchange const& aExchange)
 {
--- /dev/null
+++ b/StandIns/Engine/EngineOrders.cpp
@@ -0,0 +1,77 @@
+#include <StandIns/Engine/EngineApi.h>
+#include <StandIns/Engine/EngineJson.h>
+#include <StandIns/Engine/RespondJson.h>
+
+namespace lycheeseam::standin {
+
+using boost::beast::http::status;
+using nlohmann::json;
+
+void
+engine_api::TakeOrder(exchange const& aExchange)
+{
+  engine_order const order = ParseOrder(aExchange->Request().body());
+  if (mDesk.Check(order) == order_answer::StaleFencing) {
+    json const error{ { "code", "stale_fencing" },
+                      { "newest", mDesk.Newest().Value() } };
+    aExchange->Respond(status::conflict, json{ { "error", error } }.dump());
+    return;
+  }
+  if (order.mKind != engine_order_kind::LoadWeights)
+    return CarryOut(order, aExchange);
+  mIsLoading = true;
+  mLoading.expires_after(mOptions.mWeightLoadTime);
+  mLoading.async_wait(
+    [this, order, aExchange](boost::system::error_code aError) {
+      // A later load has taken this one's place.
+      if (aError)
+        return RespondError(
+          *aExchange, status::conflict, "superseded", "a newer load began");
+      mIsLoading = false;
+      mGenerator.ClearCache();
+      CarryOut(order, aExchange);
+    });
+}
+
+void
+engine_api::CarryOut(engine_order const& aOrder, exchange const& aExchange)
+{
+  mDesk.Complete(aOrder);
+  if (aOrder.mKind == engine_order_kind::UnloadWeights)
+    mGenerator.ClearCache();
+  RespondOk(*aExchange,
+            { { "model", mDesk.Model().Text() },
+              { "version", mDesk.Version().Text() },
+              { "role", mDesk.Role() },
+              { "adapters", mDesk.Adapters() },
+              { "incarnation", mIncarnation.Value() } });
+}
+
+void
+engine_api::ExportBlocks(exchange const& aExchange)
+{
+  json const body = json::parse(aExchange->Request().body());
+  std::vector<block_hash> held = BlocksFromJson(body.at("blocks"));
+  std::erase_if(held, [this](block_hash aBlock) {
+    return !mGenerator.Cache().Contains(aBlock);
+  });
+  RespondOk(*aExchange,
+            { { "incarnation", mIncarnation.Value() },
+              { "version", mDesk.Version().Text() },
+              { "blocks", BlocksToJson(held) } });
+}
+
+void
+engine_api::ImportBlocks(exchange const& aExchange)
+{
+  json const body = json::parse(aExchange->Request().body());
+  if (body.at("version").get<std::string>() != mDesk.Version().Text())
+    return RespondError(*aExchange,
+                        status::conflict,
+                        "other_weights",
+                        "the blocks belong to other weights");
+  mGenerator.Import(BlocksFromJson(body.at("blocks")));
+  RespondOk(*aExchange, { { "incarnation", mIncarnation.Value() } });
+}
+
+}
--- /dev/null
+++ b/StandIns/Engine/RespondJson.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <StandIns/Http/HttpExchange.h>
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+
+namespace lycheeseam::standin {
+
+/// Answers with a status and an error's code and message.
+void
+RespondError(http_exchange& aExchange,
+             boost::beast::http::status aStatus,
+             std::string_view aCode,
+             std::string_view aMessage);
+
+/// Answers 200 with a body.
+void
+RespondOk(http_exchange& aExchange, nlohmann::json const& aBody);
+
+}
