LibRouter, LibLimits: Let knowledge travel on busy links and share slots at the start

Cause: a link kept busy by budget messages carried no heartbeat, so that peers never confirmed each other in a log outage; the first instance to start claimed every budget slot, so that its loss left no rate for eight seconds; and a read of the tail that waited for a second proved nothing any more when it came back. Change: heartbeats go out on each link at their interval; free slots are claimed a second after the first list, by rank; tail reads wait for 250 ms.

--- a/Libraries/LibLimits/SlotTakeover.cpp
+++ b/Libraries/LibLimits/SlotTakeover.cpp
@@ -78,7 +78,7 @@
     static_cast<int>(Rank(aSlot, aSlots)) * mTiming.mRankDelay;
   slot_holder const* const holder = aSlots.Find(aSlot);
   if (holder == nullptr)
-    return aNow >= mStartedAt + rankDelay;
+    return aNow >= mStartedAt + mTiming.mFirstClaim + rankDelay;
   // An earlier life of this instance is surely over.
   if (holder->mInstance == mSelf.mInstance)
     return holder->mIncarnation < mSelf.mIncarnation;
--- a/Libraries/LibLimits/TakeoverTiming.h
+++ b/Libraries/LibLimits/TakeoverTiming.h
@@ -11,6 +11,10 @@
 {
   /// How long the holder must be off the platform's list.
   duration mAbsence = std::chrono::seconds{ 5 };
+  /// How long an instance that first saw the list waits until it claims free
+  /// slots: a fleet that starts as one shares them out, and the failure of one
+  /// instance then costs its own part of the rate alone.
+  duration mFirstClaim = std::chrono::seconds{ 1 };
   /// How long an instance without a slot waits, from when it first saw the
   /// list, until it takes one from a holder of several.
   duration mRebalanceAfter = std::chrono::seconds{ 15 };
--- a/Libraries/LibPeer/PeerHub.h
+++ b/Libraries/LibPeer/PeerHub.h
@@ -62,6 +62,10 @@
   /// Queues a message to every peer with a link, encoded once.
   void Broadcast(peer_message const& aMessage);
 
+  /// Sends a heartbeat on every link: links that are busy with other traffic
+  /// carry none by themselves, and what heartbeats tell has to travel.
+  void SendHeartbeats();
+
   /// Closes all links and accepts none; the handler hears of each.
   void Stop();
 
--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -305,6 +305,23 @@
   SendFrame(aLink, EncodePeerMessage(beat));
 }
 
+template<typename Handler, link_supervisor Supervisor, clock_source Clock>
+void
+peer_hub<Handler, Supervisor, Clock>::SendHeartbeats()
+{
+  // A send may close its link, so the links are gathered first.
+  std::vector<link_number> up;
+  for (auto const& [number, state] : mLinks) {
+    if (state.mPeer)
+      up.push_back(number);
+  }
+  for (link_number const number : up) {
+    auto const found = mLinks.find(number);
+    if (found != mLinks.end())
+      SendHeartbeat(number, found->second, heartbeat_answer::NotWanted);
+  }
+}
+
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
 peer_hub<Handler, Supervisor, Clock>::CloseLink(link_number aLink,
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -73,6 +73,7 @@
   void SendBudgetMessages(instant aNow);
   void AppendRecords(instant aNow);
   void BroadcastCrashes();
+  void SendHeartbeats(instant aNow);
   void ArmTimer();
   void PublishTables();
   void PublishInstances();
@@ -119,6 +120,7 @@
   row_version mPublished;
   instant mNextTick{};
   instant mNextList{};
+  instant mNextHeartbeat{};
   bool mIsPumping = false;
   std::function<void()> mOnDrained;
 };
--- a/Libraries/LibRouter/ControlCorePeers.cpp
+++ b/Libraries/LibRouter/ControlCorePeers.cpp
@@ -23,6 +23,18 @@
                          .mDomains = mStatus.Knowledge().DomainSigns(now) };
 }
 
+// Links are supervised by their traffic, so that a busy one carries no
+// heartbeat of its own; what peers know of the log and of each other has to
+// travel all the same.
+void
+control_core::SendHeartbeats(instant aNow)
+{
+  if (aNow < mNextHeartbeat)
+    return;
+  mNextHeartbeat = aNow + mSettings.mHeartbeat.mInterval;
+  mHub.SendHeartbeats();
+}
+
 void
 control_core::OnPeerUp(peer_hello const& aHello)
 {
@@ -45,8 +57,7 @@
 void
 control_core::OnPeerMessage(instance_life const& aPeer, peer_message& aMessage)
 {
-  std::visit(
-    [this, &aPeer](auto& aAny) { HandlePeer(aPeer, aAny); }, aMessage);
+  std::visit([this, &aPeer](auto& aAny) { HandlePeer(aPeer, aAny); }, aMessage);
   Pump();
   ArmTimer();
 }
@@ -110,10 +121,10 @@
 void
 control_core::HandlePeer(instance_life const&, poison_notice& aNotice)
 {
-  mPoison.OnCrash(mClock.Now(),
-                  crash_report{ .mServer = { aNotice.mServer,
-                                             aNotice.mIncarnation },
-                                .mFingerprints = { aNotice.mFingerprint } });
+  mPoison.OnCrash(
+    mClock.Now(),
+    crash_report{ .mServer = { aNotice.mServer, aNotice.mIncarnation },
+                  .mFingerprints = { aNotice.mFingerprint } });
 }
 
 void
--- a/Libraries/LibSettings/TimeoutSettings.h
+++ b/Libraries/LibSettings/TimeoutSettings.h
@@ -9,8 +9,10 @@
 {
   /// A request to the platform, beyond any wait that it asked for.
   std::chrono::milliseconds mPlatformRequest{ 5000 };
-  /// The wait that a read of the log's tail asks the platform for.
-  std::chrono::milliseconds mLogPollWait{ 1000 };
+  /// The wait that a read of the log's tail asks the platform for. A read
+  /// proves the tail as of its sending, and budgets are lent on a proof of at
+  /// most one second, so that the wait is well below that.
+  std::chrono::milliseconds mLogPollWait{ 250 };
   /// A connection to a backend server.
   std::chrono::milliseconds mBackendConnect{ 1000 };
   /// A connection to a peer, its first message included.
--- a/Tests/LibControl/TestRequestDirector.cpp
+++ b/Tests/LibControl/TestRequestDirector.cpp
@@ -1,4 +1,5 @@
 #include "RecordingPorts.h"
+#include "SteadyView.h"
 #include <LibControl/RequestDirector.h>
 #include <LibPlacement/RoundRobinPolicy.h>
 
@@ -26,7 +27,8 @@
     mTables->mRoutes[route_name{ "stock" }].mRow =
       route_row{ .mName = route_name{ "stock" },
                  .mPathPrefix = "/stock",
-                 .mPool = pool_name{ "desk" } };
+                 .mPool = pool_name{ "desk" },
+                 .mAccess = route_access::Open };
     mTables->mKeys[digest::Of("k")].mRow =
       key_row{ .mDigest = digest::Of("k"), .mWorkspace = workspace_id{ "w" } };
     mTables->mWorkspaces[workspace_id{ "w" }].mRow =
@@ -43,6 +45,7 @@
   {
     mDirector.Handle(call_opened{ caller_request{
                        .mCall = aCall,
+                       .mId = request_id{ std::to_string(aCall.Value()) },
                        .mMethod = "POST",
                        .mTarget = "/stock/12",
                        .mBody = std::make_shared<std::string const>("{}"),
@@ -74,9 +77,16 @@
 
   instant mNow{};
   recording_ports mPorts;
+  steady_view mView;
+  instance_life mSelf{ instance_id{ "i" }, incarnation{ 1 } };
+  fleet_budget mBudget{ mSelf, {}, {}, {} };
+  once_gate mGate{ mSelf, {}, {} };
+  poison_table mPoison{ {} };
   std::shared_ptr<config_tables> mTables;
-  request_director<recording_ports, round_robin_policy> mDirector{
+  request_director<recording_ports, steady_view, round_robin_policy> mDirector{
     mPorts,
+    mView,
+    director_parts{ .mBudget = mBudget, .mGate = mGate, .mPoison = mPoison },
     failure_domain{ "z" }
   };
 };
@@ -124,7 +134,9 @@
   Open(call_number{ 2 });
   Open(call_number{ 3 });
   ASSERT_EQ(mPorts.mUpstream.size(), 2U);
+  // The route asks for keys from now on, and the callers' key is withdrawn.
   mTables->mKeys.clear();
+  mTables->mRoutes[route_name{ "stock" }].mRow.mAccess = route_access::Keyed;
   EndAttempt(transfer_failure::None, verdict::Ran);
   EXPECT_EQ(mPorts.mUpstream.size(), 2U);
   EXPECT_EQ(LastRefusal().mCode, refusal_code::InvalidKey);
@@ -135,12 +147,32 @@
   Open(call_number{ 1 });
   Open(call_number{ 2 });
   Open(call_number{ 3 });
-  mNow = *mDirector.NextWake();
+  mNow += route_row{}.mQueueDeadline;
   mDirector.Tick(mNow);
   EXPECT_EQ(LastRefusal().mCode, refusal_code::QueueDeadline);
   EXPECT_EQ(LastRefusal().mVerdict, verdict::NotRun);
 }
 
+TEST_F(TestRequestDirector, RefusesARequestThatLostTwoServers)
+{
+  Open(call_number{ 1 });
+  EndAttempt(transfer_failure::ConnectionLost, verdict::MayHaveRun);
+  EndAttempt(transfer_failure::ConnectionLost, verdict::MayHaveRun);
+  EXPECT_EQ(mDirector.TakeCrashReports().size(), 2U);
+  Open(call_number{ 2 });
+  EXPECT_EQ(mPorts.mUpstream.size(), 2U);
+  EXPECT_EQ(LastRefusal().mCode, refusal_code::PoisonRequest);
+  EXPECT_EQ(LastRefusal().mVerdict, verdict::NotRun);
+}
+
+TEST_F(TestRequestDirector, RefusesAllWhenNearItsEnd)
+{
+  mView.mAccepts = false;
+  Open();
+  EXPECT_EQ(LastRefusal().mCode, refusal_code::ShuttingDown);
+  EXPECT_TRUE(mPorts.mUpstream.empty());
+}
+
 TEST_F(TestRequestDirector, CancelsTheAttemptOfACallerThatHasGone)
 {
   Open();
