LibPeer: Let heartbeats go on over busy links

While the log is out an instance is confirmed by its peers' heartbeats, but any message on a link counted as a sign of life, so that none was sent on a link that the budget keeps busy: with traffic both routers refused all keyed work as not_confirmed 3 s into an outage, and a restarted one never served. Only heartbeats count now. log_outage_keeps_serving and router_restarts_while_the_log_is_out failed before and pass. It costs a heartbeat a second on each chosen link, busy or not. Left: the settings heartbeat.interval_ms and timeout_ms reach no supervisor.

--- a/Libraries/LibControl/InstanceView.h
+++ b/Libraries/LibControl/InstanceView.h
@@ -11,8 +11,9 @@
 
 /// What decisions on requests may know of this instance and the others.
 template<typename View>
-concept instance_view =
-  requires(View const& aView, instance_life const& aLife, instant aNow)
+concept instance_view = requires(View const& aView,
+                                 instance_life const& aLife,
+                                 instant aNow)
 {
   /// Whether this instance knows enough to decide on keyed work.
   {
--- a/Libraries/LibControl/MakeUpstreamRequest.cpp
+++ b/Libraries/LibControl/MakeUpstreamRequest.cpp
@@ -63,8 +63,8 @@
     .mTarget = request.mTarget,
     .mHeaders = request.mHeaders,
     .mBody = BodyOf(aCall),
-    .mPosition = aCall.mHasBegun ? answer_position::Continuation
-                                 : answer_position::Start,
+    .mPosition =
+      aCall.mHasBegun ? answer_position::Continuation : answer_position::Start,
     .mRecording = RecordingFor(aCall),
     .mFirstByteTimeout = aCall.mAdmitted.mRoute.mFirstByteTimeout,
   };
--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -411,9 +411,7 @@
     Retry(aCall, aNow);
   }
 
-  bool MayRetry(call_state const& aCall,
-                upstream_end const& aEnd,
-                instant aNow)
+  bool MayRetry(call_state const& aCall, upstream_end const& aEnd, instant aNow)
   {
     retry_decision const decision =
       DecideRetry(aCall.mAdmitted.mRoute, aCall.mAttempt, aEnd);
--- a/Libraries/LibControl/StageRefusals.cpp
+++ b/Libraries/LibControl/StageRefusals.cpp
@@ -118,7 +118,8 @@
 PoisonRefusal()
 {
   return { .mCode = refusal_code::PoisonRequest,
-           .mMessage = "backend servers were lost while they ran this request" };
+           .mMessage =
+             "backend servers were lost while they ran this request" };
 }
 
 }
--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -246,7 +246,10 @@
   bool const belongs = (hello != nullptr) == !state.mPeer.has_value();
   if (!belongs)
     return CloseLink(aLink, link_close_reason::UnexpectedMessage);
-  state.mSupervisor.OnReceived(mClock.Now());
+  // Only heartbeats carry the signs that freshness rests on: on a link that
+  // other messages keep busy they must go on.
+  if (std::holds_alternative<peer_heartbeat>(*message))
+    state.mSupervisor.OnReceived(mClock.Now());
   if (hello)
     return OnHello(aLink, state, *hello);
   OnMessage(aLink, state, *message);
--- a/Libraries/LibRouter/ControlCore.cpp
+++ b/Libraries/LibRouter/ControlCore.cpp
@@ -53,9 +53,9 @@
                 .mCallTimeout = aSettings.mTimeouts.mPlatformRequest },
               asio_poster{ &aContext })
   , mFollower(mPlatform, mState, *this, FollowerOptionsOf(aSettings))
-  , mAppender(mPlatform,
-              { .mInstance = aSelf.mInstance,
-                .mIncarnation = aSelf.mIncarnation })
+  , mAppender(
+      mPlatform,
+      { .mInstance = aSelf.mInstance, .mIncarnation = aSelf.mIncarnation })
   , mCheckpoints(mPlatform, mState, {}, SeedOf(aSelf))
   , mDirector(aTraffic,
               mStatus,
@@ -66,7 +66,9 @@
       HubOptionsOf(aSettings),
       MakeHello(),
       *this,
-      [](instant aNow) { return quiet_link_supervisor{ {}, aNow }; },
+      [](instant aNow) {
+        return quiet_link_supervisor{ {}, aNow };
+      },
       [this]() { return MakeHeartbeat(); },
       mClock)
 {
@@ -340,21 +342,19 @@
 void
 control_core::PublishInstances()
 {
-  mViews.mInstancesBody.Publish(
-    std::make_shared<std::string const>(FormatInstances(
-      mStatus.Members().Usable(),
-      mSettings.mFailureDomain,
-      mSettings.mTimeouts.mAddressTtl)));
+  mViews.mInstancesBody.Publish(std::make_shared<std::string const>(
+    FormatInstances(mStatus.Members().Usable(),
+                    mSettings.mFailureDomain,
+                    mSettings.mTimeouts.mAddressTtl)));
 }
 
 listed_instance
 control_core::MakeListing() const
 {
   std::vector<member> const usable = mStatus.Members().Usable();
-  bool const isLive =
-    std::ranges::any_of(usable, [this](member const& aOne) {
-      return aOne.mLife == mStatus.Self();
-    });
+  bool const isLive = std::ranges::any_of(usable, [this](member const& aOne) {
+    return aOne.mLife == mStatus.Self();
+  });
   return listed_instance{ .mId = mStatus.Self().mInstance,
                           .mIncarnation = mStatus.Self().mIncarnation,
                           .mCallers = mSettings.mAdvertise.mCallers,
--- a/Libraries/LibRouter/ControlCorePeers.cpp
+++ b/Libraries/LibRouter/ControlCorePeers.cpp
@@ -45,8 +45,7 @@
 void
 control_core::OnPeerMessage(instance_life const& aPeer, peer_message& aMessage)
 {
-  std::visit(
-    [this, &aPeer](auto& aAny) { HandlePeer(aPeer, aAny); }, aMessage);
+  std::visit([this, &aPeer](auto& aAny) { HandlePeer(aPeer, aAny); }, aMessage);
   Pump();
   ArmTimer();
 }
@@ -110,10 +109,10 @@
 void
 control_core::HandlePeer(instance_life const&, poison_notice& aNotice)
 {
-  mPoison.OnCrash(mClock.Now(),
-                  crash_report{ .mServer = { aNotice.mServer,
-                                             aNotice.mIncarnation },
-                                .mFingerprints = { aNotice.mFingerprint } });
+  mPoison.OnCrash(
+    mClock.Now(),
+    crash_report{ .mServer = { aNotice.mServer, aNotice.mIncarnation },
+                  .mFingerprints = { aNotice.mFingerprint } });
 }
 
 void
--- a/Libraries/LibRouter/InstanceStatus.cpp
+++ b/Libraries/LibRouter/InstanceStatus.cpp
@@ -52,8 +52,7 @@
 bool
 instance_status::IsAlive(instance_life const& aLife) const
 {
-  std::optional<instance_life> const newest =
-    mMembers.LifeOf(aLife.mInstance);
+  std::optional<instance_life> const newest = mMembers.LifeOf(aLife.mInstance);
   return newest && newest->mIncarnation <= aLife.mIncarnation;
 }
 
--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -39,11 +39,7 @@
   , mInbox(
       mControl.Context(),
       [this](control_message aMessage) { mCore->Handle(std::move(aMessage)); })
-  , mTraffic(mSettings,
-             RequestIdPrefix(mSelf),
-             mInbox,
-             mTables,
-             mInstancesBody)
+  , mTraffic(mSettings, RequestIdPrefix(mSelf), mInbox, mTables, mInstancesBody)
 {
   std::promise<void> made;
   boost::asio::post(mControl.Context(), [this, &made]() {
