--- a/Tests/Scenarios/streams_through_a_router.lua
+++ b/Tests/Scenarios/streams_through_a_router.lua
@@ -15,7 +15,7 @@
   kept[index] = begin(ask_chat(router, "kept-" .. index, "key-1", { max_tokens = 40 }))
   if index % 2 == 0 then
     dropped[#dropped + 1] =
-      begin(ask_chat(router, "dropped-" .. index, "key-1", { max_tokens = 100000 }))
+      begin(ask_chat(router, "dropped-" .. index, "key-1", { max_tokens = 3000 }))
   end
 end
 for _, call in ipairs(dropped) do
