--- a/StandIns/Engine/EngineReports.cpp
+++ b/StandIns/Engine/EngineReports.cpp
@@ -6,7 +6,6 @@
 
 namespace lycheeseam::standin {
 
-using boost::beast::http::status;
 using nlohmann::json;
 
 namespace {
