--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -246,7 +246,10 @@
   bool const belongs = (hello != nullptr) == !state.mPeer.has_value();
   if (!belongs)
     return CloseLink(aLink, link_close_reason::UnexpectedMessage);
-  state.mSupervisor.OnReceived(mClock.Now());
+  // Only heartbeats carry the signs that freshness rests on: on a link that
+  // other messages keep busy they must go on.
+  if (std::holds_alternative<peer_heartbeat>(*message))
+    state.mSupervisor.OnReceived(mClock.Now());
   if (hello)
     return OnHello(aLink, state, *hello);
   OnMessage(aLink, state, *message);
@@ -305,23 +308,6 @@
   SendFrame(aLink, EncodePeerMessage(beat));
 }
 
-template<typename Handler, link_supervisor Supervisor, clock_source Clock>
-void
-peer_hub<Handler, Supervisor, Clock>::SendHeartbeats()
-{
-  // A send may close its link, so the links are gathered first.
-  std::vector<link_number> up;
-  for (auto const& [number, state] : mLinks) {
-    if (state.mPeer)
-      up.push_back(number);
-  }
-  for (link_number const number : up) {
-    auto const found = mLinks.find(number);
-    if (found != mLinks.end())
-      SendHeartbeat(number, found->second, heartbeat_answer::NotWanted);
-  }
-}
-
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
 peer_hub<Handler, Supervisor, Clock>::CloseLink(link_number aLink,
--- a/Libraries/LibRouter/ControlCore.cpp
+++ b/Libraries/LibRouter/ControlCore.cpp
@@ -99,7 +99,6 @@
     mNextTick = now + kTick;
     mStatus.Knowledge().OnTick(now);
     RefreshMembers();
-    SendHeartbeats(now);
     CheckDrain(now);
   }
   mDirector.Tick(now);
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -73,7 +73,6 @@
   void SendBudgetMessages(instant aNow);
   void AppendRecords(instant aNow);
   void BroadcastCrashes();
-  void SendHeartbeats(instant aNow);
   void ArmTimer();
   void PublishTables();
   void PublishInstances();
@@ -120,7 +119,6 @@
   row_version mPublished;
   instant mNextTick{};
   instant mNextList{};
-  instant mNextHeartbeat{};
   bool mIsPumping = false;
   std::function<void()> mOnDrained;
 };
--- a/Libraries/LibRouter/ControlCorePeers.cpp
+++ b/Libraries/LibRouter/ControlCorePeers.cpp
@@ -23,18 +23,6 @@
                          .mDomains = mStatus.Knowledge().DomainSigns(now) };
 }
 
-// Links are supervised by their traffic, so that a busy one carries no
-// heartbeat of its own; what peers know of the log and of each other has to
-// travel all the same.
-void
-control_core::SendHeartbeats(instant aNow)
-{
-  if (aNow < mNextHeartbeat)
-    return;
-  mNextHeartbeat = aNow + mSettings.mHeartbeat.mInterval;
-  mHub.SendHeartbeats();
-}
-
 void
 control_core::OnPeerUp(peer_hello const& aHello)
 {
