--- a/Libraries/LibPeer/PeerHub.h
+++ b/Libraries/LibPeer/PeerHub.h
@@ -132,3 +132,4 @@
 }
 
 #include <LibPeer/PeerHubImplementation.h>
+#include <LibPeer/PeerHubMessages.h>
