--- /dev/null
+++ b/Meta/model.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Runs the model checks of Tests/Models/models.txt, or those named. A row that
+# is expected to fail has a seeded fault, which the checker must find.
+# Usage: Meta/model.sh [NAME...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+models=$PWD/Tests/Models
+# The most that a search may take, in megabytes.
+memory_limit=4000
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+
+check() {
+  local name=$1 file=$2 expected=$3 found
+  shift 3
+  cd "$scratch"
+  spin -a "$@" "$models/$file" > spin.log 2>&1 || { cat spin.log; return 1; }
+  gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=$memory_limit -o pan pan.c
+  ./pan -m200000 > pan.log 2>&1 || { tail -5 pan.log; return 1; }
+  # A search that was cut short shows nothing.
+  if grep -q 'errors: 0' pan.log && ! grep -q 'Search not completed\|max search depth' pan.log; then
+    found=holds
+  elif grep -q 'assertion violated' pan.log; then
+    found=fails
+  else
+    found=incomplete
+  fi
+  printf '%-24s %-10s expected %-6s %s states\n' "$name" "$found" "$expected" \
+    "$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.log)"
+  [ "$found" = "$expected" ]
+}
+
+failures=0
+while read -r name file expected flags; do
+  case "$name" in '' | '#'*) continue ;; esac
+  if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+  # Flags are words of their own.
+  # shellcheck disable=SC2086
+  (check "$name" "$file" "$expected" $flags) || failures=$((failures + 1))
+done < "$models/models.txt"
+[ "$failures" -eq 0 ]
