--- a/Tests/Support/FakeLog.h
+++ b/Tests/Support/FakeLog.h
@@ -26,19 +26,19 @@
   {
   }
 
-  void Append(log_record const& aRecord, append_callback aDone)
+  void Append(log_record const& aRecord, append_callback const& aDone)
   {
     mQueue.After(Travel(),
                  [this, aRecord, aDone]() { Arrive(aRecord, aDone); });
   }
 
-  void Read(read_request const& aRequest, read_callback aDone)
+  void Read(read_request const& aRequest, read_callback const& aDone)
   {
     mQueue.After(Travel(),
                  [this, aRequest, aDone]() { Hold(aRequest, aDone); });
   }
 
-  void Offsets(range_callback aDone)
+  void Offsets(range_callback const& aDone)
   {
     mQueue.After(Travel(), [this, aDone]() {
       std::optional<log_range> range;
