LibAdmission: Lower a workspace's engine priority at its rate's bound

Cause: in a flood the others' p99 first token rose, since work that the flooding workspace may still send stands before theirs in engines' queues.

What remains is the flooding workspace's own headroom, which fills caches.

--- a/Bench/Decisions/EngineJob.h
+++ b/Bench/Decisions/EngineJob.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfig/PriorityClass.h>
 #include <LibCore/Identifiers.h>
 #include <LibPlacement/BlockHash.h>
 
@@ -18,6 +19,7 @@
   token_count mAnswerTokens = 0;
   /// Tokens to import from the KV store.
   token_count mStoredTokens = 0;
+  priority_class mPriority = priority_class::Normal;
   bool mIsStarted = false;
   token_count mCachedTokens = 0;
   /// Work before the first token, in tokens of prefill.
--- a/Bench/Decisions/FakeEngine.cpp
+++ b/Bench/Decisions/FakeEngine.cpp
@@ -36,7 +36,12 @@
 {
   if (!mIsUp)
     return false;
-  mWaiting.push_back(aJob);
+  // Behind all of its priority; what has begun stays where it is.
+  auto const place =
+    std::ranges::find_if(mWaiting, [&](engine_job const& aOther) {
+      return !aOther.mIsStarted && aOther.mPriority > aJob.mPriority;
+    });
+  mWaiting.insert(place, aJob);
   if (!mIsInStep)
     StartStep();
   return true;
--- a/Bench/Decisions/RequestState.h
+++ b/Bench/Decisions/RequestState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/BudgetState.h>
 #include <LibCore/Instant.h>
 #include <LibPlacement/BlockAnswer.h>
 #include <LibPlacement/KnowledgeState.h>
@@ -25,6 +26,7 @@
 /// One request's way through the run.
 struct request_state
 {
+  budget_state mBudget = budget_state::Within;
   request_fate mFate = request_fate::Open;
   block_answer mKnown;
   knowledge_state mKnowledge = knowledge_state::Missing;
--- a/Bench/Decisions/SimulatedRequests.cpp
+++ b/Bench/Decisions/SimulatedRequests.cpp
@@ -1,3 +1,4 @@
+#include <LibAdmission/EnginePriority.h>
 #include <LibPlacement/LookupDeadlines.h>
 #include <LibPlacement/TokenEstimate.h>
 
@@ -22,6 +23,8 @@
     return;
   }
   bucket.Take(cost);
+  if (wait > duration{})
+    mStates[aRequest].mBudget = budget_state::Exhausted;
   mScheduler.After(wait, [this, aRequest]() { Lookup(aRequest); });
 }
 
@@ -134,7 +137,8 @@
       .mBlocks = request.mBlocks,
       .mPromptTokens = request.mPromptTokens,
       .mAnswerTokens = request.mAnswerTokens,
-      .mStoredTokens = std::min(state.mChoice.mStoredTokens, held) });
+      .mStoredTokens = std::min(state.mChoice.mStoredTokens, held),
+      .mPriority = EnginePriority(priority_class::Normal, state.mBudget) });
   if (!isTaken)
     mScheduler.After(Hop(aInstance, state.mChoice.mIndex),
                      [this, aRequest]() { OnFailure(aRequest); });
