--- a/Tests/LibPlacement/TestBlockMap.cpp
+++ b/Tests/LibPlacement/TestBlockMap.cpp
@@ -53,7 +53,7 @@
       mMap.Find(kServer, aLife, mBlocks, aNow).mTokens / kBlockTokens);
   }
 
-  block_map mMap;
+  block_map mMap{ { .mFirstRetention = 10s } };
   std::vector<block_hash> mBlocks = Blocks(1, 10);
 };
 
