--- a/Bench/Decisions/RouterInstance.cpp
+++ b/Bench/Decisions/RouterInstance.cpp
@@ -74,6 +74,7 @@
     view.mSlowStart.OnColdStart(aNow);
     view.mBreaker.OnRestart();
     mShard.OnIncarnation(ServerName(aServer), aLife);
+    mRecent.OnIncarnation(ServerName(aServer), aLife);
   }
   view.mLoad.OnReport(aLoad);
 }
--- a/Bench/Decisions/RouterInstance.h
+++ b/Bench/Decisions/RouterInstance.h
@@ -43,6 +43,8 @@
   void OnEnd(std::size_t aServer);
   void OnFailure(std::size_t aServer, instant aNow);
 
+  static constexpr std::size_t kRecentEntries = 16'000;
+
   [[nodiscard]] incarnation LifeOf(std::size_t aServer) const
   {
     return mServers[aServer].mLife;
@@ -50,6 +52,8 @@
 
   fair_queue mQueue;
   block_shard mShard;
+  /// What this instance has sent lately itself, for lookups without an answer.
+  block_shard mRecent{ { .mEntries = kRecentEntries } };
   retry_budget mRetries;
 
 private:
--- a/Bench/Decisions/SimulatedRequests.cpp
+++ b/Bench/Decisions/SimulatedRequests.cpp
@@ -43,7 +43,7 @@
   if (!isOwn &&
       std::uniform_real_distribution<double>{}(mRandom) < kLookupLoss) {
     mScheduler.After(lookup_deadlines::kPatience,
-                     [this, aRequest]() { Enqueue(aRequest); });
+                     [this, aRequest]() { OnLookupExpired(aRequest); });
     return;
   }
   mScheduler.After(hop, [this, aRequest, owner, isOwn, hop, &state]() {
@@ -62,6 +62,20 @@
   });
 }
 
+void
+simulation::OnLookupExpired(std::size_t aRequest)
+{
+  arrival const& request = mArrivals[aRequest];
+  request_state& state = mStates[aRequest];
+  router_instance& instance = mInstances[request.mInstance];
+  state.mKnown = instance.mRecent.Answer({ .mBlocks = request.mBlocks },
+                                         instance.Candidates(mScheduler.Now()),
+                                         mScheduler.Now());
+  if (!state.mKnown.mKnown.empty())
+    state.mKnowledge = knowledge_state::Answered;
+  Enqueue(aRequest);
+}
+
 void
 simulation::Enqueue(std::size_t aRequest)
 {
@@ -244,6 +258,7 @@
                          mInstances[request.mInstance].LifeOf(choice.mIndex),
                        .mBlocks = request.mBlocks,
                        .mCachedTokens = aCachedTokens };
+  mInstances[request.mInstance].mRecent.OnUpdate(update, mScheduler.Now());
   duration const hop = Hop(owner, request.mInstance);
   mScheduler.After(hop, [this, owner, update = std::move(update)]() {
     mInstances[owner].mShard.OnUpdate(update, mScheduler.Now());
