--- a/Bench/Decisions/FakeEngine.h
+++ b/Bench/Decisions/FakeEngine.h
@@ -6,7 +6,7 @@
 
 #include <Bench/Decisions/EngineListener.h>
 #include <Bench/Decisions/LruCache.h>
-#include <Bench/Decisions/Scheduler.h>
+#include <Bench/Support/Scheduler.h>
 
 #include <deque>
 #include <vector>
--- a/Bench/Decisions/Measure.cpp
+++ b/Bench/Decisions/Measure.cpp
@@ -1,5 +1,6 @@
 #include <Bench/Decisions/Measure.h>
 #include <Bench/Decisions/Simulation.h>
+#include <Bench/Support/Percentile.h>
 
 #include <algorithm>
 #include <chrono>
@@ -22,18 +23,6 @@
   double mRecomputedTokens = 0;
 };
 
-double
-Percentile(std::vector<double> aValues, double aPart)
-{
-  if (aValues.empty())
-    return 0;
-  std::size_t const rank =
-    static_cast<std::size_t>(aPart * static_cast<double>(aValues.size() - 1));
-  std::ranges::nth_element(aValues,
-                           aValues.begin() + static_cast<std::ptrdiff_t>(rank));
-  return aValues[rank];
-}
-
 void
 CountFate(request_fate aFate, case_result& aResult)
 {
--- a/Bench/Decisions/Simulation.cpp
+++ b/Bench/Decisions/Simulation.cpp
@@ -45,8 +45,8 @@
     ++requests[request.mWorkspace];
   }
   for (std::size_t index = 0; index < tokens.size(); ++index) {
-    double const usual = tokens[index] / requests[index] *
-                         site.mShares[index] * site.mArrivalRate;
+    double const usual =
+      tokens[index] / requests[index] * site.mShares[index] * site.mArrivalRate;
     double const rate = usual * kRateHeadroom;
     mBuckets.emplace_back(rate, rate * kBurstSeconds);
   }
--- a/Bench/Decisions/Simulation.h
+++ b/Bench/Decisions/Simulation.h
@@ -4,9 +4,9 @@
 #include <Bench/Decisions/FakeEngine.h>
 #include <Bench/Decisions/RequestState.h>
 #include <Bench/Decisions/RouterInstance.h>
-#include <Bench/Decisions/Scheduler.h>
 #include <Bench/Decisions/SimulationOptions.h>
 #include <Bench/Decisions/TokenBucket.h>
+#include <Bench/Support/Scheduler.h>
 
 #include <memory>
 #include <random>
--- a/Bench/Decisions/Scheduler.cpp
+++ b/Bench/Support/Scheduler.cpp
@@ -1,4 +1,4 @@
-#include <Bench/Decisions/Scheduler.h>
+#include <Bench/Support/Scheduler.h>
 
 #include <algorithm>
 
