--- a/Bench/Decisions/Main.cpp
+++ b/Bench/Decisions/Main.cpp
@@ -65,6 +65,7 @@
   PrintTable(results);
   std::filesystem::create_directories(FLAGS_results);
   WriteJson(results, std::filesystem::path{ FLAGS_results } / "decisions.json");
+  WritePlotTables(results, FLAGS_results);
 }
 
 }
--- a/Bench/Decisions/Report.h
+++ b/Bench/Decisions/Report.h
@@ -16,4 +16,10 @@
 WriteJson(std::span<case_result const> aResults,
           std::filesystem::path const& aFile);
 
+/// Writes one table for each deployment's hit rate and p99 first token, a row
+/// for each case and a column for each policy, for plots; throws error.
+void
+WritePlotTables(std::span<case_result const> aResults,
+                std::filesystem::path const& aFolder);
+
 }
--- a/Bench/Slopes/BlockMapSlope.cpp
+++ b/Bench/Slopes/BlockMapSlope.cpp
@@ -4,6 +4,7 @@
 #include <Bench/Slopes/Slopes.h>
 
 #include <array>
+#include <cassert>
 #include <chrono>
 #include <string>
 
@@ -87,11 +88,13 @@
     static_cast<double>(batches.size() * kPromptBlocks));
 }
 
+/// aPrompts is at least one.
 double
 TimeLookups(block_shard const& aShard,
             std::size_t aPrompts,
             std::vector<placement_candidate> const& aServers)
 {
+  assert(aPrompts > 0);
   std::vector<block_lookup> lookups;
   lookups.reserve(kOperations / 10);
   for (std::size_t index = 0; index < kOperations / 10; ++index)
--- a/Bench/Slopes/ChoiceSlope.cpp
+++ b/Bench/Slopes/ChoiceSlope.cpp
@@ -72,6 +72,7 @@
 MeasureChoice()
 {
   std::vector<slope_result> results;
+  results.reserve(kServers.size());
   for (std::size_t const servers : kServers)
     results.push_back(MeasureAt(servers));
   return results;
--- a/Bench/Slopes/FairQueueSlope.cpp
+++ b/Bench/Slopes/FairQueueSlope.cpp
@@ -70,6 +70,7 @@
 MeasureFairQueue()
 {
   std::vector<slope_result> results;
+  results.reserve(kWorkspaces.size());
   for (std::size_t const workspaces : kWorkspaces)
     results.push_back(MeasureAt(workspaces));
   return results;
