--- a/Bench/Decisions/BenchCase.cpp
+++ b/Bench/Decisions/BenchCase.cpp
@@ -14,7 +14,7 @@
   static std::array const kAll{
     bench_case{ .mName = "steady" },
     bench_case{ .mName = "at-rate", .mFlood = kRateHeadroom },
-    bench_case{ .mName = "flood", .mFlood = 5.0 * kRateHeadroom * kRateHeadroom },
+    bench_case{ .mName = "flood", .mFlood = 5.0 * kRateHeadroom },
     bench_case{ .mName = "crash", .mCrashEvery = 60s },
     bench_case{ .mName = "loss-crash", .mEventLoss = 0.2, .mCrashEvery = 60s },
     bench_case{ .mName = "loss-crash-restart",
