LibAdmin, lycheeseamctl: Read and change rows, show status and metrics

Operators' calls are carried out on the control thread: rows with If-Match versions, a file of tables with a dry run, status, and metrics in Prometheus's form. Seen by hand: a file applied, a pool in use kept, a conflict with both versions, a wrong key refused.

--- /dev/null
+++ b/Libraries/LibAdmin/AdminDesk.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibAdmin/AdminAnswer.h>
+#include <LibAdmin/AdminCall.h>
+#include <LibAdmin/AdminControl.h>
+#include <LibAdmin/FormatOutcome.h>
+#include <LibAdmin/RowCalls.h>
+#include <LibCodec/ConfigFileCodec.h>
+#include <LibConfigLog/ConfigDiff.h>
+#include <LibCore/InvalidInput.h>
+
+#include <functional>
+#include <utility>
+
+namespace lycheeseam {
+
+/// Takes an answer, once, on the control thread.
+using admin_callback = std::function<void(admin_answer)>;
+
+/// Carries out operators' calls on the control thread.
+template<typename Control>
+class admin_desk
+{
+public:
+  explicit admin_desk(Control& aControl)
+    : mControl(aControl)
+  {
+  }
+
+  /// Carries out a call; faults in it become answers.
+  void Handle(admin_call const& aCall, admin_callback aDone)
+  {
+    // Checked here, since the control's class may hold this one.
+    static_assert(admin_control<Control>);
+    try {
+      Dispatch(aCall, aDone);
+    } catch (invalid_input const& fault) {
+      aDone(ErrorAnswer(400, fault.what()));
+    }
+  }
+
+private:
+  void Dispatch(admin_call const& aCall, admin_callback const& aDone)
+  {
+    if (aCall.mSubject == "status")
+      return aDone({ .mBody = mControl.StatusText() });
+    if (aCall.mSubject == "metrics") {
+      return aDone({ .mContentType = "text/plain; version=0.0.4",
+                     .mBody = mControl.MetricsText() });
+    }
+    if (aCall.mSubject == "apply")
+      return Apply(aCall, aDone);
+    if (aCall.mVerb == admin_verb::Read)
+      return aDone(ReadRows(mControl.Tables(), aCall));
+    Propose(aCall, { MakeRowChange(mControl.Tables(), aCall) }, aDone);
+  }
+
+  void Apply(admin_call const& aCall, admin_callback const& aDone)
+  {
+    config_file const wanted = DecodeConfigFile(aCall.mBody);
+    std::vector<any_row_change> changes = DiffTables(mControl.Tables(), wanted);
+    if (changes.empty() || aCall.mMode == apply_mode::DryRun)
+      return aDone({ .mBody = FormatChanges(changes) });
+    Propose(aCall, std::move(changes), aDone);
+  }
+
+  void Propose(admin_call const& aCall,
+               std::vector<any_row_change> aChanges,
+               admin_callback const& aDone)
+  {
+    config_proposal proposal{ .mOperator = aCall.mOperator,
+                              .mChanges = std::move(aChanges) };
+    mControl.Propose(std::move(proposal),
+                     [aDone](std::optional<proposal_outcome> const& aOutcome) {
+                       aDone(OutcomeAnswer(aOutcome));
+                     });
+  }
+
+  Control& mControl;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAdmin/AdminServer.cpp
@@ -0,0 +1,93 @@
+#include <LibAdmin/AdminServer.h>
+#include <LibAdmin/DecodeAdminCall.h>
+#include <LibAdmin/FormatOutcome.h>
+#include <LibCore/InvalidInput.h>
+
+#include <pistache/http.h>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr std::size_t kMaxRequestBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
+
+class admin_handler : public Pistache::Http::Handler
+{
+public:
+  HTTP_PROTOTYPE(admin_handler)
+
+  admin_handler(operator_directory aOperators, admin_carrier aCarrier)
+    : mOperators(std::move(aOperators))
+    , mCarrier(std::move(aCarrier))
+  {
+  }
+
+  void onRequest(Pistache::Http::Request const& aRequest,
+                 Pistache::Http::ResponseWriter aWriter) override
+  {
+    admin_answer const answer = Answer(aRequest);
+    bool const isJson = answer.mContentType == "application/json";
+    aWriter.setMime(isJson ? MIME(Application, Json) : MIME(Text, Plain));
+    aWriter.send(static_cast<Pistache::Http::Code>(answer.mStatus),
+                 answer.mBody);
+  }
+
+private:
+  [[nodiscard]] std::optional<std::string> OperatorOf(
+    Pistache::Http::Request const& aRequest) const
+  {
+    static constexpr std::string_view kBearer = "Bearer ";
+    std::optional<Pistache::Http::Header::Raw> const raw =
+      aRequest.headers().tryGetRaw("Authorization");
+    if (!raw || !raw->value().starts_with(kBearer))
+      return std::nullopt;
+    return mOperators.Find(digest::Of(raw->value().substr(kBearer.size())));
+  }
+
+  [[nodiscard]] admin_answer Answer(
+    Pistache::Http::Request const& aRequest) const
+  {
+    // Metrics are open to collectors, which carry no operator's key.
+    std::string name = "metrics";
+    if (aRequest.resource() != "/metrics") {
+      std::optional<std::string> const found = OperatorOf(aRequest);
+      if (!found)
+        return ErrorAnswer(401, "no operator has this key");
+      name = *found;
+    }
+    try {
+      return mCarrier(DecodeAdminCall(aRequest, std::move(name)));
+    } catch (invalid_input const& fault) {
+      return ErrorAnswer(400, fault.what());
+    }
+  }
+
+  operator_directory mOperators;
+  admin_carrier mCarrier;
+};
+
+}
+
+admin_server::admin_server(endpoint const& aListen,
+                           operator_directory aOperators,
+                           admin_carrier aCarrier)
+  : mEndpoint(
+      Pistache::Address(aListen.mAddress, Pistache::Port(aListen.mPort)))
+{
+  mEndpoint.init(Pistache::Http::Endpoint::options()
+                   .threads(1)
+                   .flags(Pistache::Tcp::Options::ReuseAddr)
+                   .maxRequestSize(kMaxRequestBytes)
+                   .maxResponseSize(kMaxAnswerBytes));
+  mEndpoint.setHandler(std::make_shared<admin_handler>(std::move(aOperators),
+                                                       std::move(aCarrier)));
+  mEndpoint.serveThreaded();
+}
+
+admin_server::~admin_server()
+{
+  mEndpoint.shutdown();
+}
+
+}
--- a/Libraries/LibCodec/SlotCheckpoint.cpp
+++ b/Libraries/LibCodec/SlotCheckpoint.cpp
@@ -38,6 +38,7 @@
 EncodeSlotHolders(std::map<slot_id, slot_holder> const& aHolders)
 {
   std::vector<kept_slot> kept;
+  kept.reserve(aHolders.size());
   for (auto const& [slot, holder] : aHolders)
     kept.push_back({ .mSlot = slot, .mHolder = holder });
   return ToJsonText(kept);
--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -11,6 +11,7 @@
 #include <LibControl/RetryDecision.h>
 #include <LibControl/StageRefusals.h>
 #include <LibLimits/FleetBudget.h>
+#include <LibMetrics/MetricsRecorder.h>
 #include <LibOnce/OnceGate.h>
 #include <LibOnce/PoisonTable.h>
 #include <LibOpenAi/AnswerText.h>
@@ -30,6 +31,7 @@
   fleet_budget& mBudget;
   once_gate& mGate;
   poison_table& mPoison;
+  metrics_recorder& mMetrics;
 };
 
 /// Takes each call from its arrival to its end: route and key, claim, charge,
@@ -354,7 +356,7 @@
     std::optional<placement_choice> const choice =
       mPools.Of(aCall).Choose(PlacementOf(aCall), aCall.mLost, aNow);
     if (choice)
-      Send(aCall, *choice);
+      Send(aCall, *choice, aNow);
     else
       Refuse(aCall, NoServerRefusal(), aNow);
   }
@@ -367,7 +369,7 @@
                               .mFailureDomain = mFailureDomain };
   }
 
-  void Send(call_state& aCall, placement_choice const& aChoice)
+  void Send(call_state& aCall, placement_choice const& aChoice, instant aNow)
   {
     pool_runtime<Policy>& pool = mPools.Of(aCall);
     backend_server const* const server = pool.Find(aChoice.mServer);
@@ -376,8 +378,10 @@
     aCall.mAttempt = aCall.mAttempt.Next();
     aCall.mPhase = call_phase::Running;
     pool.OnSent(server->mId, aCall.mChain.Tokens() - aChoice.mExpectedCached);
+    Count("attempts_total", "pool", aCall.mAdmitted.mPool.mName.Text());
     if (aCall.mAttempt == attempt_number{ 1 })
       pool.Retries().OnRequest();
+    Record(aCall, latency_kind::QueueWait, aNow);
     mPorts.PostUpstream(MakeUpstreamRequest(aCall));
   }
 
@@ -432,6 +436,8 @@
   {
     call_number const number = aCall.mRequest.mCall;
     token_count const used = UsedTokens(aCall, aEnd);
+    if (aEnd.mFirstByte)
+      Record(aCall, latency_kind::FirstToken, *aEnd.mFirstByte);
     request_outcome outcome{ .mVerdict = aEnd.mVerdict,
                              .mStatus = aEnd.mStatus,
                              .mContentType = aEnd.mContentType };
@@ -499,10 +505,28 @@
 
   void Answer(call_number aCall, refusal aRefusal)
   {
+    Count("refusals_total", "code", RefusalName(aRefusal.mCode));
     mPorts.PostFront(
       front_refusal{ .mCall = aCall, .mRefusal = std::move(aRefusal) });
   }
 
+  void Count(char const* aMetric, char const* aLabel, std::string_view aValue)
+  {
+    mParts.mMetrics.Count(mParts.mMetrics.OpenCounter(
+      counter_series{ .mMetric = aMetric,
+                      .mLabel = aLabel,
+                      .mLabelValue = std::string{ aValue } }));
+  }
+
+  // A latency from the call's arrival to a moment.
+  void Record(call_state const& aCall, latency_kind aKind, instant aMoment)
+  {
+    latency_handle const series = mParts.mMetrics.OpenLatency(
+      aCall.mAdmitted.mPool.mName, aCall.Workspace());
+    mParts.mMetrics.RecordLatency(
+      series, aKind, aMoment - aCall.mRequest.mArrival);
+  }
+
   Ports& mPorts;
   View const& mView;
   director_parts mParts;
--- a/Libraries/LibOnce/ClaimFold.cpp
+++ b/Libraries/LibOnce/ClaimFold.cpp
@@ -35,6 +35,8 @@
 claim_fold::State() const
 {
   claim_state state;
+  state.mClaims.reserve(mClaims.size());
+  state.mReleases.reserve(mReleaseAges.size());
   for (auto const& [key, entry] : mClaims)
     state.mClaims.push_back({ .mKey = key, .mEntry = entry });
   for (aged_release const& release : mReleaseAges) {
--- a/Libraries/LibRouter/ControlCore.cpp
+++ b/Libraries/LibRouter/ControlCore.cpp
@@ -59,7 +59,10 @@
   , mCheckpoints(mPlatform, mState, {}, SeedOf(aSelf))
   , mDirector(aTraffic,
               mStatus,
-              { .mBudget = mBudget, .mGate = mGate, .mPoison = mPoison },
+              { .mBudget = mBudget,
+                .mGate = mGate,
+                .mPoison = mPoison,
+                .mMetrics = mRecorder },
               aSettings.mFailureDomain)
   , mHub(
       aContext,
@@ -71,6 +74,7 @@
       },
       [this]() { return MakeHeartbeat(); },
       mClock)
+  , mAdmin(*this)
 {
   mHub.Listen(aSettings.mListen.mPeers);
   mHub.Start();
@@ -285,6 +289,8 @@
   if (now < mNextList)
     return;
   mNextList = now + kListInterval;
+  mMetrics.Merge(mRecorder.TakeDelta());
+  mMetrics.Tick();
   mPlatform.ListInstances(
     [this](std::optional<instance_list> const& aList) { TakeList(aList); });
   Register();
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <LibAdmin/AdminDesk.h>
 #include <LibControl/RequestDirector.h>
 #include <LibCore/Published.h>
 #include <LibCore/SystemClock.h>
 #include <LibMembership/QuietLinkSupervisor.h>
+#include <LibMetrics/MetricsRecorder.h>
+#include <LibMetrics/MetricsStore.h>
 #include <LibPeer/PeerHub.h>
 #include <LibPlacement/RendezvousPolicy.h>
 #include <LibPlatform/CheckpointWriter.h>
@@ -50,6 +53,15 @@
   /// Begins a planned stop; Done is called when nothing is open any more.
   void BeginDrain(std::function<void()> aDone);
 
+  /// Carries out an operator's call; Done runs on this thread.
+  void HandleAdmin(admin_call const& aCall, admin_callback aDone);
+
+  // admin_control
+  [[nodiscard]] config_tables const& Tables() const;
+  void Propose(config_proposal aProposal, proposal_callback aDone);
+  [[nodiscard]] std::string StatusText();
+  [[nodiscard]] std::string MetricsText();
+
   // log_observer
   void OnEntry(log_entry const& aEntry);
   void OnJump(log_offset aCovers);
@@ -83,6 +95,9 @@
   void Register();
   void CheckDrain(instant aNow);
   void RequestSnapshot(instance_id const& aPeer);
+  void FinishProposal(append_outcome const& aEnd,
+                      proposal_callback const& aDone) const;
+  void SetGauge(char const* aMetric, double aValue);
 
   void HandlePeer(instance_life const& aPeer, peer_heartbeat& aHeartbeat);
   void HandlePeer(instance_life const& aPeer, snapshot_request& aRequest);
@@ -113,8 +128,11 @@
   log_follower<platform, fleet_state, control_core> mFollower;
   log_appender<platform> mAppender;
   checkpoint_writer<platform, fleet_state> mCheckpoints;
+  metrics_recorder mRecorder;
+  metrics_store mMetrics;
   request_director<traffic, instance_status, rendezvous_policy> mDirector;
   peer_hub<control_core, quiet_link_supervisor, system_clock> mHub;
+  admin_desk<control_core> mAdmin;
   std::set<workspace_id> mLimited;
   row_version mPublished;
   instant mNextTick{};
--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -1,3 +1,4 @@
+#include <LibAdmin/FormatOutcome.h>
 #include <LibRouter/Router.h>
 
 #include <boost/asio/post.hpp>
@@ -21,6 +22,18 @@
                           static_cast<std::uint64_t>(start.count()) } };
 }
 
+// Longer than the appender takes to settle a lost answer.
+constexpr std::chrono::seconds kAdminTimeout{ 15 };
+
+operator_directory
+OperatorsOf(daemon_settings const& aSettings)
+{
+  operator_directory operators;
+  for (operator_key const& one : aSettings.mOperators)
+    operators.Add(one.mDigest, one.mName);
+  return operators;
+}
+
 // The instance's name and life keep ids apart over the fleet.
 std::string
 RequestIdPrefix(instance_life const& aSelf)
@@ -53,12 +66,36 @@
   });
   made.get_future().wait();
   mTraffic.Open();
+  mAdmin = std::make_unique<admin_server>(
+    mSettings.mListen.mAdmin, OperatorsOf(mSettings), [this](admin_call aCall) {
+      return CarryOut(std::move(aCall));
+    });
+}
+
+// The admin thread waits for control here. An answer that comes too late
+// finds its promise kept alive by the callback alone.
+admin_answer
+router::CarryOut(admin_call aCall)
+{
+  std::shared_ptr<std::promise<admin_answer>> const promise =
+    std::make_shared<std::promise<admin_answer>>();
+  std::future<admin_answer> answer = promise->get_future();
+  boost::asio::post(mControl.Context(),
+                    [this, promise, call = std::move(aCall)]() {
+                      mCore->HandleAdmin(call, [promise](admin_answer aAnswer) {
+                        promise->set_value(std::move(aAnswer));
+                      });
+                    });
+  if (answer.wait_for(kAdminTimeout) != std::future_status::ready)
+    return ErrorAnswer(503, "control gave no answer in time");
+  return answer.get();
 }
 
 // Control ends first, and its state with it while the traffic threads that
 // it posts to are still there.
 router::~router()
 {
+  mAdmin.reset();
   mControl.Stop();
   mCore.reset();
 }
--- a/Libraries/LibRouter/Router.h
+++ b/Libraries/LibRouter/Router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmin/AdminServer.h>
 #include <LibConfig/ConfigTables.h>
 #include <LibControl/ControlThread.h>
 #include <LibCore/Published.h>
@@ -29,6 +30,8 @@
   void Drain();
 
 private:
+  admin_answer CarryOut(admin_call aCall);
+
   daemon_settings mSettings;
   instance_life mSelf;
   published<config_tables> mTables;
@@ -37,6 +40,7 @@
   control_inbox mInbox;
   traffic mTraffic;
   std::unique_ptr<control_core> mCore;
+  std::unique_ptr<admin_server> mAdmin;
 };
 
 }
--- a/Tests/LibControl/TestRequestDirector.cpp
+++ b/Tests/LibControl/TestRequestDirector.cpp
@@ -82,11 +82,15 @@
   fleet_budget mBudget{ mSelf, {}, {}, {} };
   once_gate mGate{ mSelf, {}, {} };
   poison_table mPoison{ {} };
+  metrics_recorder mMetrics;
   std::shared_ptr<config_tables> mTables;
   request_director<recording_ports, steady_view, round_robin_policy> mDirector{
     mPorts,
     mView,
-    director_parts{ .mBudget = mBudget, .mGate = mGate, .mPoison = mPoison },
+    director_parts{ .mBudget = mBudget,
+                    .mGate = mGate,
+                    .mPoison = mPoison,
+                    .mMetrics = mMetrics },
     failure_domain{ "z" }
   };
 };
