--- a/Libraries/LibLimits/FleetBudget.cpp
+++ b/Libraries/LibLimits/FleetBudget.cpp
@@ -174,11 +174,17 @@
 {
   mProbeAt = aNow + mTiming.mProbeInterval;
   std::set<instance_id> peers;
+  bool isHolder = false;
   for (auto const& [slot, holder] : mSlots.Holders()) {
+    isHolder = isHolder || holder.mInstance == mSelf.mInstance;
     peers.insert(holder.mInstance);
     if (mRelease.IsWaiting())
       peers.insert(holder.mFormer.begin(), holder.mFormer.end());
   }
+  // Only holders lend and vote. In a large fleet the probes of all others
+  // would cost each holder more than all the rest of its control traffic.
+  if (!isHolder)
+    return;
   peers.erase(mSelf.mInstance);
   standing_probe const probe{ .mFrom = mSelf, .mSentAt = aNow };
   for (instance_id const& peer : peers)
--- a/Libraries/LibMembership/Freshness.cpp
+++ b/Libraries/LibMembership/Freshness.cpp
@@ -90,8 +90,10 @@
 void
 freshness::OnTick(instant aNow)
 {
-  if (aNow - mLastTick > mOptions.mPauseLimit)
+  if (aNow - mLastTick > mOptions.mPauseLimit) {
     mNotBefore = aNow;
+    mPauseEnded = aNow;
+  }
   mLastTick = aNow;
 }
 
@@ -105,6 +107,10 @@
   // The decision may come before the tick that would notice a pause.
   if (aNow - mLastTick > mOptions.mPauseLimit)
     return freshness_verdict::CutOff;
+  // After a pause the log gets its chance to answer first: that it hasn't yet
+  // is no sign of its being out, and a lone instance has no one else to ask.
+  if (mPauseEnded && aNow < *mPauseEnded + mOptions.mBound)
+    return freshness_verdict::CutOff;
   auto const isWithinReach = [&](member const& aMember) {
     return IsWithinReach(aMember, aLinked, aNow);
   };
--- a/Libraries/LibMembership/Freshness.h
+++ b/Libraries/LibMembership/Freshness.h
@@ -75,6 +75,8 @@
   instant mLastTick;
   /// Nothing counts that was true before this: a pause ended here.
   instant mNotBefore;
+  /// When the last pause ended; nothing before the first.
+  std::optional<instant> mPauseEnded;
   log_offset mApplied;
   /// The latest reading up to which all is applied.
   std::optional<tail_reading> mReading;
--- a/Tests/LibMembership/TestFreshness.cpp
+++ b/Tests/LibMembership/TestFreshness.cpp
@@ -210,6 +210,23 @@
   EXPECT_EQ(own.Assess(now, members, {}), freshness_verdict::Confirmed);
 }
 
+// Served a withdrawn key right after a pause: alone, it was most of its fleet.
+TEST(TestFreshness, ALoneInstanceWaitsForTheLogAfterAPause)
+{
+  instance_id const self{ "a" };
+  member const only{ .mLife = { self, incarnation{ 1 } } };
+  std::vector<member> const members{ only };
+  freshness_options const options;
+  instant now{};
+  freshness lone{ self, options, now };
+  lone.OnTailRead(log_offset{}, now);
+  now += 2 * options.mPauseLimit;
+  lone.OnTick(now);
+  EXPECT_EQ(lone.Assess(now, members, {}), freshness_verdict::CutOff);
+  lone.OnTailRead(log_offset{}, now);
+  EXPECT_EQ(lone.Assess(now, members, {}), freshness_verdict::Confirmed);
+}
+
 TEST(TestFreshness, ATailCountsOnceItIsApplied)
 {
   instant const now = instant{} + seconds{ 100 };
--- a/Tests/Scenarios/Support/3-Routers.lua
+++ b/Tests/Scenarios/Support/3-Routers.lua
@@ -213,3 +213,19 @@
   end
   return put_rows(platform, rows)
 end
+
+-- Waits for a fleet that has been running for a while: every budget slot has a
+-- holder, and the holders have read the log in touch with each other, which an
+-- outage of the log must not find half done.
+function wait_until_fleet_runs(router)
+  wait_until("all budget slots are held", function()
+    local answer = send({
+      url = router.admin .. "/v1/status",
+      headers = { ["Authorization"] = "Bearer " .. OPERATOR_KEY },
+    })
+    local slots = answer.body:match('"slots":(%b{})') or ""
+    local _, held = slots:gsub('"%d+":', "")
+    return held == 8
+  end)
+  rest(1500)
+end
--- a/Tests/Scenarios/log_outage_keeps_serving.lua
+++ b/Tests/Scenarios/log_outage_keeps_serving.lua
@@ -8,6 +8,7 @@
 local second = start_router("router-2", platform, { peers = { first } })
 wait_until_serves(first, "/stock", "key-1")
 wait_until_serves(second, "/stock", "key-1")
+wait_until_fleet_runs(first)
 log_out(platform)
 -- Longer than the freshness bound of 3 s: peers confirm each other.
 holds_for("lookups are served", 4000, function()
--- /dev/null
+++ b/Tests/Scenarios/one_of_three_restarts_while_the_log_is_out.lua
@@ -0,0 +1,24 @@
+-- The platform is out and one router of three is replaced: it serves at once
+-- from a peer's snapshot, and the others serve on.
+local platform = start_platform()
+local service = start_service("service-1")
+put_usual_rows(platform, nil, { service })
+local first = start_router("router-1", platform)
+local second = start_router("router-2", platform, { peers = { first } })
+local third = start_router("router-3", platform, { peers = { first, second } })
+for _, router in ipairs({ first, second, third }) do
+  wait_until_serves(router, "/stock", "key-1")
+end
+wait_until_fleet_runs(first)
+
+log_out(platform)
+kill("router-3")
+expect_equal(send(ask(first, "/stock", "key-1")).status, 200, "status at another router")
+third = start_router("router-3", platform, { peers = { first, second } })
+wait_until_serves(third, "/stock", "key-1")
+
+log_in(platform)
+put_rows(platform, { key_row("key-new", "shop-1") })
+for _, router in ipairs({ first, second, third }) do
+  wait_until_serves(router, "/stock", "key-new")
+end
