--- /dev/null
+++ b/Libraries/LibControl/CallBook.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibControl/CallState.h>
+
+#include <cassert>
+#include <unordered_map>
+
+namespace lycheeseam {
+
+/// The open calls, by their numbers and by their requests' ids.
+class call_book
+{
+public:
+  /// Adds a call, whose number and id are new.
+  call_state& Add(call_state aCall)
+  {
+    call_number const number = aCall.mRequest.mCall;
+    mNumbers.emplace(aCall.mRequest.mId, number);
+    auto const [place, isNew] = mCalls.emplace(number, std::move(aCall));
+    assert(isNew);
+    return place->second;
+  }
+
+  /// The call of that number, or null.
+  [[nodiscard]] call_state* Find(call_number aNumber)
+  {
+    auto const found = mCalls.find(aNumber);
+    return found == mCalls.end() ? nullptr : &found->second;
+  }
+
+  /// The call of that request, or null.
+  [[nodiscard]] call_state* Find(request_id const& aId)
+  {
+    auto const found = mNumbers.find(aId);
+    return found == mNumbers.end() ? nullptr : Find(found->second);
+  }
+
+  /// Forgets a call; references to it end here.
+  void Remove(call_state const& aCall)
+  {
+    call_number const number = aCall.mRequest.mCall;
+    mNumbers.erase(aCall.mRequest.mId);
+    mCalls.erase(number);
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return mCalls.size(); }
+
+private:
+  std::unordered_map<call_number, call_state> mCalls;
+  std::unordered_map<request_id, call_number> mNumbers;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibControl/CallMeter.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <LibControl/CallState.h>
+#include <LibMetrics/MetricsRecorder.h>
+
+#include <string>
+#include <string_view>
+
+namespace lycheeseam {
+
+/// Counts and times calls in the control thread's recorder.
+class call_meter
+{
+public:
+  explicit call_meter(metrics_recorder& aRecorder)
+    : mRecorder(aRecorder)
+  {
+  }
+
+  /// Adds one to the counter of that metric and label.
+  void Count(char const* aMetric, char const* aLabel, std::string_view aValue)
+  {
+    mRecorder.Count(mRecorder.OpenCounter(
+      counter_series{ .mMetric = aMetric,
+                      .mLabel = aLabel,
+                      .mLabelValue = std::string{ aValue } }));
+  }
+
+  /// Records the time from the call's arrival to a moment.
+  void Record(call_state const& aCall, latency_kind aKind, instant aMoment)
+  {
+    latency_handle const series =
+      mRecorder.OpenLatency(aCall.mAdmitted.mPool.mName, aCall.Workspace());
+    mRecorder.RecordLatency(series, aKind, aMoment - aCall.mRequest.mArrival);
+  }
+
+private:
+  metrics_recorder& mRecorder;
+};
+
+}
--- a/Libraries/LibControl/CallState.h
+++ b/Libraries/LibControl/CallState.h
@@ -37,6 +37,13 @@
   /// True when the caller has gone and the call runs on for its outcome.
   bool mIsAbandoned = false;
 
+  /// Whether the call runs under a claim in the log.
+  [[nodiscard]] bool IsClaimed() const
+  {
+    return mRequest.mIdempotencyKey.has_value() &&
+           mAdmitted.mRoute.mIdempotency == idempotency::NonIdempotent;
+  }
+
   /// The workspace that the call runs for; empty on routes open to all.
   [[nodiscard]] workspace_id Workspace() const
   {
--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibConfig/ConfigTables.h>
-#include <LibControl/CallCost.h>
-#include <LibControl/CallState.h>
+#include <LibControl/AttemptRules.h>
+#include <LibControl/CallBook.h>
+#include <LibControl/CallMeter.h>
 #include <LibControl/ControlMessage.h>
 #include <LibControl/ControlPorts.h>
 #include <LibControl/InstanceView.h>
+#include <LibControl/MakeCall.h>
 #include <LibControl/MakeUpstreamRequest.h>
 #include <LibControl/PoolTable.h>
 #include <LibControl/RetryDecision.h>
@@ -20,7 +22,7 @@
 #include <cassert>
 #include <memory>
 #include <optional>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lycheeseam {
@@ -51,6 +53,7 @@
     , mView(aView)
     , mParts(aParts)
     , mFailureDomain(std::move(aFailureDomain))
+    , mMeter(aParts.mMetrics)
   {
   }
 
@@ -92,23 +95,20 @@
       Answer(number, PoisonRefusal());
       return;
     }
-    auto const [place, isNew] = mCalls.emplace(number, std::move(call));
-    assert(isNew);
-    mNumbers.emplace(place->second.mRequest.mId, number);
-    Claim(place->second, aNow);
+    Claim(mCalls.Add(std::move(call)), aNow);
     Tick(aNow);
   }
 
   /// A caller has gone: what it asked for is ended wherever it stands.
   void Handle(caller_gone aGone, instant aNow)
   {
-    auto const found = mCalls.find(aGone.mCall);
-    if (found == mCalls.end())
+    call_state* const found = mCalls.Find(aGone.mCall);
+    if (!found)
       return;
-    call_state& call = found->second;
+    call_state& call = *found;
     // A claimed booking whose caller hung up still runs to its end, since its
     // repeat needs the outcome.
-    if (call.mPhase == call_phase::Running && IsClaimed(call)) {
+    if (call.mPhase == call_phase::Running && call.IsClaimed()) {
       call.mIsAbandoned = true;
       return;
     }
@@ -133,10 +133,10 @@
   /// An attempt has ended.
   void Handle(upstream_end aEnd, instant aNow)
   {
-    auto const found = mCalls.find(aEnd.mCall);
-    if (found == mCalls.end() || found->second.mAttempt != aEnd.mAttempt)
+    call_state* const found = mCalls.Find(aEnd.mCall);
+    if (!found || found->mAttempt != aEnd.mAttempt)
       return;
-    call_state& call = found->second;
+    call_state& call = *found;
     mPools.Of(call).OnEnded(call.mServer.mId, ResultOf(aEnd), aNow);
     NoteCrash(call, aEnd, aNow);
     if (MayResume(call, aEnd))
@@ -182,20 +182,6 @@
     return charge_id{ aCall.Value() };
   }
 
-  static attempt_result ResultOf(upstream_end const& aEnd)
-  {
-    if (aEnd.mFailure == transfer_failure::Cancelled)
-      return attempt_result::Cancelled;
-    return aEnd.mFailure == transfer_failure::None ? attempt_result::Answered
-                                                   : attempt_result::Lost;
-  }
-
-  static bool IsClaimed(call_state const& aCall)
-  {
-    return aCall.mRequest.mIdempotencyKey.has_value() &&
-           aCall.mAdmitted.mRoute.mIdempotency == idempotency::NonIdempotent;
-  }
-
   route_decision Decide(caller_request const& aRequest, instant aNow) const
   {
     route_decision decision = DecideRoute(*mTables, aRequest);
@@ -208,54 +194,25 @@
     return decision;
   }
 
-  static call_state MakeCall(caller_request aRequest, admitted_route aAdmitted)
-  {
-    call_state call{ .mRequest = std::move(aRequest),
-                     .mAdmitted = std::move(aAdmitted) };
-    call.mCharged = CallCost(call.mRequest, call.mAdmitted.mRoute);
-    call.mChain = ChainOf(call);
-    call.mFingerprint = digest::Of(call.Workspace().Text() + ' ' +
-                                   call.mRequest.mFingerprint.Hex());
-    return call;
-  }
-
-  static prefix_chain ChainOf(call_state const& aCall)
+  void Claim(call_state const& aCall, instant aNow)
   {
-    if (aCall.mRequest.mKind == call_kind::Plain)
-      return {};
-    cache_scope const scope{ .mWorkspace = aCall.Workspace(),
-                             .mWeights = aCall.mAdmitted.mPool.mWeights };
-    return prefix_chain::OfText(scope, aCall.mRequest.mCompletion.mPrompt);
-  }
-
-  void Claim(call_state& aCall, instant aNow)
-  {
-    caller_request const& request = aCall.mRequest;
-    once_request claim{ .mId = request.mId,
-                        .mIdempotency = aCall.mAdmitted.mRoute.mIdempotency,
-                        .mFingerprint = request.mFingerprint,
-                        .mDeadline =
-                          aNow + aCall.mAdmitted.mRoute.mQueueDeadline };
-    if (request.mIdempotencyKey) {
-      claim.mKey = request_key{ .mWorkspace = aCall.Workspace(),
-                                .mKey = *request.mIdempotencyKey };
-    }
     mParts.mGate.Begin(
-      aNow, claim, mView.Log(aNow), [this](instance_life const& aLife) {
-        return mView.IsAlive(aLife);
-      });
+      aNow,
+      ClaimOf(aCall, aNow),
+      mView.Log(aNow),
+      [this](instance_life const& aLife) { return mView.IsAlive(aLife); });
   }
 
   void OnClaimed(once_decision& aDecision, instant aNow)
   {
-    auto const found = mNumbers.find(aDecision.mId);
-    if (found == mNumbers.end()) {
+    call_state* const found = mCalls.Find(aDecision.mId);
+    if (!found) {
       // Its caller has gone meanwhile; the claim is given back.
       mParts.mGate.End(
         aNow, aDecision.mId, request_outcome{ .mVerdict = verdict::NotRun });
       return;
     }
-    call_state& call = mCalls.at(found->second);
+    call_state& call = *found;
     if (aDecision.mAction == once_action::Run) {
       Charge(call, aNow);
       return;
@@ -264,7 +221,7 @@
       Replay(call, std::move(*aDecision.mOutcome));
     else
       Answer(call.mRequest.mCall, RefusalFor(aDecision.mAction));
-    Forget(call);
+    mCalls.Remove(call);
   }
 
   void Replay(call_state const& aCall, request_outcome aOutcome)
@@ -294,10 +251,11 @@
 
   void OnCharged(charge_decision const& aDecision, instant aNow)
   {
-    auto const found = mCalls.find(call_number{ aDecision.mCharge.Value() });
-    if (found == mCalls.end())
+    call_state* const found =
+      mCalls.Find(call_number{ aDecision.mCharge.Value() });
+    if (!found)
       return;
-    call_state& call = found->second;
+    call_state& call = *found;
     if (aDecision.mResult == charge_result::Admitted) {
       call.mIsCharged = true;
       Enqueue(call, aNow);
@@ -323,15 +281,16 @@
   void Admit(pool_runtime<Policy>& aPool, instant aNow)
   {
     admission_batch const batch = aPool.Next(aNow);
-    for (ticket const expired : batch.mExpired)
-      Refuse(CallOf(expired), QueueDeadlineRefusal(), aNow);
-    for (ticket const admitted : batch.mAdmitted)
-      Dispatch(CallOf(admitted), aNow);
-  }
-
-  call_state& CallOf(ticket aTicket)
-  {
-    return mCalls.at(call_number{ aTicket.Value() });
+    for (ticket const expired : batch.mExpired) {
+      call_state* const call = mCalls.Find(call_number{ expired.Value() });
+      assert(call);
+      Refuse(*call, QueueDeadlineRefusal(), aNow);
+    }
+    for (ticket const admitted : batch.mAdmitted) {
+      call_state* const call = mCalls.Find(call_number{ admitted.Value() });
+      assert(call);
+      Dispatch(*call, aNow);
+    }
   }
 
   // The key may have been withdrawn, the pool changed, the claim forgotten and
@@ -348,7 +307,7 @@
       Refuse(aCall, PoisonRefusal(), aNow);
       return;
     }
-    if (IsClaimed(aCall) &&
+    if (aCall.IsClaimed() &&
         !mParts.mGate.MayDispatch(aNow, aCall.mRequest.mId)) {
       Refuse(aCall, QueueDeadlineRefusal(), aNow);
       return;
@@ -378,10 +337,10 @@
     aCall.mAttempt = aCall.mAttempt.Next();
     aCall.mPhase = call_phase::Running;
     pool.OnSent(server->mId, aCall.mChain.Tokens() - aChoice.mExpectedCached);
-    Count("attempts_total", "pool", aCall.mAdmitted.mPool.mName.Text());
+    mMeter.Count("attempts_total", "pool", aCall.mAdmitted.mPool.mName.Text());
     if (aCall.mAttempt == attempt_number{ 1 })
       pool.Retries().OnRequest();
-    Record(aCall, latency_kind::QueueWait, aNow);
+    mMeter.Record(aCall, latency_kind::QueueWait, aNow);
     mPorts.PostUpstream(MakeUpstreamRequest(aCall));
   }
 
@@ -398,16 +357,6 @@
     mCrashes.push_back(std::move(report));
   }
 
-  bool MayResume(call_state const& aCall, upstream_end const& aEnd)
-  {
-    bool const isLost = aEnd.mFailure == transfer_failure::ConnectionLost ||
-                        aEnd.mFailure == transfer_failure::Stalled;
-    bool const isOpen = aEnd.mForwardedBytes > 0 && !aCall.mIsAbandoned;
-    return isLost && isOpen && aCall.mLost.empty() &&
-           aCall.mAdmitted.mRoute.mResume == stream_resume::OtherServer &&
-           aCall.mRequest.mKind == call_kind::Completion;
-  }
-
   void Resume(call_state& aCall, upstream_end const& aEnd, instant aNow)
   {
     aCall.mTextSoFar += AnswerText(aEnd.mRecorded);
@@ -437,12 +386,8 @@
     call_number const number = aCall.mRequest.mCall;
     token_count const used = UsedTokens(aCall, aEnd);
     if (aEnd.mFirstByte)
-      Record(aCall, latency_kind::FirstToken, *aEnd.mFirstByte);
-    request_outcome outcome{ .mVerdict = aEnd.mVerdict,
-                             .mStatus = aEnd.mStatus,
-                             .mContentType = aEnd.mContentType };
-    if (IsClaimed(aCall) && aEnd.mFailure == transfer_failure::None)
-      outcome.mBody = aEnd.mBody;
+      mMeter.Record(aCall, latency_kind::FirstToken, *aEnd.mFirstByte);
+    request_outcome outcome = OutcomeOf(aCall, aEnd);
     if (aEnd.mFailure != transfer_failure::None)
       Answer(number, RefusalFor(aEnd));
     else if (aEnd.mForwardedBytes > 0 || aCall.mHasBegun)
@@ -452,17 +397,6 @@
     Close(aCall, std::move(outcome), used, aNow);
   }
 
-  // What is settled for a call: the engine's own count where it gave one.
-  static token_count UsedTokens(call_state const& aCall,
-                                upstream_end const& aEnd)
-  {
-    if (aEnd.mVerdict == verdict::NotRun)
-      return 0;
-    if (aEnd.mUsage)
-      return aEnd.mUsage->mPrompt + aEnd.mUsage->mCompletion;
-    return aCall.mCharged;
-  }
-
   void PassOn(upstream_end aEnd)
   {
     mPorts.PostFront(front_answer{ .mCall = aEnd.mCall,
@@ -493,40 +427,16 @@
     mParts.mGate.End(aNow, aCall.mRequest.mId, std::move(aOutcome));
     if (aCall.mIsCharged)
       mParts.mBudget.Settle(ChargeOf(aCall.mRequest.mCall), aUsed);
-    Forget(aCall);
-  }
-
-  void Forget(call_state const& aCall)
-  {
-    call_number const number = aCall.mRequest.mCall;
-    mNumbers.erase(aCall.mRequest.mId);
-    mCalls.erase(number);
+    mCalls.Remove(aCall);
   }
 
   void Answer(call_number aCall, refusal aRefusal)
   {
-    Count("refusals_total", "code", RefusalName(aRefusal.mCode));
+    mMeter.Count("refusals_total", "code", RefusalName(aRefusal.mCode));
     mPorts.PostFront(
       front_refusal{ .mCall = aCall, .mRefusal = std::move(aRefusal) });
   }
 
-  void Count(char const* aMetric, char const* aLabel, std::string_view aValue)
-  {
-    mParts.mMetrics.Count(mParts.mMetrics.OpenCounter(
-      counter_series{ .mMetric = aMetric,
-                      .mLabel = aLabel,
-                      .mLabelValue = std::string{ aValue } }));
-  }
-
-  // A latency from the call's arrival to a moment.
-  void Record(call_state const& aCall, latency_kind aKind, instant aMoment)
-  {
-    latency_handle const series = mParts.mMetrics.OpenLatency(
-      aCall.mAdmitted.mPool.mName, aCall.Workspace());
-    mParts.mMetrics.RecordLatency(
-      series, aKind, aMoment - aCall.mRequest.mArrival);
-  }
-
   Ports& mPorts;
   View const& mView;
   director_parts mParts;
@@ -534,8 +444,8 @@
   std::shared_ptr<config_tables const> mTables =
     std::make_shared<config_tables const>();
   pool_table<Policy> mPools;
-  std::unordered_map<call_number, call_state> mCalls;
-  std::unordered_map<request_id, call_number> mNumbers;
+  call_book mCalls;
+  call_meter mMeter;
   std::vector<crash_report> mCrashes;
 };
 
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -58,7 +58,7 @@
 
   // admin_control
   [[nodiscard]] config_tables const& Tables() const;
-  void Propose(config_proposal aProposal, proposal_callback aDone);
+  void Propose(config_proposal aProposal, proposal_callback const& aDone);
   [[nodiscard]] std::string StatusText();
   [[nodiscard]] std::string MetricsText();
 
--- a/Libraries/LibRouter/ControlCoreAdmin.cpp
+++ b/Libraries/LibRouter/ControlCoreAdmin.cpp
@@ -19,7 +19,7 @@
 
 // Without the log's tail the appender can't say until when a proposal counts.
 void
-control_core::Propose(config_proposal aProposal, proposal_callback aDone)
+control_core::Propose(config_proposal aProposal, proposal_callback const& aDone)
 {
   if (mFollower.Phase() != follower_phase::Following) {
     aDone(std::nullopt);
