--- a/Libraries/LibAdmin/RowCalls.cpp
+++ b/Libraries/LibAdmin/RowCalls.cpp
@@ -24,11 +24,11 @@
 }
 
 // Runs an action on the table that the call is about.
-template<typename Action>
-auto
+template<typename Answer, typename Action>
+Answer
 WithTable(config_tables const& aTables,
           admin_call const& aCall,
-          Action const& aAction) -> decltype(aAction(aTables.mRoutes))
+          Action const& aAction)
 {
   if (aCall.mSubject == "routes")
     return aAction(aTables.mRoutes);
@@ -80,7 +80,7 @@
 admin_answer
 ReadRows(config_tables const& aTables, admin_call const& aCall)
 {
-  return WithTable(aTables, aCall, [&aCall](auto const& aRows) {
+  return WithTable<admin_answer>(aTables, aCall, [&aCall](auto const& aRows) {
     return ReadFrom(aRows, aCall);
   });
 }
@@ -90,7 +90,7 @@
 {
   if (aCall.mName.empty())
     throw invalid_input("the path names no row");
-  return WithTable(aTables, aCall, [&aCall](auto const& aRows) {
+  return WithTable<any_row_change>(aTables, aCall, [&aCall](auto const& aRows) {
     return ChangeOf(aRows, aCall);
   });
 }
