--- a/Bench/Peers/MeasureSnapshot.cpp
+++ b/Bench/Peers/MeasureSnapshot.cpp
@@ -130,7 +130,7 @@
 {
   for (log_entry const& entry : MakeRecords(aPercent)) {
     config_proposal const& proposal = std::get<config_proposal>(entry.mRecord);
-    auto const* const change =
+    pool_change const* const change =
       std::get_if<pool_change>(&proposal.mChanges.front());
     if (!change)
       continue;
--- a/Bench/Slopes/Main.cpp
+++ b/Bench/Slopes/Main.cpp
@@ -37,10 +37,11 @@
 void
 MeasureAll()
 {
+  using measure_function = std::vector<slope_result> (*)();
   nlohmann::json rows = nlohmann::json::array();
   std::puts("| operation | size | ns of processor time | bytes held |");
   std::puts("| --- | ---: | ---: | ---: |");
-  for (auto const measure :
+  for (measure_function const measure :
        { MeasureChoice, MeasureBlockMap, MeasureFairQueue }) {
     for (slope_result const& row : measure()) {
       Print(row);
