LibHttp: Read and write heads, call servers over Asio

Exact headers, chunked bodies passed on and the moment of a close can't be had from the front library (docs/PLATFORM.md); Boost.Beast's parsers give them. The breaker and the retry budget learn of absence and of time.

--- a/Libraries/LibAdmission/CircuitBreaker.cpp
+++ b/Libraries/LibAdmission/CircuitBreaker.cpp
@@ -32,6 +32,14 @@
     Open(aNow);
 }
 
+void
+circuit_breaker::OnAbsence(instant aNow)
+{
+  mFailures = std::max(mFailures, mOptions.mFailureThreshold);
+  if (State(aNow) != breaker_state::Open)
+    Open(aNow);
+}
+
 void
 circuit_breaker::Open(instant aNow)
 {
--- a/Libraries/LibAdmission/CircuitBreaker.h
+++ b/Libraries/LibAdmission/CircuitBreaker.h
@@ -24,6 +24,10 @@
   /// The server was lost: refused, cut or silent past its timeout.
   void OnFailure(instant aNow);
 
+  /// The server is surely not there, as when it refuses connections: opens at
+  /// once.
+  void OnAbsence(instant aNow);
+
   /// The server started anew; what its old life did no longer counts.
   void OnRestart() { OnSuccess(); }
 
--- a/Libraries/LibAdmission/RetryBudget.h
+++ b/Libraries/LibAdmission/RetryBudget.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibAdmission/RetryBudgetOptions.h>
+#include <LibCore/Instant.h>
 
 #include <algorithm>
+#include <chrono>
 
 namespace lycheeseam {
 
@@ -23,6 +25,16 @@
     mSaved = std::min(mSaved + mOptions.mRetriesPerRequest, mOptions.mMaxSaved);
   }
 
+  /// Time passes; some budgets also earn by it.
+  void OnTime(instant aNow)
+  {
+    double const seconds =
+      std::chrono::duration<double>(aNow - mEarnedAt).count();
+    mEarnedAt = aNow;
+    mSaved = std::min(mSaved + seconds * mOptions.mRetriesPerSecond,
+                      mOptions.mMaxSaved);
+  }
+
   /// Spends one retry; false when the budget is used up.
   [[nodiscard]] bool TrySpend()
   {
@@ -35,6 +47,7 @@
 private:
   retry_budget_options mOptions;
   double mSaved;
+  instant mEarnedAt{};
 };
 
 }
--- a/Libraries/LibAdmission/RetryBudgetOptions.h
+++ b/Libraries/LibAdmission/RetryBudgetOptions.h
@@ -9,6 +9,9 @@
   double mRetriesPerRequest = 0.1;
   /// The most retries that can be saved up; the budget starts with them.
   double mMaxSaved = 10.0;
+
+  /// Retries earned by time alone.
+  double mRetriesPerSecond = 0.0;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibHttp/FormatHead.cpp
@@ -0,0 +1,64 @@
+#include <LibHttp/FormatHead.h>
+
+#include <array>
+#include <charconv>
+
+namespace lycheeseam {
+
+namespace {
+
+// Most heads fit; a longer one costs one more allocation.
+constexpr std::size_t kUsualHeadBytes = 512;
+
+void
+AppendFields(std::string& aText, std::vector<header_field> const& aFields)
+{
+  for (header_field const& field : aFields) {
+    aText += field.mName;
+    aText += ": ";
+    aText += field.mValue;
+    aText += "\r\n";
+  }
+  aText += "\r\n";
+}
+
+}
+
+std::string
+FormatRequestHead(request_head const& aHead)
+{
+  std::string text;
+  text.reserve(kUsualHeadBytes);
+  text += aHead.mMethod;
+  text += ' ';
+  text += aHead.mTarget;
+  text += " HTTP/1.1\r\n";
+  AppendFields(text, aHead.mFields);
+  return text;
+}
+
+std::string
+FormatAnswerHead(answer_head const& aHead)
+{
+  std::string text;
+  text.reserve(kUsualHeadBytes);
+  text += "HTTP/1.1 ";
+  text += std::to_string(aHead.mStatus);
+  text += ' ';
+  text += aHead.mReason;
+  text += "\r\n";
+  AppendFields(text, aHead.mFields);
+  return text;
+}
+
+std::string
+FormatChunkLine(std::size_t aBytes)
+{
+  constexpr int kHexadecimal = 16;
+  std::array<char, 2 * sizeof(aBytes)> digits{};
+  auto const [end, fault] = std::to_chars(
+    digits.data(), digits.data() + digits.size(), aBytes, kHexadecimal);
+  return std::string{ digits.data(), end } + "\r\n";
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -0,0 +1,148 @@
+#include <LibHttp/FormatHead.h>
+#include <LibHttp/HttpClient.h>
+#include <LibHttp/TakeHead.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+// Answers of the store hold up to 1 MB of records, in base64 or raw.
+constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+
+}
+
+class http_client::transfer
+  : public std::enable_shared_from_this<http_client::transfer>
+{
+public:
+  transfer(http_client& aClient, http_exchange_call aCall, handler aHandler)
+    : mClient(aClient)
+    , mCall(std::move(aCall))
+    , mHandler(std::move(aHandler))
+    , mTimer(aClient.mContext)
+  {
+    mParser.body_limit(kMaxAnswerBytes);
+  }
+
+  void Start()
+  {
+    mTimer.expires_after(mCall.mTimeout);
+    mTimer.async_wait([self = shared_from_this()](auto aFault) {
+      if (!aFault)
+        self->End("timeout");
+    });
+    std::vector<std::shared_ptr<tcp::socket>>& idle = mClient.mIdle[mCall.mTo];
+    if (idle.empty())
+      return Connect();
+    mSocket = std::move(idle.back());
+    idle.pop_back();
+    Write();
+  }
+
+private:
+  void Connect()
+  {
+    mSocket = std::make_shared<tcp::socket>(mClient.mContext);
+    boost::system::error_code fault;
+    auto const address =
+      boost::asio::ip::make_address(mCall.mTo.mAddress, fault);
+    if (fault)
+      return End("the address is no IP number");
+    mSocket->async_connect(
+      { address, mCall.mTo.mPort }, [self = shared_from_this()](auto aFault) {
+        if (aFault)
+          return self->End(aFault.message());
+        boost::system::error_code ignored;
+        self->mSocket->set_option(tcp::no_delay{ true }, ignored);
+        self->Write();
+      });
+  }
+
+  void Write()
+  {
+    if (mIsDone)
+      return;
+    mVerdict = verdict::MayHaveRun;
+    mCall.mHead.mFields.push_back({ "Host", mCall.mTo.Text() });
+    mCall.mHead.mFields.push_back(
+      { "Content-Length", std::to_string(mCall.mBody.size()) });
+    mBytes = FormatRequestHead(mCall.mHead);
+    std::array<boost::asio::const_buffer, 2> const buffers{
+      boost::asio::buffer(mBytes), boost::asio::buffer(mCall.mBody)
+    };
+    boost::asio::async_write(
+      *mSocket, buffers, [self = shared_from_this()](auto aFault, std::size_t) {
+        if (aFault)
+          self->End(aFault.message());
+      });
+    boost::beast::http::async_read(
+      *mSocket,
+      mBuffer,
+      mParser,
+      [self = shared_from_this()](auto aFault, std::size_t) {
+        self->End(aFault ? aFault.message() : std::string{});
+      });
+  }
+
+  void End(std::string aFault)
+  {
+    if (std::exchange(mIsDone, true))
+      return;
+    mTimer.cancel();
+    http_exchange_result result{ .mVerdict = mVerdict,
+                                 .mFault = std::move(aFault) };
+    if (result.mFault.empty()) {
+      result.mVerdict = verdict::Ran;
+      result.mHead = TakeAnswerHead(mParser);
+      result.mBody = std::move(mParser.get().body());
+      if (mParser.get().keep_alive() && mBuffer.size() == 0)
+        mClient.mIdle[mCall.mTo].push_back(std::move(mSocket));
+    }
+    if (mSocket) {
+      boost::system::error_code ignored;
+      mSocket->close(ignored);
+    }
+    mHandler(std::move(result));
+  }
+
+  http_client& mClient;
+  http_exchange_call mCall;
+  handler mHandler;
+  boost::asio::steady_timer mTimer;
+  std::shared_ptr<tcp::socket> mSocket;
+  std::string mBytes;
+  boost::beast::flat_buffer mBuffer;
+  boost::beast::http::response_parser<boost::beast::http::string_body> mParser;
+  verdict mVerdict = verdict::NotRun;
+  bool mIsDone = false;
+};
+
+http_client::http_client(boost::asio::io_context& aContext)
+  : mContext(aContext)
+{
+}
+
+void
+http_client::Call(http_exchange_call aCall, handler aHandler)
+{
+  std::make_shared<transfer>(*this, std::move(aCall), std::move(aHandler))
+    ->Start();
+}
+
+void
+http_client::Forget(endpoint const& aAddress)
+{
+  mIdle.erase(aAddress);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/TakeHead.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibHttp/AnswerHead.h>
+#include <LibHttp/RequestHead.h>
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// Copies the headers of a parsed message in their order, with repeats.
+template<typename Fields>
+std::vector<header_field>
+TakeFields(Fields const& aFields)
+{
+  std::vector<header_field> fields;
+  for (auto const& field : aFields)
+    fields.push_back({ .mName = std::string{ field.name_string() },
+                       .mValue = std::string{ field.value() } });
+  return fields;
+}
+
+/// The head of a parsed request.
+template<typename Parser>
+request_head
+TakeRequestHead(Parser const& aParser)
+{
+  return { .mMethod = std::string{ aParser.get().method_string() },
+           .mTarget = std::string{ aParser.get().target() },
+           .mFields = TakeFields(aParser.get().base()) };
+}
+
+/// The head of a parsed answer.
+template<typename Parser>
+answer_head
+TakeAnswerHead(Parser const& aParser)
+{
+  answer_head head{ .mStatus = aParser.get().result_int(),
+                    .mReason = std::string{ aParser.get().reason() },
+                    .mFields = TakeFields(aParser.get().base()) };
+  if (auto const length = aParser.content_length())
+    head.mLength = *length;
+  return head;
+}
+
+}
