--- /dev/null
+++ b/Libraries/LibDispatch/CallerLimits.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+
+#include <chrono>
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// What a caller may send, and how long it may take. The defaults hold until
+/// the first configuration is read.
+struct caller_limits
+{
+  std::uint32_t mHeaderBytes = 16'384;
+  std::uint64_t mBodyBytes = 4'194'304;
+  duration mHeaderTimeout = std::chrono::seconds{ 3 };
+  duration mIdleTimeout = std::chrono::seconds{ 15 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -0,0 +1,170 @@
+#include <LibDispatch/ChooseServer.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace lycheeseam {
+
+namespace {
+
+// Bounded load: a server may have this much of the mean, and this part of its
+// places besides, before prompts go on to the next one.
+constexpr double kLoadFactor = 1.25;
+constexpr double kLoadAllowance = 0.12;
+
+// Beyond this part of its places a server makes its requests wait.
+constexpr double kFullPressure = 0.95;
+
+bool
+MayTakeWork(served_server const& aServer, server_choice_request const& aRequest)
+{
+  if (aServer.mListed.mStage != server_stage::Ready || aServer.mIsTurning)
+    return false;
+  breaker_state const breaker = aServer.mBreaker.State(aRequest.mNow);
+  bool const isProbed =
+    breaker == breaker_state::HalfOpen && aServer.mInFlight > 0;
+  if (breaker == breaker_state::Open || isProbed)
+    return false;
+  return std::find(aRequest.mTried.begin(),
+                   aRequest.mTried.end(),
+                   aServer.mListed.mId) == aRequest.mTried.end();
+}
+
+std::vector<served_server*>
+Usable(std::span<served_server* const> aServers,
+       server_choice_request const& aRequest)
+{
+  std::vector<served_server*> usable;
+  for (served_server* const server : aServers) {
+    if (MayTakeWork(*server, aRequest))
+      usable.push_back(server);
+  }
+  return usable;
+}
+
+double
+MeanPressure(std::span<served_server* const> aServers, instant aNow)
+{
+  double sum = 0;
+  for (served_server const* const server : aServers)
+    sum += server->Pressure(aNow);
+  return aServers.empty() ? 0 : sum / static_cast<double>(aServers.size());
+}
+
+served_server*
+LeastLoaded(std::span<served_server* const> aServers,
+            server_choice_request const& aRequest)
+{
+  served_server* best = nullptr;
+  double bestPressure = std::numeric_limits<double>::max();
+  for (served_server* const server : aServers) {
+    double const pressure = server->Pressure(aRequest.mNow);
+    bool const isNearer = best != nullptr &&
+                          best->mListed.mDomain != aRequest.mDomain &&
+                          server->mListed.mDomain == aRequest.mDomain;
+    if (pressure < bestPressure || (pressure == bestPressure && isNearer)) {
+      best = server;
+      bestPressure = pressure;
+    }
+  }
+  return best;
+}
+
+served_server*
+FirstInOrder(std::span<served_server* const> aServers,
+             server_choice_request const& aRequest)
+{
+  double const bound =
+    kLoadFactor * MeanPressure(aServers, aRequest.mNow) + kLoadAllowance;
+  served_server* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (served_server* const server : aServers) {
+    if (server->Pressure(aRequest.mNow) > std::min(bound, kFullPressure))
+      continue;
+    std::uint64_t const rank =
+      RendezvousRank(*aRequest.mPromptKey, server->mSeed);
+    if (best == nullptr || rank > bestRank) {
+      best = server;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+// The servers with the newest weights, or those with the next older ones
+// while none of them has a place.
+std::vector<served_server*>
+NewestWithPlaces(std::vector<served_server*> aServers,
+                 server_choice_request const& aRequest)
+{
+  auto const isNewer = [&aRequest](served_server const* aLeft,
+                                   served_server const* aRight) {
+    return aLeft->mListed.VersionOf(aRequest.mModel) >
+           aRight->mListed.VersionOf(aRequest.mModel);
+  };
+  std::stable_sort(aServers.begin(), aServers.end(), isNewer);
+  std::vector<served_server*> chosen;
+  for (std::size_t index = 0; index < aServers.size(); ++index) {
+    bool const isOlder =
+      index > 0 && isNewer(aServers[index - 1], aServers[index]);
+    if (isOlder && MeanPressure(chosen, aRequest.mNow) < kFullPressure)
+      break;
+    if (isOlder)
+      chosen.clear();
+    chosen.push_back(aServers[index]);
+  }
+  return chosen;
+}
+
+}
+
+std::uint64_t
+RendezvousRank(std::uint64_t aPromptKey, std::uint64_t aServerSeed)
+{
+  // The finalizer of splitmix64, which spreads each bit over all others.
+  std::uint64_t value = aPromptKey ^ aServerSeed;
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31U);
+}
+
+served_server*
+ChooseServer(std::span<served_server* const> aServers,
+             server_choice_request const& aRequest)
+{
+  std::vector<served_server*> usable = Usable(aServers, aRequest);
+  if (!aRequest.mModel.IsEmpty())
+    usable = NewestWithPlaces(std::move(usable), aRequest);
+  if (aRequest.mPromptKey) {
+    if (served_server* const first = FirstInOrder(usable, aRequest))
+      return first;
+  }
+  return LeastLoaded(usable, aRequest);
+}
+
+served_server*
+ChooseCacheSource(std::span<served_server* const> aServers,
+                  server_choice_request const& aRequest,
+                  served_server const& aChosen)
+{
+  if (!aRequest.mPromptKey)
+    return nullptr;
+  std::uint64_t const version = aChosen.mListed.VersionOf(aRequest.mModel);
+  served_server* best = nullptr;
+  std::uint64_t bestRank = 0;
+  for (served_server* const server : aServers) {
+    if (server == &aChosen || server->mIsTurning ||
+        server->mListed.VersionOf(aRequest.mModel) != version ||
+        server->mBreaker.State(aRequest.mNow) == breaker_state::Open)
+      continue;
+    std::uint64_t const rank =
+      RendezvousRank(*aRequest.mPromptKey, server->mSeed);
+    if (best == nullptr || rank > bestRank) {
+      best = server;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/DispatchConfig.cpp
@@ -0,0 +1,78 @@
+#include <LibDispatch/DispatchConfig.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+bool
+HasLongerPrefix(dispatch_route const& aLeft, dispatch_route const& aRight)
+{
+  return aLeft.mPathPrefix.size() > aRight.mPathPrefix.size();
+}
+
+}
+
+dispatch_config::dispatch_config(std::uint64_t aVersion,
+                                 std::vector<dispatch_route> aRoutes,
+                                 std::vector<dispatch_pool> aPools,
+                                 std::vector<dispatch_workspace> aWorkspaces,
+                                 caller_limits aLimits)
+  : mVersion(aVersion)
+  , mPools(std::move(aPools))
+  , mWorkspaces(std::move(aWorkspaces))
+  , mLimits(aLimits)
+{
+  for (dispatch_route& route : aRoutes)
+    mRoutes[route.mHost].push_back(std::move(route));
+  for (auto& [host, routes] : mRoutes)
+    std::stable_sort(routes.begin(), routes.end(), HasLongerPrefix);
+  for (std::size_t index = 0; index < mWorkspaces.size(); ++index) {
+    for (std::string const& key : mWorkspaces[index].mKeys)
+      mWorkspaceByKey.emplace(key, index);
+  }
+}
+
+dispatch_route const*
+dispatch_config::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  auto const found = mRoutes.find(aHost);
+  if (found == mRoutes.end())
+    return nullptr;
+  for (dispatch_route const& route : found->second) {
+    if (aPath.starts_with(route.mPathPrefix))
+      return &route;
+  }
+  return nullptr;
+}
+
+dispatch_workspace const*
+dispatch_config::FindWorkspace(std::string_view aKey) const
+{
+  auto const found = mWorkspaceByKey.find(std::string{ aKey });
+  return found == mWorkspaceByKey.end() ? nullptr : &mWorkspaces[found->second];
+}
+
+dispatch_pool const*
+dispatch_config::FindPool(pool_name const& aName) const
+{
+  for (dispatch_pool const& pool : mPools) {
+    if (pool.mName == aName)
+      return &pool;
+  }
+  return nullptr;
+}
+
+dispatch_pool const*
+dispatch_config::CacheStore() const
+{
+  for (dispatch_pool const& pool : mPools) {
+    if (pool.mCacheStore)
+      return &pool;
+  }
+  return nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <LibDispatch/CallerLimits.h>
+#include <LibDispatch/DispatchPool.h>
+#include <LibDispatch/DispatchRoute.h>
+#include <LibDispatch/DispatchWorkspace.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheeseam {
+
+/// One whole configuration, indexed for lookups. Immutable once built.
+class dispatch_config
+{
+public:
+  dispatch_config(std::uint64_t aVersion,
+                  std::vector<dispatch_route> aRoutes,
+                  std::vector<dispatch_pool> aPools,
+                  std::vector<dispatch_workspace> aWorkspaces,
+                  caller_limits aLimits);
+
+  /// The route with the longest prefix that begins the path, or null.
+  [[nodiscard]] dispatch_route const* FindRoute(std::string_view aHost,
+                                                std::string_view aPath) const;
+
+  /// The workspace that holds a key, or null.
+  [[nodiscard]] dispatch_workspace const* FindWorkspace(
+    std::string_view aKey) const;
+
+  /// A pool by its name, or null.
+  [[nodiscard]] dispatch_pool const* FindPool(pool_name const& aName) const;
+
+  /// The first store of KV cache, or null.
+  [[nodiscard]] dispatch_pool const* CacheStore() const;
+
+  [[nodiscard]] std::uint64_t Version() const noexcept { return mVersion; }
+  [[nodiscard]] std::vector<dispatch_workspace> const& Workspaces()
+    const noexcept
+  {
+    return mWorkspaces;
+  }
+  [[nodiscard]] std::vector<dispatch_pool> const& Pools() const noexcept
+  {
+    return mPools;
+  }
+  [[nodiscard]] caller_limits const& Limits() const noexcept { return mLimits; }
+
+private:
+  std::uint64_t mVersion;
+  /// By host; the longest prefix first.
+  std::map<std::string, std::vector<dispatch_route>, std::less<>> mRoutes;
+  std::vector<dispatch_pool> mPools;
+  std::vector<dispatch_workspace> mWorkspaces;
+  std::unordered_map<std::string, std::size_t> mWorkspaceByKey;
+  caller_limits mLimits;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/FleetView.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibDispatch/CallerEntry.h>
+#include <LibDispatch/DispatchConfig.h>
+#include <LibDispatch/ListedServer.h>
+#include <LibDispatch/NamedWeights.h>
+#include <LibDispatch/SpentUnits.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lycheeseam {
+
+/// What an instance knows of the fleet: published by the control thread,
+/// read by the traffic thread for every decision.
+struct fleet_view
+{
+  /// Null until the first configuration is read.
+  std::shared_ptr<dispatch_config const> mConfig;
+  std::vector<listed_server> mServers;
+  /// Servers that are about to load weights and take no new work.
+  std::set<backend_server_id> mTurning;
+  std::vector<named_weights> mWeights;
+  std::vector<caller_entry> mEntries;
+  /// Instances that share limits, this one included; at least 1.
+  std::uint32_t mInstances = 1;
+  /// Of these, the others that haven't reported lately.
+  std::uint32_t mSilentInstances = 0;
+  /// What the other instances admitted since they started, added up.
+  std::vector<spent_units> mSpentElsewhere;
+
+  /// The newest version that was named for a model; 0 for none.
+  [[nodiscard]] std::uint64_t NewestVersion(model_name const& aModel) const
+  {
+    for (named_weights const& named : mWeights) {
+      if (named.mModel == aModel)
+        return named.mVersion;
+    }
+    return 0;
+  }
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/ListedServer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifiers.h>
+#include <LibDispatch/LoadedModel.h>
+#include <LibDispatch/ServerStage.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace lycheeseam {
+
+/// One backend server as it registered itself.
+struct listed_server
+{
+  backend_server_id mId;
+  /// When it started, in Unix milliseconds: a restart under the same id
+  /// knows nothing of before.
+  incarnation mLife;
+  pool_name mPool;
+  endpoint mAddress;
+  failure_domain mDomain;
+  std::uint32_t mSlots = 1;
+  server_stage mStage = server_stage::Ready;
+  std::vector<loaded_model> mModels;
+  /// Orders that the engine accepted in this life.
+  std::uint64_t mOrders = 0;
+
+  bool operator==(listed_server const&) const = default;
+
+  /// The version of a model's weights; 0 when it has none.
+  [[nodiscard]] std::uint64_t VersionOf(model_name const& aModel) const
+  {
+    for (loaded_model const& model : mModels) {
+      if (model.mModel == aModel)
+        return model.mVersion;
+    }
+    return 0;
+  }
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/RouteShare.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// One pool's part of a route's traffic.
+struct route_share
+{
+  pool_name mPool;
+  /// Relative to the other shares of the route.
+  std::uint32_t mWeight = 1;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/ServedServer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibAdmission/CircuitBreaker.h>
+#include <LibDispatch/ListedServer.h>
+#include <LibDispatch/ServerLoad.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace lycheeseam {
+
+/// What the traffic thread knows of one life of a backend server beyond its
+/// entry: its own requests there and what their answers showed.
+struct served_server
+{
+  listed_server mListed;
+  /// Differs from server to server; ranks servers for a prompt.
+  std::uint64_t mSeed = 0;
+  circuit_breaker mBreaker;
+  bool mIsTurning = false;
+  /// Own requests that haven't ended.
+  std::uint32_t mInFlight = 0;
+  /// Their prompts and expected answers, in tokens.
+  token_count mInFlightTokens = 0;
+  std::optional<server_load> mLoad;
+  /// Own requests in flight when the load was told.
+  std::uint32_t mInFlightAtLoad = 0;
+  /// When any byte came from it.
+  instant mHeardAt{};
+  /// Since when it owes the first byte of an answer; nothing when it doesn't.
+  std::optional<instant> mOwesSince;
+
+  /// Requests that run or wait on it now, as far as is known.
+  [[nodiscard]] std::uint32_t EstimatedRequests(instant aNow) const;
+
+  /// The estimate over the places it has.
+  [[nodiscard]] double Pressure(instant aNow) const;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -0,0 +1,69 @@
+#include <LibDispatch/ServerTable.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// Versions only grow within a life, so the higher of two is the newer word.
+void
+KeepNewerVersions(listed_server& aNew, listed_server const& aKnown)
+{
+  for (loaded_model& model : aNew.mModels)
+    model.mVersion = std::max(model.mVersion, aKnown.VersionOf(model.mModel));
+}
+
+std::shared_ptr<served_server>
+MakeServer(listed_server const& aListed)
+{
+  auto made = std::make_shared<served_server>();
+  made->mListed = aListed;
+  made->mSeed =
+    XXH3_64bits(aListed.mId.Text().data(), aListed.mId.Text().size());
+  return made;
+}
+
+}
+
+void
+server_table::Apply(fleet_view const& aView)
+{
+  std::map<backend_server_id, std::shared_ptr<served_server>> next;
+  for (listed_server const& listed : aView.mServers) {
+    std::shared_ptr<served_server> known = Find(listed.mId);
+    if (!known || known->mListed.mLife != listed.mLife) {
+      known = MakeServer(listed);
+    } else {
+      listed_server merged = listed;
+      KeepNewerVersions(merged, known->mListed);
+      known->mListed = std::move(merged);
+    }
+    known->mIsTurning = aView.mTurning.contains(listed.mId);
+    next.emplace(listed.mId, std::move(known));
+  }
+  mServers.swap(next);
+  mPools.clear();
+  for (auto const& [id, server] : mServers)
+    mPools[server->mListed.mPool].push_back(server.get());
+}
+
+std::span<served_server* const>
+server_table::Pool(pool_name const& aPool) const
+{
+  auto const found = mPools.find(aPool);
+  if (found == mPools.end())
+    return {};
+  return found->second;
+}
+
+std::shared_ptr<served_server>
+server_table::Find(backend_server_id const& aId) const
+{
+  auto const found = mServers.find(aId);
+  return found == mServers.end() ? nullptr : found->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDispatch/SpentUnits.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+namespace lycheeseam {
+
+/// What a workspace's requests were charged, in its unit.
+struct spent_units
+{
+  workspace_id mWorkspace;
+  double mUnits = 0;
+};
+
+}
