--- /dev/null
+++ b/Libraries/LibGateway/CallerSession.h
@@ -0,0 +1,354 @@
+#pragma once
+
+#include <LibGateway/RequestRun.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace lycheeseam {
+
+/// One caller's connection: reads a request after the other and writes their
+/// answers. Runs on the traffic thread; keeps itself alive while it is open.
+template<gateway_dialect Dialect>
+class caller_session
+  : public std::enable_shared_from_this<caller_session<Dialect>>
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  caller_session(boost::asio::io_context& aContext,
+                 traffic_core& aCore,
+                 tcp::socket aSocket)
+    : mContext(aContext)
+    , mCore(aCore)
+    , mSocket(std::move(aSocket))
+    , mTimer(aContext)
+  {
+  }
+
+  /// Waits for the next request.
+  void ReadRequest()
+  {
+    caller_limits const limits = Limits();
+    mParser.emplace();
+    mParser->header_limit(limits.mHeaderBytes);
+    mParser->body_limit(limits.mBodyBytes);
+    mIdleSince = mClock.Now();
+    WatchIdle(limits);
+    boost::beast::http::async_read_header(
+      mSocket,
+      mBuffer,
+      *mParser,
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        self->OnHead(aFault);
+      });
+  }
+
+  void SendHead(answer_head const& aHead, body_framing aFraming)
+  {
+    mFraming = aFraming;
+    Write(FormatAnswerHead(OwnFraming(aHead, aFraming)));
+  }
+
+  void SendPiece(std::string_view aPiece)
+  {
+    if (mFraming == body_framing::Sized)
+      return Write(std::string{ aPiece });
+    std::string chunk = FormatChunkLine(aPiece.size());
+    chunk += aPiece;
+    chunk += "\r\n";
+    Write(std::move(chunk));
+  }
+
+  void SendEnd()
+  {
+    mIsAnswered = true;
+    Write(mFraming == body_framing::Chunked ? std::string{ kLastChunk }
+                                            : std::string{});
+  }
+
+  void SendWhole(answer_head aHead, std::string aBody)
+  {
+    // The answer to HEAD tells the length of a body that it doesn't have.
+    if (!aHead.mLength || !mIsHeadRequest)
+      aHead.mLength = aBody.size();
+    std::string bytes =
+      FormatAnswerHead(OwnFraming(aHead, body_framing::Sized));
+    bytes += aBody;
+    mIsAnswered = true;
+    Write(std::move(bytes));
+  }
+
+  /// Ends the connection so that the answer doesn't look complete.
+  void Abort()
+  {
+    mRun.reset();
+    Close();
+  }
+
+  [[nodiscard]] bool IsCongested() const
+  {
+    return mPending.size() > kCongestedBytes;
+  }
+
+  /// True while a request is being read or answered.
+  [[nodiscard]] bool IsBusy() const noexcept { return mRun != nullptr; }
+
+  void Close()
+  {
+    mTimer.cancel();
+    boost::system::error_code ignored;
+    mSocket.close(ignored);
+    mIsClosed = true;
+    if (std::shared_ptr<run> const gone = std::exchange(mRun, nullptr))
+      gone->Cancel();
+  }
+
+private:
+  using run = request_run<Dialect, caller_session>;
+
+  // About what a link with a small window takes at once.
+  static constexpr std::size_t kCongestedBytes = 65'536;
+  // Requests behind the one that runs are read up to here.
+  static constexpr std::size_t kPipelinedBytes = 65'536;
+  // A body that takes longer than any request's time limit is given up.
+  static constexpr std::chrono::seconds kBodyTimeout{ 15 };
+  // How long a closing connection waits for its caller to close as well.
+  static constexpr std::chrono::seconds kLingerTime{ 1 };
+
+  [[nodiscard]] caller_limits Limits()
+  {
+    std::shared_ptr<fleet_view const> const& view = mCore.View(mClock.Now());
+    return view->mConfig ? view->mConfig->Limits() : caller_limits{};
+  }
+
+  void WatchIdle(caller_limits const& aLimits)
+  {
+    mTimer.expires_after(aLimits.mHeaderTimeout);
+    mTimer.async_wait([self = this->shared_from_this(), aLimits](auto aFault) {
+      if (aFault || self->mIsClosed || self->mRun)
+        return;
+      bool const isIdle = self->mBuffer.size() == 0;
+      if (isIdle &&
+          self->mClock.Now() - self->mIdleSince < aLimits.mIdleTimeout)
+        return self->WatchIdle(aLimits);
+      self->Close();
+    });
+  }
+
+  void OnHead(boost::system::error_code aFault)
+  {
+    if (mIsClosed)
+      return;
+    if (aFault)
+      return OnReadFault(aFault);
+    if (HasUnknownCoding())
+      return RefuseBytes(refusal_status::BadRequest);
+    mTimer.expires_after(kBodyTimeout);
+    mTimer.async_wait([self = this->shared_from_this()](auto aTimerFault) {
+      if (!aTimerFault && !self->mRun)
+        self->Close();
+    });
+    if (IsSameFieldName(std::string{ (*mParser).get()["Expect"] },
+                        "100-continue"))
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    boost::beast::http::async_read(
+      mSocket,
+      mBuffer,
+      *mParser,
+      [self = this->shared_from_this()](auto aBodyFault, std::size_t) {
+        self->OnRequest(aBodyFault);
+      });
+  }
+
+  // Any other coding than chunked would leave the body's end in doubt.
+  [[nodiscard]] bool HasUnknownCoding() const
+  {
+    auto const coding =
+      mParser->get().find(boost::beast::http::field::transfer_encoding);
+    return coding != mParser->get().end() &&
+           !IsSameFieldName(std::string{ coding->value() }, "chunked");
+  }
+
+  void OnReadFault(boost::system::error_code aFault)
+  {
+    namespace http = boost::beast::http;
+    if (aFault == http::error::header_limit)
+      return RefuseBytes(refusal_status::HeadTooLarge);
+    if (aFault == http::error::body_limit)
+      return RefuseBytes(refusal_status::BodyTooLarge);
+    bool const isSpeech =
+      aFault.category() ==
+      http::make_error_code(http::error::bad_method).category();
+    if (isSpeech && aFault != http::error::end_of_stream &&
+        aFault != http::error::partial_message)
+      return RefuseBytes(refusal_status::BadRequest);
+    Close();
+  }
+
+  void RefuseBytes(refusal_status aStatus)
+  {
+    mMustClose = true;
+    SendWhole(RefusalHead(aStatus, {}), {});
+  }
+
+  void OnRequest(boost::system::error_code aFault)
+  {
+    if (mIsClosed)
+      return;
+    if (aFault)
+      return OnReadFault(aFault);
+    mTimer.cancel();
+    mIsAnswered = false;
+    mMustClose = !mParser->get().keep_alive() || mCore.IsLeaving();
+    request_head head = TakeRequestHead(*mParser);
+    mIsHeadRequest = head.mMethod == "HEAD";
+    mRun = std::make_shared<run>(mContext,
+                                 mCore,
+                                 this->shared_from_this(),
+                                 std::move(head),
+                                 std::move(mParser->get().body()));
+    ++mRequests;
+    std::shared_ptr<run> const started = mRun;
+    WatchClose();
+    started->Start();
+  }
+
+  // While a request runs, its caller's close must be seen at once.
+  void WatchClose()
+  {
+    mSocket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this(), count = mRequests](auto aFault) {
+        if (!aFault && self->mRun && self->mRequests == count)
+          self->OnReadable();
+      });
+  }
+
+  void OnReadable()
+  {
+    boost::system::error_code fault;
+    std::size_t const waiting = mSocket.available(fault);
+    if (fault || waiting == 0)
+      return Close();
+    if (mBuffer.size() + waiting > kPipelinedBytes)
+      return;
+    std::size_t const size = mSocket.read_some(mBuffer.prepare(waiting), fault);
+    if (fault)
+      return Close();
+    mBuffer.commit(size);
+    WatchClose();
+  }
+
+  [[nodiscard]] answer_head OwnFraming(answer_head const& aHead,
+                                       body_framing aFraming) const
+  {
+    answer_head own{ .mStatus = aHead.mStatus, .mReason = aHead.mReason };
+    for (header_field const& field : aHead.mFields) {
+      if (!IsSameFieldName(field.mName, "content-length") &&
+          !IsConnectionField(aHead.mFields, field.mName))
+        own.mFields.push_back(field);
+    }
+    if (aFraming == body_framing::Chunked)
+      own.mFields.push_back({ "Transfer-Encoding", "chunked" });
+    else
+      own.mFields.push_back(
+        { "Content-Length", std::to_string(aHead.mLength.value_or(0)) });
+    if (mMustClose || mCore.IsLeaving())
+      own.mFields.push_back({ "Connection", "close" });
+    return own;
+  }
+
+  void Write(std::string aBytes)
+  {
+    if (mIsClosed)
+      return;
+    mPending += aBytes;
+    if (!mIsWriting)
+      WritePending();
+  }
+
+  void WritePending()
+  {
+    if (mPending.empty())
+      return OnWritten();
+    mIsWriting = true;
+    mWriting.clear();
+    mWriting.swap(mPending);
+    boost::asio::async_write(
+      mSocket,
+      boost::asio::buffer(mWriting),
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        self->mIsWriting = false;
+        if (self->mIsClosed)
+          return;
+        if (aFault)
+          return self->Close();
+        self->WritePending();
+      });
+  }
+
+  void OnWritten()
+  {
+    if (!mIsAnswered) {
+      if (std::shared_ptr<run> const running = mRun)
+        running->OnDrained();
+      return;
+    }
+    mRun.reset();
+    mIsAnswered = false;
+    if (mMustClose || mCore.IsLeaving())
+      return Linger();
+    ReadRequest();
+  }
+
+  // Closing at once would reset the connection when bytes wait unread, and
+  // the caller could lose the answer.
+  void Linger()
+  {
+    boost::system::error_code ignored;
+    mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+    mTimer.expires_after(kLingerTime);
+    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
+      if (!aFault)
+        self->Close();
+    });
+    ReadUntilClose();
+  }
+
+  void ReadUntilClose()
+  {
+    mBuffer.clear();
+    constexpr std::size_t kDiscardBytes = 4'096;
+    mSocket.async_read_some(
+      mBuffer.prepare(kDiscardBytes),
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        if (aFault)
+          return self->Close();
+        self->ReadUntilClose();
+      });
+  }
+
+  boost::asio::io_context& mContext;
+  traffic_core& mCore;
+  tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  system_clock mClock;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<
+    boost::beast::http::request_parser<boost::beast::http::string_body>>
+    mParser;
+  instant mIdleSince{};
+  std::shared_ptr<run> mRun;
+  std::uint64_t mRequests = 0;
+  std::string mPending;
+  std::string mWriting;
+  body_framing mFraming = body_framing::Sized;
+  bool mIsWriting = false;
+  bool mIsAnswered = false;
+  bool mIsHeadRequest = false;
+  bool mMustClose = false;
+  bool mIsClosed = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ChannelPool.cpp
@@ -0,0 +1,68 @@
+#include <LibGateway/ChannelPool.h>
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+// An idle connection has nothing to say: an end, a reset and bytes that
+// belong to no request all make it unfit.
+bool
+IsSilent(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+           0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}
+
+std::shared_ptr<channel_pool::tcp::socket>
+channel_pool::Take(instant aNow, listed_server const& aServer)
+{
+  auto const found = mServers.find(aServer.mId);
+  if (found == mServers.end() || found->second.mLife != aServer.mLife)
+    return nullptr;
+  std::vector<server_channel>& idle = found->second.mIdle;
+  while (!idle.empty()) {
+    server_channel channel = std::move(idle.back());
+    idle.pop_back();
+    if (aNow < channel.mUsableUntil && IsSilent(*channel.mSocket))
+      return std::move(channel.mSocket);
+  }
+  return nullptr;
+}
+
+void
+channel_pool::Give(listed_server const& aServer, server_channel aChannel)
+{
+  server_channels& known = mServers[aServer.mId];
+  if (known.mLife != aServer.mLife) {
+    known.mLife = aServer.mLife;
+    known.mIdle.clear();
+  }
+  known.mIdle.push_back(std::move(aChannel));
+}
+
+void
+channel_pool::Prune(instant aNow)
+{
+  for (auto& [id, channels] : mServers)
+    std::erase_if(channels.mIdle, [aNow](server_channel const& aChannel) {
+      return aNow >= aChannel.mUsableUntil;
+    });
+  std::erase_if(mServers,
+                [](auto const& aEntry) { return aEntry.second.mIdle.empty(); });
+}
+
+void
+channel_pool::Forget(backend_server_id const& aServer)
+{
+  mServers.erase(aServer);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CrashCount.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// How many servers were lost while they ran a request.
+struct crash_count
+{
+  /// Of the request's path, key and body.
+  std::uint64_t mFingerprint = 0;
+  std::uint32_t mCount = 0;
+
+  bool operator==(crash_count const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/EventCutter.cpp
@@ -0,0 +1,43 @@
+#include <LibGateway/EventCutter.h>
+#include <LibHttp/FieldLookup.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdLine = "id:";
+
+}
+
+std::string
+event_cutter::Cut(std::string_view aBytes)
+{
+  mRest += aBytes;
+  std::size_t const end = mRest.rfind(kEventEnd);
+  if (end == std::string::npos)
+    return {};
+  std::string whole = mRest.substr(0, end + kEventEnd.size());
+  mRest.erase(0, whole.size());
+  NoteIds(whole);
+  return whole;
+}
+
+void
+event_cutter::NoteIds(std::string_view aEvents)
+{
+  std::size_t at = aEvents.rfind(kIdLine);
+  while (at != std::string_view::npos && at > 0 && aEvents[at - 1] != '\n')
+    at = aEvents.rfind(kIdLine, at - 1);
+  if (at == std::string_view::npos)
+    return;
+  std::string_view value = aEvents.substr(at + kIdLine.size());
+  value = value.substr(0, value.find_first_of("\r\n"));
+  value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+  if (std::optional<std::int64_t> const id = ParseWholeNumber(value))
+    mLastId = static_cast<std::uint64_t>(*id);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <LibGateway/CallerSession.h>
+#include <LibGateway/QuestionSession.h>
+#include <LibGateway/SessionListener.h>
+
+#include <functional>
+
+namespace lycheeseam {
+
+/// The traffic thread of one instance: takes callers, answers questions, and
+/// reports to control a few times a second. Made and run on that thread.
+template<gateway_dialect Dialect>
+class gateway
+{
+public:
+  using report_handler = std::function<void(traffic_report)>;
+
+  /// Throws boost::system::system_error when an address is taken.
+  gateway(boost::asio::io_context& aContext,
+          gateway_options aOptions,
+          published<fleet_view> const& aPublished,
+          report_handler aHandler)
+    : mContext(aContext)
+    , mOptions(std::move(aOptions))
+    , mCore(mOptions, aPublished)
+    , mHandler(std::move(aHandler))
+    , mReadiness(aContext, mCore, mOptions.mReadiness)
+    , mAddresses(aContext, mCore, mOptions.mAddresses)
+    , mCallers(aContext, mCore, mOptions.mCallers)
+    , mTimer(aContext)
+  {
+    Tick();
+  }
+
+  /// Begins a planned stop: takes what comes and tells callers to go.
+  void Leave() { mCore.SetLeaving(); }
+
+  /// True when no request is being answered.
+  [[nodiscard]] bool IsIdle()
+  {
+    for (auto const& session : mCallers.Sessions()) {
+      if (session->IsBusy())
+        return false;
+    }
+    return true;
+  }
+
+  [[nodiscard]] traffic_core& Core() noexcept { return mCore; }
+
+private:
+  // Others count what this instance admits this much later.
+  static constexpr std::chrono::milliseconds kReportInterval{ 150 };
+
+  void Tick()
+  {
+    mTimer.expires_after(kReportInterval);
+    mTimer.async_wait([this](auto aFault) {
+      if (aFault)
+        return;
+      mCore.Prune(mClock.Now());
+      mHandler(mCore.TakeReport());
+      Tick();
+    });
+  }
+
+  boost::asio::io_context& mContext;
+  gateway_options mOptions;
+  traffic_core mCore;
+  report_handler mHandler;
+  session_listener<question_session<Dialect>> mReadiness;
+  session_listener<question_session<Dialect>> mAddresses;
+  session_listener<caller_session<Dialect>> mCallers;
+  boost::asio::steady_timer mTimer;
+  system_clock mClock;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayDialect.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibDispatch/CallerEntry.h>
+#include <LibDispatch/RequestFacts.h>
+#include <LibGateway/SendTerms.h>
+#include <LibGateway/ServerAnswer.h>
+#include <LibHttp/AnswerHead.h>
+#include <LibHttp/RequestHead.h>
+
+#include <chrono>
+#include <concepts>
+#include <span>
+#include <string>
+
+namespace lycheeseam {
+
+/// The names and formats that callers, backend servers and the gateway speak.
+/// All functions are static; ReadFacts throws invalid_input.
+template<typename Dialect>
+concept gateway_dialect = requires(request_head const& aHead,
+                                   answer_head const& aAnswer,
+                                   send_terms const& aTerms,
+                                   std::span<caller_entry const> aEntries,
+                                   std::chrono::seconds aLifetime)
+{
+  {
+    Dialect::ReadFacts(aHead)
+    } -> std::same_as<request_facts>;
+  {
+    Dialect::ForwardedRequest(aHead, aTerms)
+    } -> std::same_as<request_head>;
+  {
+    Dialect::ReadAnswer(aAnswer)
+    } -> std::same_as<server_answer>;
+  {
+    Dialect::IsReadinessCheck(aHead)
+    } -> std::same_as<bool>;
+  {
+    Dialect::IsAddressQuestion(aHead)
+    } -> std::same_as<bool>;
+  {
+    Dialect::FormatAddresses(aEntries, aLifetime)
+    } -> std::same_as<std::string>;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -0,0 +1,152 @@
+#include <LibDispatch/ChooseServer.h>
+#include <LibGateway/PlanSend.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// A workspace's priority goes before its routes'; routes use up to this many
+// levels of the ten that servers know.
+constexpr std::uint32_t kRouteLevels = 3;
+constexpr std::uint32_t kLeastUrgent = 9;
+
+std::uint64_t
+Hash(std::string_view aText, std::uint64_t aSeed)
+{
+  return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
+}
+
+std::optional<endpoint>
+FetchSource(traffic_core& aCore,
+            server_choice_request const& aWanted,
+            served_server const& aServer,
+            std::uint64_t aKey)
+{
+  std::optional<backend_server_id> const holder =
+    aCore.Prefixes().Holder(aWanted.mNow, aKey);
+  if (holder == aServer.mListed.mId)
+    return std::nullopt;
+  if (holder) {
+    std::shared_ptr<served_server> const known = aCore.Servers().Find(*holder);
+    if (known && !known->mIsTurning &&
+        known->mListed.VersionOf(aWanted.mModel) ==
+          aServer.mListed.VersionOf(aWanted.mModel))
+      return known->mListed.mAddress;
+  }
+  served_server const* const likely = ChooseCacheSource(
+    aCore.Servers().Pool(aServer.mListed.mPool), aWanted, aServer);
+  if (likely != nullptr)
+    return likely->mListed.mAddress;
+  return std::nullopt;
+}
+
+}
+
+token_count
+RequestTokens(request_facts const& aFacts)
+{
+  return aFacts.mPromptTokens.value_or(0) + aFacts.mMaxOutputTokens;
+}
+
+double
+RequestUnits(dispatch_workspace const& aWorkspace, request_facts const& aFacts)
+{
+  if (aWorkspace.mUnit == quota_unit::Requests)
+    return 1;
+  if (!aFacts.mPromptTokens)
+    return static_cast<double>(aWorkspace.mPlainTokens);
+  return static_cast<double>(RequestTokens(aFacts));
+}
+
+std::uint32_t
+RequestPriority(dispatch_route const& aRoute,
+                dispatch_workspace const* aWorkspace)
+{
+  std::uint32_t const route = std::min(aRoute.mPriority, kRouteLevels - 1);
+  if (aWorkspace == nullptr || !aWorkspace->mPriority)
+    return route;
+  return std::min(*aWorkspace->mPriority * kRouteLevels + route, kLeastUrgent);
+}
+
+std::uint64_t
+RequestFingerprint(request_facts const& aFacts, std::string_view aBody)
+{
+  std::uint64_t const path = Hash(aFacts.mPath, 0);
+  return Hash(aBody, Hash(aFacts.mKey.value_or(std::string{}), path));
+}
+
+pool_name
+ChoosePool(dispatch_route const& aRoute, request_id const& aRequest)
+{
+  std::uint64_t total = 0;
+  for (route_share const& share : aRoute.mShares)
+    total += share.mWeight;
+  if (total == 0)
+    return aRoute.mShares.empty() ? pool_name{} : aRoute.mShares.front().mPool;
+  std::uint64_t place = Hash(aRequest.Text(), 0) % total;
+  for (route_share const& share : aRoute.mShares) {
+    if (place < share.mWeight)
+      return share.mPool;
+    place -= share.mWeight;
+  }
+  return aRoute.mShares.back().mPool;
+}
+
+server_choice_request
+MakeChoiceRequest(instant aNow,
+                  failure_domain const& aDomain,
+                  fleet_view const& aView,
+                  request_facts const& aFacts,
+                  std::vector<backend_server_id> const& aTried)
+{
+  server_choice_request wanted{ .mNow = aNow,
+                                .mDomain = aDomain,
+                                .mModel = aFacts.mModel,
+                                .mNewestVersion =
+                                  aView.NewestVersion(aFacts.mModel),
+                                .mTried = aTried };
+  if (prompt_part const* const shared = aFacts.SharedPart())
+    wanted.mPromptKey = Hash(shared->mId, 0);
+  return wanted;
+}
+
+send_terms
+PlanSend(traffic_core& aCore,
+         server_choice_request const& aWanted,
+         served_server const& aServer,
+         dispatch_workspace const* aWorkspace,
+         request_facts const& aFacts)
+{
+  send_terms terms{ .mServer = aServer.mListed.mId };
+  if (aWorkspace != nullptr)
+    terms.mWorkspace = aWorkspace->mName;
+  if (aFacts.mModel.IsEmpty())
+    return terms;
+  std::uint64_t const version = aServer.mListed.VersionOf(aFacts.mModel);
+  if (version > 0)
+    terms.mVersion = version;
+  // Parts made under other weights, or walled off, lie under another text.
+  terms.mCacheScope = "v" + std::to_string(version);
+  if (aWorkspace != nullptr && aWorkspace->mIsIsolated)
+    terms.mCacheScope += "/" + aWorkspace->mName.Text();
+  std::optional<std::uint64_t> const key = CacheKey(terms, aFacts);
+  if (!key)
+    return terms;
+  terms.mFetchFrom = FetchSource(aCore, aWanted, aServer, *key);
+  return terms;
+}
+
+std::optional<std::uint64_t>
+CacheKey(send_terms const& aTerms, request_facts const& aFacts)
+{
+  prompt_part const* const shared = aFacts.SharedPart();
+  if (shared == nullptr)
+    return std::nullopt;
+  return Hash(shared->mId, Hash(aTerms.mCacheScope, 0));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PlanSend.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibDispatch/DispatchRoute.h>
+#include <LibDispatch/DispatchWorkspace.h>
+#include <LibDispatch/RequestFacts.h>
+#include <LibDispatch/ServerChoiceRequest.h>
+#include <LibGateway/SendTerms.h>
+#include <LibGateway/TrafficCore.h>
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+/// \file What follows from a request's facts for its charge and its sends.
+
+namespace lycheeseam {
+
+/// The tokens that a request may take on a server: prompt and longest answer.
+token_count
+RequestTokens(request_facts const& aFacts);
+
+/// What a request is charged, in its workspace's unit.
+double
+RequestUnits(dispatch_workspace const& aWorkspace, request_facts const& aFacts);
+
+/// The priority that a server is told: 0, the most urgent, to 9.
+std::uint32_t
+RequestPriority(dispatch_route const& aRoute,
+                dispatch_workspace const* aWorkspace);
+
+/// Tells requests apart that may crash servers: path, key and body.
+std::uint64_t
+RequestFingerprint(request_facts const& aFacts, std::string_view aBody);
+
+/// One of a route's pools by their weights; equal for equal request ids.
+pool_name
+ChoosePool(dispatch_route const& aRoute, request_id const& aRequest);
+
+/// What the choice of a server depends on.
+server_choice_request
+MakeChoiceRequest(instant aNow,
+                  failure_domain const& aDomain,
+                  fleet_view const& aView,
+                  request_facts const& aFacts,
+                  std::vector<backend_server_id> const& aTried);
+
+/// What a request tells the server that was chosen, but for the time left,
+/// the priority and the last event.
+send_terms
+PlanSend(traffic_core& aCore,
+         server_choice_request const& aWanted,
+         served_server const& aServer,
+         dispatch_workspace const* aWorkspace,
+         request_facts const& aFacts);
+
+/// The key of a request's shared prompt part within its cache scope; nothing
+/// when it shares none.
+std::optional<std::uint64_t>
+CacheKey(send_terms const& aTerms, request_facts const& aFacts);
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestRun.h
@@ -0,0 +1,460 @@
+#pragma once
+
+#include <LibCore/InvalidInput.h>
+#include <LibDispatch/ChooseServer.h>
+#include <LibGateway/AttemptOutcome.h>
+#include <LibGateway/BodyFraming.h>
+#include <LibGateway/EventCutter.h>
+#include <LibGateway/GatewayDialect.h>
+#include <LibGateway/PlanSend.h>
+#include <LibGateway/RefusalAnswer.h>
+#include <LibGateway/ServerExchange.h>
+#include <LibGateway/TrafficCore.h>
+#include <LibHttp/FormatHead.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lycheeseam {
+
+/// One request of a caller: from its route and its workspace over one or more
+/// attempts to one final answer. Runs on the traffic thread.
+///
+/// Caller has SendHead(answer_head, body_framing), SendPiece(string_view),
+/// SendEnd(), SendWhole(answer_head, string), Abort() and IsCongested(). A
+/// congested caller calls OnDrained once it has taken what it was sent.
+template<gateway_dialect Dialect, typename Caller>
+class request_run
+  : public std::enable_shared_from_this<request_run<Dialect, Caller>>
+{
+public:
+  request_run(boost::asio::io_context& aContext,
+              traffic_core& aCore,
+              std::shared_ptr<Caller> aCaller,
+              request_head aHead,
+              std::string aBody)
+    : mContext(aContext)
+    , mCore(aCore)
+    , mCaller(std::move(aCaller))
+    , mHead(std::move(aHead))
+    , mBody(std::make_shared<std::string const>(std::move(aBody)))
+    , mTimer(aContext)
+    , mStartedAt(mClock.Now())
+  {
+  }
+
+  /// Decides and sends, or refuses.
+  void Start()
+  {
+    try {
+      mFacts = Dialect::ReadFacts(mHead);
+    } catch (invalid_input const&) {
+      return Refuse(refusal_status::BadRequest, {});
+    }
+    mView = mCore.View(mStartedAt);
+    mConfig = mView->mConfig;
+    if (!mConfig)
+      return Refuse(refusal_status::NotReady, kShortWait);
+    if (!FindRoute())
+      return;
+    mFingerprint = RequestFingerprint(mFacts, *mBody);
+    if (mCore.Crashes().IsPoison(mStartedAt, mFingerprint))
+      return Refuse(refusal_status::NotReady, kPoisonWait);
+    if (!Charge())
+      return;
+    mDeadline = mStartedAt + mRoute->mTimeout;
+    if (mFacts.mPatience)
+      mDeadline = std::min(mDeadline, mStartedAt + *mFacts.mPatience);
+    mPool = ChoosePool(*mRoute, mFacts.mId);
+    mCore.OnFirstAttempt(mPool);
+    ArmDeadline();
+    Attempt();
+  }
+
+  /// The caller has gone.
+  void Cancel()
+  {
+    if (mIsDone)
+      return;
+    mIsDone = true;
+    mTimer.cancel();
+    EndAttempt();
+    mCaller.reset();
+  }
+
+  /// The caller has taken what it was sent.
+  void OnDrained()
+  {
+    if (std::exchange(mWaitsForCaller, false) && mExchange)
+      mExchange->ReadOn();
+  }
+
+  answer_use OnExchangeHead(answer_head const& aHead)
+  {
+    server_answer const answer = Dialect::ReadAnswer(aHead);
+    if (answer.mRequest && *answer.mRequest != mFacts.mId)
+      return answer_use::Skip;
+    NoteAnswer(answer);
+    if (answer.mIsNotRun || answer.mIsMisdirected)
+      mOutcome = attempt_outcome::NotRun;
+    else if (aHead.IsSuccess() && !answer.mIsSigned)
+      mOutcome = attempt_outcome::Spoiled;
+    else if (!aHead.IsSuccess() && MayTryElsewhere())
+      mOutcome = attempt_outcome::Failed;
+    else
+      TakeHead(aHead);
+    return answer_use::Take;
+  }
+
+  void OnExchangePiece(std::string_view aPiece)
+  {
+    mServer->mHeardAt = mClock.Now();
+    if (mOutcome != attempt_outcome::Taken)
+      return mExchange->ReadOn();
+    if (mIsWhole) {
+      mWhole += aPiece;
+      return mExchange->ReadOn();
+    }
+    if (mIsEventStream) {
+      std::string const events = mEvents.Cut(aPiece);
+      if (!events.empty())
+        mCaller->SendPiece(events);
+    } else {
+      mCaller->SendPiece(aPiece);
+    }
+    if (!mExchange)
+      return;
+    if (mCaller->IsCongested())
+      mWaitsForCaller = true;
+    else
+      mExchange->ReadOn();
+  }
+
+  void OnExchangeEnd(exchange_end aEnd)
+  {
+    if (mIsDone)
+      return;
+    if (!mExchange->IsSent())
+      return OnUnreachable(aEnd);
+    switch (mOutcome) {
+      case attempt_outcome::NotRun:
+        return OnNotRun();
+      case attempt_outcome::Failed:
+        return OnFailed();
+      case attempt_outcome::Taken:
+        return aEnd == exchange_end::Complete ? Finish() : OnLost();
+      case attempt_outcome::Spoiled:
+      case attempt_outcome::Open:
+        return OnLost();
+    }
+  }
+
+private:
+  using exchange = server_exchange<request_run>;
+
+  static constexpr std::chrono::milliseconds kShortWait{ 200 };
+  static constexpr std::chrono::milliseconds kPoisonWait{ 2'000 };
+  // How often a place is looked for while none is free.
+  static constexpr std::chrono::milliseconds kPlaceInterval{ 15 };
+  // Waiting for a place is free of harm up to this part of the target.
+  static constexpr int kPlaceWaitPart = 8;
+  // An attempt that gets less time than this can't succeed.
+  static constexpr std::chrono::milliseconds kLeastTime{ 10 };
+  // Small answers are held until they are whole, so that a broken one can
+  // still be replaced or reported as what it is.
+  static constexpr std::uint64_t kWholeBytes = 65'536;
+  // A request that no server has run may go to this many beyond its route's
+  // attempts: servers that refuse it don't count as attempts.
+  static constexpr std::uint32_t kExtraSends = 2;
+
+  bool FindRoute()
+  {
+    dispatch_config const& config = *mConfig;
+    mRoute = config.FindRoute(mFacts.mHost, mFacts.mPath);
+    if (mRoute == nullptr) {
+      Refuse(refusal_status::NotFound, {});
+      return false;
+    }
+    if (mRoute->mIsPublic || config.Workspaces().empty())
+      return true;
+    if (mFacts.mKey)
+      mWorkspace = config.FindWorkspace(*mFacts.mKey);
+    if (mWorkspace == nullptr) {
+      Refuse(refusal_status::Unauthorized, {});
+      return false;
+    }
+    return true;
+  }
+
+  bool Charge()
+  {
+    if (mWorkspace == nullptr)
+      return true;
+    mUnits = RequestUnits(*mWorkspace, mFacts);
+    if (mCore.Quota().TryCharge(mStartedAt, *mWorkspace, mUnits))
+      return true;
+    Refuse(refusal_status::OverQuota,
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+             mCore.Quota().WaitFor(mWorkspace->mName, mUnits)));
+    return false;
+  }
+
+  void ArmDeadline()
+  {
+    mTimer.expires_after(mDeadline - mStartedAt);
+    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
+      if (!aFault)
+        self->OnDeadline();
+    });
+  }
+
+  void OnDeadline()
+  {
+    if (mIsDone)
+      return;
+    bool const mayHaveRun = mMayHaveRun || (mExchange && mExchange->IsSent());
+    EndAttempt();
+    if (mIsHeadSent)
+      return Break();
+    Refuse(mayHaveRun ? refusal_status::Timeout : refusal_status::NotReady,
+           kShortWait);
+  }
+
+  void Attempt()
+  {
+    if (mIsDone)
+      return;
+    instant const now = mClock.Now();
+    mView = mCore.View(now);
+    if (mDeadline - now < kLeastTime)
+      return OnDeadline();
+    server_choice_request const wanted =
+      MakeChoiceRequest(now, mCore.Options().mDomain, *mView, mFacts, mTried);
+    std::span<served_server* const> const servers = mCore.Servers().Pool(mPool);
+    served_server const* const chosen = ChooseServer(servers, wanted);
+    if (chosen == nullptr)
+      return WaitForPlace(now);
+    if (mSends > 0 && !mCore.TryRepeat(now, mPool))
+      return GiveUp();
+    Send(now, wanted, mCore.Servers().Find(chosen->mListed.mId));
+  }
+
+  void WaitForPlace(instant aNow)
+  {
+    if (aNow - mStartedAt > mRoute->mTargetLatency / kPlaceWaitPart)
+      return GiveUp();
+    auto const wait =
+      std::make_shared<boost::asio::steady_timer>(mContext, kPlaceInterval);
+    wait->async_wait(
+      [self = this->shared_from_this(), wait](auto) { self->Attempt(); });
+  }
+
+  void Send(instant aNow,
+            server_choice_request const& aWanted,
+            std::shared_ptr<served_server> aServer)
+  {
+    mServer = std::move(aServer);
+    mTried.push_back(mServer->mListed.mId);
+    ++mSends;
+    send_terms terms = PlanSend(mCore, aWanted, *mServer, mWorkspace, mFacts);
+    terms.mTimeLeft =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mDeadline - aNow);
+    terms.mPriority = RequestPriority(*mRoute, mWorkspace);
+    terms.mLastEvent = mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
+    mCacheKey = CacheKey(terms, mFacts);
+    mServer->mInFlight += 1;
+    mServer->mInFlightTokens += RequestTokens(mFacts);
+    mOutcome = attempt_outcome::Open;
+    mExchange = std::make_shared<exchange>(
+      mContext, mCore.Channels(), mServer, this->shared_from_this());
+    request_head head = Dialect::ForwardedRequest(mHead, terms);
+    if (!mBody->empty() || mHead.mMethod != "GET")
+      head.mFields.push_back(
+        { "Content-Length", std::to_string(mBody->size()) });
+    mExchange->Start(FormatRequestHead(head), mBody, mHead.mMethod != "HEAD");
+  }
+
+  void NoteAnswer(server_answer const& aAnswer)
+  {
+    instant const now = mClock.Now();
+    mServer->mHeardAt = now;
+    mServer->mBreaker.OnSuccess();
+    if (aAnswer.mLoad) {
+      mServer->mLoad = aAnswer.mLoad;
+      mServer->mLoad->mToldAt = now;
+      mServer->mInFlightAtLoad = mServer->mInFlight;
+    }
+    if (aAnswer.mVersion)
+      mCore.OnWeights(*mServer, mFacts.mModel, *aAnswer.mVersion);
+  }
+
+  void OnNotRun()
+  {
+    EndAttempt();
+    if (mIsHeadSent)
+      return Break();
+    if (mSends >= mRoute->mMaxAttempts + kExtraSends)
+      return GiveUp();
+    Attempt();
+  }
+
+  void OnUnreachable(exchange_end aEnd)
+  {
+    instant const now = mClock.Now();
+    if (aEnd == exchange_end::Refused)
+      mServer->mBreaker.OnAbsence(now);
+    else
+      mServer->mBreaker.OnFailure(now);
+    EndAttempt();
+    if (mIsHeadSent && !mRoute->MayRepeat())
+      return Break();
+    if (mSends >= mRoute->mMaxAttempts + kExtraSends)
+      return GiveUp();
+    Attempt();
+  }
+
+  /// The answer broke: the request may have run.
+  void OnLost()
+  {
+    instant const now = mClock.Now();
+    mServer->mBreaker.OnFailure(now);
+    mCore.OnCrash(now, mFingerprint);
+    mMayHaveRun = true;
+    bool const mayTry = MayTryElsewhere();
+    EndAttempt();
+    mWhole.clear();
+    mEvents.DropRest();
+    if (mayTry && !mCore.Crashes().IsPoison(now, mFingerprint))
+      return Attempt();
+    if (mIsHeadSent)
+      return Break();
+    Refuse(refusal_status::BadGateway, {});
+  }
+
+  /// The server's own failure: it has run.
+  void OnFailed()
+  {
+    mMayHaveRun = true;
+    EndAttempt();
+    Attempt();
+  }
+
+  [[nodiscard]] bool MayTryElsewhere() const
+  {
+    return mRoute->MayRepeat() && mSends < mRoute->mMaxAttempts &&
+           mDeadline - mClock.Now() > kLeastTime;
+  }
+
+  void GiveUp()
+  {
+    if (mIsHeadSent)
+      return Break();
+    Refuse(mMayHaveRun ? refusal_status::BadGateway : refusal_status::NotReady,
+           kShortWait);
+  }
+
+  void TakeHead(answer_head const& aHead)
+  {
+    mOutcome = attempt_outcome::Taken;
+    bool const isStream =
+      mRoute->mKind == work_kind::Stream && aHead.IsSuccess();
+    if (mIsHeadSent)
+      return;
+    mIsEventStream = isStream;
+    mIsWhole = !isStream && aHead.mLength && *aHead.mLength <= kWholeBytes;
+    if (mIsWhole) {
+      mWholeHead = aHead;
+      return;
+    }
+    mIsHeadSent = true;
+    mCaller->SendHead(aHead,
+                      aHead.mLength && !isStream ? body_framing::Sized
+                                                 : body_framing::Chunked);
+  }
+
+  void Finish()
+  {
+    mCore.Crashes().OnAnswer(mFingerprint);
+    if (mCacheKey)
+      mCore.Prefixes().OnServed(mClock.Now(), *mCacheKey, mServer->mListed.mId);
+    EndAttempt();
+    mIsDone = true;
+    mTimer.cancel();
+    std::shared_ptr<Caller> const caller = std::move(mCaller);
+    if (mIsWhole)
+      return caller->SendWhole(mWholeHead, std::move(mWhole));
+    if (!mEvents.IsAtEventEnd())
+      caller->SendPiece(mEvents.TakeRest());
+    caller->SendEnd();
+  }
+
+  void Break()
+  {
+    mIsDone = true;
+    mTimer.cancel();
+    std::shared_ptr<Caller> const caller = std::move(mCaller);
+    caller->Abort();
+  }
+
+  void Refuse(refusal_status aStatus, std::chrono::milliseconds aRetryAfter)
+  {
+    mIsDone = true;
+    mTimer.cancel();
+    bool const promisesNotRun = aStatus == refusal_status::NotReady;
+    if (promisesNotRun && mWorkspace != nullptr && mUnits > 0)
+      mCore.Quota().Refund(mWorkspace->mName, mUnits);
+    std::shared_ptr<Caller> const caller = std::move(mCaller);
+    caller->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
+  }
+
+  void EndAttempt()
+  {
+    if (!mExchange)
+      return;
+    mServer->mInFlight -= 1;
+    mServer->mInFlightTokens -= RequestTokens(mFacts);
+    mExchange->Cancel();
+    mExchange.reset();
+  }
+
+  boost::asio::io_context& mContext;
+  traffic_core& mCore;
+  /// Null once the request has its final answer.
+  std::shared_ptr<Caller> mCaller;
+  request_head mHead;
+  std::shared_ptr<std::string const> mBody;
+  boost::asio::steady_timer mTimer;
+  system_clock mClock;
+  instant mStartedAt;
+  instant mDeadline{};
+  request_facts mFacts;
+  /// Keeps the rows alive that the request runs under.
+  std::shared_ptr<dispatch_config const> mConfig;
+  std::shared_ptr<fleet_view const> mView;
+  dispatch_route const* mRoute = nullptr;
+  dispatch_workspace const* mWorkspace = nullptr;
+  pool_name mPool;
+  double mUnits = 0;
+  std::uint64_t mFingerprint = 0;
+  std::vector<backend_server_id> mTried;
+  std::uint32_t mSends = 0;
+  std::shared_ptr<served_server> mServer;
+  std::shared_ptr<exchange> mExchange;
+  std::optional<std::uint64_t> mCacheKey;
+  attempt_outcome mOutcome = attempt_outcome::Open;
+  event_cutter mEvents;
+  answer_head mWholeHead;
+  std::string mWhole;
+  bool mMayHaveRun = false;
+  bool mIsHeadSent = false;
+  bool mIsEventStream = false;
+  bool mIsWhole = false;
+  bool mWaitsForCaller = false;
+  bool mIsDone = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/SeenWeights.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// The weights that an answer or a state report of an engine showed.
+struct seen_weights
+{
+  backend_server_id mServer;
+  incarnation mLife;
+  model_name mModel;
+  std::uint64_t mVersion = 0;
+
+  bool operator==(seen_weights const&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibDispatch/ServerLoad.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace lycheeseam {
+
+/// What an answer's head tells the router.
+struct server_answer
+{
+  /// Which request it belongs to, when it says so.
+  std::optional<request_id> mRequest;
+  /// The server says that it didn't and won't run the request.
+  bool mIsNotRun = false;
+  /// Another server has the address now; it didn't run the request either.
+  bool mIsMisdirected = false;
+  /// It bears the mark that servers put on the answers that they made.
+  bool mIsSigned = false;
+  std::optional<server_load> mLoad;
+  /// The version of the weights that made it.
+  std::optional<std::uint64_t> mVersion;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -0,0 +1,277 @@
+#pragma once
+
+#include <LibCore/SystemClock.h>
+#include <LibDispatch/ServedServer.h>
+#include <LibGateway/AnswerUse.h>
+#include <LibGateway/ChannelPool.h>
+#include <LibGateway/ExchangeEnd.h>
+#include <LibHttp/FieldLookup.h>
+#include <LibHttp/TakeHead.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace lycheeseam {
+
+/// One request on its way to one backend server, and its answer on its way
+/// back. Runs on the traffic thread.
+///
+/// Sink has OnExchangeHead(answer_head const&) -> answer_use,
+/// OnExchangePiece(std::string_view) and OnExchangeEnd(exchange_end). After a
+/// piece nothing more is read until ReadOn is called, so a slow caller slows
+/// its server down. After Cancel the sink hears nothing more.
+template<typename Sink>
+class server_exchange
+  : public std::enable_shared_from_this<server_exchange<Sink>>
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  server_exchange(boost::asio::io_context& aContext,
+                  channel_pool& aPool,
+                  std::shared_ptr<served_server> aServer,
+                  std::shared_ptr<Sink> aSink)
+    : mContext(aContext)
+    , mPool(aPool)
+    , mServer(std::move(aServer))
+    , mSink(std::move(aSink))
+    , mTimer(aContext)
+  {
+  }
+
+  /// Sends a request; aBody must outlive the exchange.
+  void Start(std::string aHead,
+             std::shared_ptr<std::string const> aBody,
+             bool aAnswerHasBody)
+  {
+    mHead = std::move(aHead);
+    mBody = std::move(aBody);
+    mAnswerHasBody = aAnswerHasBody;
+    mSocket = mPool.Take(mClock.Now(), mServer->mListed);
+    if (mSocket)
+      return Send();
+    Connect();
+  }
+
+  /// Reads the answer's next piece.
+  void ReadOn()
+  {
+    if (!mSink)
+      return;
+    if (std::exchange(mIsDonePending, false))
+      return OnDone();
+    mParser->get().body().data = mPiece.data();
+    mParser->get().body().size = mPiece.size();
+    boost::beast::http::async_read_some(
+      *mSocket,
+      mBuffer,
+      *mParser,
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        self->OnRead(aFault);
+      });
+  }
+
+  /// Gives the request up; the server sees its connection close.
+  void Cancel()
+  {
+    mSink.reset();
+    Close();
+  }
+
+  /// True once the request may have reached the server.
+  [[nodiscard]] bool IsSent() const noexcept { return mIsSent; }
+
+private:
+  // Answers come in small events; a larger piece only costs memory.
+  static constexpr std::size_t kPieceBytes = 16'384;
+  // In a healthy site a connection takes a few milliseconds. A lost packet
+  // would be sent again after a second, when another server is the better try.
+  static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+  // Without word of it, servers close idle connections after some seconds.
+  static constexpr std::chrono::milliseconds kUsualIdleTime{ 2'000 };
+  // A server that is about to close must not get another request meanwhile.
+  static constexpr std::chrono::milliseconds kIdleMargin{ 700 };
+
+  void Connect()
+  {
+    mSocket = std::make_shared<tcp::socket>(mContext);
+    boost::system::error_code fault;
+    auto const address =
+      boost::asio::ip::make_address(mServer->mListed.mAddress.mAddress, fault);
+    if (fault)
+      return End(exchange_end::NotConnected);
+    mTimer.expires_after(kConnectTimeout);
+    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
+      if (!aFault && !self->mIsSent)
+        self->End(exchange_end::NotConnected);
+    });
+    mSocket->async_connect({ address, mServer->mListed.mAddress.mPort },
+                           [self = this->shared_from_this()](auto aFault) {
+                             self->OnConnected(aFault);
+                           });
+  }
+
+  void OnConnected(boost::system::error_code aFault)
+  {
+    if (!mSink)
+      return;
+    if (aFault == boost::asio::error::connection_refused)
+      return End(exchange_end::Refused);
+    if (aFault)
+      return End(exchange_end::NotConnected);
+    mTimer.cancel();
+    boost::system::error_code ignored;
+    mSocket->set_option(tcp::no_delay{ true }, ignored);
+    Send();
+  }
+
+  void Send()
+  {
+    mIsSent = true;
+    std::array<boost::asio::const_buffer, 2> const buffers{
+      boost::asio::buffer(mHead), boost::asio::buffer(*mBody)
+    };
+    boost::asio::async_write(
+      *mSocket,
+      buffers,
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        // The answer's end tells what became of the request; a server may
+        // answer before it has read all of a long body.
+        self->mIsWritten = !aFault;
+      });
+    ReadHead();
+  }
+
+  void ReadHead()
+  {
+    mParser.emplace();
+    mParser->body_limit(boost::none);
+    if (!mAnswerHasBody)
+      mParser->skip(true);
+    boost::beast::http::async_read_header(
+      *mSocket,
+      mBuffer,
+      *mParser,
+      [self = this->shared_from_this()](auto aFault, std::size_t) {
+        self->OnHead(aFault);
+      });
+  }
+
+  void OnHead(boost::system::error_code aFault)
+  {
+    if (!mSink)
+      return;
+    if (aFault)
+      return End(exchange_end::Broken);
+    constexpr std::uint32_t kFirstFinalStatus = 200;
+    if (mParser->get().result_int() < kFirstFinalStatus)
+      return ReadHead();
+    answer_head const head = TakeAnswerHead(*mParser);
+    NoteIdleTime(head);
+    mIsSkipped = mSink->OnExchangeHead(head) == answer_use::Skip;
+    if (!mSink)
+      return;
+    if (mParser->is_done())
+      return OnDone();
+    ReadOn();
+  }
+
+  void OnRead(boost::system::error_code aFault)
+  {
+    if (!mSink)
+      return;
+    if (aFault && aFault != boost::beast::http::error::need_buffer)
+      return End(exchange_end::Broken);
+    std::size_t const size = mPiece.size() - mParser->get().body().size;
+    bool const isDone = mParser->is_done();
+    if (size == 0 || mIsSkipped)
+      return isDone ? OnDone() : ReadOn();
+    mIsDonePending = isDone;
+    mSink->OnExchangePiece({ mPiece.data(), size });
+    if (mSink && std::exchange(mIsDonePending, false))
+      OnDone();
+  }
+
+  void OnDone()
+  {
+    if (std::exchange(mIsSkipped, false))
+      return ReadHead();
+    End(exchange_end::Complete);
+  }
+
+  void NoteIdleTime(answer_head const& aHead)
+  {
+    mIdleTime = kUsualIdleTime;
+    std::optional<std::string_view> const told =
+      FindField(aHead.mFields, "Keep-Alive");
+    if (!told || !told->starts_with("timeout="))
+      return;
+    std::string_view const seconds = told->substr(told->find('=') + 1);
+    std::optional<std::int64_t> const count =
+      ParseWholeNumber(seconds.substr(0, seconds.find(',')));
+    if (count)
+      mIdleTime = std::chrono::seconds{ *count } - kIdleMargin;
+  }
+
+  void End(exchange_end aEnd)
+  {
+    std::shared_ptr<Sink> const sink = std::move(mSink);
+    mSink.reset();
+    if (!sink)
+      return;
+    bool const isReusable = aEnd == exchange_end::Complete && mIsWritten &&
+                            mParser->get().keep_alive() &&
+                            mBuffer.size() == 0 && mIdleTime.count() > 0;
+    if (isReusable)
+      mPool.Give(mServer->mListed,
+                 { .mSocket = std::move(mSocket),
+                   .mUsableUntil = mClock.Now() + mIdleTime });
+    Close();
+    sink->OnExchangeEnd(aEnd);
+  }
+
+  void Close()
+  {
+    mTimer.cancel();
+    if (!mSocket)
+      return;
+    boost::system::error_code ignored;
+    mSocket->close(ignored);
+  }
+
+  boost::asio::io_context& mContext;
+  channel_pool& mPool;
+  std::shared_ptr<served_server> mServer;
+  /// Null once the exchange has ended.
+  std::shared_ptr<Sink> mSink;
+  boost::asio::steady_timer mTimer;
+  system_clock mClock;
+  std::shared_ptr<tcp::socket> mSocket;
+  std::string mHead;
+  std::shared_ptr<std::string const> mBody;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+    mParser;
+  std::array<char, kPieceBytes> mPiece{};
+  std::chrono::milliseconds mIdleTime{};
+  bool mAnswerHasBody = true;
+  bool mIsSent = false;
+  bool mIsWritten = false;
+  bool mIsSkipped = false;
+  bool mIsDonePending = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/SessionListener.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibGateway/TrafficCore.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Accepts connections at one address and opens a session for each. It knows
+/// its sessions by weak references, for a planned stop.
+template<typename Session>
+class session_listener
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  /// Throws boost::system::system_error when the address is taken.
+  session_listener(boost::asio::io_context& aContext,
+                   traffic_core& aCore,
+                   endpoint const& aAddress)
+    : mContext(aContext)
+    , mCore(aCore)
+    , mAcceptor(
+        aContext,
+        { boost::asio::ip::make_address(aAddress.mAddress), aAddress.mPort })
+    , mPause(aContext)
+  {
+    Accept();
+  }
+
+  /// The sessions that are still open.
+  [[nodiscard]] std::vector<std::shared_ptr<Session>> Sessions()
+  {
+    std::vector<std::shared_ptr<Session>> open;
+    std::erase_if(mSessions, [&open](std::weak_ptr<Session> const& aSession) {
+      std::shared_ptr<Session> session = aSession.lock();
+      if (session)
+        open.push_back(std::move(session));
+      return aSession.expired();
+    });
+    return open;
+  }
+
+private:
+  // Without descriptors, accepting at once again would only spin.
+  static constexpr std::chrono::milliseconds kFaultPause{ 50 };
+  static constexpr std::size_t kPruneInterval = 64;
+
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aFault, tcp::socket aSocket) {
+      if (aFault)
+        return Pause();
+      Open(std::move(aSocket));
+      Accept();
+    });
+  }
+
+  void Pause()
+  {
+    mPause.expires_after(kFaultPause);
+    mPause.async_wait([this](auto aFault) {
+      if (!aFault)
+        Accept();
+    });
+  }
+
+  void Open(tcp::socket aSocket)
+  {
+    boost::system::error_code ignored;
+    aSocket.set_option(tcp::no_delay{ true }, ignored);
+    auto const session =
+      std::make_shared<Session>(mContext, mCore, std::move(aSocket));
+    if (++mAccepted % kPruneInterval == 0)
+      std::erase_if(mSessions,
+                    [](auto const& aSession) { return aSession.expired(); });
+    mSessions.push_back(session);
+    session->ReadRequest();
+  }
+
+  boost::asio::io_context& mContext;
+  traffic_core& mCore;
+  tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mPause;
+  std::vector<std::weak_ptr<Session>> mSessions;
+  std::size_t mAccepted = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -0,0 +1,113 @@
+#include <LibGateway/TrafficCore.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+// Instances count repeats by themselves; what is kept back covers requests
+// that one of them counts in another window than their server does.
+constexpr double kRetryCaution = 0.8;
+
+}
+
+traffic_core::traffic_core(gateway_options const& aOptions,
+                           published<fleet_view> const& aPublished)
+  : mOptions(aOptions)
+  , mPublished(aPublished)
+  , mView(aPublished.Current())
+  , mQuota(aOptions.mQuota)
+{
+}
+
+std::shared_ptr<fleet_view const> const&
+traffic_core::View(instant aNow)
+{
+  std::shared_ptr<fleet_view const> newest = mPublished.Current();
+  if (newest == mView)
+    return mView;
+  mView = std::move(newest);
+  mServers.Apply(*mView);
+  mQuota.Apply(aNow, *mView);
+  return mView;
+}
+
+retry_budget&
+traffic_core::Allowance(pool_name const& aPool)
+{
+  auto const found = mAllowances.find(aPool);
+  if (found != mAllowances.end())
+    return found->second;
+  double const slack = kRetryCaution * mOptions.mRetrySlack / mView->mInstances;
+  // Half of the slack may be saved up, half is earned within a window, so that
+  // no window sees more than the whole.
+  retry_budget_options const options{
+    .mRetriesPerRequest = kRetryCaution * mOptions.mRetryRatio,
+    .mMaxSaved = slack / 2,
+    .mRetriesPerSecond =
+      slack / 2 / static_cast<double>(mOptions.mRetryWindow.count())
+  };
+  return mAllowances.emplace(aPool, retry_budget{ options }).first->second;
+}
+
+void
+traffic_core::OnFirstAttempt(pool_name const& aPool)
+{
+  Allowance(aPool).OnRequest();
+}
+
+bool
+traffic_core::TryRepeat(instant aNow, pool_name const& aPool)
+{
+  retry_budget& allowance = Allowance(aPool);
+  allowance.OnTime(aNow);
+  return allowance.TrySpend();
+}
+
+void
+traffic_core::OnCrash(instant aNow, std::uint64_t aFingerprint)
+{
+  mCrashes.OnCrash(aNow, aFingerprint);
+  mReport.mCrashes.push_back({ .mFingerprint = aFingerprint, .mCount = 1 });
+}
+
+void
+traffic_core::OnPeerCrash(instant aNow, crash_count const& aCrash)
+{
+  mCrashes.OnCrash(aNow, aCrash.mFingerprint, aCrash.mCount);
+}
+
+void
+traffic_core::OnWeights(served_server& aServer,
+                        model_name const& aModel,
+                        std::uint64_t aVersion)
+{
+  for (loaded_model& model : aServer.mListed.mModels) {
+    if (model.mModel != aModel || model.mVersion >= aVersion)
+      continue;
+    model.mVersion = aVersion;
+    mReport.mWeights.push_back({ .mServer = aServer.mListed.mId,
+                                 .mLife = aServer.mListed.mLife,
+                                 .mModel = aModel,
+                                 .mVersion = aVersion });
+  }
+}
+
+traffic_report
+traffic_core::TakeReport()
+{
+  traffic_report report = std::exchange(mReport, {});
+  report.mSpent = mQuota.Spent();
+  return report;
+}
+
+void
+traffic_core::Prune(instant aNow)
+{
+  mCrashes.Prune(aNow);
+  mPrefixes.Prune(aNow);
+  mChannels.Prune(aNow);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibAdmission/RetryBudget.h>
+#include <LibCore/Published.h>
+#include <LibCore/SystemClock.h>
+#include <LibDispatch/CrashLedger.h>
+#include <LibDispatch/FleetView.h>
+#include <LibDispatch/PrefixMemory.h>
+#include <LibDispatch/QuotaLedger.h>
+#include <LibDispatch/ServerTable.h>
+#include <LibGateway/ChannelPool.h>
+#include <LibGateway/GatewayOptions.h>
+#include <LibGateway/TrafficReport.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lycheeseam {
+
+/// What the requests of one instance share. Runs on the traffic thread; reads
+/// what control publishes and collects what control is to be told.
+class traffic_core
+{
+public:
+  traffic_core(gateway_options const& aOptions,
+               published<fleet_view> const& aPublished);
+
+  /// The newest view, taken over by all that depends on it.
+  std::shared_ptr<fleet_view const> const& View(instant aNow);
+
+  /// Counts a first attempt towards a pool's allowance of repeats.
+  void OnFirstAttempt(pool_name const& aPool);
+
+  /// Spends a repeat; false when the pool's allowance is used up.
+  [[nodiscard]] bool TryRepeat(instant aNow, pool_name const& aPool);
+
+  /// A server was lost while it ran a request.
+  void OnCrash(instant aNow, std::uint64_t aFingerprint);
+
+  /// An answer showed newer weights than were known.
+  void OnWeights(served_server& aServer,
+                 model_name const& aModel,
+                 std::uint64_t aVersion);
+
+  /// Takes what control is to be told since the last call.
+  [[nodiscard]] traffic_report TakeReport();
+
+  /// Takes over what other instances saw.
+  void OnPeerCrash(instant aNow, crash_count const& aCrash);
+
+  /// Drops what is too old to matter.
+  void Prune(instant aNow);
+
+  [[nodiscard]] gateway_options const& Options() const noexcept
+  {
+    return mOptions;
+  }
+  [[nodiscard]] server_table& Servers() noexcept { return mServers; }
+  [[nodiscard]] quota_ledger& Quota() noexcept { return mQuota; }
+  [[nodiscard]] crash_ledger& Crashes() noexcept { return mCrashes; }
+  [[nodiscard]] prefix_memory& Prefixes() noexcept { return mPrefixes; }
+  [[nodiscard]] channel_pool& Channels() noexcept { return mChannels; }
+  [[nodiscard]] bool IsLeaving() const noexcept { return mIsLeaving; }
+  void SetLeaving() noexcept { mIsLeaving = true; }
+
+private:
+  retry_budget& Allowance(pool_name const& aPool);
+
+  gateway_options const& mOptions;
+  published<fleet_view> const& mPublished;
+  std::shared_ptr<fleet_view const> mView;
+  server_table mServers;
+  quota_ledger mQuota;
+  crash_ledger mCrashes;
+  prefix_memory mPrefixes;
+  channel_pool mChannels;
+  std::map<pool_name, retry_budget> mAllowances;
+  traffic_report mReport;
+  bool mIsLeaving = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibDispatch/SpentUnits.h>
+#include <LibGateway/CrashCount.h>
+#include <LibGateway/SeenWeights.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// What the traffic thread tells control a few times a second.
+struct traffic_report
+{
+  /// What this instance admitted since its start.
+  std::vector<spent_units> mSpent;
+  /// Servers lost by requests since the last report.
+  std::vector<crash_count> mCrashes;
+  /// Versions newer than the servers' entries say, from their answers.
+  std::vector<seen_weights> mWeights;
+};
+
+}
