--- /dev/null
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -0,0 +1,108 @@
+#include <LibFleet/ServerRegister.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+// Servers that live and reach the store are back in it within two seconds of
+// its return.
+constexpr duration kReturnTime = std::chrono::milliseconds{ 2'200 };
+
+}
+
+void
+server_register::OnEntry(listed_server aServer)
+{
+  entry& known = mEntries[aServer.mId];
+  // A late word of an earlier life says nothing of this one.
+  if (aServer.mLife < known.mServer.mLife)
+    return;
+  if (aServer.mLife == known.mServer.mLife) {
+    for (loaded_model& model : aServer.mModels)
+      model.mVersion =
+        std::max(model.mVersion, known.mServer.VersionOf(model.mModel));
+  }
+  known.mServer = std::move(aServer);
+  known.mGoneAt.reset();
+}
+
+void
+server_register::OnDropped(instant aNow, backend_server_id const& aServer)
+{
+  auto const found = mEntries.find(aServer);
+  if (found == mEntries.end())
+    return;
+  bool const mayReturn =
+    mIsStoreAway || (mStoreBackAt && aNow - *mStoreBackAt < kReturnTime);
+  if (!mayReturn) {
+    mEntries.erase(found);
+    return;
+  }
+  if (!found->second.mGoneAt)
+    found->second.mGoneAt = mStoreBackAt.value_or(aNow) + kReturnTime;
+}
+
+void
+server_register::OnWhole(instant aNow,
+                         std::set<backend_server_id> const& aListed)
+{
+  std::vector<backend_server_id> missing;
+  for (auto const& [id, known] : mEntries) {
+    if (!aListed.contains(id))
+      missing.push_back(id);
+  }
+  for (backend_server_id const& id : missing)
+    OnDropped(aNow, id);
+}
+
+void
+server_register::OnStoreFailure(instant /*aNow*/)
+{
+  mIsStoreAway = true;
+}
+
+void
+server_register::OnStoreAnswer(instant aNow)
+{
+  if (std::exchange(mIsStoreAway, false))
+    mStoreBackAt = aNow;
+}
+
+void
+server_register::OnWeights(backend_server_id const& aServer,
+                           incarnation aLife,
+                           model_name const& aModel,
+                           std::uint64_t aVersion)
+{
+  auto const found = mEntries.find(aServer);
+  if (found == mEntries.end() || found->second.mServer.mLife != aLife)
+    return;
+  for (loaded_model& model : found->second.mServer.mModels) {
+    if (model.mModel == aModel)
+      model.mVersion = std::max(model.mVersion, aVersion);
+  }
+}
+
+bool
+server_register::Expire(instant aNow)
+{
+  return std::erase_if(mEntries, [aNow](auto const& aEntry) {
+           return aEntry.second.mGoneAt && aNow >= *aEntry.second.mGoneAt;
+         }) > 0;
+}
+
+std::vector<listed_server>
+server_register::Servers() const
+{
+  std::vector<listed_server> servers;
+  servers.reserve(mEntries.size());
+  for (auto const& [id, known] : mEntries)
+    servers.push_back(known.mServer);
+  return servers;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibDispatch/ListedServer.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace lycheeseam {
+
+/// The backend servers that are registered in the store.
+///
+/// Entries lapse while the store is away, also those of servers that live;
+/// such a server has a short time to come back before it counts as gone.
+class server_register
+{
+public:
+  /// A server wrote its entry.
+  void OnEntry(listed_server aServer);
+
+  /// A server's entry was dropped.
+  void OnDropped(instant aNow, backend_server_id const& aServer);
+
+  /// The topic was read whole: servers that aren't listed are gone.
+  void OnWhole(instant aNow, std::set<backend_server_id> const& aListed);
+
+  /// The store failed to answer.
+  void OnStoreFailure(instant aNow);
+
+  /// The store answered.
+  void OnStoreAnswer(instant aNow);
+
+  /// An engine showed newer weights than its entry says.
+  void OnWeights(backend_server_id const& aServer,
+                 incarnation aLife,
+                 model_name const& aModel,
+                 std::uint64_t aVersion);
+
+  /// Drops servers whose time to come back is over; true when any was.
+  bool Expire(instant aNow);
+
+  [[nodiscard]] std::vector<listed_server> Servers() const;
+
+private:
+  struct entry
+  {
+    listed_server mServer;
+    /// When a lapsed entry counts as gone.
+    std::optional<instant> mGoneAt;
+  };
+
+  std::map<backend_server_id, entry> mEntries;
+  bool mIsStoreAway = false;
+  std::optional<instant> mStoreBackAt;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -0,0 +1,83 @@
+#include <LibSettings/ParseFleetSettings.h>
+#include <LibSettings/ParseUniqueJson.h>
+#include <LibSettings/ReadSettingsFile.h>
+#include <LibSettings/SettingsError.h>
+#include <LibSettings/SettingsReader.h>
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+constexpr std::uint64_t kMinuteMs = 60'000;
+constexpr std::uint64_t kMostPercent = 1'000;
+constexpr std::uint64_t kMostUnits = 1'000'000'000;
+
+endpoint
+ReadAddress(settings_reader& aReader, std::string_view aField)
+{
+  return aReader.ReadEndpoint(aField, field_presence::Required)
+    .value_or(endpoint{});
+}
+
+void
+ReadListen(settings_reader aReader, fleet_settings& aSettings)
+{
+  aSettings.mCallers = ReadAddress(aReader, "callers");
+  aSettings.mReadiness = ReadAddress(aReader, "readiness");
+  aSettings.mAddresses = ReadAddress(aReader, "addresses");
+  aSettings.mPeers = ReadAddress(aReader, "peers");
+  aReader.RefuseUnknownFields();
+}
+
+void
+ReadLimits(settings_reader aReader, fleet_settings& aSettings)
+{
+  number_range const span{ 1, kMinuteMs };
+  number_range const count{ 0, kMostUnits };
+  aReader.ReadNumber("quota_slack", count, aSettings.mQuotaSlack);
+  aReader.ReadNumber(
+    "retry_percent", { 0, kMostPercent }, aSettings.mRetryPercent);
+  aReader.ReadNumber("retry_slack", count, aSettings.mRetrySlack);
+  aReader.ReadMilliseconds("retry_window_ms", span, aSettings.mRetryWindow);
+  aReader.ReadMilliseconds("stop_ms", span, aSettings.mStopTime);
+  aReader.ReadMilliseconds("lease_ms", span, aSettings.mLease);
+  aReader.RefuseUnknownFields();
+}
+
+}
+
+fleet_settings
+ParseFleetSettings(std::string_view aText)
+{
+  std::vector<settings_fault> faults;
+  nlohmann::json const document = ParseUniqueJson(aText, faults);
+  settings_reader root{ document, "$", faults };
+
+  fleet_settings settings;
+  std::string instance;
+  std::string domain;
+  root.ReadName("instance", instance);
+  root.ReadName("failure_domain", domain);
+  settings.mInstance = instance_id{ instance };
+  settings.mDomain = failure_domain{ domain };
+  ReadListen(root.Section("listen"), settings);
+  settings.mStore = ReadAddress(root, "store");
+  ReadLimits(root.Section("limits"), settings);
+  root.RefuseUnknownFields();
+
+  if (!faults.empty())
+    throw settings_error(std::move(faults));
+  return settings;
+}
+
+fleet_settings
+LoadFleetSettings(std::string const& aPath)
+{
+  return ParseFleetSettings(ReadSettingsFile(aPath));
+}
+
+}
--- a/Libraries/LibSettings/ParseSettings.cpp
+++ b/Libraries/LibSettings/ParseSettings.cpp
@@ -1,14 +1,13 @@
 #include <LibSettings/ParseSettings.h>
 #include <LibSettings/ParseUniqueJson.h>
+#include <LibSettings/ReadSettingsFile.h>
 #include <LibSettings/SettingsError.h>
 #include <LibSettings/SettingsReader.h>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <fstream>
 #include <span>
-#include <sstream>
 
 namespace lycheeseam {
 
@@ -227,15 +226,7 @@
 daemon_settings
 LoadSettings(std::string const& aPath)
 {
-  std::ifstream file{ aPath };
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    settings_fault fault{ .mPath = "$",
-                          .mValue = "nothing",
-                          .mAllowed = "a readable file at " + aPath };
-    throw settings_error({ std::move(fault) });
-  }
-  return ParseSettings(text.str());
+  return ParseSettings(ReadSettingsFile(aPath));
 }
 
 }
