--- a/Services/lycheeseamd/Main.cpp
+++ b/Services/lycheeseamd/Main.cpp
@@ -1,5 +1,7 @@
 #include "ExitCode.h"
+#include "RunFleet.h"
 #include <LibRouter/Router.h>
+#include <LibSettings/ParseFleetSettings.h>
 #include <LibSettings/ParseSettings.h>
 #include <LibSettings/SettingsError.h>
 
@@ -9,6 +11,7 @@
 #include <iostream>
 
 DEFINE_string(config, "", "The settings file, in JSON.");
+DEFINE_bool(fleet, false, "Keep all state in the platform's store.");
 DEFINE_bool(check_config, false, "Check the settings file and exit.");
 
 namespace lycheeseam {
@@ -41,6 +44,16 @@
   return exit_code::Success;
 }
 
+exit_code
+StartFleet()
+{
+  if (FLAGS_check_config)
+    LoadFleetSettings(FLAGS_config);
+  else
+    RunFleet(FLAGS_config);
+  return exit_code::Success;
+}
+
 exit_code
 Start()
 {
@@ -49,6 +62,8 @@
     return exit_code::Usage;
   }
   try {
+    if (FLAGS_fleet)
+      return StartFleet();
     daemon_settings settings = LoadSettings(FLAGS_config);
     if (FLAGS_check_config)
       return exit_code::Success;
@@ -69,7 +84,8 @@
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("lycheeseamd --config FILE [--check_config]");
+  gflags::SetUsageMessage(
+    "lycheeseamd --config FILE [--fleet] [--check_config]");
   gflags::SetVersionString(LYCHEESEAM_VERSION);
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   return static_cast<int>(lycheeseam::Start());
