--- a/Libraries/LibDispatch/ListedServer.h
+++ b/Libraries/LibDispatch/ListedServer.h
@@ -23,8 +23,6 @@
   std::uint32_t mSlots = 1;
   server_stage mStage = server_stage::Ready;
   std::vector<loaded_model> mModels;
-  /// Orders that the engine accepted in this life.
-  std::uint64_t mOrders = 0;
 
   bool operator==(listed_server const&) const = default;
 
--- /dev/null
+++ b/Libraries/LibEvents/EventField.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace lycheeseam {
+
+/// One named value of an event.
+struct event_field
+{
+  std::string_view mName;
+  std::variant<std::int64_t, double, std::string> mValue;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEvents/EventLog.cpp
@@ -0,0 +1,96 @@
+#include <LibCore/BootClock.h>
+#include <LibEvents/EventLog.h>
+#include <LibEvents/EventRateLimit.h>
+#include <LibEvents/PipeAppender.h>
+
+#include <log4cplus/logger.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <mutex>
+#include <string>
+
+namespace lycheeseam {
+
+namespace {
+
+// A line a request at the usual rate of an instance, with some room.
+constexpr double kLinesPerSecond = 100;
+constexpr double kBurstLines = 300;
+// Fits a pipe's atomic write.
+constexpr std::size_t kMaxLineBytes = 4'000;
+
+struct event_log_state
+{
+  std::mutex mMutex;
+  std::string mInstance;
+  event_rate_limit mLimit{ kLinesPerSecond, kBurstLines };
+  bool mIsOpen = false;
+};
+
+event_log_state&
+State()
+{
+  static event_log_state state;
+  return state;
+}
+
+log4cplus::Logger&
+Events()
+{
+  static log4cplus::Logger logger = log4cplus::Logger::getInstance("events");
+  return logger;
+}
+
+std::int64_t
+UnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+}
+
+void
+OpenEventLog(std::string_view aInstance)
+{
+  event_log_state& state = State();
+  std::lock_guard const lock{ state.mMutex };
+  if (state.mIsOpen)
+    return;
+  state.mInstance = aInstance;
+  state.mIsOpen = true;
+  Events().setAdditivity(false);
+  Events().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  Events().addAppender(log4cplus::SharedAppenderPtr{ new pipe_appender });
+}
+
+void
+LogEvent(std::string_view aEvent, std::initializer_list<event_field> aFields)
+{
+  event_log_state& state = State();
+  std::lock_guard const lock{ state.mMutex };
+  if (!state.mIsOpen || !state.mLimit.TryTake(boot_clock::now()))
+    return;
+  nlohmann::ordered_json line{ { "at_ms", UnixMilliseconds() },
+                               { "instance", state.mInstance },
+                               { "event", aEvent } };
+  for (event_field const& field : aFields)
+    std::visit(
+      [&line, &field](auto const& aValue) {
+        line[std::string{ field.mName }] = aValue;
+      },
+      field.mValue);
+  if (std::uint64_t const dropped = state.mLimit.TakeDropped())
+    line["dropped_lines"] = dropped;
+  std::string const text =
+    line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (text.size() > kMaxLineBytes) {
+    state.mLimit.OnLost();
+    return;
+  }
+  Events().log(log4cplus::INFO_LOG_LEVEL, text);
+}
+
+}
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -4,78 +4,193 @@
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
 #include <LibFleet/FleetOptions.h>
+#include <LibFleet/OrderDriver.h>
+#include <LibFleet/PeerBook.h>
 #include <LibFleet/ServerRegister.h>
+#include <LibFleet/StoreDuty.h>
 #include <LibFleet/TopicReader.h>
 #include <LibGateway/TrafficReport.h>
+#include <LibMembership/QuietLinkSupervisor.h>
+#include <LibPeer/PeerHub.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <set>
+#include <variant>
 
 namespace lycheeseam {
 
-/// The control thread's state of one instance: reads the store and publishes
-/// what it knows of the fleet. Made and run on that thread.
+/// The control thread's state of one instance: reads the store, talks to
+/// peers, gives orders, and publishes what it knows of the fleet. Made and run
+/// on that thread.
 template<fleet_dialect Dialect>
 class fleet_control
 {
 public:
+  /// Hears of servers that requests of other instances cost; called on the
+  /// control thread.
+  using crash_handler = std::function<void(std::vector<crash_count>)>;
+
   fleet_control(boost::asio::io_context& aContext,
                 fleet_options aOptions,
-                published<fleet_view>& aPublished)
+                published<fleet_view>& aPublished,
+                crash_handler aCrashHandler)
     : mOptions(std::move(aOptions))
     , mPublished(aPublished)
+    , mCrashHandler(std::move(aCrashHandler))
     , mClient(aContext)
-    , mOperators(mClient,
-                 mOptions.mStore,
-                 store_topic::Operators,
-                 [this](topic_page const& aPage, bool) { OnOperators(aPage); })
-    , mServers(mClient,
-               mOptions.mStore,
-               store_topic::Servers,
-               [this](topic_page const& aPage, bool aIsWhole) {
-                 OnServers(aPage, aIsWhole);
-               })
+    , mOperators(MakeReader(store_topic::Operators))
+    , mServers(MakeReader(store_topic::Servers))
+    , mInstances(MakeReader(store_topic::Instances))
+    , mPeers(mOptions.mSelf.mLife.mInstance)
+    , mOrders(mClient,
+              mOptions.mStore,
+              mOptions.mSelf.mLife.mInstance,
+              mOptions.mLease,
+              [this](seen_weights const& aSeen) { OnWeights({ aSeen }); })
+    , mHub(
+        aContext,
+        HubOptions(),
+        mOptions.mSelf,
+        *this,
+        [](instant aNow) {
+          return quiet_link_supervisor{ LinkOptions(), aNow };
+        },
+        [this]() { return peer_heartbeat{ .mIsLeaving = mIsLeaving }; },
+        mClock)
     , mTimer(aContext)
   {
-    mView.mEntries = { { .mInstance = mOptions.mInstance,
-                         .mDomain = mOptions.mDomain,
-                         .mAddress = mOptions.mCallers } };
   }
 
-  void Start() { Tick(); }
+  /// Throws error when the address for peers is taken.
+  void Start()
+  {
+    mHub.Listen(mOptions.mSelf.mPeers);
+    mHub.Start();
+    Register();
+    Tick();
+  }
+
+  /// Begins a planned stop.
+  void Leave()
+  {
+    mIsLeaving = true;
+    Publish();
+    Report({});
+  }
 
   /// Takes what the traffic thread saw.
-  void OnReport(traffic_report const& aReport)
+  void OnReport(traffic_report aReport)
   {
-    for (seen_weights const& seen : aReport.mWeights)
-      mRegister.OnWeights(seen.mServer, seen.mLife, seen.mModel, seen.mVersion);
-    if (!aReport.mWeights.empty())
-      Publish();
+    OnWeights(aReport.mWeights);
+    mSpent = std::move(aReport.mSpent);
+    Report(std::move(aReport.mCrashes));
+    Publish();
+  }
+
+  void OnPeerUp(peer_hello const& aHello)
+  {
+    mPeers.OnUp(mClock.Now(), aHello);
+    mHub.SetWanted(mPeers.Contacts());
+    Report({});
+  }
+
+  void OnPeerDown(instance_life const& aPeer, link_close_reason)
+  {
+    mPeers.OnDown(mClock.Now(), aPeer);
+    Publish();
+  }
+
+  void OnPeerMessage(instance_life const& aPeer, peer_message& aMessage)
+  {
+    fleet_message* const message = std::get_if<fleet_message>(&aMessage);
+    if (message == nullptr)
+      return;
+    if (fleet_report* const report = std::get_if<fleet_report>(message))
+      return OnPeerReport(aPeer, *report);
+    OnRelay(std::get<topic_relay>(*message));
   }
 
 private:
-  // Configurations are in force within two seconds of their acknowledgement;
-  // leaving servers get no more work after two.
-  static constexpr std::chrono::milliseconds kServersInterval{ 700 };
-  static constexpr std::chrono::milliseconds kOperatorsInterval{ 700 };
-  static constexpr std::chrono::milliseconds kTick{ 100 };
+  using reader = topic_reader<Dialect>;
+
+  static constexpr std::chrono::milliseconds kTick{ 50 };
+  // Instances register once; the topic is read again only to find those that
+  // couldn't be reached at first.
+  static constexpr std::chrono::seconds kInstancesInterval{ 20 };
+  static constexpr std::chrono::milliseconds kRegisterPause{ 700 };
+  static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
+
+  static peer_hub_options HubOptions()
+  {
+    constexpr std::size_t kMostQueued = 4U << 20U;
+    // A peer that was restarted is back within a second or two.
+    return { .mMaxFrameBytes = kMostQueued,
+             .mMaxQueueBytes = kMostQueued,
+             .mHelloTimeout = std::chrono::milliseconds{ 700 },
+             .mDial = { .mMaxBackoff = std::chrono::milliseconds{ 800 } } };
+  }
+
+  // Reports are the signs of life; a link without any is pinged.
+  static quiet_link_options LinkOptions()
+  {
+    return { .mBeatInterval = {},
+             .mQuietInterval = std::chrono::milliseconds{ 500 },
+             .mPingInterval = std::chrono::milliseconds{ 200 },
+             .mPingLimit = 3 };
+  }
+
+  reader MakeReader(store_topic aTopic)
+  {
+    return reader{ mClient,
+                   mOptions.mStore,
+                   aTopic,
+                   [this, aTopic](std::uint64_t aFrom,
+                                  topic_page const& aPage,
+                                  bool aIsWhole) {
+                     OnPage(aTopic, aFrom, aPage, aIsWhole);
+                   } };
+  }
+
+  void Register()
+  {
+    keyed_record const record{ .mKey = mOptions.mSelf.mLife.mInstance.Text(),
+                               .mValue =
+                                 Dialect::FormatInstance(mOptions.mSelf) };
+    mClient.Call(
+      { .mTo = mOptions.mStore,
+        .mHead = Dialect::AppendRequest(store_topic::Instances, std::nullopt),
+        .mBody = Dialect::FormatRecord(record),
+        .mTimeout = kStoreTimeout },
+      [this](http_exchange_result const& aResult) {
+        mIsRegistered =
+          Dialect::ReadAppend(aResult).mStatus == store_append_status::Done;
+        mInstancesDue = mClock.Now();
+        if (!mIsRegistered)
+          mRegisterDue = mClock.Now() + kRegisterPause;
+      });
+  }
 
   void Tick()
   {
     instant const now = mClock.Now();
-    if (now >= mServersDue && !mServers.IsReading()) {
-      mServersDue = now + kServersInterval;
-      mServers.Read([this](store_read_status aStatus) { OnRead(aStatus); });
+    if (!mIsRegistered && mRegisterDue && now >= *mRegisterDue) {
+      mRegisterDue.reset();
+      Register();
     }
-    if (now >= mOperatorsDue && !mOperators.IsReading()) {
-      mOperatorsDue = now + kOperatorsInterval;
-      mOperators.Read([](store_read_status) {});
-    }
-    if (mRegister.Expire(now))
+    ReadStore(now);
+    mPeers.Prune(now);
+    bool const areServersGone = mRegister.Expire(now);
+    std::vector<listed_server> const servers = mRegister.Servers();
+    bool const haveTurnsChanged = mOrders.Tick(
+      servers, mView.mWeights, mPeers.Rank(now), mPeers.NewestLease(now));
+    if (haveTurnsChanged)
+      Report({});
+    if (areServersGone || haveTurnsChanged)
       Publish();
     mTimer.expires_after(kTick);
     mTimer.async_wait([this](auto aFault) {
@@ -84,12 +199,126 @@
     });
   }
 
-  void OnRead(store_read_status aStatus)
+  void ReadStore(instant aNow)
+  {
+    bool const hasReader = mPeers.HasReader(aNow);
+    if (mServersDuty.IsDue(aNow, hasReader))
+      Read(mServers, mServersDuty);
+    if (mOperatorsDuty.IsDue(aNow, hasReader))
+      Read(mOperators, mOperatorsDuty);
+    if (aNow >= mInstancesDue && !mInstances.IsReading()) {
+      mInstancesDue = aNow + kInstancesInterval;
+      mInstances.Read([](store_read_status) {});
+    }
+  }
+
+  void Read(reader& aReader, store_duty& aDuty)
+  {
+    if (aReader.IsReading())
+      return;
+    aDuty.OnStart(mClock.Now());
+    aReader.Read([this, &aReader, &aDuty](store_read_status aStatus) {
+      aDuty.OnRead(mClock.Now(), aStatus != store_read_status::Failed);
+      if (aStatus == store_read_status::Expired)
+        aDuty.ReadSoon();
+      if (aStatus == store_read_status::Failed && &aReader == &mServers)
+        mRegister.OnStoreFailure(mClock.Now());
+    });
+  }
+
+  void OnPage(store_topic aTopic,
+              std::uint64_t aFrom,
+              topic_page const& aPage,
+              bool aIsWhole)
   {
-    if (aStatus == store_read_status::Failed)
-      mRegister.OnStoreFailure(mClock.Now());
-    if (aStatus == store_read_status::Expired)
-      mServersDue = mClock.Now();
+    if (!aIsWhole && !aPage.mRecords.empty() && !mIsTakingRelay)
+      mHub.Broadcast(
+        fleet_message{ topic_relay{ .mTopic = aTopic,
+                                    .mFrom = aFrom,
+                                    .mEnd = aFrom + aPage.mRecords.size(),
+                                    .mRecords = aPage.mRecords } });
+    if (aTopic == store_topic::Operators)
+      OnOperators(aPage);
+    if (aTopic == store_topic::Servers)
+      OnServers(aPage, aIsWhole);
+    if (aTopic == store_topic::Instances)
+      OnInstances(aPage);
+  }
+
+  void OnRelay(topic_relay const& aRelay)
+  {
+    mIsTakingRelay = true;
+    topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
+    if (aRelay.mTopic == store_topic::Operators &&
+        !mOperators.Take(aRelay.mFrom, page))
+      mOperatorsDuty.ReadSoon();
+    if (aRelay.mTopic == store_topic::Servers &&
+        !mServers.Take(aRelay.mFrom, page))
+      mServersDuty.ReadSoon();
+    mIsTakingRelay = false;
+  }
+
+  void OnPeerReport(instance_life const& aPeer, fleet_report const& aReport)
+  {
+    instant const now = mClock.Now();
+    std::set<backend_server_id> const turning = mPeers.Turning(now);
+    std::vector<caller_entry> const entries = mPeers.Entries();
+    mPeers.OnReport(now, aPeer, aReport);
+    if (!aReport.mCrashes.empty())
+      mCrashHandler(aReport.mCrashes);
+    bool const isNews = TakeWeightsSeen(aReport.mWeights);
+    if (isNews || mPeers.Turning(now) != turning || mPeers.Entries() != entries)
+      Publish();
+  }
+
+  // True when it is news.
+  bool TakeWeightsSeen(std::vector<seen_weights> const& aSeen)
+  {
+    bool isNews = false;
+    for (seen_weights const& seen : aSeen)
+      isNews |= mRegister.OnWeights(
+        seen.mServer, seen.mLife, seen.mModel, seen.mVersion);
+    return isNews;
+  }
+
+  void OnWeights(std::vector<seen_weights> const& aSeen)
+  {
+    if (!TakeWeightsSeen(aSeen))
+      return;
+    mSeen.insert(mSeen.end(), aSeen.begin(), aSeen.end());
+    Report({});
+    Publish();
+  }
+
+  void Report(std::vector<crash_count> aCrashes)
+  {
+    instant const now = mClock.Now();
+    std::set<backend_server_id> const turning = mOrders.Turning();
+    mHub.Broadcast(fleet_message{
+      fleet_report{ .mIsLeaving = mIsLeaving,
+                    .mIsReady = mView.mConfig != nullptr && !mIsLeaving,
+                    .mLease = mOrders.Lease(),
+                    .mReadsStore = mServersDuty.IsReading(now) &&
+                                   mOperatorsDuty.IsReading(now),
+                    .mSpent = mSpent,
+                    .mCrashes = std::move(aCrashes),
+                    .mWeights = std::exchange(mSeen, {}),
+                    .mTurning = { turning.begin(), turning.end() } } });
+  }
+
+  void OnInstances(topic_page const& aPage)
+  {
+    for (keyed_record const& record : aPage.mRecords) {
+      if (!record.mValue)
+        continue;
+      try {
+        mPeers.OnRegistered(mClock.Now(),
+                            Dialect::ReadInstance(record.mKey, *record.mValue));
+      } catch (invalid_input const&) {
+        continue;
+      }
+    }
+    mHub.SetWanted(mPeers.Contacts());
   }
 
   void OnServers(topic_page const& aPage, bool aIsWhole)
@@ -168,21 +397,45 @@
 
   void Publish()
   {
+    instant const now = mClock.Now();
     mView.mServers = mRegister.Servers();
+    mView.mTurning = mOrders.Turning();
+    mView.mTurning.merge(mPeers.Turning(now));
+    mView.mEntries = mPeers.Entries();
+    if (mView.mConfig && !mIsLeaving)
+      mView.mEntries.push_back({ .mInstance = mOptions.mSelf.mLife.mInstance,
+                                 .mDomain = mOptions.mSelf.mFailureDomain,
+                                 .mAddress = mOptions.mSelf.mCallers });
+    mView.mInstances = mPeers.Count() + 1;
+    mView.mSilentInstances = mPeers.Silent(now);
+    mView.mSpentElsewhere = mPeers.Spent();
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
   }
 
   fleet_options mOptions;
   published<fleet_view>& mPublished;
+  crash_handler mCrashHandler;
+  system_clock mClock;
   http_client mClient;
-  topic_reader<Dialect> mOperators;
-  topic_reader<Dialect> mServers;
+  reader mOperators;
+  reader mServers;
+  reader mInstances;
+  store_duty mOperatorsDuty;
+  store_duty mServersDuty;
   server_register mRegister;
+  peer_book mPeers;
+  order_driver<Dialect> mOrders;
+  peer_hub<fleet_control, quiet_link_supervisor, system_clock> mHub;
   fleet_view mView;
+  std::vector<spent_units> mSpent;
+  /// Seen weights that peers haven't been told of.
+  std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
-  system_clock mClock;
-  instant mServersDue{};
-  instant mOperatorsDue{};
+  instant mInstancesDue{ instant::max() };
+  std::optional<instant> mRegisterDue;
+  bool mIsRegistered = false;
+  bool mIsTakingRelay = false;
+  bool mIsLeaving = false;
 };
 
 }
--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -1,14 +1,21 @@
 #pragma once
 
 #include <LibDispatch/ListedServer.h>
-#include <LibFleet/KeyedRecord.h>
+#include <LibFleet/EngineReport.h>
 #include <LibFleet/OperatorRecord.h>
-#include <LibFleet/StoreTopic.h>
-#include <LibFleet/TopicPage.h>
+#include <LibFleet/OrderAnswer.h>
+#include <LibFleet/StoreAppendResult.h>
+#include <LibFleet/WeightsOrder.h>
+#include <LibHttp/HttpExchangeResult.h>
 #include <LibHttp/RequestHead.h>
+#include <LibPeer/PeerHello.h>
+#include <LibStore/KeyedRecord.h>
+#include <LibStore/StoreTopic.h>
+#include <LibStore/TopicPage.h>
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,7 +26,13 @@
 template<typename Dialect>
 concept fleet_dialect = requires(store_topic aTopic,
                                  std::string_view aText,
-                                 std::uint64_t aOffset)
+                                 std::uint64_t aOffset,
+                                 std::optional<std::uint64_t> aAt,
+                                 keyed_record const& aRecord,
+                                 weights_order const& aOrder,
+                                 backend_server_id const& aServer,
+                                 peer_hello const& aInstance,
+                                 http_exchange_result const& aResult)
 {
   // The newest record of each key behind a key.
   {
@@ -41,6 +54,39 @@
   {
     Dialect::ReadServer(aText, aText)
     } -> std::same_as<listed_server>;
+  // Appends a record; with an offset, only where the topic ends there.
+  {
+    Dialect::AppendRequest(aTopic, aAt)
+    } -> std::same_as<request_head>;
+  {
+    Dialect::FormatRecord(aRecord)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadAppend(aResult)
+    } -> std::same_as<store_append_result>;
+  // An instance's own entry.
+  {
+    Dialect::FormatInstance(aInstance)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadInstance(aText, aText)
+    } -> std::same_as<peer_hello>;
+  // Orders to engines, and their state.
+  {
+    Dialect::OrderRequest(aOrder)
+    } -> std::same_as<request_head>;
+  {
+    Dialect::FormatOrder(aOrder)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadOrderAnswer(aResult)
+    } -> std::same_as<order_answer>;
+  {
+    Dialect::ReportRequest(aServer)
+    } -> std::same_as<request_head>;
+  {
+    Dialect::ReadReport(aText)
+    } -> std::same_as<engine_report>;
 };
 
 }
--- a/Libraries/LibFleet/FleetOptions.h
+++ b/Libraries/LibFleet/FleetOptions.h
@@ -1,18 +1,19 @@
 #pragma once
 
 #include <LibCore/Endpoint.h>
-#include <LibCore/Identifiers.h>
+#include <LibCore/Instant.h>
+#include <LibPeer/PeerHello.h>
 
 namespace lycheeseam {
 
 /// What the control thread of an instance is told at its start.
 struct fleet_options
 {
-  instance_id mInstance;
-  failure_domain mDomain;
-  endpoint mCallers;
-  endpoint mPeers;
+  /// Who this instance is to its peers.
+  peer_hello mSelf;
   endpoint mStore;
+  /// For how long the holder of orders counts after it took its lease.
+  duration mLease{};
 };
 
 }
--- /dev/null
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include <LibCore/InvalidInput.h>
+#include <LibCore/SystemClock.h>
+#include <LibDispatch/SeenWeights.h>
+#include <LibEvents/EventLog.h>
+#include <LibFleet/EngineReport.h>
+#include <LibFleet/FleetDialect.h>
+#include <LibFleet/OrderLease.h>
+#include <LibFleet/StoreAppendResult.h>
+#include <LibFleet/TurnoverPlan.h>
+#include <LibFleet/WeightsOrder.h>
+#include <LibHttp/HttpClient.h>
+
+#include <functional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Takes and keeps the lease on orders while this instance is the one to hold
+/// it, and gives the orders that bring engines to new weights.
+template<fleet_dialect Dialect>
+class order_driver
+{
+public:
+  using weights_handler = std::function<void(seen_weights)>;
+
+  order_driver(http_client& aClient,
+               endpoint aStore,
+               instance_id aSelf,
+               duration aTerm,
+               weights_handler aHandler)
+    : mClient(aClient)
+    , mStore(std::move(aStore))
+    , mSelf(aSelf)
+    , mLease(std::move(aSelf), aTerm)
+    , mPlan({})
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  /// Does what is due. aRank is this instance's place among those that could
+  /// hold the lease, 0 for the first; aPeerLease the newest lease of a live
+  /// peer. True when the set of turning servers changed.
+  bool Tick(std::span<listed_server const> aServers,
+            std::span<named_weights const> aWeights,
+            std::uint32_t aRank,
+            std::uint64_t aPeerLease)
+  {
+    instant const now = mClock.Now();
+    bool const hadTurns = !mPlan.IsIdle();
+    if (aPeerLease > mLease.Held()) {
+      mLease.OnPeerLease(aPeerLease);
+      mPlan.Clear();
+      mVacantSince = now;
+      return hadTurns;
+    }
+    if (!mLease.IsHeld()) {
+      mPlan.Clear();
+      if (now - mVacantSince > kVacancy + aRank * kRankDelay)
+        Acquire();
+      return hadTurns;
+    }
+    mServers.assign(aServers.begin(), aServers.end());
+    std::set<backend_server_id> const before = mPlan.Turning();
+    mPlan.Update(now, aServers, aWeights);
+    if (!mPlan.IsIdle())
+      Drive(now);
+    return mPlan.Turning() != before;
+  }
+
+  [[nodiscard]] std::set<backend_server_id> Turning() const
+  {
+    return mPlan.Turning();
+  }
+
+  [[nodiscard]] std::uint64_t Lease() const { return mLease.Held(); }
+
+private:
+  // The last holder's link is known to be down by then.
+  static constexpr std::chrono::milliseconds kVacancy{ 600 };
+  static constexpr std::chrono::milliseconds kRankDelay{ 400 };
+  static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
+  static constexpr std::chrono::milliseconds kEngineTimeout{ 800 };
+  static constexpr std::uint32_t kOk = 200;
+
+  void Drive(instant aNow)
+  {
+    if (mLease.IsRenewalDue(aNow))
+      Acquire();
+    for (backend_server_id const& id : mPlan.DueOrders(aNow)) {
+      std::optional<std::uint64_t> const fence = mLease.MayOrder(aNow);
+      listed_server const* const server = Find(id);
+      if (fence && server != nullptr)
+        Order(aNow, *server, *fence);
+    }
+    for (backend_server_id const& id : mPlan.DueQuestions(aNow)) {
+      if (listed_server const* const server = Find(id))
+        Ask(aNow, *server);
+    }
+  }
+
+  void Acquire()
+  {
+    if (std::exchange(mIsStoreBusy, true))
+      return;
+    if (mLease.AppendAt())
+      return Append();
+    mClient.Call({ .mTo = mStore,
+                   .mHead = Dialect::NewestRequest(store_topic::Leases, {}),
+                   .mTimeout = kStoreTimeout },
+                 [this](http_exchange_result const& aResult) {
+                   mIsStoreBusy = false;
+                   OnNewest(aResult);
+                 });
+  }
+
+  void OnNewest(http_exchange_result const& aResult)
+  {
+    if (aResult.mHead.mStatus != kOk)
+      return;
+    try {
+      topic_page const page = Dialect::ReadNewest(aResult.mBody);
+      std::optional<lease_record> newest;
+      for (keyed_record const& record : page.mRecords) {
+        if (record.mValue)
+          newest = { .mOffset = record.mOffset,
+                     .mHolder = instance_id{ *record.mValue } };
+      }
+      mLease.OnRead(mClock.Now(), newest, page.mEnd);
+    } catch (invalid_input const&) {
+      return;
+    }
+    Acquire();
+  }
+
+  void Append()
+  {
+    mLease.OnSend(mClock.Now());
+    keyed_record const record{ .mKey = "orders", .mValue = mSelf.Text() };
+    mClient.Call(
+      { .mTo = mStore,
+        .mHead = Dialect::AppendRequest(store_topic::Leases, mLease.AppendAt()),
+        .mBody = Dialect::FormatRecord(record),
+        .mTimeout = kStoreTimeout },
+      [this](http_exchange_result const& aResult) {
+        mIsStoreBusy = false;
+        store_append_result const result = Dialect::ReadAppend(aResult);
+        if (result.mStatus == store_append_status::Done)
+          mLease.OnAppended(result.mOffset);
+        else if (result.mStatus != store_append_status::Refused)
+          mLease.OnUncertain();
+      });
+  }
+
+  void Order(instant aNow, listed_server const& aServer, std::uint64_t aFence)
+  {
+    loaded_model const target = mPlan.TargetOf(aServer.mId);
+    weights_order const order{ .mServer = aServer.mId,
+                               .mAddress = aServer.mAddress,
+                               .mModel = target.mModel,
+                               .mVersion = target.mVersion,
+                               .mHolder = mSelf,
+                               .mFence = aFence,
+                               .mExpectedOrders = mPlan.OrdersOf(aServer.mId) };
+    mPlan.OnOrdered(aNow, aServer.mId);
+    mClient.Call(
+      { .mTo = aServer.mAddress,
+        .mHead = Dialect::OrderRequest(order),
+        .mBody = Dialect::FormatOrder(order),
+        .mTimeout = kEngineTimeout },
+      [this, id = aServer.mId](http_exchange_result const& aResult) {
+        order_answer const answer = Dialect::ReadOrderAnswer(aResult);
+        LogEvent("order_answered",
+                 { { "server", id.Text() },
+                   { "status", std::int64_t{ aResult.mHead.mStatus } },
+                   { "body", aResult.mBody },
+                   { "fault", aResult.mFault } });
+        mPlan.OnAnswer(mClock.Now(), id, answer);
+        if (answer == order_answer::Fenced)
+          mLease.OnUncertain();
+      });
+  }
+
+  void Ask(instant aNow, listed_server const& aServer)
+  {
+    mPlan.OnAsked(aNow, aServer.mId);
+    mClient.Call({ .mTo = aServer.mAddress,
+                   .mHead = Dialect::ReportRequest(aServer.mId),
+                   .mTimeout = kEngineTimeout },
+                 [this, id = aServer.mId, life = aServer.mLife](
+                   http_exchange_result const& aResult) {
+                   if (aResult.mHead.mStatus != kOk)
+                     return;
+                   try {
+                     engine_report const report =
+                       Dialect::ReadReport(aResult.mBody);
+                     mPlan.OnReport(mClock.Now(), id, report);
+                     for (loaded_model const& model : report.mModels)
+                       mHandler({ .mServer = id,
+                                  .mLife = life,
+                                  .mModel = model.mModel,
+                                  .mVersion = model.mVersion });
+                   } catch (invalid_input const&) {
+                     return;
+                   }
+                 });
+  }
+
+  [[nodiscard]] listed_server const* Find(backend_server_id const& aId) const
+  {
+    for (listed_server const& server : mServers) {
+      if (server.mId == aId)
+        return &server;
+    }
+    return nullptr;
+  }
+
+  http_client& mClient;
+  endpoint mStore;
+  instance_id mSelf;
+  order_lease mLease;
+  turnover_plan mPlan;
+  weights_handler mHandler;
+  system_clock mClock;
+  std::vector<listed_server> mServers;
+  instant mVacantSince{};
+  bool mIsStoreBusy = false;
+};
+
+}
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -72,7 +72,7 @@
     mStoreBackAt = aNow;
 }
 
-void
+bool
 server_register::OnWeights(backend_server_id const& aServer,
                            incarnation aLife,
                            model_name const& aModel,
@@ -80,11 +80,15 @@
 {
   auto const found = mEntries.find(aServer);
   if (found == mEntries.end() || found->second.mServer.mLife != aLife)
-    return;
+    return false;
+  bool isNews = false;
   for (loaded_model& model : found->second.mServer.mModels) {
-    if (model.mModel == aModel)
-      model.mVersion = std::max(model.mVersion, aVersion);
+    if (model.mModel != aModel || model.mVersion >= aVersion)
+      continue;
+    model.mVersion = aVersion;
+    isNews = true;
   }
+  return isNews;
 }
 
 bool
--- a/Libraries/LibFleet/ServerRegister.h
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -33,8 +33,8 @@
   /// The store answered.
   void OnStoreAnswer(instant aNow);
 
-  /// An engine showed newer weights than its entry says.
-  void OnWeights(backend_server_id const& aServer,
+  /// An engine showed its weights; true when they are newer than was known.
+  bool OnWeights(backend_server_id const& aServer,
                  incarnation aLife,
                  model_name const& aModel,
                  std::uint64_t aVersion);
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/InvalidInput.h>
 #include <LibFleet/FleetDialect.h>
-#include <LibFleet/StoreReadStatus.h>
 #include <LibHttp/HttpClient.h>
+#include <LibStore/StoreReadStatus.h>
 
 #include <chrono>
 #include <functional>
@@ -20,8 +20,8 @@
 public:
   /// aIsWhole is true when the records are all that the topic holds now, so
   /// that keys that aren't among them are gone.
-  using record_handler =
-    std::function<void(topic_page const& aPage, bool aIsWhole)>;
+  using record_handler = std::function<
+    void(std::uint64_t aFrom, topic_page const& aPage, bool aIsWhole)>;
   using end_handler = std::function<void(store_read_status)>;
 
   topic_reader(http_client& aClient,
@@ -56,13 +56,16 @@
     return mNext;
   }
 
-  /// Takes a page that another instance read; ignored when it leaves a gap.
-  void Take(std::uint64_t aFrom, topic_page const& aPage)
+  /// Takes a page that another instance read; false when it leaves a gap.
+  bool Take(std::uint64_t aFrom, topic_page const& aPage)
   {
-    if (!mNext || mIsReading || aFrom > *mNext || aPage.mEnd <= *mNext)
-      return;
+    if (!mNext || aFrom > *mNext)
+      return false;
+    if (aPage.mEnd <= *mNext)
+      return true;
     mNext = aPage.mEnd;
-    mHandler(aPage, false);
+    mHandler(aFrom, aPage, false);
+    return true;
   }
 
 private:
@@ -98,12 +101,13 @@
       return ReadNewest(mWhole.mRecords.back().mKey);
     mNext = mFirstEnd;
     mFirstEnd.reset();
-    mHandler(mWhole, true);
+    mHandler(*mNext, mWhole, true);
     End(store_read_status::Done);
   }
 
   void ReadRecords()
   {
+    mReadFrom = *mNext;
     Call(Dialect::RecordsRequest(mTopic, *mNext),
          [this](http_exchange_result const& aResult) { OnRecords(aResult); });
   }
@@ -118,13 +122,20 @@
       return End(store_read_status::Failed);
     topic_page page;
     try {
-      page = Dialect::ReadRecords(aResult.mBody, *mNext);
+      page = Dialect::ReadRecords(aResult.mBody, mReadFrom);
     } catch (invalid_input const&) {
       mNext.reset();
       return End(store_read_status::Failed);
     }
-    mNext = *mNext + page.mRecords.size();
-    mHandler(page, false);
+    // Another instance may have passed on records while this read ran.
+    std::uint64_t const from = mReadFrom;
+    std::uint64_t const next = from + page.mRecords.size();
+    if (next > *mNext) {
+      mNext = next;
+      mHandler(from, page, false);
+    } else if (page.mRecords.empty()) {
+      mHandler(from, page, false);
+    }
     End(store_read_status::Done);
   }
 
@@ -152,6 +163,7 @@
   topic_page mWhole;
   std::optional<std::uint64_t> mFirstEnd;
   std::optional<std::uint64_t> mNext;
+  std::uint64_t mReadFrom = 0;
   bool mIsReading = false;
 };
 
--- /dev/null
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -0,0 +1,210 @@
+#include <LibFleet/TurnoverPlan.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheeseam {
+
+namespace {
+
+listed_server const*
+FindServer(std::span<listed_server const> aServers,
+           backend_server_id const& aId)
+{
+  for (listed_server const& server : aServers) {
+    if (server.mId == aId)
+      return &server;
+  }
+  return nullptr;
+}
+
+}
+
+void
+turnover_plan::DropDone(std::span<listed_server const> aServers)
+{
+  std::erase_if(mTurns, [aServers](auto const& aEntry) {
+    listed_server const* const server = FindServer(aServers, aEntry.first);
+    return server == nullptr || server->mLife != aEntry.second.mLife ||
+           server->mStage != server_stage::Ready ||
+           server->VersionOf(aEntry.second.mModel) >= aEntry.second.mTarget;
+  });
+}
+
+void
+turnover_plan::Update(instant aNow,
+                      std::span<listed_server const> aServers,
+                      std::span<named_weights const> aWeights)
+{
+  DropDone(aServers);
+  for (named_weights const& named : aWeights) {
+    std::map<pool_name, std::vector<listed_server const*>> behind;
+    std::map<pool_name, std::size_t> sizes;
+    std::map<pool_name, std::size_t> turned;
+    std::map<pool_name, std::size_t> turning;
+    for (listed_server const& server : aServers) {
+      std::uint64_t const version = server.VersionOf(named.mModel);
+      if (version == 0 || server.mStage != server_stage::Ready)
+        continue;
+      ++sizes[server.mPool];
+      if (mTurns.contains(server.mId))
+        ++turning[server.mPool];
+      else if (version >= named.mVersion)
+        ++turned[server.mPool];
+      else
+        behind[server.mPool].push_back(&server);
+    }
+    for (auto& [pool, servers] : behind) {
+      auto const size = static_cast<double>(sizes[pool]);
+      auto const first =
+        static_cast<std::size_t>(std::ceil(size * mTiming.mFirstPart));
+      auto const later =
+        static_cast<std::size_t>(std::ceil(size * mTiming.mLaterPart));
+      std::size_t const most = turned[pool] >= first ? later : first;
+      std::stable_sort(
+        servers.begin(),
+        servers.end(),
+        [&named](listed_server const* aLeft, listed_server const* aRight) {
+          return aLeft->VersionOf(named.mModel) <
+                 aRight->VersionOf(named.mModel);
+        });
+      for (listed_server const* const server : servers) {
+        if (turning[pool] >= std::max<std::size_t>(1, most))
+          break;
+        ++turning[pool];
+        Begin(aNow, *server, named);
+      }
+    }
+  }
+}
+
+void
+turnover_plan::Begin(instant aNow,
+                     listed_server const& aServer,
+                     named_weights const& aNamed)
+{
+  mTurns[aServer.mId] = { .mLife = aServer.mLife,
+                          .mModel = aNamed.mModel,
+                          .mTarget = aNamed.mVersion,
+                          .mOrderAt = aNow + mTiming.mNotice,
+                          .mAskAt = aNow };
+}
+
+std::set<backend_server_id>
+turnover_plan::Turning() const
+{
+  std::set<backend_server_id> turning;
+  for (auto const& [id, turn] : mTurns)
+    turning.insert(id);
+  return turning;
+}
+
+std::vector<backend_server_id>
+turnover_plan::DueOrders(instant aNow) const
+{
+  std::vector<backend_server_id> due;
+  for (auto const& [id, turn] : mTurns) {
+    if (!turn.mIsOrdered && turn.mOrders && aNow >= turn.mOrderAt)
+      due.push_back(id);
+  }
+  return due;
+}
+
+std::vector<backend_server_id>
+turnover_plan::DueQuestions(instant aNow) const
+{
+  std::vector<backend_server_id> due;
+  for (auto const& [id, turn] : mTurns) {
+    bool const isWanted = turn.mIsOrdered || !turn.mOrders;
+    if (isWanted && aNow >= turn.mAskAt)
+      due.push_back(id);
+  }
+  return due;
+}
+
+void
+turnover_plan::OnOrdered(instant aNow, backend_server_id const& aServer)
+{
+  auto const found = mTurns.find(aServer);
+  if (found == mTurns.end())
+    return;
+  found->second.mIsOrdered = true;
+  found->second.mOrderedAt = aNow;
+  found->second.mAskAt = aNow + mTiming.mFirstQuestion;
+}
+
+void
+turnover_plan::OnAnswer(instant aNow,
+                        backend_server_id const& aServer,
+                        order_answer aAnswer)
+{
+  auto const found = mTurns.find(aServer);
+  if (found == mTurns.end())
+    return;
+  switch (aAnswer) {
+    case order_answer::Accepted:
+    case order_answer::Unknown:
+      return;
+    case order_answer::Busy:
+      // Its state tells what it is busy with and how many orders it accepted.
+      found->second.mOrders.reset();
+      found->second.mIsOrdered = false;
+      found->second.mAskAt = aNow + mTiming.mBusyPause;
+      return;
+    case order_answer::Fenced:
+    case order_answer::Refused:
+      found->second.mIsOrdered = false;
+      found->second.mOrderAt = aNow + mTiming.mRepeat;
+      return;
+  }
+}
+
+void
+turnover_plan::OnAsked(instant aNow, backend_server_id const& aServer)
+{
+  auto const found = mTurns.find(aServer);
+  if (found != mTurns.end())
+    found->second.mAskAt = aNow + mTiming.mQuestionInterval;
+}
+
+void
+turnover_plan::OnReport(instant aNow,
+                        backend_server_id const& aServer,
+                        engine_report const& aReport)
+{
+  auto const found = mTurns.find(aServer);
+  if (found == mTurns.end())
+    return;
+  turn& known = found->second;
+  if (!aReport.mIsBusy)
+    known.mOrders = aReport.mOrders;
+  // The report is older than the order may be, so only a calm engine some time
+  // after the order shows that the order had no effect.
+  bool const isIdle =
+    !aReport.mIsBusy && aNow - known.mOrderedAt > mTiming.mRepeat;
+  for (loaded_model const& model : aReport.mModels) {
+    if (model.mModel == known.mModel && model.mVersion < known.mTarget &&
+        isIdle) {
+      known.mIsOrdered = false;
+      known.mOrderAt = aNow;
+    }
+  }
+}
+
+std::uint64_t
+turnover_plan::OrdersOf(backend_server_id const& aServer) const
+{
+  auto const found = mTurns.find(aServer);
+  return found == mTurns.end() ? 0 : found->second.mOrders.value_or(0);
+}
+
+loaded_model
+turnover_plan::TargetOf(backend_server_id const& aServer) const
+{
+  auto const found = mTurns.find(aServer);
+  if (found == mTurns.end())
+    return {};
+  return { .mModel = found->second.mModel, .mVersion = found->second.mTarget };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/WeightsOrder.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifiers.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// Tells an engine to load a version of a model's weights.
+struct weights_order
+{
+  backend_server_id mServer;
+  endpoint mAddress;
+  model_name mModel;
+  std::uint64_t mVersion = 0;
+  instance_id mHolder;
+  std::uint64_t mFence = 0;
+  /// The orders that the engine must have accepted so far, so that a late
+  /// order can't undo a newer one.
+  std::uint64_t mExpectedOrders = 0;
+};
+
+}
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibGateway/SessionListener.h>
 
 #include <functional>
+#include <span>
 
 namespace lycheeseam {
 
@@ -46,7 +47,12 @@
     return true;
   }
 
-  [[nodiscard]] traffic_core& Core() noexcept { return mCore; }
+  /// Requests of other instances cost servers.
+  void OnPeerCrashes(std::span<crash_count const> aCrashes)
+  {
+    for (crash_count const& crash : aCrashes)
+      mCore.OnPeerCrash(mClock.Now(), crash);
+  }
 
 private:
   // Others count what this instance admits this much later.
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibDispatch/CrashCount.h>
+#include <LibDispatch/SeenWeights.h>
 #include <LibDispatch/SpentUnits.h>
-#include <LibGateway/CrashCount.h>
-#include <LibGateway/SeenWeights.h>
 
 #include <vector>
 
--- /dev/null
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -0,0 +1,61 @@
+#include <LibCore/InvalidInput.h>
+#include <LibPeer/DecodeFleetMessage.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+namespace {
+
+store_topic
+DecodeTopic(std::uint8_t aValue)
+{
+  if (aValue > static_cast<std::uint8_t>(store_topic::Leases))
+    throw invalid_input("a relay's topic is unknown");
+  return static_cast<store_topic>(aValue);
+}
+
+}
+
+fleet_message
+DecodeFleetMessage(wire::FleetReport const& aTable)
+{
+  fleet_report report{ .mIsLeaving = aTable.leaving(),
+                       .mIsReady = aTable.ready(),
+                       .mLease = aTable.lease(),
+                       .mReadsStore = aTable.reads_store() };
+  for (wire::SpentUnits const* const spent : *aTable.spent())
+    report.mSpent.push_back(
+      { .mWorkspace = workspace_id{ spent->workspace()->str() },
+        .mUnits = spent->units() });
+  for (wire::CrashCount const* const crash : *aTable.crashes())
+    report.mCrashes.push_back(
+      { .mFingerprint = crash->fingerprint(), .mCount = crash->count() });
+  for (wire::SeenWeights const* const seen : *aTable.weights())
+    report.mWeights.push_back(
+      { .mServer = backend_server_id{ seen->server()->str() },
+        .mLife = incarnation{ seen->incarnation() },
+        .mModel = model_name{ seen->model()->str() },
+        .mVersion = seen->version() });
+  for (flatbuffers::String const* const server : *aTable.turning())
+    report.mTurning.emplace_back(server->str());
+  return report;
+}
+
+fleet_message
+DecodeFleetMessage(wire::TopicRelay const& aTable)
+{
+  topic_relay relay{ .mTopic = DecodeTopic(aTable.topic()),
+                     .mFrom = aTable.from(),
+                     .mEnd = aTable.end() };
+  for (wire::KeyedRecord const* const record : *aTable.records()) {
+    keyed_record decoded{ .mOffset = record->offset(),
+                          .mKey = record->key()->str() };
+    if (record->value() != nullptr)
+      decoded.mValue.emplace(record->value()->begin(), record->value()->end());
+    relay.mRecords.push_back(std::move(decoded));
+  }
+  return relay;
+}
+
+}
--- a/Libraries/LibPeer/DecodePeerMessage.cpp
+++ b/Libraries/LibPeer/DecodePeerMessage.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/InvalidInput.h>
 #include <LibPeer/DecodeBlockMessage.h>
 #include <LibPeer/DecodeBudgetMessage.h>
+#include <LibPeer/DecodeFleetMessage.h>
 #include <LibPeer/PeerCodec.h>
 
 #include <cstring>
@@ -144,6 +145,10 @@
       return DecodeBlockMessage(*aEnvelope.body_as_BlockAnswer());
     case wire::Body::BlockUpdate:
       return DecodeBlockMessage(*aEnvelope.body_as_BlockUpdate());
+    case wire::Body::FleetReport:
+      return DecodeFleetMessage(*aEnvelope.body_as_FleetReport());
+    case wire::Body::TopicRelay:
+      return DecodeFleetMessage(*aEnvelope.body_as_TopicRelay());
     case wire::Body::NONE:
       break;
   }
--- /dev/null
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -0,0 +1,94 @@
+#include <LibPeer/EncodeFleetMessage.h>
+
+#include <string>
+#include <vector>
+
+namespace lycheeseam {
+
+namespace {
+
+// Builds the table of each kind of message.
+class fleet_encoder
+{
+public:
+  explicit fleet_encoder(flatbuffers::FlatBufferBuilder& aBuilder)
+    : mBuilder(aBuilder)
+  {
+  }
+
+  encoded_body operator()(fleet_report const& aReport)
+  {
+    std::vector<flatbuffers::Offset<wire::SpentUnits>> spent;
+    for (spent_units const& units : aReport.mSpent)
+      spent.push_back(wire::CreateSpentUnits(
+        mBuilder, Text(units.mWorkspace.Text()), units.mUnits));
+    std::vector<wire::CrashCount> crashes;
+    for (crash_count const& crash : aReport.mCrashes)
+      crashes.emplace_back(crash.mFingerprint, crash.mCount);
+    std::vector<flatbuffers::Offset<wire::SeenWeights>> weights;
+    for (seen_weights const& seen : aReport.mWeights)
+      weights.push_back(wire::CreateSeenWeights(mBuilder,
+                                                Text(seen.mServer.Text()),
+                                                seen.mLife.Value(),
+                                                Text(seen.mModel.Text()),
+                                                seen.mVersion));
+    std::vector<flatbuffers::Offset<flatbuffers::String>> turning;
+    for (backend_server_id const& server : aReport.mTurning)
+      turning.push_back(Text(server.Text()));
+    return MakeBody(
+      wire::Body::FleetReport,
+      wire::CreateFleetReport(mBuilder,
+                              aReport.mIsLeaving,
+                              aReport.mIsReady,
+                              aReport.mLease,
+                              aReport.mReadsStore,
+                              mBuilder.CreateVector(spent),
+                              mBuilder.CreateVectorOfStructs(crashes),
+                              mBuilder.CreateVector(weights),
+                              mBuilder.CreateVector(turning)));
+  }
+
+  encoded_body operator()(topic_relay const& aRelay)
+  {
+    std::vector<flatbuffers::Offset<wire::KeyedRecord>> records;
+    for (keyed_record const& record : aRelay.mRecords)
+      records.push_back(Record(record));
+    return MakeBody(
+      wire::Body::TopicRelay,
+      wire::CreateTopicRelay(mBuilder,
+                             static_cast<std::uint8_t>(aRelay.mTopic),
+                             aRelay.mFrom,
+                             aRelay.mEnd,
+                             mBuilder.CreateVector(records)));
+  }
+
+private:
+  flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
+  {
+    return mBuilder.CreateString(aText);
+  }
+
+  flatbuffers::Offset<wire::KeyedRecord> Record(keyed_record const& aRecord)
+  {
+    auto const key = Text(aRecord.mKey);
+    flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
+    if (aRecord.mValue)
+      value = mBuilder.CreateVector(
+        reinterpret_cast<std::uint8_t const*>(aRecord.mValue->data()),
+        aRecord.mValue->size());
+    return wire::CreateKeyedRecord(mBuilder, aRecord.mOffset, key, value);
+  }
+
+  flatbuffers::FlatBufferBuilder& mBuilder;
+};
+
+}
+
+encoded_body
+EncodeFleetMessage(flatbuffers::FlatBufferBuilder& aBuilder,
+                   fleet_message const& aMessage)
+{
+  return std::visit(fleet_encoder{ aBuilder }, aMessage);
+}
+
+}
--- a/Libraries/LibPeer/EncodePeerMessage.cpp
+++ b/Libraries/LibPeer/EncodePeerMessage.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/EncodeBlockMessage.h>
 #include <LibPeer/EncodeBudgetMessage.h>
+#include <LibPeer/EncodeFleetMessage.h>
 #include <LibPeer/FrameHeader.h>
 #include <LibPeer/PeerCodec.h>
 
@@ -135,6 +136,11 @@
     return EncodeBlockMessage(mBuilder, aMessage);
   }
 
+  encoded_body operator()(fleet_message const& aMessage)
+  {
+    return EncodeFleetMessage(mBuilder, aMessage);
+  }
+
 private:
   flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
   {
--- /dev/null
+++ b/Libraries/LibPeer/FleetMessage.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <LibPeer/FleetReport.h>
+#include <LibPeer/TopicRelay.h>
+
+#include <variant>
+
+namespace lycheeseam {
+
+/// Any message between instances whose state lies in the platform's store.
+using fleet_message = std::variant<fleet_report, topic_relay>;
+
+}
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -82,6 +82,23 @@
 struct BlockUpdate;
 struct BlockUpdateBuilder;
 
+struct SpentUnits;
+struct SpentUnitsBuilder;
+
+struct CrashCount;
+
+struct SeenWeights;
+struct SeenWeightsBuilder;
+
+struct FleetReport;
+struct FleetReportBuilder;
+
+struct KeyedRecord;
+struct KeyedRecordBuilder;
+
+struct TopicRelay;
+struct TopicRelayBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -143,11 +160,13 @@
   BlockLookup = 15,
   BlockAnswer = 16,
   BlockUpdate = 17,
+  FleetReport = 18,
+  TopicRelay = 19,
   MIN = NONE,
-  MAX = BlockUpdate
+  MAX = TopicRelay
 };
 
-inline const Body (&EnumValuesBody())[18] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -166,13 +185,15 @@
     Body::StandingWord,
     Body::BlockLookup,
     Body::BlockAnswer,
-    Body::BlockUpdate
+    Body::BlockUpdate,
+    Body::FleetReport,
+    Body::TopicRelay
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -191,13 +212,15 @@
     "BlockLookup",
     "BlockAnswer",
     "BlockUpdate",
+    "FleetReport",
+    "TopicRelay",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BlockUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TopicRelay)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -274,6 +297,14 @@
   static const Body enum_value = Body::BlockUpdate;
 };
 
+template<> struct BodyTraits<lycheeseam::wire::FleetReport> {
+  static const Body enum_value = Body::FleetReport;
+};
+
+template<> struct BodyTraits<lycheeseam::wire::TopicRelay> {
+  static const Body enum_value = Body::TopicRelay;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -340,6 +371,34 @@
 };
 FLATBUFFERS_STRUCT_END(LoanSpend, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) CrashCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t fingerprint_;
+  uint32_t count_;
+  int32_t padding0__;
+
+ public:
+  CrashCount()
+      : fingerprint_(0),
+        count_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  CrashCount(uint64_t _fingerprint, uint32_t _count)
+      : fingerprint_(flatbuffers::EndianScalar(_fingerprint)),
+        count_(flatbuffers::EndianScalar(_count)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t fingerprint() const {
+    return flatbuffers::EndianScalar(fingerprint_);
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+};
+FLATBUFFERS_STRUCT_END(CrashCount, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2016,6 +2075,476 @@
       cached_tokens);
 }
 
+struct SpentUnits FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SpentUnitsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_UNITS = 6
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  double units() const {
+    return GetField<double>(VT_UNITS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<double>(verifier, VT_UNITS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct SpentUnitsBuilder {
+  typedef SpentUnits Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(SpentUnits::VT_WORKSPACE, workspace);
+  }
+  void add_units(double units) {
+    fbb_.AddElement<double>(SpentUnits::VT_UNITS, units, 0.0);
+  }
+  explicit SpentUnitsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SpentUnits> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SpentUnits>(end);
+    fbb_.Required(o, SpentUnits::VT_WORKSPACE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SpentUnits> CreateSpentUnits(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    double units = 0.0) {
+  SpentUnitsBuilder builder_(_fbb);
+  builder_.add_units(units);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SpentUnits> CreateSpentUnitsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    double units = 0.0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return lycheeseam::wire::CreateSpentUnits(
+      _fbb,
+      workspace__,
+      units);
+}
+
+struct SeenWeights FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SeenWeightsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_INCARNATION = 6,
+    VT_MODEL = 8,
+    VT_VERSION = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffsetRequired(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct SeenWeightsBuilder {
+  typedef SeenWeights Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(SeenWeights::VT_SERVER, server);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(SeenWeights::VT_INCARNATION, incarnation, 0);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(SeenWeights::VT_MODEL, model);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(SeenWeights::VT_VERSION, version, 0);
+  }
+  explicit SeenWeightsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SeenWeights> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SeenWeights>(end);
+    fbb_.Required(o, SeenWeights::VT_SERVER);
+    fbb_.Required(o, SeenWeights::VT_MODEL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SeenWeights> CreateSeenWeights(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    uint64_t version = 0) {
+  SeenWeightsBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_incarnation(incarnation);
+  builder_.add_model(model);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SeenWeights> CreateSeenWeightsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t incarnation = 0,
+    const char *model = nullptr,
+    uint64_t version = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return lycheeseam::wire::CreateSeenWeights(
+      _fbb,
+      server__,
+      incarnation,
+      model__,
+      version);
+}
+
+struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LEAVING = 4,
+    VT_READY = 6,
+    VT_LEASE = 8,
+    VT_READS_STORE = 10,
+    VT_SPENT = 12,
+    VT_CRASHES = 14,
+    VT_WEIGHTS = 16,
+    VT_TURNING = 18
+  };
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  uint64_t lease() const {
+    return GetField<uint64_t>(VT_LEASE, 0);
+  }
+  bool reads_store() const {
+    return GetField<uint8_t>(VT_READS_STORE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *spent() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *>(VT_SPENT);
+  }
+  const flatbuffers::Vector<const lycheeseam::wire::CrashCount *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::CrashCount *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *>(VT_WEIGHTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *turning() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_TURNING);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_READS_STORE, 1) &&
+           VerifyOffsetRequired(verifier, VT_SPENT) &&
+           verifier.VerifyVector(spent()) &&
+           verifier.VerifyVectorOfTables(spent()) &&
+           VerifyOffsetRequired(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffsetRequired(verifier, VT_WEIGHTS) &&
+           verifier.VerifyVector(weights()) &&
+           verifier.VerifyVectorOfTables(weights()) &&
+           VerifyOffsetRequired(verifier, VT_TURNING) &&
+           verifier.VerifyVector(turning()) &&
+           verifier.VerifyVectorOfStrings(turning()) &&
+           verifier.EndTable();
+  }
+};
+
+struct FleetReportBuilder {
+  typedef FleetReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_lease(uint64_t lease) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_LEASE, lease, 0);
+  }
+  void add_reads_store(bool reads_store) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_READS_STORE, static_cast<uint8_t>(reads_store), 0);
+  }
+  void add_spent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> spent) {
+    fbb_.AddOffset(FleetReport::VT_SPENT, spent);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::CrashCount *>> crashes) {
+    fbb_.AddOffset(FleetReport::VT_CRASHES, crashes);
+  }
+  void add_weights(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights) {
+    fbb_.AddOffset(FleetReport::VT_WEIGHTS, weights);
+  }
+  void add_turning(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning) {
+    fbb_.AddOffset(FleetReport::VT_TURNING, turning);
+  }
+  explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetReport>(end);
+    fbb_.Required(o, FleetReport::VT_SPENT);
+    fbb_.Required(o, FleetReport::VT_CRASHES);
+    fbb_.Required(o, FleetReport::VT_WEIGHTS);
+    fbb_.Required(o, FleetReport::VT_TURNING);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetReport> CreateFleetReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool leaving = false,
+    bool ready = false,
+    uint64_t lease = 0,
+    bool reads_store = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> spent = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::CrashCount *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0) {
+  FleetReportBuilder builder_(_fbb);
+  builder_.add_lease(lease);
+  builder_.add_turning(turning);
+  builder_.add_weights(weights);
+  builder_.add_crashes(crashes);
+  builder_.add_spent(spent);
+  builder_.add_reads_store(reads_store);
+  builder_.add_ready(ready);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FleetReport> CreateFleetReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool leaving = false,
+    bool ready = false,
+    uint64_t lease = 0,
+    bool reads_store = false,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *spent = nullptr,
+    const std::vector<lycheeseam::wire::CrashCount> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr) {
+  auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
+  auto weights__ = weights ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>(*weights) : 0;
+  auto turning__ = turning ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*turning) : 0;
+  return lycheeseam::wire::CreateFleetReport(
+      _fbb,
+      leaving,
+      ready,
+      lease,
+      reads_store,
+      spent__,
+      crashes__,
+      weights__,
+      turning__);
+}
+
+struct KeyedRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KeyedRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OFFSET = 4,
+    VT_KEY = 6,
+    VT_VALUE = 8
+  };
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyOffsetRequired(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct KeyedRecordBuilder {
+  typedef KeyedRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(KeyedRecord::VT_OFFSET, offset, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(KeyedRecord::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(KeyedRecord::VT_VALUE, value);
+  }
+  explicit KeyedRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KeyedRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KeyedRecord>(end);
+    fbb_.Required(o, KeyedRecord::VT_KEY);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KeyedRecord> CreateKeyedRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t offset = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+  KeyedRecordBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<KeyedRecord> CreateKeyedRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t offset = 0,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return lycheeseam::wire::CreateKeyedRecord(
+      _fbb,
+      offset,
+      key__,
+      value__);
+}
+
+struct TopicRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TopicRelayBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TOPIC = 4,
+    VT_FROM = 6,
+    VT_END = 8,
+    VT_RECORDS = 10
+  };
+  uint8_t topic() const {
+    return GetField<uint8_t>(VT_TOPIC, 0);
+  }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t end() const {
+    return GetField<uint64_t>(VT_END, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_END, 8) &&
+           VerifyOffsetRequired(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TopicRelayBuilder {
+  typedef TopicRelay Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_topic(uint8_t topic) {
+    fbb_.AddElement<uint8_t>(TopicRelay::VT_TOPIC, topic, 0);
+  }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(TopicRelay::VT_FROM, from, 0);
+  }
+  void add_end(uint64_t end) {
+    fbb_.AddElement<uint64_t>(TopicRelay::VT_END, end, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records) {
+    fbb_.AddOffset(TopicRelay::VT_RECORDS, records);
+  }
+  explicit TopicRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TopicRelay> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TopicRelay>(end);
+    fbb_.Required(o, TopicRelay::VT_RECORDS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TopicRelay> CreateTopicRelay(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t topic = 0,
+    uint64_t from = 0,
+    uint64_t end = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records = 0) {
+  TopicRelayBuilder builder_(_fbb);
+  builder_.add_end(end);
+  builder_.add_from(from);
+  builder_.add_records(records);
+  builder_.add_topic(topic);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TopicRelay> CreateTopicRelayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t topic = 0,
+    uint64_t from = 0,
+    uint64_t end = 0,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>(*records) : 0;
+  return lycheeseam::wire::CreateTopicRelay(
+      _fbb,
+      topic,
+      from,
+      end,
+      records__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2080,6 +2609,12 @@
   const lycheeseam::wire::BlockUpdate *body_as_BlockUpdate() const {
     return body_type() == lycheeseam::wire::Body::BlockUpdate ? static_cast<const lycheeseam::wire::BlockUpdate *>(body()) : nullptr;
   }
+  const lycheeseam::wire::FleetReport *body_as_FleetReport() const {
+    return body_type() == lycheeseam::wire::Body::FleetReport ? static_cast<const lycheeseam::wire::FleetReport *>(body()) : nullptr;
+  }
+  const lycheeseam::wire::TopicRelay *body_as_TopicRelay() const {
+    return body_type() == lycheeseam::wire::Body::TopicRelay ? static_cast<const lycheeseam::wire::TopicRelay *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2157,6 +2692,14 @@
   return body_as_BlockUpdate();
 }
 
+template<> inline const lycheeseam::wire::FleetReport *Envelope::body_as<lycheeseam::wire::FleetReport>() const {
+  return body_as_FleetReport();
+}
+
+template<> inline const lycheeseam::wire::TopicRelay *Envelope::body_as<lycheeseam::wire::TopicRelay>() const {
+  return body_as_TopicRelay();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2262,6 +2805,14 @@
       auto ptr = reinterpret_cast<const lycheeseam::wire::BlockUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FleetReport: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::FleetReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TopicRelay: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::TopicRelay *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibPeer/PeerMessage.h
+++ b/Libraries/LibPeer/PeerMessage.h
@@ -3,6 +3,7 @@
 #include <LibLimits/BudgetMessage.h>
 #include <LibPeer/BlockMessage.h>
 #include <LibPeer/DrainNotice.h>
+#include <LibPeer/FleetMessage.h>
 #include <LibPeer/KeyWithdrawal.h>
 #include <LibPeer/LogRelay.h>
 #include <LibPeer/PeerHeartbeat.h>
@@ -25,6 +26,7 @@
                                   poison_notice,
                                   drain_notice,
                                   budget_message,
-                                  block_message>;
+                                  block_message,
+                                  fleet_message>;
 
 }
--- /dev/null
+++ b/Libraries/LibPeer/TopicRelay.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibStore/KeyedRecord.h>
+#include <LibStore/StoreTopic.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Records of a topic of the platform's store, passed on by the instance that
+/// read them.
+struct topic_relay
+{
+  store_topic mTopic = store_topic::Operators;
+  /// The offset from which on these are all records.
+  std::uint64_t mFrom = 0;
+  /// The offset behind the last of them.
+  std::uint64_t mEnd = 0;
+  std::vector<keyed_record> mRecords;
+
+  bool operator==(topic_relay const&) const = default;
+};
+
+}
--- a/Libraries/LibFleet/TopicPage.h
+++ b/Libraries/LibStore/TopicPage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibFleet/KeyedRecord.h>
+#include <LibStore/KeyedRecord.h>
 
 #include <cstdint>
 #include <vector>
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -1,6 +1,7 @@
 #include "RunFleet.h"
 
 #include <LibControl/ControlThread.h>
+#include <LibEvents/EventLog.h>
 #include <LibFleet/FleetControl.h>
 #include <LibGateway/Gateway.h>
 #include <LibSettings/ParseFleetSettings.h>
@@ -10,6 +11,7 @@
 #include <platform/StoreDialect.h>
 
 #include <csignal>
+#include <memory>
 #include <optional>
 
 namespace lycheeseam {
@@ -41,14 +43,26 @@
   };
 }
 
+// A restart has a later start, also on another machine of the same name.
+incarnation
+ThisLife()
+{
+  return incarnation{ static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count()) };
+}
+
 fleet_options
 MakeFleetOptions(fleet_settings const& aSettings)
 {
-  return { .mInstance = aSettings.mInstance,
-           .mDomain = aSettings.mDomain,
-           .mCallers = aSettings.mCallers,
-           .mPeers = aSettings.mPeers,
-           .mStore = aSettings.mStore };
+  return { .mSelf = { .mLife = { .mInstance = aSettings.mInstance,
+                                 .mIncarnation = ThisLife() },
+                      .mFailureDomain = aSettings.mDomain,
+                      .mCallers = aSettings.mCallers,
+                      .mPeers = aSettings.mPeers },
+           .mStore = aSettings.mStore,
+           .mLease = aSettings.mLease };
 }
 
 /// A planned stop: serves what comes until nothing runs, then ends the loop.
@@ -109,37 +123,49 @@
 {
   fleet_settings const settings = LoadFleetSettings(aSettingsPath);
   std::signal(SIGPIPE, SIG_IGN);
+  OpenEventLog(settings.mInstance.Text());
+  LogEvent("started", { { "settings", aSettingsPath } });
   published<fleet_view> view{ std::make_shared<fleet_view const>() };
   boost::asio::io_context traffic{ 1 };
   boost::asio::signal_set signals{ traffic, SIGTERM, SIGINT, SIGHUP };
 
   control_thread control;
-  store_control state{ control.Context(), MakeFleetOptions(settings), view };
-  boost::asio::post(control.Context(), [&state]() { state.Start(); });
-
-  fleet_gateway front{ traffic,
-                       MakeGatewayOptions(settings),
+  std::unique_ptr<fleet_gateway> front;
+  store_control state{ control.Context(),
+                       MakeFleetOptions(settings),
                        view,
-                       [&control, &state](traffic_report aReport) {
+                       [&traffic, &front](std::vector<crash_count> aCrashes) {
                          boost::asio::post(
-                           control.Context(),
-                           [&state, report = std::move(aReport)]() {
-                             state.OnReport(report);
+                           traffic, [&front, crashes = std::move(aCrashes)]() {
+                             front->OnPeerCrashes(crashes);
                            });
                        } };
-  planned_stop stop{ traffic, front, settings.mStopTime };
+  front = std::make_unique<fleet_gateway>(
+    traffic,
+    MakeGatewayOptions(settings),
+    view,
+    [&control, &state](traffic_report aReport) {
+      boost::asio::post(control.Context(),
+                        [&state, report = std::move(aReport)]() mutable {
+                          state.OnReport(std::move(report));
+                        });
+    });
+  boost::asio::post(control.Context(), [&state]() { state.Start(); });
+  planned_stop stop{ traffic, *front, settings.mStopTime };
   std::function<void()> awaitSignal;
-  awaitSignal = [&signals, &stop, &awaitSignal]() {
-    signals.async_wait([&stop, &awaitSignal](auto aFault, int aSignal) {
+  awaitSignal = [&]() {
+    signals.async_wait([&](auto aFault, int aSignal) {
       if (aFault)
         return;
       if (aSignal == SIGHUP)
         return awaitSignal();
+      boost::asio::post(control.Context(), [&state]() { state.Leave(); });
       stop.Begin();
     });
   };
   awaitSignal();
   traffic.run();
+  LogEvent("stopped", {});
   control.Stop();
 }
 
