--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -51,8 +51,10 @@
   {
     instant const now = mClock.Now();
     bool const hadTurns = !mPlan.IsIdle();
+    if (mVacantSince == instant{})
+      mVacantSince = now + kStartPause;
     if (aPeerLease > mLease.Held()) {
-      mLease.OnPeerLease(aPeerLease);
+      mLease.OnPeerLease(now, aPeerLease);
       mPlan.Clear();
       mVacantSince = now;
       return hadTurns;
@@ -82,6 +84,8 @@
   // The last holder's link is known to be down by then.
   static constexpr std::chrono::milliseconds kVacancy{ 600 };
   static constexpr std::chrono::milliseconds kRankDelay{ 400 };
+  // A starting instance first hears who holds the lease.
+  static constexpr std::chrono::milliseconds kStartPause{ 900 };
   static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
   static constexpr std::chrono::milliseconds kEngineTimeout{ 800 };
   static constexpr std::uint32_t kOk = 200;
@@ -148,13 +152,23 @@
       [this](http_exchange_result const& aResult) {
         mIsStoreBusy = false;
         store_append_result const result = Dialect::ReadAppend(aResult);
+        LogEvent("lease_appended",
+                 { { "status", std::int64_t{ aResult.mHead.mStatus } },
+                   { "offset", static_cast<std::int64_t>(result.mOffset) },
+                   { "fault", aResult.mFault } });
         if (result.mStatus == store_append_status::Done)
           mLease.OnAppended(result.mOffset);
         else if (result.mStatus != store_append_status::Refused)
-          mLease.OnUncertain();
+          OnLeaseLost();
       });
   }
 
+  void OnLeaseLost()
+  {
+    mLease.OnUncertain();
+    mVacantSince = mClock.Now();
+  }
+
   void Order(instant aNow, listed_server const& aServer, std::uint64_t aFence)
   {
     loaded_model const target = mPlan.TargetOf(aServer.mId);
--- a/Libraries/LibFleet/OrderLease.cpp
+++ b/Libraries/LibFleet/OrderLease.cpp
@@ -24,6 +24,8 @@
 {
   mEnd = aEnd;
   mFollowsOther = aNewest && aNewest->mHolder != mSelf;
+  if (mFollowsOther)
+    NoteOther(aNow, aNewest->mOffset);
   // An own record whose answer was lost, or of an earlier life, is taken up by
   // a new one behind it.
   mHeld.reset();
@@ -38,7 +40,7 @@
   mEnd = aOffset + 1;
   mHeldFrom = mSentAt;
   if (isTakeover)
-    mNotBefore = mSentAt + mTerm;
+    mNotBefore = mOtherSince + mTerm;
   mFollowsOther = false;
 }
 
@@ -50,8 +52,18 @@
 }
 
 void
-order_lease::OnPeerLease(std::uint64_t aOffset)
+order_lease::NoteOther(instant aNow, std::uint64_t aOffset)
 {
+  if (mOther && *mOther >= aOffset)
+    return;
+  mOther = aOffset;
+  mOtherSince = aNow;
+}
+
+void
+order_lease::OnPeerLease(instant aNow, std::uint64_t aOffset)
+{
+  NoteOther(aNow, aOffset);
   if (aOffset > mHeld.value_or(0))
     OnUncertain();
 }
--- a/Libraries/LibFleet/OrderLease.h
+++ b/Libraries/LibFleet/OrderLease.h
@@ -13,8 +13,10 @@
 ///
 /// A lease is a record that its holder appended to the store on condition that
 /// it follows the newest one; its offset is the fencing number. It counts for
-/// its holder from before it was sent, and a successor waits one term from its
-/// own record on, so the two never give orders at the same time.
+/// its holder from before it was sent, and for a successor from when it first
+/// heard of it; since each record follows the newest one, no later record of
+/// the holder can have escaped it. So the two never give orders at the same
+/// time, and an idle holder is succeeded at once.
 class order_lease
 {
 public:
@@ -35,8 +37,8 @@
   /// known whether it stands: the topic must be read again.
   void OnUncertain();
 
-  /// A peer gives orders under a lease.
-  void OnPeerLease(std::uint64_t aOffset);
+  /// A peer holds the lease of an offset.
+  void OnPeerLease(instant aNow, std::uint64_t aOffset);
 
   /// The offset at which the next own record must stand; nothing when the
   /// topic must be read first.
@@ -55,6 +57,8 @@
   [[nodiscard]] std::uint64_t Held() const { return mHeld.value_or(0); }
 
 private:
+  void NoteOther(instant aNow, std::uint64_t aOffset);
+
   instance_id mSelf;
   duration mTerm;
   instant mSentAt{};
@@ -63,6 +67,10 @@
   instant mHeldFrom{};
   std::optional<std::uint64_t> mHeld;
   std::optional<std::uint64_t> mEnd;
+  /// The newest record of another instance, and since when it is known.
+  std::optional<std::uint64_t> mOther;
+  instant mOtherSince{};
+  /// True while the newest record is another instance's.
   bool mFollowsOther = false;
 };
 
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -92,7 +92,10 @@
   }
 
   /// True while a request is being read or answered.
-  [[nodiscard]] bool IsBusy() const noexcept { return mRun != nullptr; }
+  [[nodiscard]] bool IsBusy() const noexcept
+  {
+    return mRun != nullptr || mIsWriting || mBuffer.size() > 0;
+  }
 
   void Close()
   {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -31,11 +31,30 @@
     , mCallers(aContext, mCore, mOptions.mCallers)
     , mTimer(aContext)
   {
+  }
+
+  /// Takes callers from now on.
+  void Start()
+  {
+    mReadiness.Accept();
+    mAddresses.Accept();
+    mCallers.Accept();
     Tick();
   }
 
   /// Begins a planned stop: takes what comes and tells callers to go.
-  void Leave() { mCore.SetLeaving(); }
+  void Leave()
+  {
+    mCore.SetLeaving();
+    CloseIdle();
+  }
+
+  /// Takes no more callers; requests that run go on.
+  void Close()
+  {
+    mCallers.Close();
+    CloseIdle();
+  }
 
   /// True when no request is being answered.
   [[nodiscard]] bool IsIdle()
@@ -58,6 +77,14 @@
   // Others count what this instance admits this much later.
   static constexpr std::chrono::milliseconds kReportInterval{ 150 };
 
+  void CloseIdle()
+  {
+    for (auto const& session : mCallers.Sessions()) {
+      if (!session->IsBusy())
+        session->Close();
+    }
+  }
+
   void Tick()
   {
     mTimer.expires_after(kReportInterval);
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -103,7 +103,7 @@
       mOutcome = attempt_outcome::NotRun;
     else if (aHead.IsSuccess() && !answer.mIsSigned)
       mOutcome = attempt_outcome::Spoiled;
-    else if (!aHead.IsSuccess() && MayTryElsewhere())
+    else if (!aHead.IsSuccess() && (mIsHeadSent || MayTryElsewhere()))
       mOutcome = attempt_outcome::Failed;
     else
       TakeHead(aHead);
@@ -117,13 +117,19 @@
       return mExchange->ReadOn();
     if (mIsWhole) {
       mWhole += aPiece;
-      return mExchange->ReadOn();
+      if (mWhole.size() <= kWholeBytes)
+        return mExchange->ReadOn();
+      // An answer of unknown length that grew too large to be held.
+      mIsWhole = false;
+      SendHead();
+      mCaller->SendPiece(std::exchange(mWhole, {}));
+      aPiece = {};
     }
     if (mIsEventStream) {
       std::string const events = mEvents.Cut(aPiece);
       if (!events.empty())
         mCaller->SendPiece(events);
-    } else {
+    } else if (!aPiece.empty()) {
       mCaller->SendPiece(aPiece);
     }
     if (!mExchange)
@@ -295,8 +301,6 @@
   void OnNotRun()
   {
     EndAttempt();
-    if (mIsHeadSent)
-      return Break();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
     Attempt();
@@ -310,8 +314,6 @@
     else
       mServer->mBreaker.OnFailure(now);
     EndAttempt();
-    if (mIsHeadSent && !mRoute->MayRepeat())
-      return Break();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
     Attempt();
@@ -324,7 +326,7 @@
     mServer->mBreaker.OnFailure(now);
     mCore.OnCrash(now, mFingerprint);
     mMayHaveRun = true;
-    bool const mayTry = MayTryElsewhere();
+    bool const mayTry = CanGoOn() && MayTryElsewhere();
     EndAttempt();
     mWhole.clear();
     mEvents.DropRest();
@@ -340,6 +342,8 @@
   {
     mMayHaveRun = true;
     EndAttempt();
+    if (!MayTryElsewhere())
+      return GiveUp();
     Attempt();
   }
 
@@ -365,15 +369,24 @@
     if (mIsHeadSent)
       return;
     mIsEventStream = isStream;
-    mIsWhole = !isStream && aHead.mLength && *aHead.mLength <= kWholeBytes;
-    if (mIsWhole) {
-      mWholeHead = aHead;
-      return;
-    }
+    mIsWhole = !isStream && aHead.mLength.value_or(0) <= kWholeBytes;
+    mAnswerHead = aHead;
+    if (!mIsWhole)
+      SendHead();
+  }
+
+  void SendHead()
+  {
     mIsHeadSent = true;
-    mCaller->SendHead(aHead,
-                      aHead.mLength && !isStream ? body_framing::Sized
-                                                 : body_framing::Chunked);
+    bool const isSized = mAnswerHead.mLength && !mIsEventStream;
+    mCaller->SendHead(mAnswerHead,
+                      isSized ? body_framing::Sized : body_framing::Chunked);
+  }
+
+  // True while what the caller has can be followed by another server's bytes.
+  [[nodiscard]] bool CanGoOn() const
+  {
+    return !mIsHeadSent || (mIsEventStream && mRoute->mIsResumable);
   }
 
   void Finish()
@@ -386,7 +399,7 @@
     mTimer.cancel();
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     if (mIsWhole)
-      return caller->SendWhole(mWholeHead, std::move(mWhole));
+      return caller->SendWhole(mAnswerHead, std::move(mWhole));
     if (!mEvents.IsAtEventEnd())
       caller->SendPiece(mEvents.TakeRest());
     caller->SendEnd();
@@ -447,7 +460,7 @@
   std::optional<std::uint64_t> mCacheKey;
   attempt_outcome mOutcome = attempt_outcome::Open;
   event_cutter mEvents;
-  answer_head mWholeHead;
+  answer_head mAnswerHead;
   std::string mWhole;
   bool mMayHaveRun = false;
   bool mIsHeadSent = false;
--- a/Libraries/LibGateway/SessionListener.h
+++ b/Libraries/LibGateway/SessionListener.h
@@ -32,7 +32,26 @@
         { boost::asio::ip::make_address(aAddress.mAddress), aAddress.mPort })
     , mPause(aContext)
   {
-    Accept();
+  }
+
+  /// Takes connections from now on.
+  void Accept()
+  {
+    mAcceptor.async_accept([this](auto aFault, tcp::socket aSocket) {
+      if (aFault == boost::asio::error::operation_aborted)
+        return;
+      if (aFault)
+        return Pause();
+      Open(std::move(aSocket));
+      Accept();
+    });
+  }
+
+  /// Takes no more connections.
+  void Close()
+  {
+    boost::system::error_code ignored;
+    mAcceptor.close(ignored);
   }
 
   /// The sessions that are still open.
@@ -53,16 +72,6 @@
   static constexpr std::chrono::milliseconds kFaultPause{ 50 };
   static constexpr std::size_t kPruneInterval = 64;
 
-  void Accept()
-  {
-    mAcceptor.async_accept([this](auto aFault, tcp::socket aSocket) {
-      if (aFault)
-        return Pause();
-      Open(std::move(aSocket));
-      Accept();
-    });
-  }
-
   void Pause()
   {
     mPause.expires_after(kFaultPause);
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -6,11 +6,12 @@
 #include <LibGateway/Gateway.h>
 #include <LibSettings/ParseFleetSettings.h>
 
-#include <boost/asio/signal_set.hpp>
 #include <platform/RequestDialect.h>
 #include <platform/StoreDialect.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <future>
 #include <memory>
 #include <optional>
 
@@ -65,29 +66,31 @@
            .mLease = aSettings.mLease };
 }
 
-/// A planned stop: serves what comes until nothing runs, then ends the loop.
+/// A planned stop: serves what comes until nothing runs.
 class planned_stop
 {
 public:
   planned_stop(boost::asio::io_context& aContext,
                fleet_gateway& aGateway,
                std::chrono::milliseconds aStopTime)
-    : mContext(aContext)
-    , mGateway(aGateway)
+    : mGateway(aGateway)
     , mStopTime(aStopTime)
     , mTimer(aContext)
   {
   }
 
-  void Begin()
+  /// Begins on the context's thread; the future is ready when all is done.
+  std::future<void> Begin()
   {
     mGateway.Leave();
     mBeganAt = mClock.Now();
     Check();
+    return mDone.get_future();
   }
 
 private:
   // Callers that keep an old answer for addresses still come this long.
+  static constexpr std::chrono::milliseconds kCloseTime{ 2'500 };
   static constexpr std::chrono::milliseconds kLeastTime{ 3'000 };
   // The end comes before the platform ends the process.
   static constexpr std::chrono::milliseconds kMargin{ 300 };
@@ -97,10 +100,10 @@
   {
     duration const passed = mClock.Now() - *mBeganAt;
     bool const isDone = passed >= kLeastTime && mGateway.IsIdle();
-    if (isDone || passed >= mStopTime - kMargin) {
-      mContext.stop();
-      return;
-    }
+    if (isDone || passed >= mStopTime - kMargin)
+      return mDone.set_value();
+    if (passed >= kCloseTime)
+      mGateway.Close();
     mTimer.expires_after(kInterval);
     mTimer.async_wait([this](auto aFault) {
       if (!aFault)
@@ -108,65 +111,118 @@
     });
   }
 
-  boost::asio::io_context& mContext;
   fleet_gateway& mGateway;
   std::chrono::milliseconds mStopTime;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
   std::optional<instant> mBeganAt;
+  std::promise<void> mDone;
+};
+
+/// The two threads of an instance and what runs on them.
+class fleet_instance
+{
+public:
+  explicit fleet_instance(fleet_settings const& aSettings)
+    : mState(mControl.Context(),
+             MakeFleetOptions(aSettings),
+             mView,
+             [this](std::vector<crash_count> aCrashes) {
+               OnPeerCrashes(std::move(aCrashes));
+             })
+    , mFront(mTraffic.Context(),
+             MakeGatewayOptions(aSettings),
+             mView,
+             [this](traffic_report aReport) { OnReport(std::move(aReport)); })
+    , mStop(mTraffic.Context(), mFront, aSettings.mStopTime)
+  {
+    boost::asio::post(mControl.Context(), [this]() { mState.Start(); });
+    boost::asio::post(mTraffic.Context(), [this]() { mFront.Start(); });
+  }
+
+  /// Stops as planned; returns when nothing runs any more.
+  void Stop()
+  {
+    boost::asio::post(mControl.Context(), [this]() { mState.Leave(); });
+    std::promise<std::future<void>> begun;
+    boost::asio::post(mTraffic.Context(),
+                      [this, &begun]() { begun.set_value(mStop.Begin()); });
+    begun.get_future().get().wait();
+    mTraffic.Stop();
+    mControl.Stop();
+  }
+
+private:
+  void OnPeerCrashes(std::vector<crash_count> aCrashes)
+  {
+    boost::asio::post(mTraffic.Context(),
+                      [this, crashes = std::move(aCrashes)]() {
+                        mFront.OnPeerCrashes(crashes);
+                      });
+  }
+
+  void OnReport(traffic_report aReport)
+  {
+    boost::asio::post(mControl.Context(),
+                      [this, report = std::move(aReport)]() mutable {
+                        mState.OnReport(std::move(report));
+                      });
+  }
+
+  published<fleet_view> mView{ std::make_shared<fleet_view const>() };
+  control_thread mControl;
+  control_thread mTraffic;
+  store_control mState;
+  fleet_gateway mFront;
+  planned_stop mStop;
 };
 
+// Signals are taken by waiting for them, so that no code runs in a handler.
+sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A caller that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+// Returns when the process is told to stop.
+void
+AwaitStop(sigset_t const& aSignals)
+{
+  for (;;) {
+    int signal = 0;
+    sigwait(&aSignals, &signal);
+    LogEvent("signal", { { "number", std::int64_t{ signal } } });
+    if (signal != SIGHUP)
+      return;
+  }
+}
+
 }
 
 void
 RunFleet(std::string const& aSettingsPath)
 {
   fleet_settings const settings = LoadFleetSettings(aSettingsPath);
-  std::signal(SIGPIPE, SIG_IGN);
   OpenEventLog(settings.mInstance.Text());
   LogEvent("started", { { "settings", aSettingsPath } });
-  published<fleet_view> view{ std::make_shared<fleet_view const>() };
-  boost::asio::io_context traffic{ 1 };
-  boost::asio::signal_set signals{ traffic, SIGTERM, SIGINT, SIGHUP };
-
-  control_thread control;
-  std::unique_ptr<fleet_gateway> front;
-  store_control state{ control.Context(),
-                       MakeFleetOptions(settings),
-                       view,
-                       [&traffic, &front](std::vector<crash_count> aCrashes) {
-                         boost::asio::post(
-                           traffic, [&front, crashes = std::move(aCrashes)]() {
-                             front->OnPeerCrashes(crashes);
-                           });
-                       } };
-  front = std::make_unique<fleet_gateway>(
-    traffic,
-    MakeGatewayOptions(settings),
-    view,
-    [&control, &state](traffic_report aReport) {
-      boost::asio::post(control.Context(),
-                        [&state, report = std::move(aReport)]() mutable {
-                          state.OnReport(std::move(report));
-                        });
-    });
-  boost::asio::post(control.Context(), [&state]() { state.Start(); });
-  planned_stop stop{ traffic, *front, settings.mStopTime };
-  std::function<void()> awaitSignal;
-  awaitSignal = [&]() {
-    signals.async_wait([&](auto aFault, int aSignal) {
-      if (aFault)
-        return;
-      if (aSignal == SIGHUP)
-        return awaitSignal();
-      boost::asio::post(control.Context(), [&state]() { state.Leave(); });
-      stop.Begin();
-    });
-  };
-  awaitSignal();
-  traffic.run();
+  sigset_t const signals = BlockStopSignals();
+  {
+    fleet_instance instance{ settings };
+    AwaitStop(signals);
+    instance.Stop();
+  }
   LogEvent("stopped", {});
-  control.Stop();
+  // The logging library joins its threads when its statics are destroyed,
+  // which may outlast the time for a stop. Nothing else is left to do.
+  std::quick_exit(0);
 }
 
 }
