LibDispatch, LibGateway: Fetch prompts from the cache store; measure load in tokens

Prompts were read again on each turned server, since caches go with the old weights and instances don't know each other's sends. The store of KV cache keeps parts under a scope with the version.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -12,8 +12,9 @@
 constexpr double kLoadFactor = 1.25;
 constexpr double kLoadAllowance = 0.12;
 
-// Beyond this part of its places a server makes its requests wait.
-constexpr double kFullPressure = 0.95;
+// Beyond this part of its places or memory an engine's requests slow each
+// other down, so that servers with older weights are the better choice.
+constexpr double kBusyPressure = 0.6;
 
 bool
 MayTakeWork(served_server const& aServer, server_choice_request const& aRequest)
@@ -79,7 +80,7 @@
   served_server* best = nullptr;
   std::uint64_t bestRank = 0;
   for (served_server* const server : aServers) {
-    if (server->Pressure(aRequest.mNow) > std::min(bound, kFullPressure))
+    if (server->Pressure(aRequest.mNow) > bound)
       continue;
     std::uint64_t const rank =
       RendezvousRank(*aRequest.mPromptKey, server->mSeed);
@@ -91,29 +92,40 @@
   return best;
 }
 
-// The servers with the newest weights, or those with the next older ones
-// while none of them has a place.
-std::vector<served_server*>
-NewestWithPlaces(std::vector<served_server*> aServers,
-                 server_choice_request const& aRequest)
+// By the version of their weights, the newest first.
+std::vector<std::vector<served_server*>>
+GroupByVersion(std::vector<served_server*> aServers, model_name const& aModel)
 {
-  auto const isNewer = [&aRequest](served_server const* aLeft,
-                                   served_server const* aRight) {
-    return aLeft->mListed.VersionOf(aRequest.mModel) >
-           aRight->mListed.VersionOf(aRequest.mModel);
+  auto const isNewer = [&aModel](served_server const* aLeft,
+                                 served_server const* aRight) {
+    return aLeft->mListed.VersionOf(aModel) >
+           aRight->mListed.VersionOf(aModel);
   };
   std::stable_sort(aServers.begin(), aServers.end(), isNewer);
-  std::vector<served_server*> chosen;
-  for (std::size_t index = 0; index < aServers.size(); ++index) {
-    bool const isOlder =
-      index > 0 && isNewer(aServers[index - 1], aServers[index]);
-    if (isOlder && MeanPressure(chosen, aRequest.mNow) < kFullPressure)
-      break;
-    if (isOlder)
-      chosen.clear();
-    chosen.push_back(aServers[index]);
+  std::vector<std::vector<served_server*>> groups;
+  for (served_server* const server : aServers) {
+    if (groups.empty() || isNewer(groups.back().back(), server))
+      groups.emplace_back();
+    groups.back().push_back(server);
   }
-  return chosen;
+  return groups;
+}
+
+// Servers with the newest weights while they can bear the load, else those
+// with older ones.
+served_server*
+ChooseEngine(std::vector<served_server*> const& aServers,
+             server_choice_request const& aRequest)
+{
+  for (std::vector<served_server*> const& group :
+       GroupByVersion(aServers, aRequest.mModel)) {
+    served_server* const first = aRequest.mPromptKey
+                                   ? FirstInOrder(group, aRequest)
+                                   : LeastLoaded(group, aRequest);
+    if (first != nullptr && first->Pressure(aRequest.mNow) < kBusyPressure)
+      return first;
+  }
+  return LeastLoaded(aServers, aRequest);
 }
 
 }
@@ -132,13 +144,9 @@
 ChooseServer(std::span<served_server* const> aServers,
              server_choice_request const& aRequest)
 {
-  std::vector<served_server*> usable = Usable(aServers, aRequest);
+  std::vector<served_server*> const usable = Usable(aServers, aRequest);
   if (!aRequest.mModel.IsEmpty())
-    usable = NewestWithPlaces(std::move(usable), aRequest);
-  if (aRequest.mPromptKey) {
-    if (served_server* const first = FirstInOrder(usable, aRequest))
-      return first;
-  }
+    return ChooseEngine(usable, aRequest);
   return LeastLoaded(usable, aRequest);
 }
 
--- a/Libraries/LibDispatch/PrefixMemory.cpp
+++ b/Libraries/LibDispatch/PrefixMemory.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-// About the time in which a busy engine's memory turns over once.
-constexpr duration kCacheLifetime = std::chrono::seconds{ 15 };
+// Within this time a busy engine's memory, which holds some ten prompts, has
+// hardly turned over.
+constexpr duration kCacheLifetime = std::chrono::seconds{ 3 };
 
 // A part is handed to the store anew well before the store, which drops the
 // least recently used, would have lost it.
@@ -53,7 +54,9 @@
 prefix_memory::Prune(instant aNow)
 {
   std::erase_if(mRecords, [aNow](auto const& aEntry) {
-    return aNow - aEntry.second.mServedAt > kCacheLifetime;
+    record const& known = aEntry.second;
+    return aNow - known.mServedAt > kCacheLifetime &&
+           (!known.mSavedAt || aNow - *known.mSavedAt > kSaveInterval);
   });
 }
 
--- a/Libraries/LibDispatch/ServedServer.cpp
+++ b/Libraries/LibDispatch/ServedServer.cpp
@@ -10,6 +10,9 @@
 // Requests run for about a second; an older report tells of other ones.
 constexpr duration kLoadLifetime = std::chrono::seconds{ 1 };
 
+// Of the newest request in the usual size.
+constexpr double kUsualWeight = 0.1;
+
 }
 
 std::uint32_t
@@ -22,11 +25,33 @@
   return mInFlight + others;
 }
 
+void
+served_server::OnStart(token_count aTokens)
+{
+  mInFlight += 1;
+  mInFlightTokens += aTokens;
+  mUsualTokens +=
+    kUsualWeight * (static_cast<double>(aTokens) - mUsualTokens);
+}
+
+void
+served_server::OnEnd(token_count aTokens)
+{
+  mInFlight -= 1;
+  mInFlightTokens -= aTokens;
+}
+
 double
 served_server::Pressure(instant aNow) const
 {
-  return static_cast<double>(EstimatedRequests(aNow)) /
-         std::max<std::uint32_t>(1, mListed.mSlots);
+  std::uint32_t const requests = EstimatedRequests(aNow);
+  double const slots = static_cast<double>(requests) /
+                       std::max<std::uint32_t>(1, mListed.mSlots);
+  if (mMemoryTokens <= 0)
+    return slots;
+  double const tokens = static_cast<double>(mInFlightTokens) +
+                        (requests - mInFlight) * mUsualTokens;
+  return std::max(slots, tokens / static_cast<double>(mMemoryTokens));
 }
 
 }
--- a/Libraries/LibDispatch/ServedServer.h
+++ b/Libraries/LibDispatch/ServedServer.h
@@ -18,11 +18,15 @@
   std::uint64_t mSeed = 0;
   circuit_breaker mBreaker;
   bool mIsTurning = false;
+  /// Tokens that its memory holds; 0 for plain services.
+  token_count mMemoryTokens = 0;
   /// Own requests that haven't ended.
   std::uint32_t mInFlight = 0;
   /// Their prompts and expected answers, in tokens.
   token_count mInFlightTokens = 0;
   std::optional<server_load> mLoad;
+  /// A usual request's tokens, by the own ones.
+  double mUsualTokens = 0;
   /// Own requests in flight when the load was told.
   std::uint32_t mInFlightAtLoad = 0;
   /// When any byte came from it.
@@ -30,10 +34,17 @@
   /// Since when it owes the first byte of an answer; nothing when it doesn't.
   std::optional<instant> mOwesSince;
 
+  /// An own request of so many tokens is sent to it.
+  void OnStart(token_count aTokens);
+
+  /// An own request has ended there.
+  void OnEnd(token_count aTokens);
+
   /// Requests that run or wait on it now, as far as is known.
   [[nodiscard]] std::uint32_t EstimatedRequests(instant aNow) const;
 
-  /// The estimate over the places it has.
+  /// How full it is: its requests over its slots or their tokens over its
+  /// memory, whichever binds.
   [[nodiscard]] double Pressure(instant aNow) const;
 };
 
--- a/Libraries/LibDispatch/ServerTable.cpp
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -16,6 +16,14 @@
     model.mVersion = std::max(model.mVersion, aKnown.VersionOf(model.mModel));
 }
 
+token_count
+MemoryTokens(fleet_view const& aView, pool_name const& aPool)
+{
+  dispatch_pool const* const pool =
+    aView.mConfig ? aView.mConfig->FindPool(aPool) : nullptr;
+  return pool != nullptr && pool->mEngine ? pool->mEngine->mMemoryTokens : 0;
+}
+
 std::shared_ptr<served_server>
 MakeServer(listed_server const& aListed)
 {
@@ -42,6 +50,7 @@
       known->mListed = std::move(merged);
     }
     known->mIsTurning = aView.mTurning.contains(listed.mId);
+    known->mMemoryTokens = MemoryTokens(aView, listed.mPool);
     next.emplace(listed.mId, std::move(known));
   }
   mServers.swap(next);
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -20,11 +20,22 @@
   return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
 }
 
+std::optional<endpoint>
+CacheStoreOf(traffic_core& aCore, instant aNow)
+{
+  std::shared_ptr<fleet_view const> const& view = aCore.View(aNow);
+  dispatch_pool const* const pool =
+    view->mConfig ? view->mConfig->CacheStore() : nullptr;
+  return pool == nullptr ? std::nullopt : pool->mCacheStore;
+}
+
+// Where the server fetches what it lacks of the prompt, if anywhere.
 std::optional<endpoint>
 FetchSource(traffic_core& aCore,
             server_choice_request const& aWanted,
             served_server const& aServer,
-            std::uint64_t aKey)
+            std::uint64_t aKey,
+            std::optional<endpoint> const& aStore)
 {
   std::optional<backend_server_id> const holder =
     aCore.Prefixes().Holder(aWanted.mNow, aKey);
@@ -33,10 +44,13 @@
   if (holder) {
     std::shared_ptr<served_server> const known = aCore.Servers().Find(*holder);
     if (known && !known->mIsTurning &&
+        known->mBreaker.State(aWanted.mNow) == breaker_state::Closed &&
         known->mListed.VersionOf(aWanted.mModel) ==
           aServer.mListed.VersionOf(aWanted.mModel))
       return known->mListed.mAddress;
   }
+  if (aStore)
+    return aStore;
   served_server const* const likely = ChooseCacheSource(
     aCore.Servers().Pool(aServer.mListed.mPool), aWanted, aServer);
   if (likely != nullptr)
@@ -136,7 +150,12 @@
   std::optional<std::uint64_t> const key = CacheKey(terms, aFacts);
   if (!key)
     return terms;
-  terms.mFetchFrom = FetchSource(aCore, aWanted, aServer, *key);
+  std::optional<endpoint> const store = CacheStoreOf(aCore, aWanted.mNow);
+  terms.mFetchFrom = FetchSource(aCore, aWanted, aServer, *key, store);
+  if (store && !aCore.Prefixes().IsSaved(aWanted.mNow, *key)) {
+    terms.mSaveTo = store;
+    aCore.Prefixes().OnSaved(aWanted.mNow, *key);
+  }
   return terms;
 }
 
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -272,8 +272,7 @@
     terms.mPriority = RequestPriority(*mRoute, mWorkspace);
     terms.mLastEvent = mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
     mCacheKey = CacheKey(terms, mFacts);
-    mServer->mInFlight += 1;
-    mServer->mInFlightTokens += RequestTokens(mFacts);
+    mServer->OnStart(RequestTokens(mFacts));
     mOutcome = attempt_outcome::Open;
     mExchange = std::make_shared<exchange>(
       mContext, mCore.Channels(), mServer, this->shared_from_this());
@@ -428,8 +427,7 @@
   {
     if (!mExchange)
       return;
-    mServer->mInFlight -= 1;
-    mServer->mInFlightTokens -= RequestTokens(mFacts);
+    mServer->OnEnd(RequestTokens(mFacts));
     mExchange->Cancel();
     mExchange.reset();
   }
