--- a/Libraries/LibDispatch/QuotaLedger.cpp
+++ b/Libraries/LibDispatch/QuotaLedger.cpp
@@ -5,78 +5,77 @@
 
 namespace lycheeseam {
 
-void
-quota_ledger::Fill(account& aAccount, instant aNow) const
+quota_ledger::account&
+quota_ledger::Find(workspace_id const& aWorkspace)
 {
-  double const seconds =
-    std::chrono::duration<double>(aNow - aAccount.mFilledAt).count();
-  aAccount.mFilledAt = aNow;
-  aAccount.mLevel =
-    std::min(aAccount.mLevel + seconds * aAccount.mRate * mOpenShare,
-             aAccount.mBurst * mOpenShare);
+  return mAccounts
+    .try_emplace(aWorkspace, account{ .mWindow = quota_window{ mTerms.mWindow } })
+    .first->second;
 }
 
 void
 quota_ledger::Apply(instant aNow, fleet_view const& aView)
 {
-  for (auto& [name, found] : mAccounts)
-    Fill(found, aNow);
-  mOpenShare = static_cast<double>(aView.mInstances - aView.mSilentInstances) /
-               aView.mInstances;
-  if (aView.mConfig) {
-    for (dispatch_workspace const& row : aView.mConfig->Workspaces()) {
-      auto const [entry, isNew] = mAccounts.try_emplace(row.mName);
-      account& found = entry->second;
-      if (isNew)
-        found.mFilledAt = aNow;
-      if (isNew || found.mRate == 0)
-        found.mLevel = row.mBurst;
-      found.mRate = row.mRate;
-      found.mBurst = row.mBurst;
-    }
-  }
+  mOpenShare =
+    static_cast<double>(aView.mInstances - aView.mSilentInstances) /
+    aView.mInstances;
   for (spent_units const& spent : aView.mSpentElsewhere) {
-    account& found = mAccounts[spent.mWorkspace];
+    account& found = Find(spent.mWorkspace);
     // The sum falls when an instance leaves it; that gives nothing back.
-    found.mLevel -= std::max(0.0, spent.mUnits - found.mSeenElsewhere);
+    found.mWindow.Add(aNow,
+                      std::max(0.0, spent.mUnits - found.mSeenElsewhere));
     found.mSeenElsewhere = spent.mUnits;
   }
 }
 
+double
+quota_ledger::Limit(dispatch_workspace const& aWorkspace) const
+{
+  double const seconds =
+    std::chrono::duration<double>(mTerms.mWindow).count();
+  double const within = aWorkspace.mRate * seconds + aWorkspace.mBurst;
+  return (within * (1 + mTerms.mOvershoot) + mTerms.mSlackUnits) * mOpenShare;
+}
+
+double
+quota_ledger::Used(instant aNow, workspace_id const& aWorkspace)
+{
+  return Find(aWorkspace).mWindow.Sum(aNow);
+}
+
 bool
 quota_ledger::TryCharge(instant aNow,
                         dispatch_workspace const& aWorkspace,
                         double aUnits)
 {
-  account& found = mAccounts[aWorkspace.mName];
-  if (aWorkspace.mRate > 0) {
-    Fill(found, aNow);
-    if (found.mLevel + mTerms.mSlackUnits * mOpenShare < aUnits)
-      return false;
-    found.mLevel -= aUnits;
-  }
+  account& found = Find(aWorkspace.mName);
+  bool const isLimited = aWorkspace.mRate > 0;
+  if (isLimited &&
+      found.mWindow.Sum(aNow) + aUnits > Limit(aWorkspace))
+    return false;
+  found.mWindow.Add(aNow, aUnits);
   found.mSpent += aUnits;
   return true;
 }
 
 void
-quota_ledger::Refund(workspace_id const& aWorkspace, double aUnits)
+quota_ledger::Refund(instant aNow,
+                     workspace_id const& aWorkspace,
+                     double aUnits)
 {
-  account& found = mAccounts[aWorkspace];
-  found.mLevel += aUnits;
+  account& found = Find(aWorkspace);
+  found.mWindow.Add(aNow, -aUnits);
   found.mSpent -= aUnits;
 }
 
 duration
-quota_ledger::WaitFor(workspace_id const& aWorkspace, double aUnits) const
+quota_ledger::WaitFor(instant aNow,
+                      dispatch_workspace const& aWorkspace,
+                      double aUnits)
 {
-  auto const found = mAccounts.find(aWorkspace);
-  if (found == mAccounts.end() || found->second.mRate <= 0)
-    return {};
-  double const missing =
-    aUnits - found->second.mLevel - mTerms.mSlackUnits * mOpenShare;
-  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-    std::max(0.0, missing / (found->second.mRate * mOpenShare))));
+  account& found = Find(aWorkspace.mName);
+  return found.mWindow.WaitFor(found.mWindow.Sum(aNow) + aUnits -
+                               Limit(aWorkspace));
 }
 
 std::vector<spent_units>
--- a/Libraries/LibDispatch/QuotaLedger.h
+++ b/Libraries/LibDispatch/QuotaLedger.h
@@ -3,6 +3,7 @@
 #include <LibCore/Instant.h>
 #include <LibDispatch/FleetView.h>
 #include <LibDispatch/QuotaTerms.h>
+#include <LibDispatch/QuotaWindow.h>
 
 #include <map>
 #include <vector>
@@ -22,7 +23,7 @@
   {
   }
 
-  /// Takes over limits, silent instances and reports of the others.
+  /// Takes over silent instances and reports of the others.
   void Apply(instant aNow, fleet_view const& aView);
 
   /// Charges a request when its workspace's rate allows it.
@@ -31,11 +32,18 @@
                                double aUnits);
 
   /// Gives back the charge of a request that didn't run.
-  void Refund(workspace_id const& aWorkspace, double aUnits);
+  void Refund(instant aNow, workspace_id const& aWorkspace, double aUnits);
 
   /// How long until a request of this size would be admitted.
-  [[nodiscard]] duration WaitFor(workspace_id const& aWorkspace,
-                                 double aUnits) const;
+  [[nodiscard]] duration WaitFor(instant aNow,
+                                 dispatch_workspace const& aWorkspace,
+                                 double aUnits);
+
+  /// What was admitted in the window that ends now, over all instances.
+  [[nodiscard]] double Used(instant aNow, workspace_id const& aWorkspace);
+
+  /// The most that a window may hold, less the share of silent instances.
+  [[nodiscard]] double Limit(dispatch_workspace const& aWorkspace) const;
 
   /// What this instance admitted since its start.
   [[nodiscard]] std::vector<spent_units> Spent() const;
@@ -43,15 +51,13 @@
 private:
   struct account
   {
-    double mRate = 0;
-    double mBurst = 0;
-    double mLevel = 0;
+    quota_window mWindow;
+    /// By this instance, since its start.
     double mSpent = 0;
     double mSeenElsewhere = 0;
-    instant mFilledAt{};
   };
 
-  void Fill(account& aAccount, instant aNow) const;
+  account& Find(workspace_id const& aWorkspace);
 
   quota_terms mTerms;
   std::map<workspace_id, account> mAccounts;
--- a/Libraries/LibDispatch/QuotaTerms.h
+++ b/Libraries/LibDispatch/QuotaTerms.h
@@ -1,12 +1,19 @@
 #pragma once
 
+#include <LibCore/Instant.h>
+
+#include <chrono>
+
 namespace lycheeseam {
 
-/// How closely instances keep to a workspace's rate together.
+/// What counts as within a workspace's rate and burst.
 struct quota_terms
 {
-  /// Units that may be admitted beyond rate and burst, over all instances:
-  /// covers what other instances admitted and haven't reported yet.
+  /// Any span of this length is held against the limit.
+  duration mWindow = std::chrono::seconds{ 8 };
+  /// The part of rate and burst that a window may hold beyond them.
+  double mOvershoot = 0;
+  /// Units that a window may hold besides.
   double mSlackUnits = 0;
 };
 
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/InvalidInput.h>
 #include <LibDispatch/ChooseServer.h>
+#include <LibEvents/EventLog.h>
 #include <LibGateway/AttemptOutcome.h>
 #include <LibGateway/BodyFraming.h>
 #include <LibGateway/EventCutter.h>
@@ -203,9 +204,19 @@
     mUnits = RequestUnits(*mWorkspace, mFacts);
     if (mCore.Quota().TryCharge(mStartedAt, *mWorkspace, mUnits))
       return true;
+    LogEvent("over_quota",
+             { { "request", mFacts.mId.Text() },
+               { "workspace", mWorkspace->mName.Text() },
+               { "units", mUnits },
+               { "rate", mWorkspace->mRate },
+               { "burst", mWorkspace->mBurst },
+               { "used", mCore.Quota().Used(mStartedAt, mWorkspace->mName) },
+               { "limit", mCore.Quota().Limit(*mWorkspace) },
+               { "instances", std::int64_t{ mView->mInstances } },
+               { "silent", std::int64_t{ mView->mSilentInstances } } });
     Refuse(refusal_status::OverQuota,
            std::chrono::duration_cast<std::chrono::milliseconds>(
-             mCore.Quota().WaitFor(mWorkspace->mName, mUnits)));
+             mCore.Quota().WaitFor(mStartedAt, *mWorkspace, mUnits)));
     return false;
   }
 
@@ -416,13 +427,29 @@
   {
     mIsDone = true;
     mTimer.cancel();
+    LogEvent("refused",
+             { { "request", mFacts.mId.Text() },
+               { "status", static_cast<std::int64_t>(aStatus) },
+               { "route", mRoute ? mRoute->mName.Text() : std::string{} },
+               { "workspace",
+                 mWorkspace ? mWorkspace->mName.Text() : std::string{} },
+               { "units", mUnits },
+               { "sends", std::int64_t{ mSends } },
+               { "may_have_run", std::int64_t{ mMayHaveRun } },
+               { "held_ms", Milliseconds(mClock.Now() - mStartedAt) },
+               { "retry_after_ms", std::int64_t{ aRetryAfter.count() } } });
     bool const promisesNotRun = aStatus == refusal_status::NotReady;
     if (promisesNotRun && mWorkspace != nullptr && mUnits > 0)
-      mCore.Quota().Refund(mWorkspace->mName, mUnits);
+      mCore.Quota().Refund(mClock.Now(), mWorkspace->mName, mUnits);
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     caller->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
   }
 
+  static std::int64_t Milliseconds(duration aSpan)
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+  }
+
   void EndAttempt()
   {
     if (!mExchange)
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -21,8 +21,10 @@
   endpoint mStore;
   /// How long callers keep the answer to their question for addresses.
   std::chrono::seconds mAddressLifetime{ 2 };
-  /// Units that a workspace may be admitted beyond rate and burst.
+  /// Units that a workspace may be admitted in a window beyond its rate and
+  /// burst.
   std::uint64_t mQuotaSlack = 0;
+  std::chrono::milliseconds mQuotaWindow{ 8'000 };
   /// Repeats for each hundred first attempts, over all instances.
   std::uint64_t mRetryPercent = 20;
   /// Repeats allowed besides, within a window, over all instances.
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -39,6 +39,7 @@
   number_range const span{ 1, kMinuteMs };
   number_range const count{ 0, kMostUnits };
   aReader.ReadNumber("quota_slack", count, aSettings.mQuotaSlack);
+  aReader.ReadMilliseconds("quota_window_ms", span, aSettings.mQuotaWindow);
   aReader.ReadNumber(
     "retry_percent", { 0, kMostPercent }, aSettings.mRetryPercent);
   aReader.ReadNumber("retry_slack", count, aSettings.mRetrySlack);
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -34,7 +34,7 @@
     .mCallers = aSettings.mCallers,
     .mReadiness = aSettings.mReadiness,
     .mAddresses = aSettings.mAddresses,
-    .mQuota = { .mSlackUnits =
+    .mQuota = { .mWindow = aSettings.mQuotaWindow, .mSlackUnits =
                   kSlackPart * static_cast<double>(aSettings.mQuotaSlack) },
     .mRetryRatio = static_cast<double>(aSettings.mRetryPercent) / kPercent,
     .mRetrySlack = static_cast<double>(aSettings.mRetrySlack),
