LibGateway, LibPeer: Tell peers who read and stored which prompt part

Instances didn't know each other's sends: parts were stored by each of them and fetched from where they no longer were.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -98,8 +98,7 @@
 {
   auto const isNewer = [&aModel](served_server const* aLeft,
                                  served_server const* aRight) {
-    return aLeft->mListed.VersionOf(aModel) >
-           aRight->mListed.VersionOf(aModel);
+    return aLeft->mListed.VersionOf(aModel) > aRight->mListed.VersionOf(aModel);
   };
   std::stable_sort(aServers.begin(), aServers.end(), isNewer);
   std::vector<std::vector<served_server*>> groups;
--- a/Libraries/LibDispatch/PrefixMemory.cpp
+++ b/Libraries/LibDispatch/PrefixMemory.cpp
@@ -12,18 +12,18 @@
 
 // A part is handed to the store anew well before the store, which drops the
 // least recently used, would have lost it.
-constexpr duration kSaveInterval = std::chrono::seconds{ 8 };
+constexpr duration kSaveInterval = std::chrono::seconds{ 20 };
 
 }
 
 void
-prefix_memory::OnServed(instant aNow,
-                        std::uint64_t aKey,
-                        backend_server_id const& aServer)
+prefix_memory::OnServed(instant aNow, prefix_holder const& aHolder)
 {
-  record& found = mRecords[aKey];
-  found.mServer = aServer;
+  record& found = mRecords[aHolder.mKey];
+  found.mServer = aHolder.mServer;
   found.mServedAt = aNow;
+  if (aHolder.mIsStored)
+    found.mSavedAt = aNow;
 }
 
 void
--- a/Libraries/LibDispatch/PrefixMemory.h
+++ b/Libraries/LibDispatch/PrefixMemory.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
+#include <LibDispatch/PrefixHolder.h>
 
 #include <cstdint>
 #include <optional>
@@ -16,9 +17,7 @@
 {
 public:
   /// A request with the part was answered by a server.
-  void OnServed(instant aNow,
-                std::uint64_t aKey,
-                backend_server_id const& aServer);
+  void OnServed(instant aNow, prefix_holder const& aHolder);
 
   /// The part was handed to the store of KV cache.
   void OnSaved(instant aNow, std::uint64_t aKey);
--- a/Libraries/LibDispatch/QuotaLedger.cpp
+++ b/Libraries/LibDispatch/QuotaLedger.cpp
@@ -9,21 +9,20 @@
 quota_ledger::Find(workspace_id const& aWorkspace)
 {
   return mAccounts
-    .try_emplace(aWorkspace, account{ .mWindow = quota_window{ mTerms.mWindow } })
+    .try_emplace(aWorkspace,
+                 account{ .mWindow = quota_window{ mTerms.mWindow } })
     .first->second;
 }
 
 void
 quota_ledger::Apply(instant aNow, fleet_view const& aView)
 {
-  mOpenShare =
-    static_cast<double>(aView.mInstances - aView.mSilentInstances) /
-    aView.mInstances;
+  mOpenShare = static_cast<double>(aView.mInstances - aView.mSilentInstances) /
+               aView.mInstances;
   for (spent_units const& spent : aView.mSpentElsewhere) {
     account& found = Find(spent.mWorkspace);
     // The sum falls when an instance leaves it; that gives nothing back.
-    found.mWindow.Add(aNow,
-                      std::max(0.0, spent.mUnits - found.mSeenElsewhere));
+    found.mWindow.Add(aNow, std::max(0.0, spent.mUnits - found.mSeenElsewhere));
     found.mSeenElsewhere = spent.mUnits;
   }
 }
@@ -31,8 +30,7 @@
 double
 quota_ledger::Limit(dispatch_workspace const& aWorkspace) const
 {
-  double const seconds =
-    std::chrono::duration<double>(mTerms.mWindow).count();
+  double const seconds = std::chrono::duration<double>(mTerms.mWindow).count();
   double const within = aWorkspace.mRate * seconds + aWorkspace.mBurst;
   return (within * (1 + mTerms.mOvershoot) + mTerms.mSlackUnits) * mOpenShare;
 }
@@ -50,8 +48,7 @@
 {
   account& found = Find(aWorkspace.mName);
   bool const isLimited = aWorkspace.mRate > 0;
-  if (isLimited &&
-      found.mWindow.Sum(aNow) + aUnits > Limit(aWorkspace))
+  if (isLimited && found.mWindow.Sum(aNow) + aUnits > Limit(aWorkspace))
     return false;
   found.mWindow.Add(aNow, aUnits);
   found.mSpent += aUnits;
--- a/Libraries/LibDispatch/ServedServer.cpp
+++ b/Libraries/LibDispatch/ServedServer.cpp
@@ -30,8 +30,7 @@
 {
   mInFlight += 1;
   mInFlightTokens += aTokens;
-  mUsualTokens +=
-    kUsualWeight * (static_cast<double>(aTokens) - mUsualTokens);
+  mUsualTokens += kUsualWeight * (static_cast<double>(aTokens) - mUsualTokens);
 }
 
 void
@@ -45,8 +44,8 @@
 served_server::Pressure(instant aNow) const
 {
   std::uint32_t const requests = EstimatedRequests(aNow);
-  double const slots = static_cast<double>(requests) /
-                       std::max<std::uint32_t>(1, mListed.mSlots);
+  double const slots =
+    static_cast<double>(requests) / std::max<std::uint32_t>(1, mListed.mSlots);
   if (mMemoryTokens <= 0)
     return slots;
   double const tokens = static_cast<double>(mInFlightTokens) +
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -9,6 +9,7 @@
 #include <LibFleet/ServerRegister.h>
 #include <LibFleet/StoreDuty.h>
 #include <LibFleet/TopicReader.h>
+#include <LibGateway/PeerNews.h>
 #include <LibGateway/TrafficReport.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
@@ -31,17 +32,16 @@
 class fleet_control
 {
 public:
-  /// Hears of servers that requests of other instances cost; called on the
-  /// control thread.
-  using crash_handler = std::function<void(std::vector<crash_count>)>;
+  /// Hears what other instances saw; called on the control thread.
+  using news_handler = std::function<void(peer_news)>;
 
   fleet_control(boost::asio::io_context& aContext,
                 fleet_options aOptions,
                 published<fleet_view>& aPublished,
-                crash_handler aCrashHandler)
+                news_handler aNewsHandler)
     : mOptions(std::move(aOptions))
     , mPublished(aPublished)
-    , mCrashHandler(std::move(aCrashHandler))
+    , mNewsHandler(std::move(aNewsHandler))
     , mClient(aContext)
     , mOperators(MakeReader(store_topic::Operators))
     , mServers(MakeReader(store_topic::Servers))
@@ -88,7 +88,8 @@
   {
     OnWeights(aReport.mWeights);
     mSpent = std::move(aReport.mSpent);
-    Report(std::move(aReport.mCrashes));
+    Report({ .mCrashes = std::move(aReport.mCrashes),
+             .mHolders = std::move(aReport.mHolders) });
     Publish();
   }
 
@@ -264,8 +265,9 @@
     std::set<backend_server_id> const turning = mPeers.Turning(now);
     std::vector<caller_entry> const entries = mPeers.Entries();
     mPeers.OnReport(now, aPeer, aReport);
-    if (!aReport.mCrashes.empty())
-      mCrashHandler(aReport.mCrashes);
+    if (!aReport.mCrashes.empty() || !aReport.mHolders.empty())
+      mNewsHandler(
+        { .mCrashes = aReport.mCrashes, .mHolders = aReport.mHolders });
     bool const isNews = TakeWeightsSeen(aReport.mWeights);
     if (isNews || mPeers.Turning(now) != turning || mPeers.Entries() != entries)
       Publish();
@@ -290,7 +292,7 @@
     Publish();
   }
 
-  void Report(std::vector<crash_count> aCrashes)
+  void Report(peer_news aNews)
   {
     instant const now = mClock.Now();
     std::set<backend_server_id> const turning = mOrders.Turning();
@@ -301,9 +303,10 @@
                     .mReadsStore = mServersDuty.IsReading(now) &&
                                    mOperatorsDuty.IsReading(now),
                     .mSpent = mSpent,
-                    .mCrashes = std::move(aCrashes),
+                    .mCrashes = std::move(aNews.mCrashes),
                     .mWeights = std::exchange(mSeen, {}),
-                    .mTurning = { turning.begin(), turning.end() } } });
+                    .mTurning = { turning.begin(), turning.end() },
+                    .mHolders = std::move(aNews.mHolders) } });
   }
 
   void OnInstances(topic_page const& aPage)
@@ -414,7 +417,7 @@
 
   fleet_options mOptions;
   published<fleet_view>& mPublished;
-  crash_handler mCrashHandler;
+  news_handler mNewsHandler;
   system_clock mClock;
   http_client mClient;
   reader mOperators;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,7 +5,6 @@
 #include <LibGateway/SessionListener.h>
 
 #include <functional>
-#include <span>
 
 namespace lycheeseam {
 
@@ -66,11 +65,10 @@
     return true;
   }
 
-  /// Requests of other instances cost servers.
-  void OnPeerCrashes(std::span<crash_count const> aCrashes)
+  /// Another instance told what it saw.
+  void OnPeerNews(peer_news const& aNews)
   {
-    for (crash_count const& crash : aCrashes)
-      mCore.OnPeerCrash(mClock.Now(), crash);
+    mCore.OnPeerNews(mClock.Now(), aNews);
   }
 
 private:
--- /dev/null
+++ b/Libraries/LibGateway/PeerNews.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibDispatch/CrashCount.h>
+#include <LibDispatch/PrefixHolder.h>
+
+#include <vector>
+
+namespace lycheeseam {
+
+/// What another instance saw that requests of this one depend on.
+struct peer_news
+{
+  std::vector<crash_count> mCrashes;
+  std::vector<prefix_holder> mHolders;
+};
+
+}
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -151,8 +151,9 @@
   if (!key)
     return terms;
   std::optional<endpoint> const store = CacheStoreOf(aCore, aWanted.mNow);
+  bool const isStored = aCore.Prefixes().IsSaved(aWanted.mNow, *key);
   terms.mFetchFrom = FetchSource(aCore, aWanted, aServer, *key, store);
-  if (store && !aCore.Prefixes().IsSaved(aWanted.mNow, *key)) {
+  if (store && !isStored) {
     terms.mSaveTo = store;
     aCore.Prefixes().OnSaved(aWanted.mNow, *key);
   }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -283,6 +283,7 @@
     terms.mPriority = RequestPriority(*mRoute, mWorkspace);
     terms.mLastEvent = mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
     mCacheKey = CacheKey(terms, mFacts);
+    mIsStored = terms.mSaveTo.has_value();
     mServer->OnStart(RequestTokens(mFacts));
     mOutcome = attempt_outcome::Open;
     mExchange = std::make_shared<exchange>(
@@ -403,7 +404,10 @@
   {
     mCore.Crashes().OnAnswer(mFingerprint);
     if (mCacheKey)
-      mCore.Prefixes().OnServed(mClock.Now(), *mCacheKey, mServer->mListed.mId);
+      mCore.OnServed(mClock.Now(),
+                     { .mKey = *mCacheKey,
+                       .mServer = mServer->mListed.mId,
+                       .mIsStored = mIsStored });
     EndAttempt();
     mIsDone = true;
     mTimer.cancel();
@@ -427,17 +431,17 @@
   {
     mIsDone = true;
     mTimer.cancel();
-    LogEvent("refused",
-             { { "request", mFacts.mId.Text() },
-               { "status", static_cast<std::int64_t>(aStatus) },
-               { "route", mRoute ? mRoute->mName.Text() : std::string{} },
-               { "workspace",
-                 mWorkspace ? mWorkspace->mName.Text() : std::string{} },
-               { "units", mUnits },
-               { "sends", std::int64_t{ mSends } },
-               { "may_have_run", std::int64_t{ mMayHaveRun } },
-               { "held_ms", Milliseconds(mClock.Now() - mStartedAt) },
-               { "retry_after_ms", std::int64_t{ aRetryAfter.count() } } });
+    LogEvent(
+      "refused",
+      { { "request", mFacts.mId.Text() },
+        { "status", static_cast<std::int64_t>(aStatus) },
+        { "route", mRoute ? mRoute->mName.Text() : std::string{} },
+        { "workspace", mWorkspace ? mWorkspace->mName.Text() : std::string{} },
+        { "units", mUnits },
+        { "sends", std::int64_t{ mSends } },
+        { "may_have_run", std::int64_t{ mMayHaveRun } },
+        { "held_ms", Milliseconds(mClock.Now() - mStartedAt) },
+        { "retry_after_ms", std::int64_t{ aRetryAfter.count() } } });
     bool const promisesNotRun = aStatus == refusal_status::NotReady;
     if (promisesNotRun && mWorkspace != nullptr && mUnits > 0)
       mCore.Quota().Refund(mClock.Now(), mWorkspace->mName, mUnits);
@@ -483,6 +487,7 @@
   std::shared_ptr<served_server> mServer;
   std::shared_ptr<exchange> mExchange;
   std::optional<std::uint64_t> mCacheKey;
+  bool mIsStored = false;
   attempt_outcome mOutcome = attempt_outcome::Open;
   event_cutter mEvents;
   answer_head mAnswerHead;
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -73,9 +73,19 @@
 }
 
 void
-traffic_core::OnPeerCrash(instant aNow, crash_count const& aCrash)
+traffic_core::OnServed(instant aNow, prefix_holder const& aHolder)
 {
-  mCrashes.OnCrash(aNow, aCrash.mFingerprint, aCrash.mCount);
+  mPrefixes.OnServed(aNow, aHolder);
+  mReport.mHolders.push_back(aHolder);
+}
+
+void
+traffic_core::OnPeerNews(instant aNow, peer_news const& aNews)
+{
+  for (crash_count const& crash : aNews.mCrashes)
+    mCrashes.OnCrash(aNow, crash.mFingerprint, crash.mCount);
+  for (prefix_holder const& holder : aNews.mHolders)
+    mPrefixes.OnServed(aNow, holder);
 }
 
 void
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -10,6 +10,7 @@
 #include <LibDispatch/ServerTable.h>
 #include <LibGateway/ChannelPool.h>
 #include <LibGateway/GatewayOptions.h>
+#include <LibGateway/PeerNews.h>
 #include <LibGateway/TrafficReport.h>
 
 #include <cstdint>
@@ -47,8 +48,11 @@
   /// Takes what control is to be told since the last call.
   [[nodiscard]] traffic_report TakeReport();
 
-  /// Takes over what other instances saw.
-  void OnPeerCrash(instant aNow, crash_count const& aCrash);
+  /// A server read a shared prompt part.
+  void OnServed(instant aNow, prefix_holder const& aHolder);
+
+  /// Takes over what another instance saw.
+  void OnPeerNews(instant aNow, peer_news const& aNews);
 
   /// Drops what is too old to matter.
   void Prune(instant aNow);
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/CrashCount.h>
+#include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/SeenWeights.h>
 #include <LibDispatch/SpentUnits.h>
 
@@ -17,6 +18,8 @@
   std::vector<crash_count> mCrashes;
   /// Versions newer than the servers' entries say, from their answers.
   std::vector<seen_weights> mWeights;
+  /// Prompt parts that servers read since the last report.
+  std::vector<prefix_holder> mHolders;
 };
 
 }
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -39,6 +39,11 @@
         .mVersion = seen->version() });
   for (flatbuffers::String const* const server : *aTable.turning())
     report.mTurning.emplace_back(server->str());
+  for (wire::PrefixHolder const* const holder : *aTable.holders())
+    report.mHolders.push_back(
+      { .mKey = holder->key(),
+        .mServer = backend_server_id{ holder->server()->str() },
+        .mIsStored = holder->stored() });
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -35,6 +35,10 @@
     std::vector<flatbuffers::Offset<flatbuffers::String>> turning;
     for (backend_server_id const& server : aReport.mTurning)
       turning.push_back(Text(server.Text()));
+    std::vector<flatbuffers::Offset<wire::PrefixHolder>> holders;
+    for (prefix_holder const& holder : aReport.mHolders)
+      holders.push_back(wire::CreatePrefixHolder(
+        mBuilder, holder.mKey, Text(holder.mServer.Text()), holder.mIsStored));
     return MakeBody(
       wire::Body::FleetReport,
       wire::CreateFleetReport(mBuilder,
@@ -45,7 +49,8 @@
                               mBuilder.CreateVector(spent),
                               mBuilder.CreateVectorOfStructs(crashes),
                               mBuilder.CreateVector(weights),
-                              mBuilder.CreateVector(turning)));
+                              mBuilder.CreateVector(turning),
+                              mBuilder.CreateVector(holders)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/CrashCount.h>
+#include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/SeenWeights.h>
 #include <LibDispatch/SpentUnits.h>
 
@@ -29,6 +30,8 @@
   std::vector<seen_weights> mWeights;
   /// Servers that take no new work since they are to load weights.
   std::vector<backend_server_id> mTurning;
+  /// Prompt parts that servers read since its last report.
+  std::vector<prefix_holder> mHolders;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -90,6 +90,9 @@
 struct SeenWeights;
 struct SeenWeightsBuilder;
 
+struct PrefixHolder;
+struct PrefixHolderBuilder;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -2230,6 +2233,82 @@
       version);
 }
 
+struct PrefixHolder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PrefixHolderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_SERVER = 6,
+    VT_STORED = 8
+  };
+  uint64_t key() const {
+    return GetField<uint64_t>(VT_KEY, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool stored() const {
+    return GetField<uint8_t>(VT_STORED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_KEY, 8) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_STORED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct PrefixHolderBuilder {
+  typedef PrefixHolder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(uint64_t key) {
+    fbb_.AddElement<uint64_t>(PrefixHolder::VT_KEY, key, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PrefixHolder::VT_SERVER, server);
+  }
+  void add_stored(bool stored) {
+    fbb_.AddElement<uint8_t>(PrefixHolder::VT_STORED, static_cast<uint8_t>(stored), 0);
+  }
+  explicit PrefixHolderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PrefixHolder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PrefixHolder>(end);
+    fbb_.Required(o, PrefixHolder::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PrefixHolder> CreatePrefixHolder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t key = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool stored = false) {
+  PrefixHolderBuilder builder_(_fbb);
+  builder_.add_key(key);
+  builder_.add_server(server);
+  builder_.add_stored(stored);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PrefixHolder> CreatePrefixHolderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t key = 0,
+    const char *server = nullptr,
+    bool stored = false) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return lycheeseam::wire::CreatePrefixHolder(
+      _fbb,
+      key,
+      server__,
+      stored);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2240,7 +2319,8 @@
     VT_SPENT = 12,
     VT_CRASHES = 14,
     VT_WEIGHTS = 16,
-    VT_TURNING = 18
+    VT_TURNING = 18,
+    VT_HOLDERS = 20
   };
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
@@ -2266,6 +2346,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *turning() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_TURNING);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *>(VT_HOLDERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
@@ -2283,6 +2366,9 @@
            VerifyOffsetRequired(verifier, VT_TURNING) &&
            verifier.VerifyVector(turning()) &&
            verifier.VerifyVectorOfStrings(turning()) &&
+           VerifyOffsetRequired(verifier, VT_HOLDERS) &&
+           verifier.VerifyVector(holders()) &&
+           verifier.VerifyVectorOfTables(holders()) &&
            verifier.EndTable();
   }
 };
@@ -2315,6 +2401,9 @@
   void add_turning(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning) {
     fbb_.AddOffset(FleetReport::VT_TURNING, turning);
   }
+  void add_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders) {
+    fbb_.AddOffset(FleetReport::VT_HOLDERS, holders);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2326,6 +2415,7 @@
     fbb_.Required(o, FleetReport::VT_CRASHES);
     fbb_.Required(o, FleetReport::VT_WEIGHTS);
     fbb_.Required(o, FleetReport::VT_TURNING);
+    fbb_.Required(o, FleetReport::VT_HOLDERS);
     return o;
   }
 };
@@ -2339,9 +2429,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> spent = 0,
     flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::CrashCount *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_lease(lease);
+  builder_.add_holders(holders);
   builder_.add_turning(turning);
   builder_.add_weights(weights);
   builder_.add_crashes(crashes);
@@ -2361,11 +2453,13 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *spent = nullptr,
     const std::vector<lycheeseam::wire::CrashCount> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
   auto weights__ = weights ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>(*weights) : 0;
   auto turning__ = turning ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*turning) : 0;
+  auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>(*holders) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       leaving,
@@ -2375,7 +2469,8 @@
       spent__,
       crashes__,
       weights__,
-      turning__);
+      turning__,
+      holders__);
 }
 
 struct KeyedRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -34,7 +34,8 @@
     .mCallers = aSettings.mCallers,
     .mReadiness = aSettings.mReadiness,
     .mAddresses = aSettings.mAddresses,
-    .mQuota = { .mWindow = aSettings.mQuotaWindow, .mSlackUnits =
+    .mQuota = { .mWindow = aSettings.mQuotaWindow,
+                .mSlackUnits =
                   kSlackPart * static_cast<double>(aSettings.mQuotaSlack) },
     .mRetryRatio = static_cast<double>(aSettings.mRetryPercent) / kPercent,
     .mRetrySlack = static_cast<double>(aSettings.mRetrySlack),
@@ -127,9 +128,7 @@
     : mState(mControl.Context(),
              MakeFleetOptions(aSettings),
              mView,
-             [this](std::vector<crash_count> aCrashes) {
-               OnPeerCrashes(std::move(aCrashes));
-             })
+             [this](peer_news aNews) { OnPeerNews(std::move(aNews)); })
     , mFront(mTraffic.Context(),
              MakeGatewayOptions(aSettings),
              mView,
@@ -153,12 +152,11 @@
   }
 
 private:
-  void OnPeerCrashes(std::vector<crash_count> aCrashes)
+  void OnPeerNews(peer_news aNews)
   {
-    boost::asio::post(mTraffic.Context(),
-                      [this, crashes = std::move(aCrashes)]() {
-                        mFront.OnPeerCrashes(crashes);
-                      });
+    boost::asio::post(mTraffic.Context(), [this, news = std::move(aNews)]() {
+      mFront.OnPeerNews(news);
+    });
   }
 
   void OnReport(traffic_report aReport)
