--- a/Libraries/LibDispatch/RequestFacts.h
+++ b/Libraries/LibDispatch/RequestFacts.h
@@ -31,6 +31,15 @@
   /// The last event that the caller has of an earlier stream.
   std::optional<std::uint64_t> mLastEvent;
 
+  /// The tokens of all parts that other requests share.
+  [[nodiscard]] token_count SharedTokens() const
+  {
+    token_count tokens = 0;
+    for (std::size_t index = 0; index + 1 < mParts.size(); ++index)
+      tokens += mParts[index].mTokens;
+    return tokens;
+  }
+
   /// The last part that other requests share; null when there is none.
   [[nodiscard]] prompt_part const* SharedPart() const
   {
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -14,6 +14,10 @@
 constexpr std::uint32_t kRouteLevels = 3;
 constexpr std::uint32_t kLeastUrgent = 9;
 
+// An engine reads fewer tokens faster than a transfer waits for its turn on
+// the links of both ends.
+constexpr token_count kLeastFetchedTokens = 1'000;
+
 std::uint64_t
 Hash(std::string_view aText, std::uint64_t aSeed)
 {
@@ -148,7 +152,7 @@
   if (aWorkspace != nullptr && aWorkspace->mIsIsolated)
     terms.mCacheScope += "/" + aWorkspace->mName.Text();
   std::optional<std::uint64_t> const key = CacheKey(terms, aFacts);
-  if (!key)
+  if (!key || aFacts.SharedTokens() < kLeastFetchedTokens)
     return terms;
   std::optional<endpoint> const store = CacheStoreOf(aCore, aWanted.mNow);
   bool const isStored = aCore.Prefixes().IsSaved(aWanted.mNow, *key);
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -116,6 +116,8 @@
     mServer->mHeardAt = mClock.Now();
     if (mOutcome != attempt_outcome::Taken)
       return mExchange->ReadOn();
+    if (mFirstAt == instant{})
+      mFirstAt = mServer->mHeardAt;
     if (mIsWhole) {
       mWhole += aPiece;
       if (mWhole.size() <= kWholeBytes)
@@ -284,6 +286,8 @@
     terms.mLastEvent = mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
     mCacheKey = CacheKey(terms, mFacts);
     mIsStored = terms.mSaveTo.has_value();
+    mFetchFrom = terms.mFetchFrom;
+    mPressure = mServer->Pressure(aNow);
     mServer->OnStart(RequestTokens(mFacts));
     mOutcome = attempt_outcome::Open;
     mExchange = std::make_shared<exchange>(
@@ -411,6 +415,7 @@
     EndAttempt();
     mIsDone = true;
     mTimer.cancel();
+    LogAnswer();
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     if (mIsWhole)
       return caller->SendWhole(mAnswerHead, std::move(mWhole));
@@ -419,6 +424,21 @@
     caller->SendEnd();
   }
 
+  void LogAnswer() const
+  {
+    LogEvent("answered",
+             { { "request", mFacts.mId.Text() },
+               { "route", mRoute->mName.Text() },
+               { "server", mServer->mListed.mId.Text() },
+               { "status", std::int64_t{ mAnswerHead.mStatus } },
+               { "sends", std::int64_t{ mSends } },
+               { "pressure", mPressure },
+               { "fetched_from",
+                 mFetchFrom ? mFetchFrom->Text() : std::string{} },
+               { "first_ms", Milliseconds(mFirstAt - mStartedAt) },
+               { "all_ms", Milliseconds(mClock.Now() - mStartedAt) } });
+  }
+
   void Break()
   {
     mIsDone = true;
@@ -473,6 +493,11 @@
   system_clock mClock;
   instant mStartedAt;
   instant mDeadline{};
+  /// When the first piece of the answer came.
+  instant mFirstAt{};
+  /// Of the server when the request was sent to it.
+  double mPressure = 0;
+  std::optional<endpoint> mFetchFrom;
   request_facts mFacts;
   /// Keeps the rows alive that the request runs under.
   std::shared_ptr<dispatch_config const> mConfig;
