--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -43,8 +43,10 @@
 {
   std::optional<backend_server_id> const holder =
     aCore.Prefixes().Holder(aWanted.mNow, aKey);
+  // The server may have evicted a part of what it read; what it still has
+  // isn't moved.
   if (holder == aServer.mListed.mId)
-    return std::nullopt;
+    return aStore;
   if (holder) {
     std::shared_ptr<served_server> const known = aCore.Servers().Find(*holder);
     if (known && !known->mIsTurning &&
