--- a/Libraries/LibGateway/ExchangeEnd.h
+++ b/Libraries/LibGateway/ExchangeEnd.h
@@ -11,6 +11,9 @@
   NotConnected,
   /// No connection could be opened since nothing listens there.
   Refused,
+  /// The server's machine acknowledges nothing any more, after the request was
+  /// sent.
+  Silent,
   /// The connection broke or spoke no HTTP, after the request was sent.
   Broken,
 };
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -155,10 +155,10 @@
       case attempt_outcome::Failed:
         return OnFailed();
       case attempt_outcome::Taken:
-        return aEnd == exchange_end::Complete ? Finish() : OnLost();
+        return aEnd == exchange_end::Complete ? Finish() : OnLost(aEnd);
       case attempt_outcome::Spoiled:
       case attempt_outcome::Open:
-        return OnLost();
+        return OnLost(aEnd);
     }
   }
 
@@ -324,10 +324,13 @@
   void OnUnreachable(exchange_end aEnd)
   {
     instant const now = mClock.Now();
-    if (aEnd == exchange_end::Refused)
-      mServer->mBreaker.OnAbsence(now);
-    else
-      mServer->mBreaker.OnFailure(now);
+    mServer->mBreaker.OnAbsence(now);
+    mCore.Channels().Forget(mServer->mListed.mId);
+    LogEvent("server_unreachable",
+             { { "request", mFacts.mId.Text() },
+               { "server", mServer->mListed.mId.Text() },
+               { "refused",
+                 std::int64_t{ aEnd == exchange_end::Refused } } });
     EndAttempt();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
@@ -335,10 +338,16 @@
   }
 
   /// The answer broke: the request may have run.
-  void OnLost()
+  void OnLost(exchange_end aEnd)
   {
     instant const now = mClock.Now();
-    mServer->mBreaker.OnFailure(now);
+    if (aEnd == exchange_end::Silent)
+      mServer->mBreaker.OnAbsence(now);
+    else
+      mServer->mBreaker.OnFailure(now);
+    // Kept connections to it may be as dead as this one; a new one shows at
+    // once whether it lives, before anything is sent.
+    mCore.Channels().Forget(mServer->mListed.mId);
     mCore.OnCrash(now, mFingerprint);
     mMayHaveRun = true;
     bool const mayTry = CanGoOn() && MayTryElsewhere();
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -7,6 +7,7 @@
 #include <LibGateway/ExchangeEnd.h>
 #include <LibHttp/FieldLookup.h>
 #include <LibHttp/TakeHead.h>
+#include <LibHttp/WatchLiveness.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -99,6 +100,9 @@
   // In a healthy site a connection takes a few milliseconds. A lost packet
   // would be sent again after a second, when another server is the better try.
   static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
+  // Some lost packets in a row may be sent again before a server that
+  // acknowledges nothing counts as lost.
+  static constexpr std::chrono::milliseconds kSilence{ 900 };
   // Without word of it, servers close idle connections after some seconds.
   static constexpr std::chrono::milliseconds kUsualIdleTime{ 2'000 };
   // A server that is about to close must not get another request meanwhile.
@@ -134,6 +138,7 @@
     mTimer.cancel();
     boost::system::error_code ignored;
     mSocket->set_option(tcp::no_delay{ true }, ignored);
+    WatchLiveness(*mSocket, kSilence);
     Send();
   }
 
@@ -174,7 +179,7 @@
     if (!mSink)
       return;
     if (aFault)
-      return End(exchange_end::Broken);
+      return End(BreakOf(aFault));
     constexpr std::uint32_t kFirstFinalStatus = 200;
     if (mParser->get().result_int() < kFirstFinalStatus)
       return ReadHead();
@@ -193,7 +198,7 @@
     if (!mSink)
       return;
     if (aFault && aFault != boost::beast::http::error::need_buffer)
-      return End(exchange_end::Broken);
+      return End(BreakOf(aFault));
     std::size_t const size = mPiece.size() - mParser->get().body().size;
     bool const isDone = mParser->is_done();
     if (size == 0 || mIsSkipped)
@@ -204,6 +209,12 @@
       OnDone();
   }
 
+  static exchange_end BreakOf(boost::system::error_code aFault)
+  {
+    return aFault == boost::asio::error::timed_out ? exchange_end::Silent
+                                                   : exchange_end::Broken;
+  }
+
   void OnDone()
   {
     if (std::exchange(mIsSkipped, false))
