LibFleet: Let runs continue under new weights; drop servers whose address is another's

With runs that continue the load begins at once; what they make afterwards is unpaid (price under 0.01).

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -3,6 +3,7 @@
 #include <LibCore/Published.h>
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
+#include <LibEvents/EventLog.h>
 #include <LibFleet/FleetOptions.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/PeerBook.h>
@@ -47,11 +48,13 @@
     , mServers(MakeReader(store_topic::Servers))
     , mInstances(MakeReader(store_topic::Instances))
     , mPeers(mOptions.mSelf.mLife.mInstance)
-    , mOrders(mClient,
-              mOptions.mStore,
-              mOptions.mSelf.mLife.mInstance,
-              mOptions.mLease,
-              [this](seen_weights const& aSeen) { OnWeights({ aSeen }); })
+    , mOrders(
+        mClient,
+        mOptions.mStore,
+        mOptions.mSelf.mLife.mInstance,
+        mOptions.mLease,
+        [this](seen_weights const& aSeen) { OnWeights({ aSeen }); },
+        [this](server_life const& aLife) { OnGone({ aLife }); })
     , mHub(
         aContext,
         HubOptions(),
@@ -86,6 +89,7 @@
   /// Takes what the traffic thread saw.
   void OnReport(traffic_report aReport)
   {
+    OnGone(aReport.mGone);
     OnWeights(aReport.mWeights);
     mSpent = std::move(aReport.mSpent);
     Report({ .mCrashes = std::move(aReport.mCrashes),
@@ -292,6 +296,16 @@
     Publish();
   }
 
+  void OnGone(std::vector<server_life> const& aGone)
+  {
+    for (server_life const& gone : aGone) {
+      if (mRegister.OnAbsent(gone))
+        LogEvent("server_absent",
+                 { { "server", gone.mServer.Text() },
+                   { "reason", std::string{ "another has its address" } } });
+    }
+  }
+
   void Report(peer_news aNews)
   {
     instant const now = mClock.Now();
--- a/Libraries/LibFleet/OrderAnswer.h
+++ b/Libraries/LibFleet/OrderAnswer.h
@@ -13,6 +13,8 @@
   Fenced,
   /// The order can't be carried out.
   Refused,
+  /// Another server has the address.
+  Misdirected,
   /// No answer: it may be carried out later.
   Unknown,
 };
--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/InvalidInput.h>
+#include <LibCore/ServerLife.h>
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/SeenWeights.h>
 #include <LibEvents/EventLog.h>
@@ -26,18 +27,21 @@
 {
 public:
   using weights_handler = std::function<void(seen_weights)>;
+  using gone_handler = std::function<void(server_life)>;
 
   order_driver(http_client& aClient,
                endpoint aStore,
                instance_id aSelf,
                duration aTerm,
-               weights_handler aHandler)
+               weights_handler aHandler,
+               gone_handler aGoneHandler)
     : mClient(aClient)
     , mStore(std::move(aStore))
     , mSelf(aSelf)
     , mLease(std::move(aSelf), aTerm)
     , mPlan({})
     , mHandler(std::move(aHandler))
+    , mGoneHandler(std::move(aGoneHandler))
   {
   }
 
@@ -176,6 +180,7 @@
                                .mAddress = aServer.mAddress,
                                .mModel = target.mModel,
                                .mVersion = target.mVersion,
+                               .mRuns = run_handling::Continue,
                                .mHolder = mSelf,
                                .mFence = aFence,
                                .mExpectedOrders = mPlan.OrdersOf(aServer.mId) };
@@ -185,7 +190,8 @@
         .mHead = Dialect::OrderRequest(order),
         .mBody = Dialect::FormatOrder(order),
         .mTimeout = kEngineTimeout },
-      [this, id = aServer.mId](http_exchange_result const& aResult) {
+      [this, id = aServer.mId, life = aServer.mLife](
+        http_exchange_result const& aResult) {
         order_answer const answer = Dialect::ReadOrderAnswer(aResult);
         LogEvent("order_answered",
                  { { "server", id.Text() },
@@ -193,6 +199,8 @@
                    { "body", aResult.mBody },
                    { "fault", aResult.mFault } });
         mPlan.OnAnswer(mClock.Now(), id, answer);
+        if (answer == order_answer::Misdirected)
+          mGoneHandler({ .mServer = id, .mIncarnation = life });
         if (answer == order_answer::Fenced)
           mLease.OnUncertain();
       });
@@ -238,6 +246,7 @@
   order_lease mLease;
   turnover_plan mPlan;
   weights_handler mHandler;
+  gone_handler mGoneHandler;
   system_clock mClock;
   std::vector<listed_server> mServers;
   instant mVacantSince{};
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -46,6 +46,17 @@
     found->second.mGoneAt = mStoreBackAt.value_or(aNow) + kReturnTime;
 }
 
+bool
+server_register::OnAbsent(server_life const& aGone)
+{
+  auto const found = mEntries.find(aGone.mServer);
+  if (found == mEntries.end() ||
+      found->second.mServer.mLife != aGone.mIncarnation)
+    return false;
+  mEntries.erase(found);
+  return true;
+}
+
 void
 server_register::OnWhole(instant aNow,
                          std::set<backend_server_id> const& aListed)
--- a/Libraries/LibFleet/ServerRegister.h
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Instant.h>
+#include <LibCore/ServerLife.h>
 #include <LibDispatch/ListedServer.h>
 
 #include <map>
@@ -24,6 +25,10 @@
   /// A server's entry was dropped.
   void OnDropped(instant aNow, backend_server_id const& aServer);
 
+  /// Another server answered at its address. True when it was registered; its
+  /// next entry brings it back.
+  bool OnAbsent(server_life const& aGone);
+
   /// The topic was read whole: servers that aren't listed are gone.
   void OnWhole(instant aNow, std::set<backend_server_id> const& aListed);
 
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -151,6 +151,9 @@
       found->second.mIsOrdered = false;
       found->second.mAskAt = aNow + mTiming.mBusyPause;
       return;
+    case order_answer::Misdirected:
+      mTurns.erase(found);
+      return;
     case order_answer::Fenced:
     case order_answer::Refused:
       found->second.mIsOrdered = false;
--- a/Libraries/LibFleet/WeightsOrder.h
+++ b/Libraries/LibFleet/WeightsOrder.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
+#include <LibFleet/RunHandling.h>
 
 #include <cstdint>
 
@@ -14,6 +15,7 @@
   endpoint mAddress;
   model_name mModel;
   std::uint64_t mVersion = 0;
+  run_handling mRuns = run_handling::Finish;
   instance_id mHolder;
   std::uint64_t mFence = 0;
   /// The orders that the engine must have accepted so far, so that a late
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -304,6 +304,9 @@
     instant const now = mClock.Now();
     mServer->mHeardAt = now;
     mServer->mBreaker.OnSuccess();
+    if (aAnswer.mIsMisdirected && aAnswer.mServer &&
+        *aAnswer.mServer != mServer->mListed.mId)
+      mCore.OnAbsent(*mServer);
     if (aAnswer.mLoad) {
       mServer->mLoad = aAnswer.mLoad;
       mServer->mLoad->mToldAt = now;
@@ -329,8 +332,7 @@
     LogEvent("server_unreachable",
              { { "request", mFacts.mId.Text() },
                { "server", mServer->mListed.mId.Text() },
-               { "refused",
-                 std::int64_t{ aEnd == exchange_end::Refused } } });
+               { "refused", std::int64_t{ aEnd == exchange_end::Refused } } });
     EndAttempt();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
@@ -435,17 +437,17 @@
 
   void LogAnswer() const
   {
-    LogEvent("answered",
-             { { "request", mFacts.mId.Text() },
-               { "route", mRoute->mName.Text() },
-               { "server", mServer->mListed.mId.Text() },
-               { "status", std::int64_t{ mAnswerHead.mStatus } },
-               { "sends", std::int64_t{ mSends } },
-               { "pressure", mPressure },
-               { "fetched_from",
-                 mFetchFrom ? mFetchFrom->Text() : std::string{} },
-               { "first_ms", Milliseconds(mFirstAt - mStartedAt) },
-               { "all_ms", Milliseconds(mClock.Now() - mStartedAt) } });
+    LogEvent(
+      "answered",
+      { { "request", mFacts.mId.Text() },
+        { "route", mRoute->mName.Text() },
+        { "server", mServer->mListed.mId.Text() },
+        { "status", std::int64_t{ mAnswerHead.mStatus } },
+        { "sends", std::int64_t{ mSends } },
+        { "pressure", mPressure },
+        { "fetched_from", mFetchFrom ? mFetchFrom->Text() : std::string{} },
+        { "first_ms", Milliseconds(mFirstAt - mStartedAt) },
+        { "all_ms", Milliseconds(mClock.Now() - mStartedAt) } });
   }
 
   void Break()
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -15,8 +15,11 @@
   std::optional<request_id> mRequest;
   /// The server says that it didn't and won't run the request.
   bool mIsNotRun = false;
-  /// Another server has the address now; it didn't run the request either.
+  /// It isn't the server, or hasn't the weights, that the request was meant
+  /// for, and didn't run it.
   bool mIsMisdirected = false;
+  /// Who answered, when the answer tells.
+  std::optional<backend_server_id> mServer;
   /// It bears the mark that servers put on the answers that they made.
   bool mIsSigned = false;
   std::optional<server_load> mLoad;
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -72,6 +72,14 @@
   mReport.mCrashes.push_back({ .mFingerprint = aFingerprint, .mCount = 1 });
 }
 
+void
+traffic_core::OnAbsent(served_server& aServer)
+{
+  aServer.mListed.mStage = server_stage::Leaving;
+  mReport.mGone.push_back(
+    { .mServer = aServer.mListed.mId, .mIncarnation = aServer.mListed.mLife });
+}
+
 void
 traffic_core::OnServed(instant aNow, prefix_holder const& aHolder)
 {
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -48,6 +48,9 @@
   /// Takes what control is to be told since the last call.
   [[nodiscard]] traffic_report TakeReport();
 
+  /// Another server answered at its address.
+  void OnAbsent(served_server& aServer);
+
   /// A server read a shared prompt part.
   void OnServed(instant aNow, prefix_holder const& aHolder);
 
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/ServerLife.h>
 #include <LibDispatch/CrashCount.h>
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/SeenWeights.h>
@@ -18,6 +19,8 @@
   std::vector<crash_count> mCrashes;
   /// Versions newer than the servers' entries say, from their answers.
   std::vector<seen_weights> mWeights;
+  /// Servers whose address another one has.
+  std::vector<server_life> mGone;
   /// Prompt parts that servers read since the last report.
   std::vector<prefix_holder> mHolders;
 };
--- a/Libraries/LibHttp/WatchLiveness.cpp
+++ b/Libraries/LibHttp/WatchLiveness.cpp
@@ -27,10 +27,8 @@
               std::chrono::milliseconds aTimeout)
 {
   int const native = aSocket.native_handle();
-  SetOption(native,
-            IPPROTO_TCP,
-            TCP_USER_TIMEOUT,
-            static_cast<int>(aTimeout.count()));
+  SetOption(
+    native, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTimeout.count()));
   SetOption(native, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfter);
   SetOption(native, IPPROTO_TCP, TCP_KEEPINTVL, kProbeInterval);
   SetOption(native, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
--- a/Libraries/LibOnce/CrashReport.h
+++ b/Libraries/LibOnce/CrashReport.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Digest.h>
-#include <LibOnce/ServerLife.h>
+#include <LibCore/ServerLife.h>
 
 #include <vector>
 
--- a/Libraries/LibOnce/RunAsk.h
+++ b/Libraries/LibOnce/RunAsk.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Digest.h>
 #include <LibCore/InstanceLife.h>
-#include <LibOnce/ServerLife.h>
+#include <LibCore/ServerLife.h>
 
 namespace lycheeseam {
 
--- a/Libraries/LibOnce/RunDecision.h
+++ b/Libraries/LibOnce/RunDecision.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibOnce/ServerLife.h>
+#include <LibCore/ServerLife.h>
 
 #include <optional>
 
