--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -16,11 +16,24 @@
 // other down, so that servers with older weights are the better choice.
 constexpr double kBusyPressure = 0.6;
 
+// Answers on weights that were replaced so long ago are refused or worthless.
+bool
+IsOutdated(served_server const& aServer, server_choice_request const& aRequest)
+{
+  if (aRequest.mWeights == nullptr)
+    return false;
+  std::optional<instant> const replaced = aRequest.mWeights->ReplacedSince(
+    aServer.mListed.VersionOf(aRequest.mModel));
+  return replaced && aRequest.mNow - *replaced > aRequest.mOutdatedAfter;
+}
+
 bool
 MayTakeWork(served_server const& aServer, server_choice_request const& aRequest)
 {
   if (aServer.mListed.mStage != server_stage::Ready || aServer.mIsTurning)
     return false;
+  if (IsOutdated(aServer, aRequest))
+    return false;
   breaker_state const breaker = aServer.mBreaker.State(aRequest.mNow);
   bool const isProbed =
     breaker == breaker_state::HalfOpen && aServer.mInFlight > 0;
--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -31,14 +31,14 @@
   /// What the other instances admitted since they started, added up.
   std::vector<spent_units> mSpentElsewhere;
 
-  /// The newest version that was named for a model; 0 for none.
-  [[nodiscard]] std::uint64_t NewestVersion(model_name const& aModel) const
+  /// The weights that were named for a model, or null.
+  [[nodiscard]] named_weights const* FindWeights(model_name const& aModel) const
   {
     for (named_weights const& named : mWeights) {
       if (named.mModel == aModel)
-        return named.mVersion;
+        return &named;
     }
-    return 0;
+    return nullptr;
   }
 };
 
--- /dev/null
+++ b/Libraries/LibDispatch/NamedVersion.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// A version of a model's weights that operators named.
+struct named_version
+{
+  std::uint64_t mVersion = 0;
+  /// When this instance learned of it.
+  instant mLearnedAt{};
+};
+
+}
--- a/Libraries/LibDispatch/NamedWeights.h
+++ b/Libraries/LibDispatch/NamedWeights.h
@@ -1,19 +1,38 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
-#include <LibCore/Instant.h>
+#include <LibDispatch/NamedVersion.h>
 
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace lycheeseam {
 
-/// The newest weights that operators named for a model.
+/// The weights that operators named for a model.
 struct named_weights
 {
   model_name mModel;
-  std::uint64_t mVersion = 0;
-  /// When this instance learned of them.
-  instant mLearnedAt{};
+  /// In the order of their versions; the last one is the newest.
+  std::vector<named_version> mVersions;
+
+  /// The newest version; 0 for none.
+  [[nodiscard]] std::uint64_t Newest() const
+  {
+    return mVersions.empty() ? 0 : mVersions.back().mVersion;
+  }
+
+  /// Since when a newer version than aVersion is known; nothing when there is
+  /// none.
+  [[nodiscard]] std::optional<instant> ReplacedSince(
+    std::uint64_t aVersion) const
+  {
+    for (named_version const& named : mVersions) {
+      if (named.mVersion > aVersion)
+        return named.mLearnedAt;
+    }
+    return std::nullopt;
+  }
 };
 
 }
--- a/Libraries/LibDispatch/QuotaLedger.cpp
+++ b/Libraries/LibDispatch/QuotaLedger.cpp
@@ -14,9 +14,23 @@
     .first->second;
 }
 
+quota_ledger::account&
+quota_ledger::FindFilled(instant aNow, dispatch_workspace const& aWorkspace)
+{
+  account& found = Find(aWorkspace.mName);
+  if (!mStartedAt)
+    mStartedAt = aNow;
+  if (!found.mIsFilled && aNow - *mStartedAt < mTerms.mWindow)
+    found.mWindow.Spread(aNow, Limit(aWorkspace));
+  found.mIsFilled = true;
+  return found;
+}
+
 void
 quota_ledger::Apply(instant aNow, fleet_view const& aView)
 {
+  if (!mStartedAt && aView.mConfig)
+    mStartedAt = aNow;
   mOpenShare = static_cast<double>(aView.mInstances - aView.mSilentInstances) /
                aView.mInstances;
   for (spent_units const& spent : aView.mSpentElsewhere) {
@@ -46,7 +60,7 @@
                         dispatch_workspace const& aWorkspace,
                         double aUnits)
 {
-  account& found = Find(aWorkspace.mName);
+  account& found = FindFilled(aNow, aWorkspace);
   bool const isLimited = aWorkspace.mRate > 0;
   if (isLimited && found.mWindow.Sum(aNow) + aUnits > Limit(aWorkspace))
     return false;
--- a/Libraries/LibDispatch/QuotaLedger.h
+++ b/Libraries/LibDispatch/QuotaLedger.h
@@ -6,6 +6,7 @@
 #include <LibDispatch/QuotaWindow.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lycheeseam {
@@ -14,7 +15,9 @@
 ///
 /// Each instance counts its own admissions at once and those of the others
 /// when they report. The share of an instance that has fallen silent is taken
-/// as spent, so instances that can't see each other don't admit it twice.
+/// as spent, so instances that can't see each other don't admit it twice. A
+/// starting instance doesn't know what was admitted before, and takes the
+/// limit as used up evenly: that leaves more than the rate, without the burst.
 class quota_ledger
 {
 public:
@@ -55,12 +58,16 @@
     /// By this instance, since its start.
     double mSpent = 0;
     double mSeenElsewhere = 0;
+    bool mIsFilled = false;
   };
 
   account& Find(workspace_id const& aWorkspace);
+  account& FindFilled(instant aNow, dispatch_workspace const& aWorkspace);
 
   quota_terms mTerms;
   std::map<workspace_id, account> mAccounts;
+  /// When the ledger was first used.
+  std::optional<instant> mStartedAt;
   /// The part of rates and bursts that silent instances don't hold.
   double mOpenShare = 1.0;
 };
--- a/Libraries/LibDispatch/QuotaWindow.cpp
+++ b/Libraries/LibDispatch/QuotaWindow.cpp
@@ -26,6 +26,15 @@
   mSum += aUnits;
 }
 
+void
+quota_window::Spread(instant aNow, double aUnits)
+{
+  MoveTo(aNow);
+  for (double& slot : mUnits)
+    slot += aUnits / static_cast<double>(mUnits.size());
+  mSum += aUnits;
+}
+
 double
 quota_window::Sum(instant aNow)
 {
--- a/Libraries/LibDispatch/QuotaWindow.h
+++ b/Libraries/LibDispatch/QuotaWindow.h
@@ -20,6 +20,9 @@
   /// Adds units at an instant, which never goes back.
   void Add(instant aNow, double aUnits);
 
+  /// Takes units as admitted evenly over the window that ends now.
+  void Spread(instant aNow, double aUnits);
+
   /// The units of the window that ends now.
   [[nodiscard]] double Sum(instant aNow);
 
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
+#include <LibDispatch/NamedWeights.h>
 
 #include <cstdint>
 #include <optional>
@@ -18,8 +19,10 @@
   std::optional<std::uint64_t> mPromptKey;
   /// Empty for plain services.
   model_name mModel;
-  /// The version of weights that answers should be made on; 0 for any.
-  std::uint64_t mNewestVersion = 0;
+  /// The weights that operators named for the model; null for none.
+  named_weights const* mWeights = nullptr;
+  /// How long after newer weights were named older ones may still be used.
+  duration mOutdatedAfter{ duration::max() };
   /// Servers that this request was sent to already.
   std::vector<backend_server_id> mTried;
 };
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -124,6 +124,9 @@
   using reader = topic_reader<Dialect>;
 
   static constexpr std::chrono::milliseconds kTick{ 50 };
+  // Servers are brought to the newest version within some seconds, so older
+  // ones than these have no server left.
+  static constexpr std::size_t kKeptVersions = 16;
   // Instances register once; the topic is read again only to find those that
   // couldn't be reached at first.
   static constexpr std::chrono::seconds kInstancesInterval{ 20 };
@@ -398,18 +401,24 @@
 
   void TakeWeights(loaded_model const& aNamed)
   {
-    for (named_weights& known : mView.mWeights) {
-      if (known.mModel != aNamed.mModel)
-        continue;
-      if (known.mVersion < aNamed.mVersion)
-        known = { .mModel = aNamed.mModel,
-                  .mVersion = aNamed.mVersion,
-                  .mLearnedAt = mClock.Now() };
+    auto const isModel = [&aNamed](named_weights const& aKnown) {
+      return aKnown.mModel == aNamed.mModel;
+    };
+    auto const found =
+      std::find_if(mView.mWeights.begin(), mView.mWeights.end(), isModel);
+    named_weights& known =
+      found != mView.mWeights.end()
+        ? *found
+        : mView.mWeights.emplace_back(named_weights{ .mModel = aNamed.mModel });
+    if (aNamed.mVersion <= known.Newest())
       return;
-    }
-    mView.mWeights.push_back({ .mModel = aNamed.mModel,
-                               .mVersion = aNamed.mVersion,
-                               .mLearnedAt = mClock.Now() });
+    known.mVersions.push_back(
+      { .mVersion = aNamed.mVersion, .mLearnedAt = mClock.Now() });
+    if (known.mVersions.size() > kKeptVersions)
+      known.mVersions.erase(known.mVersions.begin());
+    LogEvent("weights_named",
+             { { "model", aNamed.mModel.Text() },
+               { "version", static_cast<std::int64_t>(aNamed.mVersion) } });
   }
 
   void Publish()
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -49,7 +49,7 @@
       ++sizes[server.mPool];
       if (mTurns.contains(server.mId))
         ++turning[server.mPool];
-      else if (version >= named.mVersion)
+      else if (version >= named.Newest())
         ++turned[server.mPool];
       else
         behind[server.mPool].push_back(&server);
@@ -85,7 +85,7 @@
 {
   mTurns[aServer.mId] = { .mLife = aServer.mLife,
                           .mModel = aNamed.mModel,
-                          .mTarget = aNamed.mVersion,
+                          .mTarget = aNamed.Newest(),
                           .mOrderAt = aNow + mTiming.mNotice,
                           .mAskAt = aNow };
 }
--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -25,6 +25,8 @@
   /// Repeats allowed besides, in a window, over all instances.
   double mRetrySlack = 50;
   std::chrono::seconds mRetryWindow{ 10 };
+  /// How long after newer weights were named older ones may still be used.
+  std::chrono::milliseconds mOutdatedAfter{ 7'000 };
   /// How long callers keep the answer to their question for addresses.
   std::chrono::seconds mAddressLifetime{ 2 };
 };
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -118,16 +118,16 @@
 
 server_choice_request
 MakeChoiceRequest(instant aNow,
-                  failure_domain const& aDomain,
+                  gateway_options const& aOptions,
                   fleet_view const& aView,
                   request_facts const& aFacts,
                   std::vector<backend_server_id> const& aTried)
 {
   server_choice_request wanted{ .mNow = aNow,
-                                .mDomain = aDomain,
+                                .mDomain = aOptions.mDomain,
                                 .mModel = aFacts.mModel,
-                                .mNewestVersion =
-                                  aView.NewestVersion(aFacts.mModel),
+                                .mWeights = aView.FindWeights(aFacts.mModel),
+                                .mOutdatedAfter = aOptions.mOutdatedAfter,
                                 .mTried = aTried };
   if (prompt_part const* const shared = aFacts.SharedPart())
     wanted.mPromptKey = Hash(shared->mId, 0);
--- a/Libraries/LibGateway/PlanSend.h
+++ b/Libraries/LibGateway/PlanSend.h
@@ -40,7 +40,7 @@
 /// What the choice of a server depends on.
 server_choice_request
 MakeChoiceRequest(instant aNow,
-                  failure_domain const& aDomain,
+                  gateway_options const& aOptions,
                   fleet_view const& aView,
                   request_facts const& aFacts,
                   std::vector<backend_server_id> const& aTried);
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -252,7 +252,7 @@
     if (mDeadline - now < kLeastTime)
       return OnDeadline();
     server_choice_request const wanted =
-      MakeChoiceRequest(now, mCore.Options().mDomain, *mView, mFacts, mTried);
+      MakeChoiceRequest(now, mCore.Options(), *mView, mFacts, mTried);
     std::span<served_server* const> const servers = mCore.Servers().Pool(mPool);
     served_server const* const chosen = ChooseServer(servers, wanted);
     if (chosen == nullptr)
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -30,6 +30,9 @@
   /// Repeats allowed besides, within a window, over all instances.
   std::uint64_t mRetrySlack = 50;
   std::chrono::milliseconds mRetryWindow{ 10'000 };
+  /// How long after newer weights were named no request may begin on older
+  /// ones.
+  std::chrono::milliseconds mWeightsTime{ 8'000 };
   /// How long a planned stop may take.
   std::chrono::milliseconds mStopTime{ 8'000 };
   /// For how long the holder of orders counts after its last sign of life.
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -44,6 +44,7 @@
     "retry_percent", { 0, kMostPercent }, aSettings.mRetryPercent);
   aReader.ReadNumber("retry_slack", count, aSettings.mRetrySlack);
   aReader.ReadMilliseconds("retry_window_ms", span, aSettings.mRetryWindow);
+  aReader.ReadMilliseconds("weights_ms", span, aSettings.mWeightsTime);
   aReader.ReadMilliseconds("stop_ms", span, aSettings.mStopTime);
   aReader.ReadMilliseconds("lease_ms", span, aSettings.mLease);
   aReader.RefuseUnknownFields();
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -28,6 +28,11 @@
   constexpr double kPercent = 100.0;
   // Half of the slack covers what instances count differently from servers.
   constexpr double kSlackPart = 0.5;
+  // Of what a window may hold beyond rate and burst.
+  constexpr double kOvershoot = 0.05;
+  // A request may wait in an engine's queue before it begins, and the news of
+  // weights takes a while to get here.
+  constexpr std::chrono::milliseconds kWeightsMargin{ 1'500 };
   return {
     .mInstance = aSettings.mInstance,
     .mDomain = aSettings.mDomain,
@@ -35,12 +40,14 @@
     .mReadiness = aSettings.mReadiness,
     .mAddresses = aSettings.mAddresses,
     .mQuota = { .mWindow = aSettings.mQuotaWindow,
+                .mOvershoot = kOvershoot,
                 .mSlackUnits =
                   kSlackPart * static_cast<double>(aSettings.mQuotaSlack) },
     .mRetryRatio = static_cast<double>(aSettings.mRetryPercent) / kPercent,
     .mRetrySlack = static_cast<double>(aSettings.mRetrySlack),
     .mRetryWindow =
       std::chrono::duration_cast<std::chrono::seconds>(aSettings.mRetryWindow),
+    .mOutdatedAfter = aSettings.mWeightsTime - kWeightsMargin,
     .mAddressLifetime = aSettings.mAddressLifetime
   };
 }
