--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -14,6 +14,7 @@
 #include <LibGateway/TrafficReport.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
+#include <LibStore/TopicState.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -131,6 +132,7 @@
   // couldn't be reached at first.
   static constexpr std::chrono::seconds kInstancesInterval{ 20 };
   static constexpr std::chrono::milliseconds kRegisterPause{ 700 };
+  static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
   static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
 
   static peer_hub_options HubOptions()
@@ -191,6 +193,7 @@
       Register();
     }
     ReadStore(now);
+    RefreshTopics(now);
     mPeers.Prune(now);
     bool const areServersGone = mRegister.Expire(now);
     std::vector<listed_server> const servers = mRegister.Servers();
@@ -220,6 +223,17 @@
     }
   }
 
+  // Reads of the store may lag behind it while its history is dropped, so what
+  // they miss is made up for by reading all keys anew at times.
+  void RefreshTopics(instant aNow)
+  {
+    if (aNow < mRefreshDue)
+      return;
+    mRefreshDue = aNow + kRefreshInterval;
+    mServers.Refresh();
+    mOperators.Refresh();
+  }
+
   void Read(reader& aReader, store_duty& aDuty)
   {
     if (aReader.IsReading())
@@ -239,16 +253,17 @@
               topic_page const& aPage,
               bool aIsWhole)
   {
-    if (!aIsWhole && !aPage.mRecords.empty() && !mIsTakingRelay)
+    if (!aPage.mRecords.empty() && !mIsTakingRelay)
       mHub.Broadcast(
         fleet_message{ topic_relay{ .mTopic = aTopic,
+                                    .mIsWhole = aIsWhole,
                                     .mFrom = aFrom,
-                                    .mEnd = aFrom + aPage.mRecords.size(),
+                                    .mEnd = aPage.mEnd,
                                     .mRecords = aPage.mRecords } });
     if (aTopic == store_topic::Operators)
-      OnOperators(aPage);
+      OnOperators(mOperatorState.Take(aPage, aIsWhole));
     if (aTopic == store_topic::Servers)
-      OnServers(aPage, aIsWhole);
+      OnServers(mServerState.Take(aPage, aIsWhole));
     if (aTopic == store_topic::Instances)
       OnInstances(aPage);
   }
@@ -257,15 +272,24 @@
   {
     mIsTakingRelay = true;
     topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
-    if (aRelay.mTopic == store_topic::Operators &&
-        !mOperators.Take(aRelay.mFrom, page))
-      mOperatorsDuty.ReadSoon();
-    if (aRelay.mTopic == store_topic::Servers &&
-        !mServers.Take(aRelay.mFrom, page))
-      mServersDuty.ReadSoon();
+    if (aRelay.mTopic == store_topic::Operators)
+      TakeRelay(aRelay, page, mOperators, mOperatorsDuty);
+    if (aRelay.mTopic == store_topic::Servers)
+      TakeRelay(aRelay, page, mServers, mServersDuty);
     mIsTakingRelay = false;
   }
 
+  void TakeRelay(topic_relay const& aRelay,
+                 topic_page const& aPage,
+                 reader& aReader,
+                 store_duty& aDuty)
+  {
+    if (aRelay.mIsWhole)
+      aReader.TakeWhole(aPage);
+    else if (!aReader.Take(aRelay.mFrom, aPage))
+      aDuty.ReadSoon();
+  }
+
   void OnPeerReport(instance_life const& aPeer, fleet_report const& aReport)
   {
     instant const now = mClock.Now();
@@ -341,41 +365,41 @@
     mHub.SetWanted(mPeers.Contacts());
   }
 
-  void OnServers(topic_page const& aPage, bool aIsWhole)
+  void OnServers(std::vector<keyed_record> const& aNews)
   {
     instant const now = mClock.Now();
-    mRegister.OnStoreAnswer(now);
-    std::set<backend_server_id> listed;
-    for (keyed_record const& record : aPage.mRecords) {
-      backend_server_id const id{ record.mKey };
-      if (record.mValue && TakeServer(record))
-        listed.insert(id);
-      if (!record.mValue)
-        mRegister.OnDropped(now, id);
+    if (!mIsTakingRelay)
+      mRegister.OnStoreAnswer(now);
+    for (keyed_record const& record : aNews) {
+      if (record.mValue)
+        TakeServer(record);
+      else
+        mRegister.OnDropped(now, backend_server_id{ record.mKey });
     }
-    if (aIsWhole)
-      mRegister.OnWhole(now, listed);
-    Publish();
+    if (!aNews.empty())
+      Publish();
   }
 
-  bool TakeServer(keyed_record const& aRecord)
+  void TakeServer(keyed_record const& aRecord)
   {
     try {
       mRegister.OnEntry(Dialect::ReadServer(aRecord.mKey, *aRecord.mValue));
-      return true;
-    } catch (invalid_input const&) {
+    } catch (invalid_input const& fault) {
       // Another writer's entry names no server to use.
-      return false;
+      LogEvent("entry_ignored",
+               { { "server", aRecord.mKey },
+                 { "fault", std::string{ fault.what() } } });
     }
   }
 
-  void OnOperators(topic_page const& aPage)
+  void OnOperators(std::vector<keyed_record> const& aNews)
   {
-    for (keyed_record const& record : aPage.mRecords) {
+    for (keyed_record const& record : aNews) {
       if (record.mValue)
         TakeOperatorRecord(record);
     }
-    Publish();
+    if (!aNews.empty())
+      Publish();
   }
 
   void TakeOperatorRecord(keyed_record const& aRecord)
@@ -383,7 +407,10 @@
     operator_record read;
     try {
       read = Dialect::ReadOperatorRecord(aRecord.mKey, *aRecord.mValue);
-    } catch (invalid_input const&) {
+    } catch (invalid_input const& fault) {
+      LogEvent(
+        "operator_record_ignored",
+        { { "key", aRecord.mKey }, { "fault", std::string{ fault.what() } } });
       return;
     }
     if (auto const* const config =
@@ -395,8 +422,11 @@
 
   void TakeConfig(std::shared_ptr<dispatch_config const> const& aConfig)
   {
-    if (!mView.mConfig || mView.mConfig->Version() < aConfig->Version())
-      mView.mConfig = aConfig;
+    if (mView.mConfig && mView.mConfig->Version() >= aConfig->Version())
+      return;
+    mView.mConfig = aConfig;
+    LogEvent("config_in_force",
+             { { "version", static_cast<std::int64_t>(aConfig->Version()) } });
   }
 
   void TakeWeights(loaded_model const& aNamed)
@@ -448,6 +478,8 @@
   reader mInstances;
   store_duty mOperatorsDuty;
   store_duty mServersDuty;
+  topic_state mOperatorState;
+  topic_state mServerState;
   server_register mRegister;
   peer_book mPeers;
   order_driver<Dialect> mOrders;
@@ -457,6 +489,7 @@
   /// Seen weights that peers haven't been told of.
   std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
+  instant mRefreshDue{};
   instant mInstancesDue{ instant::max() };
   std::optional<instant> mRegisterDue;
   bool mIsRegistered = false;
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -57,19 +57,6 @@
   return true;
 }
 
-void
-server_register::OnWhole(instant aNow,
-                         std::set<backend_server_id> const& aListed)
-{
-  std::vector<backend_server_id> missing;
-  for (auto const& [id, known] : mEntries) {
-    if (!aListed.contains(id))
-      missing.push_back(id);
-  }
-  for (backend_server_id const& id : missing)
-    OnDropped(aNow, id);
-}
-
 void
 server_register::OnStoreFailure(instant /*aNow*/)
 {
--- a/Libraries/LibFleet/ServerRegister.h
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -6,8 +6,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
-#include <span>
 #include <vector>
 
 namespace lycheeseam {
@@ -29,9 +27,6 @@
   /// next entry brings it back.
   bool OnAbsent(server_life const& aGone);
 
-  /// The topic was read whole: servers that aren't listed are gone.
-  void OnWhole(instant aNow, std::set<backend_server_id> const& aListed);
-
   /// The store failed to answer.
   void OnStoreFailure(instant aNow);
 
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -5,6 +5,7 @@
 #include <LibHttp/HttpClient.h>
 #include <LibStore/StoreReadStatus.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -35,13 +36,16 @@
   {
   }
 
+  /// Lets the next read be of the newest record of each key.
+  void Refresh() { mWantsWhole = true; }
+
   /// Reads what has come since the last read; aDone hears of its end.
   void Read(end_handler aDone)
   {
     if (std::exchange(mIsReading, true))
       return;
     mDone = std::move(aDone);
-    if (mNext)
+    if (mNext && !std::exchange(mWantsWhole, false))
       return ReadRecords();
     mWhole = {};
     ReadNewest({});
@@ -56,6 +60,13 @@
     return mNext;
   }
 
+  /// Takes the newest records that another instance read.
+  void TakeWhole(topic_page const& aPage)
+  {
+    mNext = std::max(mNext.value_or(0), aPage.mEnd);
+    mHandler(0, aPage, true);
+  }
+
   /// Takes a page that another instance read; false when it leaves a gap.
   bool Take(std::uint64_t aFrom, topic_page const& aPage)
   {
@@ -99,9 +110,11 @@
       mWhole.mRecords.push_back(std::move(record));
     if (page.mHasMore && !mWhole.mRecords.empty())
       return ReadNewest(mWhole.mRecords.back().mKey);
-    mNext = mFirstEnd;
+    // What came from others meanwhile isn't read again.
+    mWhole.mEnd = *mFirstEnd;
+    mNext = std::max(mNext.value_or(0), *mFirstEnd);
     mFirstEnd.reset();
-    mHandler(*mNext, mWhole, true);
+    mHandler(0, mWhole, true);
     End(store_read_status::Done);
   }
 
@@ -130,6 +143,7 @@
     // Another instance may have passed on records while this read ran.
     std::uint64_t const from = mReadFrom;
     std::uint64_t const next = from + page.mRecords.size();
+    page.mEnd = next;
     if (next > *mNext) {
       mNext = next;
       mHandler(from, page, false);
@@ -164,6 +178,7 @@
   std::optional<std::uint64_t> mFirstEnd;
   std::optional<std::uint64_t> mNext;
   std::uint64_t mReadFrom = 0;
+  bool mWantsWhole = false;
   bool mIsReading = false;
 };
 
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -51,6 +51,7 @@
 DecodeFleetMessage(wire::TopicRelay const& aTable)
 {
   topic_relay relay{ .mTopic = DecodeTopic(aTable.topic()),
+                     .mIsWhole = aTable.whole(),
                      .mFrom = aTable.from(),
                      .mEnd = aTable.end() };
   for (wire::KeyedRecord const* const record : *aTable.records()) {
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -62,6 +62,7 @@
       wire::Body::TopicRelay,
       wire::CreateTopicRelay(mBuilder,
                              static_cast<std::uint8_t>(aRelay.mTopic),
+                             aRelay.mIsWhole,
                              aRelay.mFrom,
                              aRelay.mEnd,
                              mBuilder.CreateVector(records)));
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2555,13 +2555,17 @@
   typedef TopicRelayBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPIC = 4,
-    VT_FROM = 6,
-    VT_END = 8,
-    VT_RECORDS = 10
+    VT_WHOLE = 6,
+    VT_FROM = 8,
+    VT_END = 10,
+    VT_RECORDS = 12
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
   }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
   uint64_t from() const {
     return GetField<uint64_t>(VT_FROM, 0);
   }
@@ -2574,6 +2578,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
            VerifyField<uint64_t>(verifier, VT_END, 8) &&
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
@@ -2590,6 +2595,9 @@
   void add_topic(uint8_t topic) {
     fbb_.AddElement<uint8_t>(TopicRelay::VT_TOPIC, topic, 0);
   }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(TopicRelay::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   void add_from(uint64_t from) {
     fbb_.AddElement<uint64_t>(TopicRelay::VT_FROM, from, 0);
   }
@@ -2614,6 +2622,7 @@
 inline flatbuffers::Offset<TopicRelay> CreateTopicRelay(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t topic = 0,
+    bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records = 0) {
@@ -2621,6 +2630,7 @@
   builder_.add_end(end);
   builder_.add_from(from);
   builder_.add_records(records);
+  builder_.add_whole(whole);
   builder_.add_topic(topic);
   return builder_.Finish();
 }
@@ -2628,6 +2638,7 @@
 inline flatbuffers::Offset<TopicRelay> CreateTopicRelayDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t topic = 0,
+    bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records = nullptr) {
@@ -2635,6 +2646,7 @@
   return lycheeseam::wire::CreateTopicRelay(
       _fbb,
       topic,
+      whole,
       from,
       end,
       records__);
--- a/Libraries/LibPeer/TopicRelay.h
+++ b/Libraries/LibPeer/TopicRelay.h
@@ -13,6 +13,9 @@
 struct topic_relay
 {
   store_topic mTopic = store_topic::Operators;
+  /// The records are the newest of each key, rather than all that were
+  /// appended.
+  bool mIsWhole = false;
   /// The offset from which on these are all records.
   std::uint64_t mFrom = 0;
   /// The offset behind the last of them.
