--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -30,6 +30,9 @@
   std::uint32_t mSilentInstances = 0;
   /// What the other instances admitted since they started, added up.
   std::vector<spent_units> mSpentElsewhere;
+  /// What all instances admitted in the quota window that ended with the last
+  /// report of one that has counted for so long.
+  std::vector<spent_units> mUsedElsewhere;
 
   /// The weights that were named for a model, or null.
   [[nodiscard]] named_weights const* FindWeights(model_name const& aModel) const
--- a/Libraries/LibDispatch/QuotaLedger.cpp
+++ b/Libraries/LibDispatch/QuotaLedger.cpp
@@ -20,17 +20,36 @@
   account& found = Find(aWorkspace.mName);
   if (!mStartedAt)
     mStartedAt = aNow;
-  if (!found.mIsFilled && aNow - *mStartedAt < mTerms.mWindow)
+  if (!found.mIsFilled && aNow - *mStartedAt < mTerms.mWindow) {
     found.mWindow.Spread(aNow, Limit(aWorkspace));
+    found.mIsAssumed = true;
+  }
   found.mIsFilled = true;
   return found;
 }
 
+void
+quota_ledger::TakeUsed(instant aNow, std::vector<spent_units> const& aUsed)
+{
+  if (aUsed.empty() || !mStartedAt || aNow - *mStartedAt >= mTerms.mWindow)
+    return;
+  for (spent_units const& used : aUsed) {
+    account& found = Find(used.mWorkspace);
+    if (found.mIsFilled && !found.mIsAssumed)
+      continue;
+    found.mWindow = quota_window{ mTerms.mWindow };
+    found.mWindow.Spread(aNow, used.mUnits);
+    found.mIsFilled = true;
+    found.mIsAssumed = false;
+  }
+}
+
 void
 quota_ledger::Apply(instant aNow, fleet_view const& aView)
 {
   if (!mStartedAt && aView.mConfig)
     mStartedAt = aNow;
+  TakeUsed(aNow, aView.mUsedElsewhere);
   mOpenShare = static_cast<double>(aView.mInstances - aView.mSilentInstances) /
                aView.mInstances;
   for (spent_units const& spent : aView.mSpentElsewhere) {
@@ -89,6 +108,17 @@
                                Limit(aWorkspace));
 }
 
+std::vector<spent_units>
+quota_ledger::UsedByAll(instant aNow)
+{
+  std::vector<spent_units> used;
+  if (!mStartedAt || aNow - *mStartedAt < mTerms.mWindow)
+    return used;
+  for (auto& [name, found] : mAccounts)
+    used.push_back({ .mWorkspace = name, .mUnits = found.mWindow.Sum(aNow) });
+  return used;
+}
+
 std::vector<spent_units>
 quota_ledger::Spent() const
 {
--- a/Libraries/LibDispatch/QuotaLedger.h
+++ b/Libraries/LibDispatch/QuotaLedger.h
@@ -17,7 +17,8 @@
 /// when they report. The share of an instance that has fallen silent is taken
 /// as spent, so instances that can't see each other don't admit it twice. A
 /// starting instance doesn't know what was admitted before, and takes the
-/// limit as used up evenly: that leaves more than the rate, without the burst.
+/// limit as used up evenly, which leaves more than the rate but no burst,
+/// until an instance that has counted for a whole window tells.
 class quota_ledger
 {
 public:
@@ -48,6 +49,10 @@
   /// The most that a window may hold, less the share of silent instances.
   [[nodiscard]] double Limit(dispatch_workspace const& aWorkspace) const;
 
+  /// What all instances admitted in the window that ends now; empty until this
+  /// one has counted for a whole window.
+  [[nodiscard]] std::vector<spent_units> UsedByAll(instant aNow);
+
   /// What this instance admitted since its start.
   [[nodiscard]] std::vector<spent_units> Spent() const;
 
@@ -59,9 +64,12 @@
     double mSpent = 0;
     double mSeenElsewhere = 0;
     bool mIsFilled = false;
+    /// The window holds the limit rather than what was admitted.
+    bool mIsAssumed = false;
   };
 
   account& Find(workspace_id const& aWorkspace);
+  void TakeUsed(instant aNow, std::vector<spent_units> const& aUsed);
   account& FindFilled(instant aNow, dispatch_workspace const& aWorkspace);
 
   quota_terms mTerms;
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -93,6 +93,7 @@
     OnGone(aReport.mGone);
     OnWeights(aReport.mWeights);
     mSpent = std::move(aReport.mSpent);
+    mUsed = std::move(aReport.mUsed);
     Report({ .mCrashes = std::move(aReport.mCrashes),
              .mHolders = std::move(aReport.mHolders) });
     Publish();
@@ -347,7 +348,8 @@
                     .mCrashes = std::move(aNews.mCrashes),
                     .mWeights = std::exchange(mSeen, {}),
                     .mTurning = { turning.begin(), turning.end() },
-                    .mHolders = std::move(aNews.mHolders) } });
+                    .mHolders = std::move(aNews.mHolders),
+                    .mUsed = mUsed } });
   }
 
   void OnInstances(topic_page const& aPage)
@@ -465,6 +467,7 @@
     mView.mInstances = mPeers.Count() + 1;
     mView.mSilentInstances = mPeers.Silent(now);
     mView.mSpentElsewhere = mPeers.Spent();
+    mView.mUsedElsewhere = mPeers.Used(now);
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
   }
 
@@ -486,6 +489,7 @@
   peer_hub<fleet_control, quiet_link_supervisor, system_clock> mHub;
   fleet_view mView;
   std::vector<spent_units> mSpent;
+  std::vector<spent_units> mUsed;
   /// Seen weights that peers haven't been told of.
   std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
--- a/Libraries/LibFleet/PeerBook.cpp
+++ b/Libraries/LibFleet/PeerBook.cpp
@@ -139,6 +139,16 @@
   return spent;
 }
 
+std::vector<spent_units>
+peer_book::Used(instant aNow) const
+{
+  for (auto const& [id, known] : mPeers) {
+    if (IsLive(aNow, known) && !known.mReport.mUsed.empty())
+      return known.mReport.mUsed;
+  }
+  return {};
+}
+
 std::set<backend_server_id>
 peer_book::Turning(instant aNow) const
 {
--- a/Libraries/LibFleet/PeerBook.h
+++ b/Libraries/LibFleet/PeerBook.h
@@ -53,6 +53,10 @@
   /// weren't silent; a silent instance's share is taken as spent instead.
   [[nodiscard]] std::vector<spent_units> Spent() const;
 
+  /// What all instances admitted in the last quota window, as told by a peer
+  /// that has counted for so long; empty without one.
+  [[nodiscard]] std::vector<spent_units> Used(instant aNow) const;
+
   /// The servers that the holder of the newest lease turns.
   [[nodiscard]] std::set<backend_server_id> Turning(instant aNow) const;
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -90,7 +90,7 @@
       if (aFault)
         return;
       mCore.Prune(mClock.Now());
-      mHandler(mCore.TakeReport());
+      mHandler(mCore.TakeReport(mClock.Now()));
       Tick();
     });
   }
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -113,10 +113,11 @@
 }
 
 traffic_report
-traffic_core::TakeReport()
+traffic_core::TakeReport(instant aNow)
 {
   traffic_report report = std::exchange(mReport, {});
   report.mSpent = mQuota.Spent();
+  report.mUsed = mQuota.UsedByAll(aNow);
   return report;
 }
 
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -46,7 +46,7 @@
                  std::uint64_t aVersion);
 
   /// Takes what control is to be told since the last call.
-  [[nodiscard]] traffic_report TakeReport();
+  [[nodiscard]] traffic_report TakeReport(instant aNow);
 
   /// Another server answered at its address.
   void OnAbsent(served_server& aServer);
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -15,6 +15,9 @@
 {
   /// What this instance admitted since its start.
   std::vector<spent_units> mSpent;
+  /// What all instances admitted in the quota window that ends now; empty
+  /// until this one has counted for a whole window.
+  std::vector<spent_units> mUsed;
   /// Servers lost by requests since the last report.
   std::vector<crash_count> mCrashes;
   /// Versions newer than the servers' entries say, from their answers.
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -15,6 +15,17 @@
   return static_cast<store_topic>(aValue);
 }
 
+std::vector<spent_units>
+DecodeUnits(
+  flatbuffers::Vector<flatbuffers::Offset<wire::SpentUnits>> const& aTables)
+{
+  std::vector<spent_units> units;
+  for (wire::SpentUnits const* const table : aTables)
+    units.push_back({ .mWorkspace = workspace_id{ table->workspace()->str() },
+                      .mUnits = table->units() });
+  return units;
+}
+
 }
 
 fleet_message
@@ -24,10 +35,8 @@
                        .mIsReady = aTable.ready(),
                        .mLease = aTable.lease(),
                        .mReadsStore = aTable.reads_store() };
-  for (wire::SpentUnits const* const spent : *aTable.spent())
-    report.mSpent.push_back(
-      { .mWorkspace = workspace_id{ spent->workspace()->str() },
-        .mUnits = spent->units() });
+  report.mSpent = DecodeUnits(*aTable.spent());
+  report.mUsed = DecodeUnits(*aTable.used());
   for (wire::CrashCount const* const crash : *aTable.crashes())
     report.mCrashes.push_back(
       { .mFingerprint = crash->fingerprint(), .mCount = crash->count() });
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -18,10 +18,8 @@
 
   encoded_body operator()(fleet_report const& aReport)
   {
-    std::vector<flatbuffers::Offset<wire::SpentUnits>> spent;
-    for (spent_units const& units : aReport.mSpent)
-      spent.push_back(wire::CreateSpentUnits(
-        mBuilder, Text(units.mWorkspace.Text()), units.mUnits));
+    auto const spent = Units(aReport.mSpent);
+    auto const used = Units(aReport.mUsed);
     std::vector<wire::CrashCount> crashes;
     for (crash_count const& crash : aReport.mCrashes)
       crashes.emplace_back(crash.mFingerprint, crash.mCount);
@@ -46,11 +44,12 @@
                               aReport.mIsReady,
                               aReport.mLease,
                               aReport.mReadsStore,
-                              mBuilder.CreateVector(spent),
+                              spent,
                               mBuilder.CreateVectorOfStructs(crashes),
                               mBuilder.CreateVector(weights),
                               mBuilder.CreateVector(turning),
-                              mBuilder.CreateVector(holders)));
+                              mBuilder.CreateVector(holders),
+                              used));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
@@ -74,6 +73,17 @@
     return mBuilder.CreateString(aText);
   }
 
+  flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<wire::SpentUnits>>>
+  Units(std::vector<spent_units> const& aUnits)
+  {
+    std::vector<flatbuffers::Offset<wire::SpentUnits>> tables;
+    for (spent_units const& units : aUnits)
+      tables.push_back(wire::CreateSpentUnits(
+        mBuilder, Text(units.mWorkspace.Text()), units.mUnits));
+    return mBuilder.CreateVector(tables);
+  }
+
   flatbuffers::Offset<wire::KeyedRecord> Record(keyed_record const& aRecord)
   {
     auto const key = Text(aRecord.mKey);
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -32,6 +32,9 @@
   std::vector<backend_server_id> mTurning;
   /// Prompt parts that servers read since its last report.
   std::vector<prefix_holder> mHolders;
+  /// What all instances admitted in the quota window that ends now; empty
+  /// until it has counted for a whole window.
+  std::vector<spent_units> mUsed;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2320,7 +2320,8 @@
     VT_CRASHES = 14,
     VT_WEIGHTS = 16,
     VT_TURNING = 18,
-    VT_HOLDERS = 20
+    VT_HOLDERS = 20,
+    VT_USED = 22
   };
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
@@ -2349,6 +2350,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *>(VT_HOLDERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *>(VT_USED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
@@ -2369,6 +2373,9 @@
            VerifyOffsetRequired(verifier, VT_HOLDERS) &&
            verifier.VerifyVector(holders()) &&
            verifier.VerifyVectorOfTables(holders()) &&
+           VerifyOffsetRequired(verifier, VT_USED) &&
+           verifier.VerifyVector(used()) &&
+           verifier.VerifyVectorOfTables(used()) &&
            verifier.EndTable();
   }
 };
@@ -2404,6 +2411,9 @@
   void add_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders) {
     fbb_.AddOffset(FleetReport::VT_HOLDERS, holders);
   }
+  void add_used(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used) {
+    fbb_.AddOffset(FleetReport::VT_USED, used);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2416,6 +2426,7 @@
     fbb_.Required(o, FleetReport::VT_WEIGHTS);
     fbb_.Required(o, FleetReport::VT_TURNING);
     fbb_.Required(o, FleetReport::VT_HOLDERS);
+    fbb_.Required(o, FleetReport::VT_USED);
     return o;
   }
 };
@@ -2430,9 +2441,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::CrashCount *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_lease(lease);
+  builder_.add_used(used);
   builder_.add_holders(holders);
   builder_.add_turning(turning);
   builder_.add_weights(weights);
@@ -2454,12 +2467,14 @@
     const std::vector<lycheeseam::wire::CrashCount> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr) {
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
   auto weights__ = weights ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>(*weights) : 0;
   auto turning__ = turning ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*turning) : 0;
   auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>(*holders) : 0;
+  auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       leaving,
@@ -2470,7 +2485,8 @@
       crashes__,
       weights__,
       turning__,
-      holders__);
+      holders__,
+      used__);
 }
 
 struct KeyedRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
