Tests: Check the fleet's decisions, the gateway and the platform's formats

The gateway runs against scripted servers; decoders take any bytes. Found here: a view published before the gateway's start was never applied.

--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -16,7 +16,7 @@
                            published<fleet_view> const& aPublished)
   : mOptions(aOptions)
   , mPublished(aPublished)
-  , mView(aPublished.Current())
+  , mView(std::make_shared<fleet_view const>())
   , mQuota(aOptions.mQuota)
 {
 }
--- /dev/null
+++ b/Tests/LibDispatch/TestChooseServer.cpp
@@ -0,0 +1,161 @@
+#include <LibDispatch/ChooseServer.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+
+namespace lycheeseam {
+
+namespace {
+
+using std::chrono::seconds;
+
+model_name const kModel{ "m" };
+instant const kNow = instant{} + seconds{ 100 };
+
+/// Some engines with one model each.
+class engines
+{
+public:
+  explicit engines(std::size_t aCount)
+  {
+    for (std::size_t index = 0; index < aCount; ++index) {
+      auto server = std::make_unique<served_server>();
+      server->mListed.mId = backend_server_id{ std::to_string(index) };
+      server->mListed.mSlots = 10;
+      server->mListed.mModels = { { .mModel = kModel, .mVersion = 1 } };
+      server->mSeed = (index + 1) * 0x9e3779b97f4a7c15ULL;
+      mPointers.push_back(server.get());
+      mServers.push_back(std::move(server));
+    }
+  }
+
+  served_server& operator[](std::size_t aIndex) { return *mServers[aIndex]; }
+  [[nodiscard]] std::span<served_server* const> All() const
+  {
+    return mPointers;
+  }
+
+private:
+  std::vector<std::unique_ptr<served_server>> mServers;
+  std::vector<served_server*> mPointers;
+};
+
+server_choice_request
+Request(std::uint64_t aPromptKey)
+{
+  return { .mNow = kNow, .mPromptKey = aPromptKey, .mModel = kModel };
+}
+
+TEST(TestChooseServer, EqualPromptsGoToOneServerAndAllAreUsed)
+{
+  engines some{ 6 };
+  std::map<served_server*, int> uses;
+  for (std::uint64_t key = 1; key <= 600; ++key) {
+    served_server* const first = ChooseServer(some.All(), Request(key * 977));
+    EXPECT_EQ(ChooseServer(some.All(), Request(key * 977)), first);
+    ++uses[first];
+  }
+  EXPECT_EQ(uses.size(), 6U);
+  for (auto const& [server, count] : uses)
+    EXPECT_GT(count, 50);
+}
+
+TEST(TestChooseServer, ALoadedServerPassesPromptsOn)
+{
+  engines some{ 4 };
+  served_server* const first = ChooseServer(some.All(), Request(5));
+  first->mInFlight = 9;
+  EXPECT_NE(ChooseServer(some.All(), Request(5)), first);
+}
+
+TEST(TestChooseServer, TokensCountAsLoad)
+{
+  engines some{ 2 };
+  served_server* const first = ChooseServer(some.All(), Request(5));
+  first->mMemoryTokens = 1'000;
+  first->OnStart(900);
+  EXPECT_NE(ChooseServer(some.All(), Request(5)), first);
+  first->OnEnd(900);
+  EXPECT_EQ(ChooseServer(some.All(), Request(5)), first);
+}
+
+TEST(TestChooseServer, NewestWeightsAreUsedUntilTheirServersAreBusy)
+{
+  engines some{ 4 };
+  some[2].mListed.mModels[0].mVersion = 2;
+  EXPECT_EQ(ChooseServer(some.All(), Request(1)), &some[2]);
+  some[2].mInFlight = 8;
+  EXPECT_NE(ChooseServer(some.All(), Request(1)), &some[2]);
+}
+
+// Found on scale-1: a server that came back with weights replaced long ago
+// got work at once.
+TEST(TestChooseServer, OutdatedWeightsAreNotUsed)
+{
+  engines some{ 1 };
+  named_weights const weights{
+    .mModel = kModel,
+    .mVersions = { { .mVersion = 1, .mLearnedAt = kNow - seconds{ 60 } },
+                   { .mVersion = 2, .mLearnedAt = kNow - seconds{ 7 } } }
+  };
+  server_choice_request request = Request(1);
+  request.mWeights = &weights;
+  request.mOutdatedAfter = seconds{ 6 };
+  EXPECT_EQ(ChooseServer(some.All(), request), nullptr);
+  request.mOutdatedAfter = seconds{ 8 };
+  EXPECT_EQ(ChooseServer(some.All(), request), &some[0]);
+  some[0].mListed.mModels[0].mVersion = 2;
+  request.mOutdatedAfter = seconds{ 6 };
+  EXPECT_EQ(ChooseServer(some.All(), request), &some[0]);
+}
+
+TEST(TestChooseServer, ServersThatMayTakeNoWorkAreLeftOut)
+{
+  engines some{ 4 };
+  some[0].mIsTurning = true;
+  some[1].mListed.mStage = server_stage::Leaving;
+  some[2].mBreaker.OnAbsence(kNow);
+  server_choice_request request = Request(1);
+  EXPECT_EQ(ChooseServer(some.All(), request), &some[3]);
+  request.mTried = { some[3].mListed.mId };
+  EXPECT_EQ(ChooseServer(some.All(), request), nullptr);
+}
+
+TEST(TestChooseServer, AnAbsentServerIsProbedByOneRequest)
+{
+  engines some{ 1 };
+  some[0].mBreaker.OnAbsence(kNow - seconds{ 1 });
+  EXPECT_EQ(ChooseServer(some.All(), Request(1)), &some[0]);
+  some[0].mInFlight = 1;
+  EXPECT_EQ(ChooseServer(some.All(), Request(1)), nullptr);
+}
+
+TEST(TestChooseServer, PlainWorkGoesToTheLeastLoadedNearest)
+{
+  engines some{ 3 };
+  some[0].mInFlight = 1;
+  some[2].mListed.mDomain = failure_domain{ "here" };
+  server_choice_request const request{ .mNow = kNow,
+                                       .mDomain = failure_domain{ "here" } };
+  EXPECT_EQ(ChooseServer(some.All(), request), &some[2]);
+  some[2].mInFlight = 2;
+  EXPECT_EQ(ChooseServer(some.All(), request), &some[1]);
+}
+
+TEST(TestChooseServer, ACacheSourceHasTheSameWeights)
+{
+  engines some{ 3 };
+  served_server* const first = ChooseServer(some.All(), Request(3));
+  served_server* const source =
+    ChooseCacheSource(some.All(), Request(3), *first);
+  ASSERT_NE(source, nullptr);
+  EXPECT_NE(source, first);
+  source->mListed.mModels[0].mVersion = 2;
+  EXPECT_NE(ChooseCacheSource(some.All(), Request(3), *first), source);
+}
+
+}
+
+}
--- /dev/null
+++ b/Tests/LibGateway/AnswerScript.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Answers to be given one after the other, by any thread.
+class answer_script
+{
+public:
+  explicit answer_script(std::vector<std::string> aAnswers)
+    : mAnswers(std::move(aAnswers))
+  {
+  }
+
+  /// The next answer; "close" when none is left.
+  std::string Next()
+  {
+    std::lock_guard const lock{ mMutex };
+    return mNext < mAnswers.size() ? mAnswers[mNext++] : "close";
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<std::string> mAnswers;
+  std::size_t mNext = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/LibGateway/ScriptedServer.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "AnswerScript.h"
+#include <LibCore/Endpoint.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lycheeseam {
+
+/// A backend server that answers each request with the next answer of its
+/// script, byte for byte; servers may share a script. "close" in place of an
+/// answer closes, "hang" waits for the caller to close. After an answer that
+/// ends with "\a" the connection is closed as well.
+class scripted_server
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  explicit scripted_server(std::vector<std::string> aAnswers)
+    : scripted_server(std::make_shared<answer_script>(std::move(aAnswers)))
+  {
+  }
+
+  explicit scripted_server(std::shared_ptr<answer_script> aScript)
+    : mScript(std::move(aScript))
+    , mAcceptor(mContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , mThread([this]() { Serve(); })
+  {
+  }
+  scripted_server(scripted_server const&) = delete;
+  scripted_server& operator=(scripted_server const&) = delete;
+
+  ~scripted_server()
+  {
+    mIsStopped = true;
+    // Wakes the thread out of its wait for connections.
+    tcp::socket waker{ mContext };
+    boost::system::error_code ignored;
+    waker.connect(mAcceptor.local_endpoint(), ignored);
+    mThread.join();
+    for (std::thread& thread : mConnections)
+      thread.join();
+  }
+
+  [[nodiscard]] endpoint Address() const
+  {
+    return { .mAddress = "127.0.0.1",
+             .mPort = mAcceptor.local_endpoint().port() };
+  }
+
+  /// The requests so far, head and body as they came.
+  [[nodiscard]] std::vector<std::string> Requests()
+  {
+    std::lock_guard const lock{ mMutex };
+    return mRequests;
+  }
+
+  /// How many connections their callers closed while an answer was due.
+  [[nodiscard]] int Abandoned() const { return mAbandoned; }
+
+private:
+  void Serve()
+  {
+    for (;;) {
+      tcp::socket socket{ mContext };
+      boost::system::error_code fault;
+      mAcceptor.accept(socket, fault);
+      if (mIsStopped || fault)
+        return;
+      mConnections.emplace_back(
+        [this, connection = std::move(socket)]() mutable {
+          ServeConnection(connection);
+        });
+    }
+  }
+
+  void ServeConnection(tcp::socket& aSocket)
+  {
+    std::string bytes;
+    while (ReadRequest(aSocket, bytes)) {
+      std::string answer = mScript->Next();
+      if (answer == "close")
+        return;
+      if (answer == "hang") {
+        char byte = 0;
+        boost::system::error_code fault;
+        aSocket.read_some(boost::asio::buffer(&byte, 1), fault);
+        ++mAbandoned;
+        return;
+      }
+      bool const closes = answer.ends_with('\a');
+      if (closes)
+        answer.pop_back();
+      boost::system::error_code fault;
+      boost::asio::write(aSocket, boost::asio::buffer(answer), fault);
+      if (closes || fault)
+        return;
+    }
+  }
+
+  bool ReadRequest(tcp::socket& aSocket, std::string& aBytes)
+  {
+    boost::system::error_code fault;
+    std::size_t const head = boost::asio::read_until(
+      aSocket, boost::asio::dynamic_buffer(aBytes), "\r\n\r\n", fault);
+    if (fault)
+      return false;
+    std::size_t length = 0;
+    std::size_t const at = aBytes.find("Content-Length: ");
+    if (at != std::string::npos && at < head)
+      length = std::stoul(aBytes.substr(at + 16));
+    if (aBytes.size() < head + length)
+      boost::asio::read(
+        aSocket,
+        boost::asio::dynamic_buffer(aBytes),
+        boost::asio::transfer_exactly(head + length - aBytes.size()),
+        fault);
+    if (fault)
+      return false;
+    std::lock_guard const lock{ mMutex };
+    mRequests.push_back(aBytes.substr(0, head + length));
+    aBytes.erase(0, head + length);
+    return true;
+  }
+
+  std::shared_ptr<answer_script> mScript;
+  boost::asio::io_context mContext;
+  tcp::acceptor mAcceptor;
+  std::mutex mMutex;
+  std::vector<std::string> mRequests;
+  std::atomic<bool> mIsStopped{ false };
+  std::atomic<int> mAbandoned{ 0 };
+  std::vector<std::thread> mConnections;
+  std::thread mThread;
+};
+
+}
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -106,6 +106,35 @@
   };
 }
 
+std::vector<fleet_message>
+OneOfEachFleetMessage()
+{
+  backend_server_id const server{ "s" };
+  fleet_report const report{
+    .mIsLeaving = true,
+    .mIsReady = true,
+    .mLease = 5,
+    .mReadsStore = true,
+    .mSpent = { { workspace_id{ "w" }, 1.5 } },
+    .mCrashes = { { .mFingerprint = 9, .mCount = 2 } },
+    .mWeights = { { .mServer = server,
+                    .mLife = incarnation{ 3 },
+                    .mModel = model_name{ "m" },
+                    .mVersion = 4 } },
+    .mTurning = { server },
+    .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
+    .mUsed = { { workspace_id{ "w" }, 2.5 } }
+  };
+  topic_relay const relay{ .mTopic = store_topic::Servers,
+                           .mIsWhole = true,
+                           .mFrom = 3,
+                           .mEnd = 5,
+                           .mRecords = {
+                             { .mOffset = 3, .mKey = "a", .mValue = "bytes" },
+                             { .mOffset = 4, .mKey = "b" } } };
+  return { report, fleet_report{}, relay };
+}
+
 std::vector<peer_message>
 OneOfEach()
 {
@@ -114,6 +143,8 @@
     messages.emplace_back(message);
   for (block_message const& message : OneOfEachBlockMessage())
     messages.emplace_back(message);
+  for (fleet_message const& message : OneOfEachFleetMessage())
+    messages.emplace_back(message);
   return messages;
 }
 
@@ -137,7 +168,7 @@
   std::set<std::size_t> kinds;
   for (peer_message const& message : OneOfEachLinkMessage())
     kinds.insert(message.index());
-  constexpr std::size_t kNested = 2;
+  constexpr std::size_t kNested = 3;
   EXPECT_EQ(kinds.size(), std::variant_size_v<peer_message> - kNested);
   kinds.clear();
   for (budget_message const& message : OneOfEachBudgetMessage())
@@ -147,6 +178,10 @@
   for (block_message const& message : OneOfEachBlockMessage())
     kinds.insert(message.index());
   EXPECT_EQ(kinds.size(), std::variant_size_v<block_message>);
+  kinds.clear();
+  for (fleet_message const& message : OneOfEachFleetMessage())
+    kinds.insert(message.index());
+  EXPECT_EQ(kinds.size(), std::variant_size_v<fleet_message>);
 }
 
 TEST(TestPeerCodec, AnyBytesDecodeOrAreRefused)
--- /dev/null
+++ b/Tests/Platform/TestRequestDialect.cpp
@@ -0,0 +1,121 @@
+#include <LibCore/InvalidInput.h>
+
+#include <gtest/gtest.h>
+#include <platform/RequestDialect.h>
+#include <rapidcheck.h>
+
+namespace lycheeseam::platform {
+
+namespace {
+
+request_head
+Head(std::vector<header_field> aFields)
+{
+  return { .mMethod = "POST",
+           .mTarget = "/a/b?c",
+           .mFields = std::move(aFields) };
+}
+
+TEST(TestRequestDialect, FactsAreRead)
+{
+  request_facts const facts = request_dialect::ReadFacts(
+    Head({ { "host", "h" },
+           { "Request-Id", "r" },
+           { "Deadline-Ms", "600" },
+           { "Model", "m" },
+           { "Token-Counts", "1460,80" },
+           { "Prompt-Prefix", "5c:800,91:410,e4:250" },
+           { "Last-Event-Id", "12" },
+           { "Authorization", "Bearer k" } }));
+  EXPECT_EQ(facts.mHost, "h");
+  EXPECT_EQ(facts.mPath, "/a/b");
+  EXPECT_EQ(facts.mPatience, std::chrono::milliseconds{ 600 });
+  EXPECT_EQ(facts.mPromptTokens, 1460);
+  EXPECT_EQ(facts.mMaxOutputTokens, 80);
+  EXPECT_EQ(facts.mLastEvent, 12U);
+  EXPECT_EQ(facts.mKey, "k");
+  ASSERT_NE(facts.SharedPart(), nullptr);
+  EXPECT_EQ(facts.SharedPart()->mId, "91");
+  EXPECT_EQ(facts.SharedTokens(), 1210);
+}
+
+TEST(TestRequestDialect, UnreadableNumbersAreRefused)
+{
+  for (header_field const& field :
+       std::vector<header_field>{ { "Deadline-Ms", "soon" },
+                                  { "Deadline-Ms", "-1" },
+                                  { "Token-Counts", "5" },
+                                  { "Prompt-Prefix", "abc" },
+                                  { "Prompt-Prefix", "a:1,b:x" } })
+    EXPECT_THROW(request_dialect::ReadFacts(Head({ field })), invalid_input);
+}
+
+TEST(TestRequestDialect, AnyHeadersAreReadOrRefused)
+{
+  std::vector<std::string> const names{
+    "Deadline-Ms", "Token-Counts", "Prompt-Prefix", "Last-Event-Id"
+  };
+  rc::check([&names](std::string const& aValue) {
+    for (std::string const& name : names) {
+      try {
+        request_dialect::ReadFacts(Head({ { name, aValue } }));
+      } catch (invalid_input const&) {
+      }
+    }
+  });
+}
+
+TEST(TestRequestDialect, TheRoutersOwnWordsReplaceTheCallers)
+{
+  send_terms const terms{ .mServer = backend_server_id{ "s" },
+                          .mTimeLeft = std::chrono::milliseconds{ 90 },
+                          .mWorkspace = workspace_id{ "w" },
+                          .mVersion = 3,
+                          .mCacheScope = "v3" };
+  request_head const head =
+    request_dialect::ForwardedRequest(Head({ { "X-Own", "1" },
+                                             { "X-Own", "2" },
+                                             { "Cache-Salt", "forged" },
+                                             { "Hold", "forged" },
+                                             { "Pin-Ms", "forged" },
+                                             { "Kv-Backup", "forged" },
+                                             { "Deadline-Ms", "600" },
+                                             { "Connection", "X-Hop" },
+                                             { "X-Hop", "1" } }),
+                                      terms);
+  std::string text;
+  for (header_field const& field : head.mFields)
+    text += field.mName + "=" + field.mValue + ";";
+  EXPECT_EQ(text,
+            "X-Own=1;X-Own=2;Deadline-Ms=90;Expect-Instance=s;"
+            "Request-Priority=0;Tenant=w;Expect-Version=3;Cache-Salt=v3;");
+}
+
+TEST(TestRequestDialect, AnswersAreRead)
+{
+  server_answer const answer =
+    request_dialect::ReadAnswer({ .mStatus = 200,
+                                  .mFields = { { "request-id", "r" },
+                                               { "Server-Stamp", "x" },
+                                               { "Server-Load", "3,1,8" },
+                                               { "Weight-Versions", "4" } } });
+  EXPECT_EQ(answer.mRequest, request_id{ "r" });
+  EXPECT_TRUE(answer.mIsSigned);
+  EXPECT_FALSE(answer.mIsNotRun);
+  EXPECT_EQ(answer.mVersion, 4U);
+  ASSERT_TRUE(answer.mLoad);
+  EXPECT_EQ(answer.mLoad->mWaiting, 1U);
+  EXPECT_TRUE(request_dialect::ReadAnswer({ .mStatus = 421 }).mIsMisdirected);
+}
+
+TEST(TestRequestDialect, AnyLoadIsReadOrIgnored)
+{
+  rc::check([](std::string const& aValue) {
+    request_dialect::ReadAnswer(
+      { .mStatus = 200, .mFields = { { "Server-Load", aValue } } });
+  });
+}
+
+}
+
+}
