LibFleet: Take a peer's word of the store for the store's

Also: a gap in what the reader passes on is read at once, whoever reads. Each change of a server's standing is logged.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -334,7 +334,7 @@
     }
   }
 
-  void Report(peer_news aNews)
+  void Report(peer_news const& aNews)
   {
     instant const now = mClock.Now();
     std::set<backend_server_id> const turning = mOrders.Turning();
@@ -345,10 +345,10 @@
                     .mReadsStore = mServersDuty.IsReading(now) &&
                                    mOperatorsDuty.IsReading(now),
                     .mSpent = mSpent,
-                    .mCrashes = std::move(aNews.mCrashes),
+                    .mCrashes = aNews.mCrashes,
                     .mWeights = std::exchange(mSeen, {}),
                     .mTurning = { turning.begin(), turning.end() },
-                    .mHolders = std::move(aNews.mHolders),
+                    .mHolders = aNews.mHolders,
                     .mUsed = mUsed } });
   }
 
@@ -370,22 +370,42 @@
   void OnServers(std::vector<keyed_record> const& aNews)
   {
     instant const now = mClock.Now();
-    if (!mIsTakingRelay)
-      mRegister.OnStoreAnswer(now);
+    // Also by a peer's word: what the store says counts, whoever reads it.
+    mRegister.OnStoreAnswer(now);
     for (keyed_record const& record : aNews) {
       if (record.mValue)
         TakeServer(record);
       else
-        mRegister.OnDropped(now, backend_server_id{ record.mKey });
+        OnServerDropped(now, record);
     }
     if (!aNews.empty())
       Publish();
   }
 
+  void OnServerDropped(instant aNow, keyed_record const& aRecord)
+  {
+    mRegister.OnDropped(aNow, backend_server_id{ aRecord.mKey });
+    LogServer(aRecord, "dropped");
+  }
+
+  void LogServer(keyed_record const& aRecord, std::string_view aState) const
+  {
+    LogEvent(
+      "server",
+      { { "server", aRecord.mKey },
+        { "state", std::string{ aState } },
+        { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
+        { "told_by", std::string{ mIsTakingRelay ? "peer" : "store" } } });
+  }
+
   void TakeServer(keyed_record const& aRecord)
   {
     try {
-      mRegister.OnEntry(Dialect::ReadServer(aRecord.mKey, *aRecord.mValue));
+      listed_server const server =
+        Dialect::ReadServer(aRecord.mKey, *aRecord.mValue);
+      if (mRegister.OnEntry(server))
+        LogServer(aRecord,
+                  server.mStage == server_stage::Ready ? "ready" : "leaving");
     } catch (invalid_input const& fault) {
       // Another writer's entry names no server to use.
       LogEvent("entry_ignored",
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -14,20 +14,23 @@
 
 }
 
-void
+bool
 server_register::OnEntry(listed_server aServer)
 {
   entry& known = mEntries[aServer.mId];
   // A late word of an earlier life says nothing of this one.
   if (aServer.mLife < known.mServer.mLife)
-    return;
+    return false;
   if (aServer.mLife == known.mServer.mLife) {
     for (loaded_model& model : aServer.mModels)
       model.mVersion =
         std::max(model.mVersion, known.mServer.VersionOf(model.mModel));
   }
+  bool const isNews = aServer.mLife != known.mServer.mLife ||
+                      aServer.mStage != known.mServer.mStage;
   known.mServer = std::move(aServer);
   known.mGoneAt.reset();
+  return isNews;
 }
 
 void
--- a/Libraries/LibFleet/ServerRegister.h
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -17,8 +17,8 @@
 class server_register
 {
 public:
-  /// A server wrote its entry.
-  void OnEntry(listed_server aServer);
+  /// A server wrote its entry; true when it is new, or says that it leaves.
+  bool OnEntry(listed_server aServer);
 
   /// A server's entry was dropped.
   void OnDropped(instant aNow, backend_server_id const& aServer);
--- a/Libraries/LibFleet/StoreDuty.cpp
+++ b/Libraries/LibFleet/StoreDuty.cpp
@@ -12,7 +12,7 @@
 bool
 store_duty::IsDue(instant aNow, bool aHasReader) const
 {
-  return !aHasReader && aNow >= mNextAt;
+  return mIsWanted || (!aHasReader && aNow >= mNextAt);
 }
 
 bool
--- a/Libraries/LibFleet/StoreDuty.h
+++ b/Libraries/LibFleet/StoreDuty.h
@@ -17,10 +17,15 @@
   /// True when a read is due.
   [[nodiscard]] bool IsDue(instant aNow, bool aHasReader) const;
 
-  /// Reads at the next look, as after a gap in what others passed on.
-  void ReadSoon() { mNextAt = {}; }
+  /// Reads at the next look whoever else reads, as after a gap in what others
+  /// passed on.
+  void ReadSoon() { mIsWanted = true; }
 
-  void OnStart(instant aNow) { mNextAt = aNow + kInterval; }
+  void OnStart(instant aNow)
+  {
+    mNextAt = aNow + kInterval;
+    mIsWanted = false;
+  }
 
   /// True while this instance's own reads are answered.
   [[nodiscard]] bool IsReading(instant aNow) const;
@@ -34,6 +39,7 @@
 
   instant mNextAt{};
   instant mAnsweredAt{};
+  bool mIsWanted = false;
 };
 
 }
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -53,21 +53,20 @@
   void SendPiece(std::string_view aPiece)
   {
     if (mFraming == body_framing::Sized)
-      return Write(std::string{ aPiece });
+      return Write(aPiece);
     std::string chunk = FormatChunkLine(aPiece.size());
     chunk += aPiece;
     chunk += "\r\n";
-    Write(std::move(chunk));
+    Write(chunk);
   }
 
   void SendEnd()
   {
     mIsAnswered = true;
-    Write(mFraming == body_framing::Chunked ? std::string{ kLastChunk }
-                                            : std::string{});
+    Write(mFraming == body_framing::Chunked ? kLastChunk : std::string_view{});
   }
 
-  void SendWhole(answer_head aHead, std::string aBody)
+  void SendWhole(answer_head aHead, std::string_view aBody)
   {
     // The answer to HEAD tells the length of a body that it doesn't have.
     if (!aHead.mLength || !mIsHeadRequest)
@@ -76,7 +75,7 @@
       FormatAnswerHead(OwnFraming(aHead, body_framing::Sized));
     bytes += aBody;
     mIsAnswered = true;
-    Write(std::move(bytes));
+    Write(bytes);
   }
 
   /// Ends the connection so that the answer doesn't look complete.
@@ -262,7 +261,7 @@
     return own;
   }
 
-  void Write(std::string aBytes)
+  void Write(std::string_view aBytes)
   {
     if (mIsClosed)
       return;
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -429,7 +429,7 @@
     LogAnswer();
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     if (mIsWhole)
-      return caller->SendWhole(mAnswerHead, std::move(mWhole));
+      return caller->SendWhole(mAnswerHead, mWhole);
     if (!mEvents.IsAtEventEnd())
       caller->SendPiece(mEvents.TakeRest());
     caller->SendEnd();
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -31,6 +31,7 @@
                                                 Text(seen.mModel.Text()),
                                                 seen.mVersion));
     std::vector<flatbuffers::Offset<flatbuffers::String>> turning;
+    turning.reserve(aReport.mTurning.size());
     for (backend_server_id const& server : aReport.mTurning)
       turning.push_back(Text(server.Text()));
     std::vector<flatbuffers::Offset<wire::PrefixHolder>> holders;
@@ -78,6 +79,7 @@
   Units(std::vector<spent_units> const& aUnits)
   {
     std::vector<flatbuffers::Offset<wire::SpentUnits>> tables;
+    tables.reserve(aUnits.size());
     for (spent_units const& units : aUnits)
       tables.push_back(wire::CreateSpentUnits(
         mBuilder, Text(units.mWorkspace.Text()), units.mUnits));
--- a/Tests/LibFleet/TestPeerBook.cpp
+++ b/Tests/LibFleet/TestPeerBook.cpp
@@ -127,8 +127,11 @@
   duty.OnRead(kNow, true);
   EXPECT_TRUE(duty.IsReading(kNow));
   EXPECT_FALSE(duty.IsReading(kNow + seconds{ 2 }));
+  // Found in a hunt: a gap in what the reader passed on stayed for 3 s.
   duty.ReadSoon();
-  EXPECT_TRUE(duty.IsDue(kNow, false));
+  EXPECT_TRUE(duty.IsDue(kNow, true));
+  duty.OnStart(kNow);
+  EXPECT_FALSE(duty.IsDue(kNow, true));
 }
 
 }
