--- a/Libraries/LibFleet/TurnoverTiming.h
+++ b/Libraries/LibFleet/TurnoverTiming.h
@@ -14,9 +14,9 @@
   duration mNotice = std::chrono::milliseconds{ 60 };
   /// The part of a pool that may turn while few servers have the newest
   /// weights.
-  double mFirstPart = 0.5;
+  double mFirstPart = 0.25;
   /// The part of a pool that may turn once as many have them.
-  double mLaterPart = 0.67;
+  double mLaterPart = 0.34;
   /// From an order to the first question for the server's state: an engine
   /// loads no faster.
   duration mFirstQuestion = std::chrono::milliseconds{ 450 };
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -43,4 +43,4 @@
 [ ${#sources[@]} -gt 0 ] || exit 0
 echo "lint: ${#sources[@]} sources"
 printf '%s\0' "${sources[@]}" |
-  xargs -0 -n 1 -P "$jobs" clang-tidy --quiet -p "$build_directory" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+  xargs -0 -n 1 -P "$jobs" Meta/lint-source.sh "$build_directory" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
