--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -76,6 +76,7 @@
     mHub.Listen(mOptions.mSelf.mPeers);
     mHub.Start();
     Register();
+    ReadUsage();
     Tick();
   }
 
@@ -134,6 +135,11 @@
   static constexpr std::chrono::seconds kInstancesInterval{ 20 };
   static constexpr std::chrono::milliseconds kRegisterPause{ 700 };
   static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
+  static constexpr std::chrono::milliseconds kUsageInterval{ 1'000 };
+  // A process starts again within some seconds; clocks may differ by as much.
+  static constexpr std::chrono::milliseconds kUsageLifetime{ 8'000 };
+  // Between two writes more than the rate may be admitted, out of the burst.
+  static constexpr double kUsageMarginSeconds = 3;
   static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
 
   static peer_hub_options HubOptions()
@@ -195,6 +201,7 @@
     }
     ReadStore(now);
     RefreshTopics(now);
+    WriteUsage(now);
     mPeers.Prune(now);
     bool const areServersGone = mRegister.Expire(now);
     std::vector<listed_server> const servers = mRegister.Servers();
@@ -211,6 +218,72 @@
     });
   }
 
+  static std::chrono::milliseconds TimeOfDay()
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  }
+
+  // When all instances are killed at once, this is all that is known.
+  void ReadUsage()
+  {
+    mClient.Call({ .mTo = mOptions.mStore,
+                   .mHead = Dialect::NewestRequest(store_topic::Usage, {}),
+                   .mTimeout = kStoreTimeout },
+                 [this](http_exchange_result const& aResult) {
+                   try {
+                     for (keyed_record const& record :
+                          Dialect::ReadNewest(aResult.mBody).mRecords) {
+                       quota_usage usage = Dialect::ReadUsage(
+                         record.mValue.value_or(std::string{}));
+                       auto const age = TimeOfDay() - usage.mWrittenAt;
+                       if (age < kUsageLifetime && age > -kUsageLifetime)
+                         mStoredUsage = std::move(usage.mUsed);
+                     }
+                   } catch (invalid_input const&) {
+                     // None was written yet, or the store is out: the limit
+                     // counts as used up, which is what a starting instance
+                     // assumes.
+                     return;
+                   }
+                   Publish();
+                 });
+  }
+
+  void WriteUsage(instant aNow)
+  {
+    bool const isReader =
+      mServersDuty.IsReading(aNow) && !mPeers.HasReader(aNow);
+    if (aNow < mUsageDue || mUsed.empty() || !isReader)
+      return;
+    mUsageDue = aNow + kUsageInterval;
+    quota_usage const usage{ .mWrittenAt = TimeOfDay(), .mUsed = mUsed };
+    keyed_record const record{ .mKey = "quota",
+                               .mValue = Dialect::FormatUsage(usage) };
+    mClient.Call(
+      { .mTo = mOptions.mStore,
+        .mHead = Dialect::AppendRequest(store_topic::Usage, std::nullopt),
+        .mBody = Dialect::FormatRecord(record),
+        .mTimeout = kStoreTimeout },
+      // A lost record only makes the next start more careful.
+      [](http_exchange_result const&) {});
+  }
+
+  // What the store told, and what may have been admitted since it was written.
+  [[nodiscard]] std::vector<spent_units> StoredUsage() const
+  {
+    std::vector<spent_units> used = mStoredUsage;
+    if (used.empty() || !mView.mConfig)
+      return {};
+    for (spent_units& units : used) {
+      for (dispatch_workspace const& row : mView.mConfig->Workspaces()) {
+        if (row.mName == units.mWorkspace)
+          units.mUnits += kUsageMarginSeconds * row.mRate;
+      }
+    }
+    return used;
+  }
+
   void ReadStore(instant aNow)
   {
     bool const hasReader = mPeers.HasReader(aNow);
@@ -488,6 +561,8 @@
     mView.mSilentInstances = mPeers.Silent(now);
     mView.mSpentElsewhere = mPeers.Spent();
     mView.mUsedElsewhere = mPeers.Used(now);
+    if (mView.mUsedElsewhere.empty())
+      mView.mUsedElsewhere = StoredUsage();
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
   }
 
@@ -510,10 +585,13 @@
   fleet_view mView;
   std::vector<spent_units> mSpent;
   std::vector<spent_units> mUsed;
+  /// What the store told at the start.
+  std::vector<spent_units> mStoredUsage;
   /// Seen weights that peers haven't been told of.
   std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
   instant mRefreshDue{};
+  instant mUsageDue{};
   instant mInstancesDue{ instant::max() };
   std::optional<instant> mRegisterDue;
   bool mIsRegistered = false;
--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -4,6 +4,7 @@
 #include <LibFleet/EngineReport.h>
 #include <LibFleet/OperatorRecord.h>
 #include <LibFleet/OrderAnswer.h>
+#include <LibFleet/QuotaUsage.h>
 #include <LibFleet/StoreAppendResult.h>
 #include <LibFleet/WeightsOrder.h>
 #include <LibHttp/HttpExchangeResult.h>
@@ -32,6 +33,7 @@
                                  weights_order const& aOrder,
                                  backend_server_id const& aServer,
                                  peer_hello const& aInstance,
+                                 quota_usage const& aUsage,
                                  http_exchange_result const& aResult)
 {
   // The newest record of each key behind a key.
@@ -71,6 +73,13 @@
   {
     Dialect::ReadInstance(aText, aText)
     } -> std::same_as<peer_hello>;
+  // What was admitted lately.
+  {
+    Dialect::FormatUsage(aUsage)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadUsage(aText)
+    } -> std::same_as<quota_usage>;
   // Orders to engines, and their state.
   {
     Dialect::OrderRequest(aOrder)
--- /dev/null
+++ b/Libraries/LibFleet/QuotaUsage.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibDispatch/SpentUnits.h>
+
+#include <chrono>
+#include <vector>
+
+namespace lycheeseam {
+
+/// What all instances admitted in a quota window, as it lies in the store for
+/// the case that all of them start anew.
+struct quota_usage
+{
+  /// The time of day at the window's end, by the clock of who wrote it.
+  std::chrono::milliseconds mWrittenAt{};
+  std::vector<spent_units> mUsed;
+};
+
+}
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -10,7 +10,7 @@
 store_topic
 DecodeTopic(std::uint8_t aValue)
 {
-  if (aValue > static_cast<std::uint8_t>(store_topic::Leases))
+  if (aValue > static_cast<std::uint8_t>(store_topic::Usage))
     throw invalid_input("a relay's topic is unknown");
   return static_cast<store_topic>(aValue);
 }
--- a/Libraries/LibStore/StoreTopic.h
+++ b/Libraries/LibStore/StoreTopic.h
@@ -13,6 +13,8 @@
   Instances,
   /// Who may give orders to engines.
   Leases,
+  /// What was admitted lately, for instances that start anew.
+  Usage,
 };
 
 }
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -187,6 +187,17 @@
   EXPECT_EQ(store_dialect::ReadAppend(result).mOffset, 840U);
 }
 
+TEST(TestStoreDialect, UsageComesBackAsItWasWritten)
+{
+  quota_usage const usage = store_dialect::ReadUsage(
+    store_dialect::FormatUsage({ .mWrittenAt = std::chrono::milliseconds{ 7 },
+                                 .mUsed = { { workspace_id{ "w" }, 1.5 } } }));
+  EXPECT_EQ(usage.mWrittenAt, std::chrono::milliseconds{ 7 });
+  ASSERT_EQ(usage.mUsed.size(), 1U);
+  EXPECT_EQ(usage.mUsed[0].mUnits, 1.5);
+  EXPECT_THROW(store_dialect::ReadUsage("{}"), invalid_input);
+}
+
 TEST(TestStoreDialect, OrdersBearTheirFenceAndCount)
 {
   weights_order const order{ .mServer = backend_server_id{ "i-1" },
