LibFleet: Count no admissions from before the first report

A test held the wrong count (what a peer reports first): it now starts from the peer's zero, and a case stands for the finding.

--- a/Libraries/LibFleet/PeerBook.cpp
+++ b/Libraries/LibFleet/PeerBook.cpp
@@ -65,11 +65,13 @@
   if (found == mPeers.end() || found->second.mHello.mLife != aPeer)
     return;
   peer& known = found->second;
-  bool const wasSilent =
-    known.mReportedAt && aNow - *known.mReportedAt > kSilence;
+  // What it admitted before this instance first heard of it lies in the window
+  // that it tells of, or long ago.
+  bool const isCounted =
+    known.mReportedAt && aNow - *known.mReportedAt <= kSilence;
   for (spent_units const& spent : aReport.mSpent) {
     double& before = known.mSpent[spent.mWorkspace];
-    if (!wasSilent)
+    if (isCounted)
       mSpent[spent.mWorkspace] += std::max(0.0, spent.mUnits - before);
     before = spent.mUnits;
   }
--- a/Tests/LibFleet/TestPeerBook.cpp
+++ b/Tests/LibFleet/TestPeerBook.cpp
@@ -65,19 +65,33 @@
 {
   peer_book book{ instance_id{ "m" } };
   book.OnUp(kNow, Hello("a", 1));
-  book.OnReport(kNow, Hello("a", 1).mLife, Spent(10));
+  book.OnReport(kNow, Hello("a", 1).mLife, Spent(0));
   book.OnReport(kNow + milliseconds{ 200 }, Hello("a", 1).mLife, Spent(15));
   EXPECT_EQ(SpentOf(book), 15);
   book.OnUp(kNow + milliseconds{ 300 }, Hello("a", 2));
-  book.OnReport(kNow + milliseconds{ 400 }, Hello("a", 2).mLife, Spent(5));
+  book.OnReport(kNow + milliseconds{ 400 }, Hello("a", 2).mLife, Spent(0));
+  book.OnReport(kNow + milliseconds{ 600 }, Hello("a", 2).mLife, Spent(5));
   EXPECT_EQ(SpentOf(book), 20);
 }
 
+// Found in an incident: a new instance took all that the others had ever
+// admitted for admitted just now, and refused for a whole window.
+TEST(TestPeerBook, WhatWasAdmittedBeforeTheFirstReportIsNotCounted)
+{
+  peer_book book{ instance_id{ "m" } };
+  book.OnUp(kNow, Hello("a"));
+  book.OnReport(kNow, Hello("a").mLife, Spent(1'000'000));
+  EXPECT_EQ(SpentOf(book), 0);
+  book.OnReport(kNow + milliseconds{ 200 }, Hello("a").mLife, Spent(1'000'007));
+  EXPECT_EQ(SpentOf(book), 7);
+}
+
 TEST(TestPeerBook, WhatASilentPeerSpentWasItsShare)
 {
   peer_book book{ instance_id{ "m" } };
   book.OnUp(kNow, Hello("a"));
-  book.OnReport(kNow, Hello("a").mLife, Spent(10));
+  book.OnReport(kNow, Hello("a").mLife, Spent(0));
+  book.OnReport(kNow + milliseconds{ 200 }, Hello("a").mLife, Spent(10));
   book.OnReport(kNow + seconds{ 5 }, Hello("a").mLife, Spent(90));
   EXPECT_EQ(SpentOf(book), 10);
   book.OnReport(
