--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -102,13 +102,17 @@
 
   void OnPeerUp(peer_hello const& aHello)
   {
+    LogEvent("peer_up", { { "peer", aHello.mLife.mInstance.Text() } });
     mPeers.OnUp(mClock.Now(), aHello);
     mHub.SetWanted(mPeers.Contacts());
     Report({});
   }
 
-  void OnPeerDown(instance_life const& aPeer, link_close_reason)
+  void OnPeerDown(instance_life const& aPeer, link_close_reason aReason)
   {
+    LogEvent("peer_down",
+             { { "peer", aPeer.mInstance.Text() },
+               { "reason", static_cast<std::int64_t>(aReason) } });
     mPeers.OnDown(mClock.Now(), aPeer);
     Publish();
   }
@@ -308,17 +312,24 @@
     mOperators.Refresh();
   }
 
+  void NoteStore(bool aAnswers)
+  {
+    if (std::exchange(mIsStoreAnswering, aAnswers) != aAnswers)
+      LogEvent(aAnswers ? "store_back" : "store_lost", {});
+  }
+
   void Read(reader& aReader, store_duty& aDuty)
   {
     if (aReader.IsReading())
       return;
     aDuty.OnStart(mClock.Now());
     aReader.Read([this, &aReader, &aDuty](store_read_status aStatus) {
+      NoteStore(aStatus != store_read_status::Failed);
       aDuty.OnRead(mClock.Now(), aStatus != store_read_status::Failed);
       if (aStatus == store_read_status::Expired)
         aDuty.ReadSoon();
       if (aStatus == store_read_status::Failed && &aReader == &mServers)
-        mRegister.OnStoreFailure(mClock.Now());
+        mRegister.OnStoreFailure();
     });
   }
 
@@ -595,6 +606,7 @@
   instant mInstancesDue{ instant::max() };
   std::optional<instant> mRegisterDue;
   bool mIsRegistered = false;
+  bool mIsStoreAnswering = true;
   bool mIsTakingRelay = false;
   bool mIsLeaving = false;
 };
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -61,7 +61,7 @@
 }
 
 void
-server_register::OnStoreFailure(instant /*aNow*/)
+server_register::OnStoreFailure()
 {
   mIsStoreAway = true;
 }
--- a/Libraries/LibFleet/ServerRegister.h
+++ b/Libraries/LibFleet/ServerRegister.h
@@ -28,7 +28,7 @@
   bool OnAbsent(server_life const& aGone);
 
   /// The store failed to answer.
-  void OnStoreFailure(instant aNow);
+  void OnStoreFailure();
 
   /// The store answered.
   void OnStoreAnswer(instant aNow);
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -318,6 +318,7 @@
 
   void OnNotRun()
   {
+    LogAttemptEnd("not_run");
     EndAttempt();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
@@ -329,10 +330,8 @@
     instant const now = mClock.Now();
     mServer->mBreaker.OnAbsence(now);
     mCore.Channels().Forget(mServer->mListed.mId);
-    LogEvent("server_unreachable",
-             { { "request", mFacts.mId.Text() },
-               { "server", mServer->mListed.mId.Text() },
-               { "refused", std::int64_t{ aEnd == exchange_end::Refused } } });
+    LogAttemptEnd(aEnd == exchange_end::Refused ? "connection_refused"
+                                                : "not_connected");
     EndAttempt();
     if (mSends >= mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
@@ -352,6 +351,7 @@
     mCore.Channels().Forget(mServer->mListed.mId);
     mCore.OnCrash(now, mFingerprint);
     mMayHaveRun = true;
+    LogAttemptEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
     bool const mayTry = CanGoOn() && MayTryElsewhere();
     EndAttempt();
     mWhole.clear();
@@ -366,6 +366,7 @@
   /// The server's own failure: it has run.
   void OnFailed()
   {
+    LogAttemptEnd("failed");
     mMayHaveRun = true;
     EndAttempt();
     if (!MayTryElsewhere())
@@ -435,6 +436,19 @@
     caller->SendEnd();
   }
 
+  // One line for each attempt that the caller's answer didn't come from.
+  void LogAttemptEnd(std::string_view aCause) const
+  {
+    LogEvent("attempt_ended",
+             { { "request", mFacts.mId.Text() },
+               { "server", mServer->mListed.mId.Text() },
+               { "cause", std::string{ aCause } },
+               { "sends", std::int64_t{ mSends } },
+               { "may_repeat", std::int64_t{ mRoute->MayRepeat() } },
+               { "config", static_cast<std::int64_t>(mConfig->Version()) },
+               { "since_ms", Milliseconds(mClock.Now() - mStartedAt) } });
+  }
+
   void LogAnswer() const
   {
     LogEvent(
@@ -446,7 +460,9 @@
         { "sends", std::int64_t{ mSends } },
         { "pressure", mPressure },
         { "fetched_from", mFetchFrom ? mFetchFrom->Text() : std::string{} },
-        { "first_ms", Milliseconds(mFirstAt - mStartedAt) },
+        { "first_ms",
+          Milliseconds((mFirstAt == instant{} ? mClock.Now() : mFirstAt) -
+                       mStartedAt) },
         { "all_ms", Milliseconds(mClock.Now() - mStartedAt) } });
   }
 
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -139,10 +139,4 @@
     ->Start();
 }
 
-void
-http_client::Forget(endpoint const& aAddress)
-{
-  mIdle.erase(aAddress);
-}
-
 }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -26,9 +26,6 @@
   /// Makes a call; the handler runs once, on the context's thread.
   void Call(http_exchange_call aCall, handler aHandler);
 
-  /// Closes the connections that are kept to an address.
-  void Forget(endpoint const& aAddress);
-
 private:
   class transfer;
   friend class transfer;
--- a/Tests/LibFleet/TestServerRegister.cpp
+++ b/Tests/LibFleet/TestServerRegister.cpp
@@ -34,7 +34,7 @@
 {
   server_register known;
   known.OnEntry(Entry(1));
-  known.OnStoreFailure(kNow);
+  known.OnStoreFailure();
   known.OnStoreAnswer(kNow + seconds{ 4 });
   known.OnDropped(kNow + seconds{ 4 }, kServer);
   EXPECT_EQ(known.Servers().size(), 1U);
@@ -48,7 +48,7 @@
 {
   server_register known;
   known.OnEntry(Entry(1));
-  known.OnStoreFailure(kNow);
+  known.OnStoreFailure();
   known.OnStoreAnswer(kNow + seconds{ 4 });
   known.OnDropped(kNow + seconds{ 4 }, kServer);
   EXPECT_TRUE(known.Expire(kNow + seconds{ 4 } + milliseconds{ 2'300 }));
