--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -5,11 +5,13 @@
 #include <LibDispatch/FleetView.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/FleetOptions.h>
+#include <LibFleet/OperatorState.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/PeerBook.h>
 #include <LibFleet/ServerRegister.h>
 #include <LibFleet/StoreDuty.h>
 #include <LibFleet/TopicReader.h>
+#include <LibFleet/UsageKeeper.h>
 #include <LibGateway/PeerNews.h>
 #include <LibGateway/TrafficReport.h>
 #include <LibMembership/QuietLinkSupervisor.h>
@@ -48,6 +50,7 @@
     , mOperators(MakeReader(store_topic::Operators))
     , mServers(MakeReader(store_topic::Servers))
     , mInstances(MakeReader(store_topic::Instances))
+    , mUsage(mClient, mOptions.mStore)
     , mPeers(mOptions.mSelf.mLife.mInstance)
     , mOrders(
         mClient,
@@ -76,7 +79,7 @@
     mHub.Listen(mOptions.mSelf.mPeers);
     mHub.Start();
     Register();
-    ReadUsage();
+    mUsage.Read([this]() { Publish(); });
     Tick();
   }
 
@@ -131,19 +134,11 @@
   using reader = topic_reader<Dialect>;
 
   static constexpr std::chrono::milliseconds kTick{ 50 };
-  // Servers are brought to the newest version within some seconds, so older
-  // ones than these have no server left.
-  static constexpr std::size_t kKeptVersions = 16;
   // Instances register once; the topic is read again only to find those that
   // couldn't be reached at first.
   static constexpr std::chrono::seconds kInstancesInterval{ 20 };
   static constexpr std::chrono::milliseconds kRegisterPause{ 700 };
   static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
-  static constexpr std::chrono::milliseconds kUsageInterval{ 1'000 };
-  // A process starts again within some seconds; clocks may differ by as much.
-  static constexpr std::chrono::milliseconds kUsageLifetime{ 8'000 };
-  // Between two writes more than the rate may be admitted, out of the burst.
-  static constexpr double kUsageMarginSeconds = 3;
   static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
 
   static peer_hub_options HubOptions()
@@ -205,12 +200,15 @@
     }
     ReadStore(now);
     RefreshTopics(now);
-    WriteUsage(now);
+    if (IsReader(now))
+      mUsage.Write(now, mUsed);
     mPeers.Prune(now);
     bool const areServersGone = mRegister.Expire(now);
     std::vector<listed_server> const servers = mRegister.Servers();
-    bool const haveTurnsChanged = mOrders.Tick(
-      servers, mView.mWeights, mPeers.Rank(now), mPeers.NewestLease(now));
+    bool const haveTurnsChanged = mOrders.Tick(servers,
+                                               mOperatorWords.Weights(),
+                                               mPeers.Rank(now),
+                                               mPeers.NewestLease(now));
     if (haveTurnsChanged)
       Report({});
     if (areServersGone || haveTurnsChanged)
@@ -222,70 +220,10 @@
     });
   }
 
-  static std::chrono::milliseconds TimeOfDay()
+  // True while this instance reads the store for the others.
+  [[nodiscard]] bool IsReader(instant aNow) const
   {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  }
-
-  // When all instances are killed at once, this is all that is known.
-  void ReadUsage()
-  {
-    mClient.Call({ .mTo = mOptions.mStore,
-                   .mHead = Dialect::NewestRequest(store_topic::Usage, {}),
-                   .mTimeout = kStoreTimeout },
-                 [this](http_exchange_result const& aResult) {
-                   try {
-                     for (keyed_record const& record :
-                          Dialect::ReadNewest(aResult.mBody).mRecords) {
-                       quota_usage usage = Dialect::ReadUsage(
-                         record.mValue.value_or(std::string{}));
-                       auto const age = TimeOfDay() - usage.mWrittenAt;
-                       if (age < kUsageLifetime && age > -kUsageLifetime)
-                         mStoredUsage = std::move(usage.mUsed);
-                     }
-                   } catch (invalid_input const&) {
-                     // None was written yet, or the store is out: the limit
-                     // counts as used up, which is what a starting instance
-                     // assumes.
-                     return;
-                   }
-                   Publish();
-                 });
-  }
-
-  void WriteUsage(instant aNow)
-  {
-    bool const isReader =
-      mServersDuty.IsReading(aNow) && !mPeers.HasReader(aNow);
-    if (aNow < mUsageDue || mUsed.empty() || !isReader)
-      return;
-    mUsageDue = aNow + kUsageInterval;
-    quota_usage const usage{ .mWrittenAt = TimeOfDay(), .mUsed = mUsed };
-    keyed_record const record{ .mKey = "quota",
-                               .mValue = Dialect::FormatUsage(usage) };
-    mClient.Call(
-      { .mTo = mOptions.mStore,
-        .mHead = Dialect::AppendRequest(store_topic::Usage, std::nullopt),
-        .mBody = Dialect::FormatRecord(record),
-        .mTimeout = kStoreTimeout },
-      // A lost record only makes the next start more careful.
-      [](http_exchange_result const&) {});
-  }
-
-  // What the store told, and what may have been admitted since it was written.
-  [[nodiscard]] std::vector<spent_units> StoredUsage() const
-  {
-    std::vector<spent_units> used = mStoredUsage;
-    if (used.empty() || !mView.mConfig)
-      return {};
-    for (spent_units& units : used) {
-      for (dispatch_workspace const& row : mView.mConfig->Workspaces()) {
-        if (row.mName == units.mWorkspace)
-          units.mUnits += kUsageMarginSeconds * row.mRate;
-      }
-    }
-    return used;
+    return mServersDuty.IsReading(aNow) && !mPeers.HasReader(aNow);
   }
 
   void ReadStore(instant aNow)
@@ -422,18 +360,18 @@
   {
     instant const now = mClock.Now();
     std::set<backend_server_id> const turning = mOrders.Turning();
-    mHub.Broadcast(fleet_message{
-      fleet_report{ .mIsLeaving = mIsLeaving,
-                    .mIsReady = mView.mConfig != nullptr && !mIsLeaving,
-                    .mLease = mOrders.Lease(),
-                    .mReadsStore = mServersDuty.IsReading(now) &&
-                                   mOperatorsDuty.IsReading(now),
-                    .mSpent = mSpent,
-                    .mCrashes = aNews.mCrashes,
-                    .mWeights = std::exchange(mSeen, {}),
-                    .mTurning = { turning.begin(), turning.end() },
-                    .mHolders = aNews.mHolders,
-                    .mUsed = mUsed } });
+    mHub.Broadcast(fleet_message{ fleet_report{
+      .mIsLeaving = mIsLeaving,
+      .mIsReady = mOperatorWords.Config() != nullptr && !mIsLeaving,
+      .mLease = mOrders.Lease(),
+      .mReadsStore =
+        mServersDuty.IsReading(now) && mOperatorsDuty.IsReading(now),
+      .mSpent = mSpent,
+      .mCrashes = aNews.mCrashes,
+      .mWeights = std::exchange(mSeen, {}),
+      .mTurning = { turning.begin(), turning.end() },
+      .mHolders = aNews.mHolders,
+      .mUsed = mUsed } });
   }
 
   void OnInstances(topic_page const& aPage)
@@ -522,44 +460,31 @@
     if (auto const* const config =
           std::get_if<std::shared_ptr<dispatch_config const>>(&read))
       TakeConfig(*config);
-    if (auto const* const weights = std::get_if<loaded_model>(&read))
-      TakeWeights(*weights);
+    if (auto const* const named = std::get_if<loaded_model>(&read))
+      TakeWeights(*named);
   }
 
   void TakeConfig(std::shared_ptr<dispatch_config const> const& aConfig)
   {
-    if (mView.mConfig && mView.mConfig->Version() >= aConfig->Version())
-      return;
-    mView.mConfig = aConfig;
-    LogEvent("config_in_force",
-             { { "version", static_cast<std::int64_t>(aConfig->Version()) } });
+    if (mOperatorWords.Take(aConfig))
+      LogEvent(
+        "config_in_force",
+        { { "version", static_cast<std::int64_t>(aConfig->Version()) } });
   }
 
   void TakeWeights(loaded_model const& aNamed)
   {
-    auto const isModel = [&aNamed](named_weights const& aKnown) {
-      return aKnown.mModel == aNamed.mModel;
-    };
-    auto const found =
-      std::find_if(mView.mWeights.begin(), mView.mWeights.end(), isModel);
-    named_weights& known =
-      found != mView.mWeights.end()
-        ? *found
-        : mView.mWeights.emplace_back(named_weights{ .mModel = aNamed.mModel });
-    if (aNamed.mVersion <= known.Newest())
-      return;
-    known.mVersions.push_back(
-      { .mVersion = aNamed.mVersion, .mLearnedAt = mClock.Now() });
-    if (known.mVersions.size() > kKeptVersions)
-      known.mVersions.erase(known.mVersions.begin());
-    LogEvent("weights_named",
-             { { "model", aNamed.mModel.Text() },
-               { "version", static_cast<std::int64_t>(aNamed.mVersion) } });
+    if (mOperatorWords.Take(mClock.Now(), aNamed))
+      LogEvent("weights_named",
+               { { "model", aNamed.mModel.Text() },
+                 { "version", static_cast<std::int64_t>(aNamed.mVersion) } });
   }
 
   void Publish()
   {
     instant const now = mClock.Now();
+    mView.mConfig = mOperatorWords.Config();
+    mView.mWeights = mOperatorWords.Weights();
     mView.mServers = mRegister.Servers();
     mView.mTurning = mOrders.Turning();
     mView.mTurning.merge(mPeers.Turning(now));
@@ -572,8 +497,8 @@
     mView.mSilentInstances = mPeers.Silent(now);
     mView.mSpentElsewhere = mPeers.Spent();
     mView.mUsedElsewhere = mPeers.Used(now);
-    if (mView.mUsedElsewhere.empty())
-      mView.mUsedElsewhere = StoredUsage();
+    if (mView.mUsedElsewhere.empty() && mView.mConfig)
+      mView.mUsedElsewhere = mUsage.Stored(*mView.mConfig);
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
   }
 
@@ -587,6 +512,8 @@
   reader mInstances;
   store_duty mOperatorsDuty;
   store_duty mServersDuty;
+  operator_state mOperatorWords;
+  usage_keeper<Dialect> mUsage;
   topic_state mOperatorState;
   topic_state mServerState;
   server_register mRegister;
@@ -596,13 +523,10 @@
   fleet_view mView;
   std::vector<spent_units> mSpent;
   std::vector<spent_units> mUsed;
-  /// What the store told at the start.
-  std::vector<spent_units> mStoredUsage;
   /// Seen weights that peers haven't been told of.
   std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
   instant mRefreshDue{};
-  instant mUsageDue{};
   instant mInstancesDue{ instant::max() };
   std::optional<instant> mRegisterDue;
   bool mIsRegistered = false;
--- /dev/null
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -0,0 +1,63 @@
+#include "FleetOptions.h"
+
+#include <chrono>
+
+namespace lycheeseam {
+
+namespace {
+
+// A restart has a later start, also on another machine of the same name.
+incarnation
+ThisLife()
+{
+  return incarnation{ static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count()) };
+}
+
+}
+
+gateway_options
+MakeGatewayOptions(fleet_settings const& aSettings)
+{
+  constexpr double kPercent = 100.0;
+  // Half of the slack covers what instances count differently from servers.
+  constexpr double kSlackPart = 0.5;
+  // Of what a window may hold beyond rate and burst.
+  constexpr double kOvershoot = 0.05;
+  // A request may wait in an engine's queue before it begins, and the news of
+  // weights takes a while to get here.
+  constexpr std::chrono::milliseconds kWeightsMargin{ 1'500 };
+  return {
+    .mInstance = aSettings.mInstance,
+    .mDomain = aSettings.mDomain,
+    .mCallers = aSettings.mCallers,
+    .mReadiness = aSettings.mReadiness,
+    .mAddresses = aSettings.mAddresses,
+    .mQuota = { .mWindow = aSettings.mQuotaWindow,
+                .mOvershoot = kOvershoot,
+                .mSlackUnits =
+                  kSlackPart * static_cast<double>(aSettings.mQuotaSlack) },
+    .mRetryRatio = static_cast<double>(aSettings.mRetryPercent) / kPercent,
+    .mRetrySlack = static_cast<double>(aSettings.mRetrySlack),
+    .mRetryWindow =
+      std::chrono::duration_cast<std::chrono::seconds>(aSettings.mRetryWindow),
+    .mOutdatedAfter = aSettings.mWeightsTime - kWeightsMargin,
+    .mAddressLifetime = aSettings.mAddressLifetime
+  };
+}
+
+fleet_options
+MakeFleetOptions(fleet_settings const& aSettings)
+{
+  return { .mSelf = { .mLife = { .mInstance = aSettings.mInstance,
+                                 .mIncarnation = ThisLife() },
+                      .mFailureDomain = aSettings.mDomain,
+                      .mCallers = aSettings.mCallers,
+                      .mPeers = aSettings.mPeers },
+           .mStore = aSettings.mStore,
+           .mLease = aSettings.mLease };
+}
+
+}
