LibFleet, LibDispatch: Let one piece serve where the change wrote it twice; split the control state

Written again and now one: the store's calls outside of following a topic (store_calls), raising a server's versions (listed_server), finding a listed server, the rendezvous loop, blocking signals. Dead: the order mode that lost, a server's last sign of life, a second copy of the servers at each tick. Errors of the store, of engines' reports and of instances' entries that were dropped in silence have a log line.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -84,19 +84,19 @@
   return best;
 }
 
+// The server with the highest rank for a prompt among those that pass.
+template<typename Predicate>
 served_server*
-FirstInOrder(std::span<served_server* const> aServers,
-             server_choice_request const& aRequest)
+HighestRanked(std::span<served_server* const> aServers,
+              std::uint64_t aPromptKey,
+              Predicate aPasses)
 {
-  double const bound =
-    kLoadFactor * MeanPressure(aServers, aRequest.mNow) + kLoadAllowance;
   served_server* best = nullptr;
   std::uint64_t bestRank = 0;
   for (served_server* const server : aServers) {
-    if (server->Pressure(aRequest.mNow) > bound)
+    if (!aPasses(*server))
       continue;
-    std::uint64_t const rank =
-      RendezvousRank(*aRequest.mPromptKey, server->mSeed);
+    std::uint64_t const rank = RendezvousRank(aPromptKey, server->mSeed);
     if (best == nullptr || rank > bestRank) {
       best = server;
       bestRank = rank;
@@ -105,6 +105,19 @@
   return best;
 }
 
+served_server*
+FirstInOrder(std::span<served_server* const> aServers,
+             server_choice_request const& aRequest)
+{
+  double const bound =
+    kLoadFactor * MeanPressure(aServers, aRequest.mNow) + kLoadAllowance;
+  return HighestRanked(aServers,
+                       *aRequest.mPromptKey,
+                       [&aRequest, bound](served_server const& aServer) {
+                         return aServer.Pressure(aRequest.mNow) <= bound;
+                       });
+}
+
 // By the version of their weights, the newest first.
 std::vector<std::vector<served_server*>>
 GroupByVersion(std::vector<served_server*> aServers, model_name const& aModel)
@@ -170,21 +183,12 @@
   if (!aRequest.mPromptKey)
     return nullptr;
   std::uint64_t const version = aChosen.mListed.VersionOf(aRequest.mModel);
-  served_server* best = nullptr;
-  std::uint64_t bestRank = 0;
-  for (served_server* const server : aServers) {
-    if (server == &aChosen || server->mIsTurning ||
-        server->mListed.VersionOf(aRequest.mModel) != version ||
-        server->mBreaker.State(aRequest.mNow) == breaker_state::Open)
-      continue;
-    std::uint64_t const rank =
-      RendezvousRank(*aRequest.mPromptKey, server->mSeed);
-    if (best == nullptr || rank > bestRank) {
-      best = server;
-      bestRank = rank;
-    }
-  }
-  return best;
+  return HighestRanked(
+    aServers, *aRequest.mPromptKey, [&](served_server const& aServer) {
+      return &aServer != &aChosen && !aServer.mIsTurning &&
+             aServer.mListed.VersionOf(aRequest.mModel) == version &&
+             aServer.mBreaker.State(aRequest.mNow) != breaker_state::Open;
+    });
 }
 
 }
--- a/Libraries/LibDispatch/ListedServer.h
+++ b/Libraries/LibDispatch/ListedServer.h
@@ -26,6 +26,26 @@
 
   bool operator==(listed_server const&) const = default;
 
+  /// Takes a version that is newer than the one known; true when it was.
+  bool RaiseVersion(model_name const& aModel, std::uint64_t aVersion)
+  {
+    for (loaded_model& model : mModels) {
+      if (model.mModel != aModel || model.mVersion >= aVersion)
+        continue;
+      model.mVersion = aVersion;
+      return true;
+    }
+    return false;
+  }
+
+  /// Keeps what is known of the same life where it is newer: versions only
+  /// grow within a life.
+  void KeepNewerVersions(listed_server const& aKnown)
+  {
+    for (loaded_model const& model : aKnown.mModels)
+      RaiseVersion(model.mModel, model.mVersion);
+  }
+
   /// The version of a model's weights; 0 when it has none.
   [[nodiscard]] std::uint64_t VersionOf(model_name const& aModel) const
   {
--- a/Libraries/LibDispatch/ServedServer.h
+++ b/Libraries/LibDispatch/ServedServer.h
@@ -29,11 +29,6 @@
   double mUsualTokens = 0;
   /// Own requests in flight when the load was told.
   std::uint32_t mInFlightAtLoad = 0;
-  /// When any byte came from it.
-  instant mHeardAt{};
-  /// Since when it owes the first byte of an answer; nothing when it doesn't.
-  std::optional<instant> mOwesSince;
-
   /// An own request of so many tokens is sent to it.
   void OnStart(token_count aTokens);
 
--- a/Libraries/LibDispatch/ServerTable.cpp
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -2,20 +2,10 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
-
 namespace lycheeseam {
 
 namespace {
 
-// Versions only grow within a life, so the higher of two is the newer word.
-void
-KeepNewerVersions(listed_server& aNew, listed_server const& aKnown)
-{
-  for (loaded_model& model : aNew.mModels)
-    model.mVersion = std::max(model.mVersion, aKnown.VersionOf(model.mModel));
-}
-
 token_count
 MemoryTokens(fleet_view const& aView, pool_name const& aPool)
 {
@@ -27,7 +17,7 @@
 std::shared_ptr<served_server>
 MakeServer(listed_server const& aListed)
 {
-  auto made = std::make_shared<served_server>();
+  std::shared_ptr<served_server> made = std::make_shared<served_server>();
   made->mListed = aListed;
   made->mSeed =
     XXH3_64bits(aListed.mId.Text().data(), aListed.mId.Text().size());
@@ -46,7 +36,7 @@
       known = MakeServer(listed);
     } else {
       listed_server merged = listed;
-      KeepNewerVersions(merged, known->mListed);
+      merged.KeepNewerVersions(known->mListed);
       known->mListed = std::move(merged);
     }
     known->mIsTurning = aView.mTurning.contains(listed.mId);
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -5,18 +5,16 @@
 #include <LibDispatch/FleetView.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/FleetOptions.h>
-#include <LibFleet/OperatorState.h>
+#include <LibFleet/FleetRecords.h>
+#include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/PeerBook.h>
-#include <LibFleet/ServerRegister.h>
-#include <LibFleet/StoreDuty.h>
-#include <LibFleet/TopicReader.h>
+#include <LibFleet/StoreWatch.h>
 #include <LibFleet/UsageKeeper.h>
 #include <LibGateway/PeerNews.h>
 #include <LibGateway/TrafficReport.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
-#include <LibStore/TopicState.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 #include <variant>
 
 namespace lycheeseam {
@@ -47,9 +46,23 @@
     , mPublished(aPublished)
     , mNewsHandler(std::move(aNewsHandler))
     , mClient(aContext)
-    , mOperators(MakeReader(store_topic::Operators))
-    , mServers(MakeReader(store_topic::Servers))
-    , mInstances(MakeReader(store_topic::Instances))
+    , mWatch(
+        mClient,
+        mOptions.mStore,
+        [this](store_topic aTopic,
+               std::span<keyed_record const> aNews,
+               page_source aSource) { OnNews(aTopic, aNews, aSource); },
+        [this](topic_relay aRelay) {
+          mHub.Broadcast(fleet_message{ std::move(aRelay) });
+        },
+        [this]() { mRecords.Servers().OnStoreFailure(); })
+    , mRegistration(mClient,
+                    mOptions.mStore,
+                    mOptions.mSelf,
+                    [this](peer_hello const& aInstance) {
+                      mPeers.OnRegistered(mClock.Now(), aInstance);
+                      mHub.SetWanted(mPeers.Contacts());
+                    })
     , mUsage(mClient, mOptions.mStore)
     , mPeers(mOptions.mSelf.mLife.mInstance)
     , mOrders(
@@ -58,7 +71,7 @@
         mOptions.mSelf.mLife.mInstance,
         mOptions.mLease,
         [this](seen_weights const& aSeen) { OnWeights({ aSeen }); },
-        [this](server_life const& aLife) { OnGone({ aLife }); })
+        [this](server_life const& aLife) { mRecords.OnAbsent(aLife); })
     , mHub(
         aContext,
         HubOptions(),
@@ -78,7 +91,6 @@
   {
     mHub.Listen(mOptions.mSelf.mPeers);
     mHub.Start();
-    Register();
     mUsage.Read([this]() { Publish(); });
     Tick();
   }
@@ -94,7 +106,8 @@
   /// Takes what the traffic thread saw.
   void OnReport(traffic_report aReport)
   {
-    OnGone(aReport.mGone);
+    for (server_life const& gone : aReport.mGone)
+      mRecords.OnAbsent(gone);
     OnWeights(aReport.mWeights);
     mSpent = std::move(aReport.mSpent);
     mUsed = std::move(aReport.mUsed);
@@ -127,20 +140,11 @@
       return;
     if (fleet_report* const report = std::get_if<fleet_report>(message))
       return OnPeerReport(aPeer, *report);
-    OnRelay(std::get<topic_relay>(*message));
+    mWatch.OnRelay(std::get<topic_relay>(*message));
   }
 
 private:
-  using reader = topic_reader<Dialect>;
-
   static constexpr std::chrono::milliseconds kTick{ 50 };
-  // Instances register once; the topic is read again only to find those that
-  // couldn't be reached at first.
-  static constexpr std::chrono::seconds kInstancesInterval{ 20 };
-  static constexpr std::chrono::milliseconds kRegisterPause{ 700 };
-  static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
-  static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
-
   static peer_hub_options HubOptions()
   {
     constexpr std::size_t kMostQueued = 4U << 20U;
@@ -160,53 +164,18 @@
              .mPingLimit = 3 };
   }
 
-  reader MakeReader(store_topic aTopic)
-  {
-    return reader{ mClient,
-                   mOptions.mStore,
-                   aTopic,
-                   [this, aTopic](std::uint64_t aFrom,
-                                  topic_page const& aPage,
-                                  bool aIsWhole) {
-                     OnPage(aTopic, aFrom, aPage, aIsWhole);
-                   } };
-  }
-
-  void Register()
-  {
-    keyed_record const record{ .mKey = mOptions.mSelf.mLife.mInstance.Text(),
-                               .mValue =
-                                 Dialect::FormatInstance(mOptions.mSelf) };
-    mClient.Call(
-      { .mTo = mOptions.mStore,
-        .mHead = Dialect::AppendRequest(store_topic::Instances, std::nullopt),
-        .mBody = Dialect::FormatRecord(record),
-        .mTimeout = kStoreTimeout },
-      [this](http_exchange_result const& aResult) {
-        mIsRegistered =
-          Dialect::ReadAppend(aResult).mStatus == store_append_status::Done;
-        mInstancesDue = mClock.Now();
-        if (!mIsRegistered)
-          mRegisterDue = mClock.Now() + kRegisterPause;
-      });
-  }
-
   void Tick()
   {
     instant const now = mClock.Now();
-    if (!mIsRegistered && mRegisterDue && now >= *mRegisterDue) {
-      mRegisterDue.reset();
-      Register();
-    }
-    ReadStore(now);
-    RefreshTopics(now);
+    mRegistration.Tick(now);
+    mWatch.Tick(now, mPeers.HasReader(now));
     if (IsReader(now))
       mUsage.Write(now, mUsed);
     mPeers.Prune(now);
-    bool const areServersGone = mRegister.Expire(now);
-    std::vector<listed_server> const servers = mRegister.Servers();
+    bool const areServersGone = mRecords.Servers().Expire(now);
+    std::vector<listed_server> const servers = mRecords.Servers().Servers();
     bool const haveTurnsChanged = mOrders.Tick(servers,
-                                               mOperatorWords.Weights(),
+                                               mRecords.Operators().Weights(),
                                                mPeers.Rank(now),
                                                mPeers.NewestLease(now));
     if (haveTurnsChanged)
@@ -223,94 +192,7 @@
   // True while this instance reads the store for the others.
   [[nodiscard]] bool IsReader(instant aNow) const
   {
-    return mServersDuty.IsReading(aNow) && !mPeers.HasReader(aNow);
-  }
-
-  void ReadStore(instant aNow)
-  {
-    bool const hasReader = mPeers.HasReader(aNow);
-    if (mServersDuty.IsDue(aNow, hasReader))
-      Read(mServers, mServersDuty);
-    if (mOperatorsDuty.IsDue(aNow, hasReader))
-      Read(mOperators, mOperatorsDuty);
-    if (aNow >= mInstancesDue && !mInstances.IsReading()) {
-      mInstancesDue = aNow + kInstancesInterval;
-      mInstances.Read([](store_read_status) {});
-    }
-  }
-
-  // Reads of the store may lag behind it while its history is dropped, so what
-  // they miss is made up for by reading all keys anew at times.
-  void RefreshTopics(instant aNow)
-  {
-    if (aNow < mRefreshDue)
-      return;
-    mRefreshDue = aNow + kRefreshInterval;
-    mServers.Refresh();
-    mOperators.Refresh();
-  }
-
-  void NoteStore(bool aAnswers)
-  {
-    if (std::exchange(mIsStoreAnswering, aAnswers) != aAnswers)
-      LogEvent(aAnswers ? "store_back" : "store_lost", {});
-  }
-
-  void Read(reader& aReader, store_duty& aDuty)
-  {
-    if (aReader.IsReading())
-      return;
-    aDuty.OnStart(mClock.Now());
-    aReader.Read([this, &aReader, &aDuty](store_read_status aStatus) {
-      NoteStore(aStatus != store_read_status::Failed);
-      aDuty.OnRead(mClock.Now(), aStatus != store_read_status::Failed);
-      if (aStatus == store_read_status::Expired)
-        aDuty.ReadSoon();
-      if (aStatus == store_read_status::Failed && &aReader == &mServers)
-        mRegister.OnStoreFailure();
-    });
-  }
-
-  void OnPage(store_topic aTopic,
-              std::uint64_t aFrom,
-              topic_page const& aPage,
-              bool aIsWhole)
-  {
-    if (!aPage.mRecords.empty() && !mIsTakingRelay)
-      mHub.Broadcast(
-        fleet_message{ topic_relay{ .mTopic = aTopic,
-                                    .mIsWhole = aIsWhole,
-                                    .mFrom = aFrom,
-                                    .mEnd = aPage.mEnd,
-                                    .mRecords = aPage.mRecords } });
-    if (aTopic == store_topic::Operators)
-      OnOperators(mOperatorState.Take(aPage, aIsWhole));
-    if (aTopic == store_topic::Servers)
-      OnServers(mServerState.Take(aPage, aIsWhole));
-    if (aTopic == store_topic::Instances)
-      OnInstances(aPage);
-  }
-
-  void OnRelay(topic_relay const& aRelay)
-  {
-    mIsTakingRelay = true;
-    topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
-    if (aRelay.mTopic == store_topic::Operators)
-      TakeRelay(aRelay, page, mOperators, mOperatorsDuty);
-    if (aRelay.mTopic == store_topic::Servers)
-      TakeRelay(aRelay, page, mServers, mServersDuty);
-    mIsTakingRelay = false;
-  }
-
-  void TakeRelay(topic_relay const& aRelay,
-                 topic_page const& aPage,
-                 reader& aReader,
-                 store_duty& aDuty)
-  {
-    if (aRelay.mIsWhole)
-      aReader.TakeWhole(aPage);
-    else if (!aReader.Take(aRelay.mFrom, aPage))
-      aDuty.ReadSoon();
+    return mWatch.IsReadingServers(aNow) && !mPeers.HasReader(aNow);
   }
 
   void OnPeerReport(instance_life const& aPeer, fleet_report const& aReport)
@@ -327,12 +209,21 @@
       Publish();
   }
 
+  void OnNews(store_topic aTopic,
+              std::span<keyed_record const> aNews,
+              page_source aSource)
+  {
+    mRecords.Take(mClock.Now(), aTopic, aNews, aSource);
+    if (!aNews.empty())
+      Publish();
+  }
+
   // True when it is news.
   bool TakeWeightsSeen(std::vector<seen_weights> const& aSeen)
   {
     bool isNews = false;
     for (seen_weights const& seen : aSeen)
-      isNews |= mRegister.OnWeights(
+      isNews |= mRecords.Servers().OnWeights(
         seen.mServer, seen.mLife, seen.mModel, seen.mVersion);
     return isNews;
   }
@@ -346,26 +237,15 @@
     Publish();
   }
 
-  void OnGone(std::vector<server_life> const& aGone)
-  {
-    for (server_life const& gone : aGone) {
-      if (mRegister.OnAbsent(gone))
-        LogEvent("server_absent",
-                 { { "server", gone.mServer.Text() },
-                   { "reason", std::string{ "another has its address" } } });
-    }
-  }
-
   void Report(peer_news const& aNews)
   {
     instant const now = mClock.Now();
     std::set<backend_server_id> const turning = mOrders.Turning();
     mHub.Broadcast(fleet_message{ fleet_report{
       .mIsLeaving = mIsLeaving,
-      .mIsReady = mOperatorWords.Config() != nullptr && !mIsLeaving,
+      .mIsReady = mRecords.Operators().Config() != nullptr && !mIsLeaving,
       .mLease = mOrders.Lease(),
-      .mReadsStore =
-        mServersDuty.IsReading(now) && mOperatorsDuty.IsReading(now),
+      .mReadsStore = mWatch.IsReading(now),
       .mSpent = mSpent,
       .mCrashes = aNews.mCrashes,
       .mWeights = std::exchange(mSeen, {}),
@@ -374,118 +254,12 @@
       .mUsed = mUsed } });
   }
 
-  void OnInstances(topic_page const& aPage)
-  {
-    for (keyed_record const& record : aPage.mRecords) {
-      if (!record.mValue)
-        continue;
-      try {
-        mPeers.OnRegistered(mClock.Now(),
-                            Dialect::ReadInstance(record.mKey, *record.mValue));
-      } catch (invalid_input const&) {
-        continue;
-      }
-    }
-    mHub.SetWanted(mPeers.Contacts());
-  }
-
-  void OnServers(std::vector<keyed_record> const& aNews)
-  {
-    instant const now = mClock.Now();
-    // Also by a peer's word: what the store says counts, whoever reads it.
-    mRegister.OnStoreAnswer(now);
-    for (keyed_record const& record : aNews) {
-      if (record.mValue)
-        TakeServer(record);
-      else
-        OnServerDropped(now, record);
-    }
-    if (!aNews.empty())
-      Publish();
-  }
-
-  void OnServerDropped(instant aNow, keyed_record const& aRecord)
-  {
-    mRegister.OnDropped(aNow, backend_server_id{ aRecord.mKey });
-    LogServer(aRecord, "dropped");
-  }
-
-  void LogServer(keyed_record const& aRecord, std::string_view aState) const
-  {
-    LogEvent(
-      "server",
-      { { "server", aRecord.mKey },
-        { "state", std::string{ aState } },
-        { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
-        { "told_by", std::string{ mIsTakingRelay ? "peer" : "store" } } });
-  }
-
-  void TakeServer(keyed_record const& aRecord)
-  {
-    try {
-      listed_server const server =
-        Dialect::ReadServer(aRecord.mKey, *aRecord.mValue);
-      if (mRegister.OnEntry(server))
-        LogServer(aRecord,
-                  server.mStage == server_stage::Ready ? "ready" : "leaving");
-    } catch (invalid_input const& fault) {
-      // Another writer's entry names no server to use.
-      LogEvent("entry_ignored",
-               { { "server", aRecord.mKey },
-                 { "fault", std::string{ fault.what() } } });
-    }
-  }
-
-  void OnOperators(std::vector<keyed_record> const& aNews)
-  {
-    for (keyed_record const& record : aNews) {
-      if (record.mValue)
-        TakeOperatorRecord(record);
-    }
-    if (!aNews.empty())
-      Publish();
-  }
-
-  void TakeOperatorRecord(keyed_record const& aRecord)
-  {
-    operator_record read;
-    try {
-      read = Dialect::ReadOperatorRecord(aRecord.mKey, *aRecord.mValue);
-    } catch (invalid_input const& fault) {
-      LogEvent(
-        "operator_record_ignored",
-        { { "key", aRecord.mKey }, { "fault", std::string{ fault.what() } } });
-      return;
-    }
-    if (auto const* const config =
-          std::get_if<std::shared_ptr<dispatch_config const>>(&read))
-      TakeConfig(*config);
-    if (auto const* const named = std::get_if<loaded_model>(&read))
-      TakeWeights(*named);
-  }
-
-  void TakeConfig(std::shared_ptr<dispatch_config const> const& aConfig)
-  {
-    if (mOperatorWords.Take(aConfig))
-      LogEvent(
-        "config_in_force",
-        { { "version", static_cast<std::int64_t>(aConfig->Version()) } });
-  }
-
-  void TakeWeights(loaded_model const& aNamed)
-  {
-    if (mOperatorWords.Take(mClock.Now(), aNamed))
-      LogEvent("weights_named",
-               { { "model", aNamed.mModel.Text() },
-                 { "version", static_cast<std::int64_t>(aNamed.mVersion) } });
-  }
-
   void Publish()
   {
     instant const now = mClock.Now();
-    mView.mConfig = mOperatorWords.Config();
-    mView.mWeights = mOperatorWords.Weights();
-    mView.mServers = mRegister.Servers();
+    mView.mConfig = mRecords.Operators().Config();
+    mView.mWeights = mRecords.Operators().Weights();
+    mView.mServers = mRecords.Servers().Servers();
     mView.mTurning = mOrders.Turning();
     mView.mTurning.merge(mPeers.Turning(now));
     mView.mEntries = mPeers.Entries();
@@ -507,16 +281,10 @@
   news_handler mNewsHandler;
   system_clock mClock;
   http_client mClient;
-  reader mOperators;
-  reader mServers;
-  reader mInstances;
-  store_duty mOperatorsDuty;
-  store_duty mServersDuty;
-  operator_state mOperatorWords;
+  fleet_records<Dialect> mRecords;
+  store_watch<Dialect> mWatch;
+  instance_registration<Dialect> mRegistration;
   usage_keeper<Dialect> mUsage;
-  topic_state mOperatorState;
-  topic_state mServerState;
-  server_register mRegister;
   peer_book mPeers;
   order_driver<Dialect> mOrders;
   peer_hub<fleet_control, quiet_link_supervisor, system_clock> mHub;
@@ -526,12 +294,6 @@
   /// Seen weights that peers haven't been told of.
   std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
-  instant mRefreshDue{};
-  instant mInstancesDue{ instant::max() };
-  std::optional<instant> mRegisterDue;
-  bool mIsRegistered = false;
-  bool mIsStoreAnswering = true;
-  bool mIsTakingRelay = false;
   bool mIsLeaving = false;
 };
 
--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -3,15 +3,14 @@
 #include <LibCore/InvalidInput.h>
 #include <LibCore/ServerLife.h>
 #include <LibCore/SystemClock.h>
+#include <LibDispatch/FindServer.h>
 #include <LibDispatch/SeenWeights.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/EngineReport.h>
-#include <LibFleet/FleetDialect.h>
 #include <LibFleet/OrderLease.h>
-#include <LibFleet/StoreAppendResult.h>
+#include <LibFleet/StoreCalls.h>
 #include <LibFleet/TurnoverPlan.h>
 #include <LibFleet/WeightsOrder.h>
-#include <LibHttp/HttpClient.h>
 
 #include <functional>
 #include <span>
@@ -36,7 +35,7 @@
                weights_handler aHandler,
                gone_handler aGoneHandler)
     : mClient(aClient)
-    , mStore(std::move(aStore))
+    , mCalls(aClient, std::move(aStore))
     , mSelf(aSelf)
     , mLease(std::move(aSelf), aTerm)
     , mPlan({})
@@ -69,11 +68,10 @@
         Acquire();
       return hadTurns;
     }
-    mServers.assign(aServers.begin(), aServers.end());
     std::set<backend_server_id> const before = mPlan.Turning();
     mPlan.Update(now, aServers, aWeights);
     if (!mPlan.IsIdle())
-      Drive(now);
+      Drive(now, aServers);
     return mPlan.Turning() != before;
   }
 
@@ -90,22 +88,21 @@
   static constexpr std::chrono::milliseconds kRankDelay{ 400 };
   // A starting instance first hears who holds the lease.
   static constexpr std::chrono::milliseconds kStartPause{ 900 };
-  static constexpr std::chrono::milliseconds kStoreTimeout{ 1'200 };
   static constexpr std::chrono::milliseconds kEngineTimeout{ 800 };
   static constexpr std::uint32_t kOk = 200;
 
-  void Drive(instant aNow)
+  void Drive(instant aNow, std::span<listed_server const> aServers)
   {
     if (mLease.IsRenewalDue(aNow))
       Acquire();
     for (backend_server_id const& id : mPlan.DueOrders(aNow)) {
       std::optional<std::uint64_t> const fence = mLease.MayOrder(aNow);
-      listed_server const* const server = Find(id);
+      listed_server const* const server = FindServer(aServers, id);
       if (fence && server != nullptr)
         Order(aNow, *server, *fence);
     }
     for (backend_server_id const& id : mPlan.DueQuestions(aNow)) {
-      if (listed_server const* const server = Find(id))
+      if (listed_server const* const server = FindServer(aServers, id))
         Ask(aNow, *server);
     }
   }
@@ -116,53 +113,42 @@
       return;
     if (mLease.AppendAt())
       return Append();
-    mClient.Call({ .mTo = mStore,
-                   .mHead = Dialect::NewestRequest(store_topic::Leases, {}),
-                   .mTimeout = kStoreTimeout },
-                 [this](http_exchange_result const& aResult) {
-                   mIsStoreBusy = false;
-                   OnNewest(aResult);
-                 });
+    mCalls.ReadNewest(store_topic::Leases,
+                      [this](std::optional<topic_page> const& aPage) {
+                        mIsStoreBusy = false;
+                        if (aPage)
+                          OnNewest(*aPage);
+                      });
   }
 
-  void OnNewest(http_exchange_result const& aResult)
+  void OnNewest(topic_page const& aPage)
   {
-    if (aResult.mHead.mStatus != kOk)
-      return;
-    try {
-      topic_page const page = Dialect::ReadNewest(aResult.mBody);
-      std::optional<lease_record> newest;
-      for (keyed_record const& record : page.mRecords) {
-        if (record.mValue)
-          newest = { .mOffset = record.mOffset,
-                     .mHolder = instance_id{ *record.mValue } };
-      }
-      mLease.OnRead(mClock.Now(), newest, page.mEnd);
-    } catch (invalid_input const&) {
-      return;
+    std::optional<lease_record> newest;
+    for (keyed_record const& record : aPage.mRecords) {
+      if (record.mValue)
+        newest = { .mOffset = record.mOffset,
+                   .mHolder = instance_id{ *record.mValue } };
     }
+    mLease.OnRead(mClock.Now(), newest, aPage.mEnd);
     Acquire();
   }
 
   void Append()
   {
     mLease.OnSend(mClock.Now());
-    keyed_record const record{ .mKey = "orders", .mValue = mSelf.Text() };
-    mClient.Call(
-      { .mTo = mStore,
-        .mHead = Dialect::AppendRequest(store_topic::Leases, mLease.AppendAt()),
-        .mBody = Dialect::FormatRecord(record),
-        .mTimeout = kStoreTimeout },
-      [this](http_exchange_result const& aResult) {
+    mCalls.Append(
+      store_topic::Leases,
+      mLease.AppendAt(),
+      { .mKey = "orders", .mValue = mSelf.Text() },
+      [this](store_append_result aResult, http_exchange_result const& aAnswer) {
         mIsStoreBusy = false;
-        store_append_result const result = Dialect::ReadAppend(aResult);
         LogEvent("lease_appended",
-                 { { "status", std::int64_t{ aResult.mHead.mStatus } },
-                   { "offset", static_cast<std::int64_t>(result.mOffset) },
-                   { "fault", aResult.mFault } });
-        if (result.mStatus == store_append_status::Done)
-          mLease.OnAppended(result.mOffset);
-        else if (result.mStatus != store_append_status::Refused)
+                 { { "status", std::int64_t{ aAnswer.mHead.mStatus } },
+                   { "offset", static_cast<std::int64_t>(aResult.mOffset) },
+                   { "fault", aAnswer.mFault } });
+        if (aResult.mStatus == store_append_status::Done)
+          mLease.OnAppended(aResult.mOffset);
+        else if (aResult.mStatus != store_append_status::Refused)
           OnLeaseLost();
       });
   }
@@ -180,7 +166,6 @@
                                .mAddress = aServer.mAddress,
                                .mModel = target.mModel,
                                .mVersion = target.mVersion,
-                               .mRuns = run_handling::Continue,
                                .mHolder = mSelf,
                                .mFence = aFence,
                                .mExpectedOrders = mPlan.OrdersOf(aServer.mId) };
@@ -225,30 +210,22 @@
                                   .mLife = life,
                                   .mModel = model.mModel,
                                   .mVersion = model.mVersion });
-                   } catch (invalid_input const&) {
-                     return;
+                   } catch (invalid_input const& fault) {
+                     LogEvent("engine_report_ignored",
+                              { { "server", id.Text() },
+                                { "fault", std::string{ fault.what() } } });
                    }
                  });
   }
 
-  [[nodiscard]] listed_server const* Find(backend_server_id const& aId) const
-  {
-    for (listed_server const& server : mServers) {
-      if (server.mId == aId)
-        return &server;
-    }
-    return nullptr;
-  }
-
   http_client& mClient;
-  endpoint mStore;
+  store_calls<Dialect> mCalls;
   instance_id mSelf;
   order_lease mLease;
   turnover_plan mPlan;
   weights_handler mHandler;
   gone_handler mGoneHandler;
   system_clock mClock;
-  std::vector<listed_server> mServers;
   instant mVacantSince{};
   bool mIsStoreBusy = false;
 };
--- a/Libraries/LibFleet/ServerRegister.cpp
+++ b/Libraries/LibFleet/ServerRegister.cpp
@@ -21,11 +21,8 @@
   // A late word of an earlier life says nothing of this one.
   if (aServer.mLife < known.mServer.mLife)
     return false;
-  if (aServer.mLife == known.mServer.mLife) {
-    for (loaded_model& model : aServer.mModels)
-      model.mVersion =
-        std::max(model.mVersion, known.mServer.VersionOf(model.mModel));
-  }
+  if (aServer.mLife == known.mServer.mLife)
+    aServer.KeepNewerVersions(known.mServer);
   bool const isNews = aServer.mLife != known.mServer.mLife ||
                       aServer.mStage != known.mServer.mStage;
   known.mServer = std::move(aServer);
@@ -80,16 +77,8 @@
                            std::uint64_t aVersion)
 {
   auto const found = mEntries.find(aServer);
-  if (found == mEntries.end() || found->second.mServer.mLife != aLife)
-    return false;
-  bool isNews = false;
-  for (loaded_model& model : found->second.mServer.mModels) {
-    if (model.mModel != aModel || model.mVersion >= aVersion)
-      continue;
-    model.mVersion = aVersion;
-    isNews = true;
-  }
-  return isNews;
+  return found != mEntries.end() && found->second.mServer.mLife == aLife &&
+         found->second.mServer.RaiseVersion(aModel, aVersion);
 }
 
 bool
--- /dev/null
+++ b/Libraries/LibFleet/StoreCalls.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibCore/InvalidInput.h>
+#include <LibEvents/EventLog.h>
+#include <LibFleet/FleetDialect.h>
+#include <LibHttp/HttpClient.h>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <utility>
+
+namespace lycheeseam {
+
+/// The calls of the store that aren't part of following a topic. Copies make
+/// their calls through the same client.
+template<fleet_dialect Dialect>
+class store_calls
+{
+public:
+  /// Nothing when the store didn't answer, refused, or can't be understood.
+  using newest_handler = std::function<void(std::optional<topic_page>)>;
+  /// The result as it came stands beside what it means.
+  using append_handler =
+    std::function<void(store_append_result, http_exchange_result const&)>;
+
+  store_calls(http_client& aClient, endpoint aStore)
+    : mClient(aClient)
+    , mStore(std::move(aStore))
+  {
+  }
+
+  /// Reads the newest record of each key of a small topic.
+  void ReadNewest(store_topic aTopic, newest_handler aHandler)
+  {
+    mClient.Call(
+      { .mTo = mStore,
+        .mHead = Dialect::NewestRequest(aTopic, {}),
+        .mTimeout = kTimeout },
+      [handler = std::move(aHandler)](http_exchange_result const& aResult) {
+        handler(ReadPage(aResult));
+      });
+  }
+
+  /// Appends a record; with an offset, only where the topic ends there.
+  void Append(store_topic aTopic,
+              std::optional<std::uint64_t> aAt,
+              keyed_record const& aRecord,
+              append_handler aHandler)
+  {
+    mClient.Call(
+      { .mTo = mStore,
+        .mHead = Dialect::AppendRequest(aTopic, aAt),
+        .mBody = Dialect::FormatRecord(aRecord),
+        .mTimeout = kTimeout },
+      [handler = std::move(aHandler)](http_exchange_result const& aResult) {
+        handler(Dialect::ReadAppend(aResult), aResult);
+      });
+  }
+
+private:
+  // A healthy store answers in a few milliseconds, a slow one in some hundreds.
+  static constexpr std::chrono::milliseconds kTimeout{ 1'200 };
+
+  static std::optional<topic_page> ReadPage(http_exchange_result const& aResult)
+  {
+    constexpr std::uint32_t kOk = 200;
+    if (aResult.mHead.mStatus != kOk)
+      return std::nullopt;
+    try {
+      return Dialect::ReadNewest(aResult.mBody);
+    } catch (invalid_input const& fault) {
+      LogEvent("store_answer_ignored",
+               { { "fault", std::string{ fault.what() } } });
+      return std::nullopt;
+    }
+  }
+
+  http_client& mClient;
+  endpoint mStore;
+};
+
+}
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -1,3 +1,4 @@
+#include <LibDispatch/FindServer.h>
 #include <LibFleet/TurnoverPlan.h>
 
 #include <algorithm>
@@ -5,21 +6,6 @@
 
 namespace lycheeseam {
 
-namespace {
-
-listed_server const*
-FindServer(std::span<listed_server const> aServers,
-           backend_server_id const& aId)
-{
-  for (listed_server const& server : aServers) {
-    if (server.mId == aId)
-      return &server;
-  }
-  return nullptr;
-}
-
-}
-
 void
 turnover_plan::DropDone(std::span<listed_server const> aServers)
 {
--- a/Libraries/LibFleet/UsageKeeper.h
+++ b/Libraries/LibFleet/UsageKeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibCore/InvalidInput.h>
-#include <LibFleet/FleetDialect.h>
-#include <LibHttp/HttpClient.h>
+#include <LibEvents/EventLog.h>
+#include <LibFleet/StoreCalls.h>
 
 #include <chrono>
 #include <functional>
@@ -18,26 +18,20 @@
 {
 public:
   usage_keeper(http_client& aClient, endpoint aStore)
-    : mClient(aClient)
-    , mStore(std::move(aStore))
+    : mCalls(aClient, std::move(aStore))
   {
   }
 
   /// Reads what was written before this start; aDone hears when it is known.
   void Read(std::function<void()> aDone)
   {
-    mClient.Call(
-      { .mTo = mStore,
-        .mHead = Dialect::NewestRequest(store_topic::Usage, {}),
-        .mTimeout = kTimeout },
-      [this, done = std::move(aDone)](http_exchange_result const& aResult) {
-        try {
-          Take(Dialect::ReadNewest(aResult.mBody));
-        } catch (invalid_input const&) {
-          // None was written yet, or the store is out: the limit counts as
-          // used up, which is what a starting instance assumes.
+    mCalls.ReadNewest(
+      store_topic::Usage,
+      [this, done = std::move(aDone)](std::optional<topic_page> const& aPage) {
+        // With the store out, the limit counts as used up, which is what a
+        // starting instance assumes.
+        if (!aPage || !Take(*aPage))
           return;
-        }
         done();
       });
   }
@@ -49,15 +43,11 @@
       return;
     mDue = aNow + kInterval;
     quota_usage const usage{ .mWrittenAt = TimeOfDay(), .mUsed = aUsed };
-    keyed_record const record{ .mKey = "quota",
-                               .mValue = Dialect::FormatUsage(usage) };
-    mClient.Call(
-      { .mTo = mStore,
-        .mHead = Dialect::AppendRequest(store_topic::Usage, std::nullopt),
-        .mBody = Dialect::FormatRecord(record),
-        .mTimeout = kTimeout },
-      // A lost record only makes the next start more careful.
-      [](http_exchange_result const&) {});
+    // A lost record only makes the next start more careful.
+    mCalls.Append(store_topic::Usage,
+                  std::nullopt,
+                  { .mKey = "quota", .mValue = Dialect::FormatUsage(usage) },
+                  [](store_append_result, http_exchange_result const&) {});
   }
 
   /// What the store told, and what may have been admitted since it was
@@ -77,7 +67,6 @@
 
 private:
   static constexpr std::chrono::milliseconds kInterval{ 1'000 };
-  static constexpr std::chrono::milliseconds kTimeout{ 1'200 };
   // A process starts again within some seconds; clocks may differ by as much.
   static constexpr std::chrono::milliseconds kLifetime{ 8'000 };
   // Between two writes more than the rate may be admitted, out of the burst.
@@ -89,19 +78,27 @@
       std::chrono::system_clock::now().time_since_epoch());
   }
 
-  void Take(topic_page const& aPage)
+  // False when a record can't be read.
+  bool Take(topic_page const& aPage)
   {
-    for (keyed_record const& record : aPage.mRecords) {
-      quota_usage usage =
-        Dialect::ReadUsage(record.mValue.value_or(std::string{}));
-      std::chrono::milliseconds const age = TimeOfDay() - usage.mWrittenAt;
-      if (age < kLifetime && age > -kLifetime)
-        mStored = std::move(usage.mUsed);
+    try {
+      for (keyed_record const& record : aPage.mRecords)
+        Take(Dialect::ReadUsage(record.mValue.value_or(std::string{})));
+      return true;
+    } catch (invalid_input const& fault) {
+      LogEvent("usage_ignored", { { "fault", std::string{ fault.what() } } });
+      return false;
     }
   }
 
-  http_client& mClient;
-  endpoint mStore;
+  void Take(quota_usage aUsage)
+  {
+    std::chrono::milliseconds const age = TimeOfDay() - aUsage.mWrittenAt;
+    if (age < kLifetime && age > -kLifetime)
+      mStored = std::move(aUsage.mUsed);
+  }
+
+  store_calls<Dialect> mCalls;
   std::vector<spent_units> mStored;
   instant mDue{};
 };
--- a/Libraries/LibFleet/WeightsOrder.h
+++ b/Libraries/LibFleet/WeightsOrder.h
@@ -2,20 +2,19 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
-#include <LibFleet/RunHandling.h>
 
 #include <cstdint>
 
 namespace lycheeseam {
 
-/// Tells an engine to load a version of a model's weights.
+/// Tells an engine to load a version of a model's weights at once; its runs
+/// continue under the new weights.
 struct weights_order
 {
   backend_server_id mServer;
   endpoint mAddress;
   model_name mModel;
   std::uint64_t mVersion = 0;
-  run_handling mRuns = run_handling::Finish;
   instance_id mHolder;
   std::uint64_t mFence = 0;
   /// The orders that the engine must have accepted so far, so that a late
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -113,11 +113,10 @@
 
   void OnExchangePiece(std::string_view aPiece)
   {
-    mServer->mHeardAt = mClock.Now();
     if (mOutcome != attempt_outcome::Taken)
       return mExchange->ReadOn();
     if (mFirstAt == instant{})
-      mFirstAt = mServer->mHeardAt;
+      mFirstAt = mClock.Now();
     if (mIsWhole) {
       mWhole += aPiece;
       if (mWhole.size() <= kWholeBytes)
@@ -302,7 +301,6 @@
   void NoteAnswer(server_answer const& aAnswer)
   {
     instant const now = mClock.Now();
-    mServer->mHeardAt = now;
     mServer->mBreaker.OnSuccess();
     if (aAnswer.mIsMisdirected && aAnswer.mServer &&
         *aAnswer.mServer != mServer->mListed.mId)
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -101,15 +101,11 @@
                         model_name const& aModel,
                         std::uint64_t aVersion)
 {
-  for (loaded_model& model : aServer.mListed.mModels) {
-    if (model.mModel != aModel || model.mVersion >= aVersion)
-      continue;
-    model.mVersion = aVersion;
+  if (aServer.mListed.RaiseVersion(aModel, aVersion))
     mReport.mWeights.push_back({ .mServer = aServer.mListed.mId,
                                  .mLife = aServer.mListed.mLife,
                                  .mModel = aModel,
                                  .mVersion = aVersion });
-  }
 }
 
 traffic_report
--- a/Services/lycheeseamd/Main.cpp
+++ b/Services/lycheeseamd/Main.cpp
@@ -1,5 +1,6 @@
 #include "ExitCode.h"
 #include "RunFleet.h"
+#include "StopSignals.h"
 #include <LibRouter/Router.h>
 #include <LibSettings/ParseFleetSettings.h>
 #include <LibSettings/ParseSettings.h>
@@ -7,6 +8,7 @@
 
 #include <gflags/gflags.h>
 
+#include <array>
 #include <csignal>
 #include <iostream>
 
@@ -18,25 +20,10 @@
 
 namespace {
 
-// SIGTERM and SIGINT are taken by waiting for them, so that no code runs in
-// a signal handler. Threads started later inherit the mask.
-sigset_t
-BlockStopSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGTERM);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // A caller that goes away must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 exit_code
 Run(daemon_settings aSettings)
 {
-  sigset_t const signals = BlockStopSignals();
+  sigset_t const signals = BlockSignals(std::array{ SIGTERM, SIGINT });
   router running{ std::move(aSettings) };
   int signal = 0;
   sigwait(&signals, &signal);
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -1,9 +1,11 @@
 #include "RunFleet.h"
 
 #include "FleetInstance.h"
+#include "StopSignals.h"
 #include <LibEvents/EventLog.h>
 #include <LibSettings/ParseFleetSettings.h>
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 
@@ -11,21 +13,6 @@
 
 namespace {
 
-// Signals are taken by waiting for them, so that no code runs in a handler.
-sigset_t
-BlockStopSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // A caller that goes away must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
 // Returns when the process is told to stop.
 void
 AwaitStop(sigset_t const& aSignals)
@@ -47,7 +34,7 @@
   fleet_settings const settings = LoadFleetSettings(aSettingsPath);
   OpenEventLog(settings.mInstance.Text());
   LogEvent("started", { { "settings", aSettingsPath } });
-  sigset_t const signals = BlockStopSignals();
+  sigset_t const signals = BlockSignals(std::array{ SIGTERM, SIGINT, SIGHUP });
   {
     fleet_instance instance{ settings };
     AwaitStop(signals);
--- /dev/null
+++ b/Services/lycheeseamd/StopSignals.cpp
@@ -0,0 +1,18 @@
+#include "StopSignals.h"
+
+namespace lycheeseam {
+
+sigset_t
+BlockSignals(std::span<int const> aSignals)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (int const signal : aSignals)
+    sigaddset(&signals, signal);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A caller that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+}
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -203,7 +203,6 @@
   weights_order const order{ .mServer = backend_server_id{ "i-1" },
                              .mModel = model_name{ "m" },
                              .mVersion = 2,
-                             .mRuns = run_handling::Continue,
                              .mHolder = instance_id{ "n" },
                              .mFence = 41,
                              .mExpectedOrders = 3 };
