LibGateway: Split a request's run: admission, the way of its answer

AdmitRequest finds rows and charges; answer_relay holds, cuts and passes the answer. What follows a send that nobody ran stood twice and is SendElsewhere. A request no longer keeps a whole view of the fleet.

--- /dev/null
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -0,0 +1,90 @@
+#include <LibEvents/EventLog.h>
+#include <LibGateway/AdmitRequest.h>
+#include <LibGateway/PlanSend.h>
+
+#include <algorithm>
+
+namespace lycheeseam {
+
+namespace {
+
+// A starting instance has its first configuration within milliseconds.
+constexpr std::chrono::milliseconds kConfigWait{ 200 };
+constexpr std::chrono::milliseconds kPoisonWait{ 2'000 };
+
+std::optional<request_refusal>
+FindRows(request_facts const& aFacts, admitted_request& aAdmitted)
+{
+  dispatch_config const& config = *aAdmitted.mConfig;
+  aAdmitted.mRoute = config.FindRoute(aFacts.mHost, aFacts.mPath);
+  if (aAdmitted.mRoute == nullptr)
+    return request_refusal{ .mStatus = refusal_status::NotFound };
+  if (aAdmitted.mRoute->mIsPublic || config.Workspaces().empty())
+    return std::nullopt;
+  if (aFacts.mKey)
+    aAdmitted.mWorkspace = config.FindWorkspace(*aFacts.mKey);
+  if (aAdmitted.mWorkspace == nullptr)
+    return request_refusal{ .mStatus = refusal_status::Unauthorized };
+  return std::nullopt;
+}
+
+std::optional<request_refusal>
+Charge(traffic_core& aCore,
+       instant aNow,
+       request_facts const& aFacts,
+       admitted_request& aAdmitted)
+{
+  if (aAdmitted.mWorkspace == nullptr)
+    return std::nullopt;
+  dispatch_workspace const& workspace = *aAdmitted.mWorkspace;
+  aAdmitted.mUnits = RequestUnits(workspace, aFacts);
+  if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits))
+    return std::nullopt;
+  fleet_view const& view = *aCore.View(aNow);
+  LogEvent("over_quota",
+           { { "request", aFacts.mId.Text() },
+             { "workspace", workspace.mName.Text() },
+             { "units", aAdmitted.mUnits },
+             { "rate", workspace.mRate },
+             { "burst", workspace.mBurst },
+             { "used", aCore.Quota().Used(aNow, workspace.mName) },
+             { "limit", aCore.Quota().Limit(workspace) },
+             { "instances", std::int64_t{ view.mInstances } },
+             { "silent", std::int64_t{ view.mSilentInstances } } });
+  return request_refusal{
+    .mStatus = refusal_status::OverQuota,
+    .mRetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aCore.Quota().WaitFor(aNow, workspace, aAdmitted.mUnits))
+  };
+}
+
+}
+
+std::optional<request_refusal>
+AdmitRequest(traffic_core& aCore,
+             instant aNow,
+             request_facts const& aFacts,
+             std::string_view aBody,
+             admitted_request& aAdmitted)
+{
+  aAdmitted.mConfig = aCore.View(aNow)->mConfig;
+  if (!aAdmitted.mConfig)
+    return request_refusal{ .mRetryAfter = kConfigWait };
+  if (std::optional<request_refusal> const refusal =
+        FindRows(aFacts, aAdmitted))
+    return refusal;
+  aAdmitted.mFingerprint = RequestFingerprint(aFacts, aBody);
+  if (aCore.Crashes().IsPoison(aNow, aAdmitted.mFingerprint))
+    return request_refusal{ .mRetryAfter = kPoisonWait };
+  if (std::optional<request_refusal> const refusal =
+        Charge(aCore, aNow, aFacts, aAdmitted))
+    return refusal;
+  aAdmitted.mDeadline = aNow + aAdmitted.mRoute->mTimeout;
+  if (aFacts.mPatience)
+    aAdmitted.mDeadline =
+      std::min(aAdmitted.mDeadline, aNow + *aFacts.mPatience);
+  aAdmitted.mPool = ChoosePool(*aAdmitted.mRoute, aFacts.mId);
+  return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/AdmitRequest.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibDispatch/RequestFacts.h>
+#include <LibGateway/AdmittedRequest.h>
+#include <LibGateway/RequestRefusal.h>
+#include <LibGateway/TrafficCore.h>
+
+#include <optional>
+#include <string_view>
+
+namespace lycheeseam {
+
+/// Finds the rows that a request runs under and charges its workspace. Fills
+/// aAdmitted as far as it gets; a refusal says why it got no further.
+std::optional<request_refusal>
+AdmitRequest(traffic_core& aCore,
+             instant aNow,
+             request_facts const& aFacts,
+             std::string_view aBody,
+             admitted_request& aAdmitted);
+
+}
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -3,9 +3,9 @@
 #include <LibCore/InvalidInput.h>
 #include <LibDispatch/ChooseServer.h>
 #include <LibEvents/EventLog.h>
+#include <LibGateway/AdmitRequest.h>
+#include <LibGateway/AnswerRelay.h>
 #include <LibGateway/AttemptOutcome.h>
-#include <LibGateway/BodyFraming.h>
-#include <LibGateway/EventCutter.h>
 #include <LibGateway/GatewayDialect.h>
 #include <LibGateway/PlanSend.h>
 #include <LibGateway/RefusalAnswer.h>
@@ -56,22 +56,10 @@
     } catch (invalid_input const&) {
       return Refuse(refusal_status::BadRequest, {});
     }
-    mView = mCore.View(mStartedAt);
-    mConfig = mView->mConfig;
-    if (!mConfig)
-      return Refuse(refusal_status::NotReady, kShortWait);
-    if (!FindRoute())
-      return;
-    mFingerprint = RequestFingerprint(mFacts, *mBody);
-    if (mCore.Crashes().IsPoison(mStartedAt, mFingerprint))
-      return Refuse(refusal_status::NotReady, kPoisonWait);
-    if (!Charge())
-      return;
-    mDeadline = mStartedAt + mRoute->mTimeout;
-    if (mFacts.mPatience)
-      mDeadline = std::min(mDeadline, mStartedAt + *mFacts.mPatience);
-    mPool = ChoosePool(*mRoute, mFacts.mId);
-    mCore.OnFirstAttempt(mPool);
+    if (std::optional<request_refusal> const refusal =
+          AdmitRequest(mCore, mStartedAt, mFacts, *mBody, mRows))
+      return Refuse(refusal->mStatus, refusal->mRetryAfter);
+    mCore.OnFirstAttempt(mRows.mPool);
     ArmDeadline();
     Attempt();
   }
@@ -104,10 +92,10 @@
       mOutcome = attempt_outcome::NotRun;
     else if (aHead.IsSuccess() && !answer.mIsSigned)
       mOutcome = attempt_outcome::Spoiled;
-    else if (!aHead.IsSuccess() && (mIsHeadSent || MayTryElsewhere()))
+    else if (!aHead.IsSuccess() && (mAnswer.IsHeadSent() || MayTryElsewhere()))
       mOutcome = attempt_outcome::Failed;
     else
-      TakeHead(aHead);
+      Begin(aHead);
     return answer_use::Take;
   }
 
@@ -117,23 +105,7 @@
       return mExchange->ReadOn();
     if (mFirstAt == instant{})
       mFirstAt = mClock.Now();
-    if (mIsWhole) {
-      mWhole += aPiece;
-      if (mWhole.size() <= kWholeBytes)
-        return mExchange->ReadOn();
-      // An answer of unknown length that grew too large to be held.
-      mIsWhole = false;
-      SendHead();
-      mCaller->SendPiece(std::exchange(mWhole, {}));
-      aPiece = {};
-    }
-    if (mIsEventStream) {
-      std::string const events = mEvents.Cut(aPiece);
-      if (!events.empty())
-        mCaller->SendPiece(events);
-    } else if (!aPiece.empty()) {
-      mCaller->SendPiece(aPiece);
-    }
+    mAnswer.Take(*mCaller, aPiece);
     if (!mExchange)
       return;
     if (mCaller->IsCongested())
@@ -165,65 +137,19 @@
   using exchange = server_exchange<request_run>;
 
   static constexpr std::chrono::milliseconds kShortWait{ 200 };
-  static constexpr std::chrono::milliseconds kPoisonWait{ 2'000 };
   // How often a place is looked for while none is free.
   static constexpr std::chrono::milliseconds kPlaceInterval{ 15 };
   // Waiting for a place is free of harm up to this part of the target.
   static constexpr int kPlaceWaitPart = 8;
   // An attempt that gets less time than this can't succeed.
   static constexpr std::chrono::milliseconds kLeastTime{ 10 };
-  // Small answers are held until they are whole, so that a broken one can
-  // still be replaced or reported as what it is.
-  static constexpr std::uint64_t kWholeBytes = 65'536;
   // A request that no server has run may go to this many beyond its route's
   // attempts: servers that refuse it don't count as attempts.
   static constexpr std::uint32_t kExtraSends = 2;
 
-  bool FindRoute()
-  {
-    dispatch_config const& config = *mConfig;
-    mRoute = config.FindRoute(mFacts.mHost, mFacts.mPath);
-    if (mRoute == nullptr) {
-      Refuse(refusal_status::NotFound, {});
-      return false;
-    }
-    if (mRoute->mIsPublic || config.Workspaces().empty())
-      return true;
-    if (mFacts.mKey)
-      mWorkspace = config.FindWorkspace(*mFacts.mKey);
-    if (mWorkspace == nullptr) {
-      Refuse(refusal_status::Unauthorized, {});
-      return false;
-    }
-    return true;
-  }
-
-  bool Charge()
-  {
-    if (mWorkspace == nullptr)
-      return true;
-    mUnits = RequestUnits(*mWorkspace, mFacts);
-    if (mCore.Quota().TryCharge(mStartedAt, *mWorkspace, mUnits))
-      return true;
-    LogEvent("over_quota",
-             { { "request", mFacts.mId.Text() },
-               { "workspace", mWorkspace->mName.Text() },
-               { "units", mUnits },
-               { "rate", mWorkspace->mRate },
-               { "burst", mWorkspace->mBurst },
-               { "used", mCore.Quota().Used(mStartedAt, mWorkspace->mName) },
-               { "limit", mCore.Quota().Limit(*mWorkspace) },
-               { "instances", std::int64_t{ mView->mInstances } },
-               { "silent", std::int64_t{ mView->mSilentInstances } } });
-    Refuse(refusal_status::OverQuota,
-           std::chrono::duration_cast<std::chrono::milliseconds>(
-             mCore.Quota().WaitFor(mStartedAt, *mWorkspace, mUnits)));
-    return false;
-  }
-
   void ArmDeadline()
   {
-    mTimer.expires_after(mDeadline - mStartedAt);
+    mTimer.expires_after(mRows.mDeadline - mStartedAt);
     mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
       if (!aFault)
         self->OnDeadline();
@@ -236,7 +162,7 @@
       return;
     bool const mayHaveRun = mMayHaveRun || (mExchange && mExchange->IsSent());
     EndAttempt();
-    if (mIsHeadSent)
+    if (mAnswer.IsHeadSent())
       return Break();
     Refuse(mayHaveRun ? refusal_status::Timeout : refusal_status::NotReady,
            kShortWait);
@@ -247,23 +173,24 @@
     if (mIsDone)
       return;
     instant const now = mClock.Now();
-    mView = mCore.View(now);
-    if (mDeadline - now < kLeastTime)
+    std::shared_ptr<fleet_view const> const view = mCore.View(now);
+    if (mRows.mDeadline - now < kLeastTime)
       return OnDeadline();
     server_choice_request const wanted =
-      MakeChoiceRequest(now, mCore.Options(), *mView, mFacts, mTried);
-    std::span<served_server* const> const servers = mCore.Servers().Pool(mPool);
+      MakeChoiceRequest(now, mCore.Options(), *view, mFacts, mTried);
+    std::span<served_server* const> const servers =
+      mCore.Servers().Pool(mRows.mPool);
     served_server const* const chosen = ChooseServer(servers, wanted);
     if (chosen == nullptr)
       return WaitForPlace(now);
-    if (mSends > 0 && !mCore.TryRepeat(now, mPool))
+    if (mSends > 0 && !mCore.TryRepeat(now, mRows.mPool))
       return GiveUp();
     Send(now, wanted, mCore.Servers().Find(chosen->mListed.mId));
   }
 
   void WaitForPlace(instant aNow)
   {
-    if (aNow - mStartedAt > mRoute->mTargetLatency / kPlaceWaitPart)
+    if (aNow - mStartedAt > mRows.mRoute->mTargetLatency / kPlaceWaitPart)
       return GiveUp();
     auto const wait =
       std::make_shared<boost::asio::steady_timer>(mContext, kPlaceInterval);
@@ -278,11 +205,13 @@
     mServer = std::move(aServer);
     mTried.push_back(mServer->mListed.mId);
     ++mSends;
-    send_terms terms = PlanSend(mCore, aWanted, *mServer, mWorkspace, mFacts);
-    terms.mTimeLeft =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mDeadline - aNow);
-    terms.mPriority = RequestPriority(*mRoute, mWorkspace);
-    terms.mLastEvent = mEvents.LastId() ? mEvents.LastId() : mFacts.mLastEvent;
+    send_terms terms =
+      PlanSend(mCore, aWanted, *mServer, mRows.mWorkspace, mFacts);
+    terms.mTimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+      mRows.mDeadline - aNow);
+    terms.mPriority = RequestPriority(*mRows.mRoute, mRows.mWorkspace);
+    terms.mLastEvent =
+      mAnswer.LastEvent() ? mAnswer.LastEvent() : mFacts.mLastEvent;
     mCacheKey = CacheKey(terms, mFacts);
     mIsStored = terms.mSaveTo.has_value();
     mFetchFrom = terms.mFetchFrom;
@@ -298,6 +227,15 @@
     mExchange->Start(FormatRequestHead(head), mBody, mHead.mMethod != "HEAD");
   }
 
+  void Begin(answer_head const& aHead)
+  {
+    mOutcome = attempt_outcome::Taken;
+    mAnswer.Begin(*mCaller,
+                  aHead,
+                  mRows.mRoute->mKind == work_kind::Stream &&
+                    aHead.IsSuccess());
+  }
+
   void NoteAnswer(server_answer const& aAnswer)
   {
     instant const now = mClock.Now();
@@ -317,10 +255,7 @@
   void OnNotRun()
   {
     LogAttemptEnd("not_run");
-    EndAttempt();
-    if (mSends >= mRoute->mMaxAttempts + kExtraSends)
-      return GiveUp();
-    Attempt();
+    SendElsewhere();
   }
 
   void OnUnreachable(exchange_end aEnd)
@@ -330,8 +265,14 @@
     mCore.Channels().Forget(mServer->mListed.mId);
     LogAttemptEnd(aEnd == exchange_end::Refused ? "connection_refused"
                                                 : "not_connected");
+    SendElsewhere();
+  }
+
+  // No server has run the request.
+  void SendElsewhere()
+  {
     EndAttempt();
-    if (mSends >= mRoute->mMaxAttempts + kExtraSends)
+    if (mSends >= mRows.mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
     Attempt();
   }
@@ -347,16 +288,16 @@
     // Kept connections to it may be as dead as this one; a new one shows at
     // once whether it lives, before anything is sent.
     mCore.Channels().Forget(mServer->mListed.mId);
-    mCore.OnCrash(now, mFingerprint);
+    mCore.OnCrash(now, mRows.mFingerprint);
     mMayHaveRun = true;
     LogAttemptEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
-    bool const mayTry = CanGoOn() && MayTryElsewhere();
+    bool const mayTry =
+      mAnswer.CanGoOn(mRows.mRoute->mIsResumable) && MayTryElsewhere();
     EndAttempt();
-    mWhole.clear();
-    mEvents.DropRest();
-    if (mayTry && !mCore.Crashes().IsPoison(now, mFingerprint))
+    mAnswer.DropRest();
+    if (mayTry && !mCore.Crashes().IsPoison(now, mRows.mFingerprint))
       return Attempt();
-    if (mIsHeadSent)
+    if (mAnswer.IsHeadSent())
       return Break();
     Refuse(refusal_status::BadGateway, {});
   }
@@ -374,49 +315,21 @@
 
   [[nodiscard]] bool MayTryElsewhere() const
   {
-    return mRoute->MayRepeat() && mSends < mRoute->mMaxAttempts &&
-           mDeadline - mClock.Now() > kLeastTime;
+    return mRows.mRoute->MayRepeat() && mSends < mRows.mRoute->mMaxAttempts &&
+           mRows.mDeadline - mClock.Now() > kLeastTime;
   }
 
   void GiveUp()
   {
-    if (mIsHeadSent)
+    if (mAnswer.IsHeadSent())
       return Break();
     Refuse(mMayHaveRun ? refusal_status::BadGateway : refusal_status::NotReady,
            kShortWait);
   }
 
-  void TakeHead(answer_head const& aHead)
-  {
-    mOutcome = attempt_outcome::Taken;
-    bool const isStream =
-      mRoute->mKind == work_kind::Stream && aHead.IsSuccess();
-    if (mIsHeadSent)
-      return;
-    mIsEventStream = isStream;
-    mIsWhole = !isStream && aHead.mLength.value_or(0) <= kWholeBytes;
-    mAnswerHead = aHead;
-    if (!mIsWhole)
-      SendHead();
-  }
-
-  void SendHead()
-  {
-    mIsHeadSent = true;
-    bool const isSized = mAnswerHead.mLength && !mIsEventStream;
-    mCaller->SendHead(mAnswerHead,
-                      isSized ? body_framing::Sized : body_framing::Chunked);
-  }
-
-  // True while what the caller has can be followed by another server's bytes.
-  [[nodiscard]] bool CanGoOn() const
-  {
-    return !mIsHeadSent || (mIsEventStream && mRoute->mIsResumable);
-  }
-
   void Finish()
   {
-    mCore.Crashes().OnAnswer(mFingerprint);
+    mCore.Crashes().OnAnswer(mRows.mFingerprint);
     if (mCacheKey)
       mCore.OnServed(mClock.Now(),
                      { .mKey = *mCacheKey,
@@ -427,24 +340,21 @@
     mTimer.cancel();
     LogAnswer();
     std::shared_ptr<Caller> const caller = std::move(mCaller);
-    if (mIsWhole)
-      return caller->SendWhole(mAnswerHead, mWhole);
-    if (!mEvents.IsAtEventEnd())
-      caller->SendPiece(mEvents.TakeRest());
-    caller->SendEnd();
+    mAnswer.Finish(*caller);
   }
 
   // One line for each attempt that the caller's answer didn't come from.
   void LogAttemptEnd(std::string_view aCause) const
   {
-    LogEvent("attempt_ended",
-             { { "request", mFacts.mId.Text() },
-               { "server", mServer->mListed.mId.Text() },
-               { "cause", std::string{ aCause } },
-               { "sends", std::int64_t{ mSends } },
-               { "may_repeat", std::int64_t{ mRoute->MayRepeat() } },
-               { "config", static_cast<std::int64_t>(mConfig->Version()) },
-               { "since_ms", Milliseconds(mClock.Now() - mStartedAt) } });
+    LogEvent(
+      "attempt_ended",
+      { { "request", mFacts.mId.Text() },
+        { "server", mServer->mListed.mId.Text() },
+        { "cause", std::string{ aCause } },
+        { "sends", std::int64_t{ mSends } },
+        { "may_repeat", std::int64_t{ mRows.mRoute->MayRepeat() } },
+        { "config", static_cast<std::int64_t>(mRows.mConfig->Version()) },
+        { "since_ms", Milliseconds(mClock.Now() - mStartedAt) } });
   }
 
   void LogAnswer() const
@@ -452,9 +362,9 @@
     LogEvent(
       "answered",
       { { "request", mFacts.mId.Text() },
-        { "route", mRoute->mName.Text() },
+        { "route", mRows.mRoute->mName.Text() },
         { "server", mServer->mListed.mId.Text() },
-        { "status", std::int64_t{ mAnswerHead.mStatus } },
+        { "status", std::int64_t{ mAnswer.Status() } },
         { "sends", std::int64_t{ mSends } },
         { "pressure", mPressure },
         { "fetched_from", mFetchFrom ? mFetchFrom->Text() : std::string{} },
@@ -480,16 +390,17 @@
       "refused",
       { { "request", mFacts.mId.Text() },
         { "status", static_cast<std::int64_t>(aStatus) },
-        { "route", mRoute ? mRoute->mName.Text() : std::string{} },
-        { "workspace", mWorkspace ? mWorkspace->mName.Text() : std::string{} },
-        { "units", mUnits },
+        { "route", mRows.mRoute ? mRows.mRoute->mName.Text() : std::string{} },
+        { "workspace",
+          mRows.mWorkspace ? mRows.mWorkspace->mName.Text() : std::string{} },
+        { "units", mRows.mUnits },
         { "sends", std::int64_t{ mSends } },
         { "may_have_run", std::int64_t{ mMayHaveRun } },
         { "held_ms", Milliseconds(mClock.Now() - mStartedAt) },
         { "retry_after_ms", std::int64_t{ aRetryAfter.count() } } });
     bool const promisesNotRun = aStatus == refusal_status::NotReady;
-    if (promisesNotRun && mWorkspace != nullptr && mUnits > 0)
-      mCore.Quota().Refund(mClock.Now(), mWorkspace->mName, mUnits);
+    if (promisesNotRun && mRows.mWorkspace != nullptr && mRows.mUnits > 0)
+      mCore.Quota().Refund(mClock.Now(), mRows.mWorkspace->mName, mRows.mUnits);
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     caller->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
   }
@@ -517,21 +428,13 @@
   boost::asio::steady_timer mTimer;
   system_clock mClock;
   instant mStartedAt;
-  instant mDeadline{};
   /// When the first piece of the answer came.
   instant mFirstAt{};
   /// Of the server when the request was sent to it.
   double mPressure = 0;
   std::optional<endpoint> mFetchFrom;
   request_facts mFacts;
-  /// Keeps the rows alive that the request runs under.
-  std::shared_ptr<dispatch_config const> mConfig;
-  std::shared_ptr<fleet_view const> mView;
-  dispatch_route const* mRoute = nullptr;
-  dispatch_workspace const* mWorkspace = nullptr;
-  pool_name mPool;
-  double mUnits = 0;
-  std::uint64_t mFingerprint = 0;
+  admitted_request mRows;
   std::vector<backend_server_id> mTried;
   std::uint32_t mSends = 0;
   std::shared_ptr<served_server> mServer;
@@ -539,13 +442,8 @@
   std::optional<std::uint64_t> mCacheKey;
   bool mIsStored = false;
   attempt_outcome mOutcome = attempt_outcome::Open;
-  event_cutter mEvents;
-  answer_head mAnswerHead;
-  std::string mWhole;
+  answer_relay mAnswer;
   bool mMayHaveRun = false;
-  bool mIsHeadSent = false;
-  bool mIsEventStream = false;
-  bool mIsWhole = false;
   bool mWaitsForCaller = false;
   bool mIsDone = false;
 };
