--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibGateway/OwnFraming.h>
+#include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -47,7 +49,7 @@
   void SendHead(answer_head const& aHead, body_framing aFraming)
   {
     mFraming = aFraming;
-    Write(FormatAnswerHead(OwnFraming(aHead, aFraming)));
+    Write(FormatAnswerHead(OwnFraming(aHead, aFraming, Use())));
   }
 
   void SendPiece(std::string_view aPiece)
@@ -72,7 +74,7 @@
     if (!aHead.mLength || !mIsHeadRequest)
       aHead.mLength = aBody.size();
     std::string bytes =
-      FormatAnswerHead(OwnFraming(aHead, body_framing::Sized));
+      FormatAnswerHead(OwnFraming(aHead, body_framing::Sized, Use()));
     bytes += aBody;
     mIsAnswered = true;
     Write(bytes);
@@ -144,7 +146,7 @@
       return;
     if (aFault)
       return OnReadFault(aFault);
-    if (HasUnknownCoding())
+    if (HasUnknownCoding(mParser->get()))
       return RefuseBytes(refusal_status::BadRequest);
     mTimer.expires_after(kBodyTimeout);
     mTimer.async_wait([self = this->shared_from_this()](auto aTimerFault) {
@@ -163,28 +165,11 @@
       });
   }
 
-  // Any other coding than chunked would leave the body's end in doubt.
-  [[nodiscard]] bool HasUnknownCoding() const
-  {
-    auto const coding =
-      mParser->get().find(boost::beast::http::field::transfer_encoding);
-    return coding != mParser->get().end() &&
-           !IsSameFieldName(std::string{ coding->value() }, "chunked");
-  }
-
   void OnReadFault(boost::system::error_code aFault)
   {
-    namespace http = boost::beast::http;
-    if (aFault == http::error::header_limit)
-      return RefuseBytes(refusal_status::HeadTooLarge);
-    if (aFault == http::error::body_limit)
-      return RefuseBytes(refusal_status::BodyTooLarge);
-    bool const isSpeech =
-      aFault.category() ==
-      http::make_error_code(http::error::bad_method).category();
-    if (isSpeech && aFault != http::error::end_of_stream &&
-        aFault != http::error::partial_message)
-      return RefuseBytes(refusal_status::BadRequest);
+    std::optional<refusal_status> const refusal = RefusalOf(aFault);
+    if (refusal)
+      return RefuseBytes(*refusal);
     Close();
   }
 
@@ -242,23 +227,10 @@
     WatchClose();
   }
 
-  [[nodiscard]] answer_head OwnFraming(answer_head const& aHead,
-                                       body_framing aFraming) const
+  [[nodiscard]] connection_use Use() const
   {
-    answer_head own{ .mStatus = aHead.mStatus, .mReason = aHead.mReason };
-    for (header_field const& field : aHead.mFields) {
-      if (!IsSameFieldName(field.mName, "content-length") &&
-          !IsConnectionField(aHead.mFields, field.mName))
-        own.mFields.push_back(field);
-    }
-    if (aFraming == body_framing::Chunked)
-      own.mFields.push_back({ "Transfer-Encoding", "chunked" });
-    else
-      own.mFields.push_back(
-        { "Content-Length", std::to_string(aHead.mLength.value_or(0)) });
-    if (mMustClose || mCore.IsLeaving())
-      own.mFields.push_back({ "Connection", "close" });
-    return own;
+    return mMustClose || mCore.IsLeaving() ? connection_use::Closed
+                                           : connection_use::Kept;
   }
 
   void Write(std::string_view aBytes)
@@ -299,7 +271,7 @@
     }
     mRun.reset();
     mIsAnswered = false;
-    if (mMustClose || mCore.IsLeaving())
+    if (Use() == connection_use::Closed)
       return Linger();
     ReadRequest();
   }
