--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -11,6 +11,7 @@
 #include <LibFleet/StoreCalls.h>
 #include <LibFleet/TurnoverPlan.h>
 #include <LibFleet/WeightsOrder.h>
+#include <LibHttp/HttpStatus.h>
 
 #include <functional>
 #include <span>
@@ -89,7 +90,6 @@
   // A starting instance first hears who holds the lease.
   static constexpr std::chrono::milliseconds kStartPause{ 900 };
   static constexpr std::chrono::milliseconds kEngineTimeout{ 800 };
-  static constexpr std::uint32_t kOk = 200;
 
   void Drive(instant aNow, std::span<listed_server const> aServers)
   {
@@ -199,7 +199,7 @@
                    .mTimeout = kEngineTimeout },
                  [this, id = aServer.mId, life = aServer.mLife](
                    http_exchange_result const& aResult) {
-                   if (aResult.mHead.mStatus != kOk)
+                   if (aResult.mHead.mStatus != kHttpOk)
                      return;
                    try {
                      engine_report const report =
--- a/Libraries/LibFleet/StoreCalls.h
+++ b/Libraries/LibFleet/StoreCalls.h
@@ -4,6 +4,7 @@
 #include <LibEvents/EventLog.h>
 #include <LibFleet/FleetDialect.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpStatus.h>
 
 #include <chrono>
 #include <functional>
@@ -64,8 +65,7 @@
 
   static std::optional<topic_page> ReadPage(http_exchange_result const& aResult)
   {
-    constexpr std::uint32_t kOk = 200;
-    if (aResult.mHead.mStatus != kOk)
+    if (aResult.mHead.mStatus != kHttpOk)
       return std::nullopt;
     try {
       return Dialect::ReadNewest(aResult.mBody);
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -3,6 +3,7 @@
 #include <LibCore/InvalidInput.h>
 #include <LibFleet/FleetDialect.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpStatus.h>
 #include <LibStore/StoreReadStatus.h>
 
 #include <algorithm>
@@ -83,8 +84,6 @@
   // A healthy store answers in a few milliseconds, a slow one in some
   // hundreds; beyond this a new connection is the better try.
   static constexpr std::chrono::milliseconds kReadTimeout{ 1'500 };
-  static constexpr std::uint32_t kOk = 200;
-  static constexpr std::uint32_t kGone = 410;
 
   void ReadNewest(std::string_view aAfter)
   {
@@ -94,7 +93,7 @@
 
   void OnNewest(http_exchange_result const& aResult)
   {
-    if (aResult.mHead.mStatus != kOk)
+    if (aResult.mHead.mStatus != kHttpOk)
       return End(store_read_status::Failed);
     topic_page page;
     try {
@@ -127,11 +126,11 @@
 
   void OnRecords(http_exchange_result const& aResult)
   {
-    if (aResult.mHead.mStatus == kGone) {
+    if (aResult.mHead.mStatus == kHttpGone) {
       mNext.reset();
       return End(store_read_status::Expired);
     }
-    if (aResult.mHead.mStatus != kOk)
+    if (aResult.mHead.mStatus != kHttpOk)
       return End(store_read_status::Failed);
     topic_page page;
     try {
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -3,6 +3,7 @@
 #include <LibGateway/OwnFraming.h>
 #include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
+#include <LibGateway/WriteQueue.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -25,6 +26,7 @@
     , mCore(aCore)
     , mSocket(std::move(aSocket))
     , mTimer(aContext)
+    , mOut(mSocket, *this)
   {
   }
 
@@ -89,13 +91,13 @@
 
   [[nodiscard]] bool IsCongested() const
   {
-    return mPending.size() > kCongestedBytes;
+    return mOut.Pending() > kCongestedBytes;
   }
 
   /// True while a request is being read or answered.
   [[nodiscard]] bool IsBusy() const noexcept
   {
-    return mRun != nullptr || mIsWriting || mBuffer.size() > 0;
+    return mRun != nullptr || mOut.IsWriting() || mBuffer.size() > 0;
   }
 
   void Close()
@@ -109,6 +111,7 @@
   }
 
 private:
+  friend class write_queue<caller_session>;
   using run = request_run<Dialect, caller_session>;
 
   // About what a link with a small window takes at once.
@@ -235,35 +238,14 @@
 
   void Write(std::string_view aBytes)
   {
-    if (mIsClosed)
-      return;
-    mPending += aBytes;
-    if (!mIsWriting)
-      WritePending();
-  }
-
-  void WritePending()
-  {
-    if (mPending.empty())
-      return OnWritten();
-    mIsWriting = true;
-    mWriting.clear();
-    mWriting.swap(mPending);
-    boost::asio::async_write(
-      mSocket,
-      boost::asio::buffer(mWriting),
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
-        self->mIsWriting = false;
-        if (self->mIsClosed)
-          return;
-        if (aFault)
-          return self->Close();
-        self->WritePending();
-      });
+    if (!mIsClosed)
+      mOut.Write(aBytes);
   }
 
   void OnWritten()
   {
+    if (mIsClosed)
+      return;
     if (!mIsAnswered) {
       if (std::shared_ptr<run> const running = mRun)
         running->OnDrained();
@@ -276,6 +258,12 @@
     ReadRequest();
   }
 
+  void OnWriteFault()
+  {
+    if (!mIsClosed)
+      Close();
+  }
+
   // Closing at once would reset the connection when bytes wait unread, and
   // the caller could lose the answer.
   void Linger()
@@ -315,10 +303,8 @@
   instant mIdleSince{};
   std::shared_ptr<run> mRun;
   std::uint64_t mRequests = 0;
-  std::string mPending;
-  std::string mWriting;
+  write_queue<caller_session> mOut;
   body_framing mFraming = body_framing::Sized;
-  bool mIsWriting = false;
   bool mIsAnswered = false;
   bool mIsHeadRequest = false;
   bool mMustClose = false;
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -33,6 +33,16 @@
   return pool == nullptr ? std::nullopt : pool->mCacheStore;
 }
 
+// Of the request's shared part within its cache scope.
+std::optional<std::uint64_t>
+CacheKey(send_terms const& aTerms, request_facts const& aFacts)
+{
+  prompt_part const* const shared = aFacts.SharedPart();
+  if (shared == nullptr)
+    return std::nullopt;
+  return Hash(shared->mId, Hash(aTerms.mCacheScope, 0));
+}
+
 // Where the server fetches what it lacks of the prompt, if anywhere.
 std::optional<endpoint>
 FetchSource(traffic_core& aCore,
@@ -138,12 +148,19 @@
 PlanSend(traffic_core& aCore,
          server_choice_request const& aWanted,
          served_server const& aServer,
-         dispatch_workspace const* aWorkspace,
-         request_facts const& aFacts)
+         admitted_request const& aRows,
+         request_facts const& aFacts,
+         std::optional<std::uint64_t> aLastEvent)
 {
-  send_terms terms{ .mServer = aServer.mListed.mId };
-  if (aWorkspace != nullptr)
-    terms.mWorkspace = aWorkspace->mName;
+  dispatch_workspace const* const workspace = aRows.mWorkspace;
+  send_terms terms{ .mServer = aServer.mListed.mId,
+                    .mTimeLeft =
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                        aRows.mDeadline - aWanted.mNow),
+                    .mPriority = RequestPriority(*aRows.mRoute, workspace),
+                    .mLastEvent = aLastEvent ? aLastEvent : aFacts.mLastEvent };
+  if (workspace != nullptr)
+    terms.mWorkspace = workspace->mName;
   if (aFacts.mModel.IsEmpty())
     return terms;
   std::uint64_t const version = aServer.mListed.VersionOf(aFacts.mModel);
@@ -151,8 +168,8 @@
     terms.mVersion = version;
   // Parts made under other weights, or walled off, lie under another text.
   terms.mCacheScope = "v" + std::to_string(version);
-  if (aWorkspace != nullptr && aWorkspace->mIsIsolated)
-    terms.mCacheScope += "/" + aWorkspace->mName.Text();
+  if (workspace != nullptr && workspace->mIsIsolated)
+    terms.mCacheScope += "/" + workspace->mName.Text();
   std::optional<std::uint64_t> const key = CacheKey(terms, aFacts);
   if (!key || aFacts.SharedTokens() < kLeastFetchedTokens)
     return terms;
@@ -166,13 +183,15 @@
   return terms;
 }
 
-std::optional<std::uint64_t>
-CacheKey(send_terms const& aTerms, request_facts const& aFacts)
+std::optional<prefix_holder>
+PartRead(send_terms const& aTerms, request_facts const& aFacts)
 {
-  prompt_part const* const shared = aFacts.SharedPart();
-  if (shared == nullptr)
+  std::optional<std::uint64_t> const key = CacheKey(aTerms, aFacts);
+  if (!key)
     return std::nullopt;
-  return Hash(shared->mId, Hash(aTerms.mCacheScope, 0));
+  return prefix_holder{ .mKey = *key,
+                        .mServer = aTerms.mServer,
+                        .mIsStored = aTerms.mSaveTo.has_value() };
 }
 
 }
--- a/Libraries/LibGateway/PlanSend.h
+++ b/Libraries/LibGateway/PlanSend.h
@@ -4,6 +4,7 @@
 #include <LibDispatch/DispatchWorkspace.h>
 #include <LibDispatch/RequestFacts.h>
 #include <LibDispatch/ServerChoiceRequest.h>
+#include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/SendTerms.h>
 #include <LibGateway/TrafficCore.h>
 
@@ -45,18 +46,19 @@
                   request_facts const& aFacts,
                   std::vector<backend_server_id> const& aTried);
 
-/// What a request tells the server that was chosen, but for the time left,
-/// the priority and the last event.
+/// What a request tells the server that was chosen. aLastEvent is the last one
+/// that the caller was sent of an answer that another server began.
 send_terms
 PlanSend(traffic_core& aCore,
          server_choice_request const& aWanted,
          served_server const& aServer,
-         dispatch_workspace const* aWorkspace,
-         request_facts const& aFacts);
+         admitted_request const& aRows,
+         request_facts const& aFacts,
+         std::optional<std::uint64_t> aLastEvent);
 
-/// The key of a request's shared prompt part within its cache scope; nothing
-/// when it shares none.
-std::optional<std::uint64_t>
-CacheKey(send_terms const& aTerms, request_facts const& aFacts);
+/// The shared prompt part that a server has read once it has answered; nothing
+/// when the request shares none.
+std::optional<prefix_holder>
+PartRead(send_terms const& aTerms, request_facts const& aFacts);
 
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -2,15 +2,13 @@
 
 #include <LibCore/InvalidInput.h>
 #include <LibDispatch/ChooseServer.h>
-#include <LibEvents/EventLog.h>
 #include <LibGateway/AdmitRequest.h>
 #include <LibGateway/AnswerRelay.h>
-#include <LibGateway/AttemptOutcome.h>
 #include <LibGateway/GatewayDialect.h>
 #include <LibGateway/PlanSend.h>
 #include <LibGateway/RefusalAnswer.h>
-#include <LibGateway/ServerExchange.h>
-#include <LibGateway/TrafficCore.h>
+#include <LibGateway/RunEvents.h>
+#include <LibGateway/ServerAttempt.h>
 #include <LibHttp/FormatHead.h>
 
 #include <memory>
@@ -44,7 +42,8 @@
     , mHead(std::move(aHead))
     , mBody(std::make_shared<std::string const>(std::move(aBody)))
     , mTimer(aContext)
-    , mStartedAt(mClock.Now())
+    , mTrace({ .mStartedAt = mClock.Now() })
+    , mAttempt(aContext, aCore)
   {
   }
 
@@ -53,11 +52,12 @@
   {
     try {
       mFacts = Dialect::ReadFacts(mHead);
+      mTrace.mRequest = mFacts.mId;
     } catch (invalid_input const&) {
       return Refuse(refusal_status::BadRequest, {});
     }
     if (std::optional<request_refusal> const refusal =
-          AdmitRequest(mCore, mStartedAt, mFacts, *mBody, mRows))
+          AdmitRequest(mCore, mTrace.mStartedAt, mFacts, *mBody, mRows))
       return Refuse(refusal->mStatus, refusal->mRetryAfter);
     mCore.OnFirstAttempt(mRows.mPool);
     ArmDeadline();
@@ -71,15 +71,15 @@
       return;
     mIsDone = true;
     mTimer.cancel();
-    EndAttempt();
+    mAttempt.End();
     mCaller.reset();
   }
 
   /// The caller has taken what it was sent.
   void OnDrained()
   {
-    if (std::exchange(mWaitsForCaller, false) && mExchange)
-      mExchange->ReadOn();
+    if (std::exchange(mWaitsForCaller, false))
+      mAttempt.ReadOn();
   }
 
   answer_use OnExchangeHead(answer_head const& aHead)
@@ -87,13 +87,13 @@
     server_answer const answer = Dialect::ReadAnswer(aHead);
     if (answer.mRequest && *answer.mRequest != mFacts.mId)
       return answer_use::Skip;
-    NoteAnswer(answer);
+    mCore.OnAnswer(mClock.Now(), mAttempt.Server(), mFacts.mModel, answer);
     if (answer.mIsNotRun || answer.mIsMisdirected)
-      mOutcome = attempt_outcome::NotRun;
+      mAttempt.SetOutcome(attempt_outcome::NotRun);
     else if (aHead.IsSuccess() && !answer.mIsSigned)
-      mOutcome = attempt_outcome::Spoiled;
+      mAttempt.SetOutcome(attempt_outcome::Spoiled);
     else if (!aHead.IsSuccess() && (mAnswer.IsHeadSent() || MayTryElsewhere()))
-      mOutcome = attempt_outcome::Failed;
+      mAttempt.SetOutcome(attempt_outcome::Failed);
     else
       Begin(aHead);
     return answer_use::Take;
@@ -101,26 +101,26 @@
 
   void OnExchangePiece(std::string_view aPiece)
   {
-    if (mOutcome != attempt_outcome::Taken)
-      return mExchange->ReadOn();
-    if (mFirstAt == instant{})
-      mFirstAt = mClock.Now();
+    if (mAttempt.Outcome() != attempt_outcome::Taken)
+      return mAttempt.ReadOn();
+    if (!mTrace.mFirstAt)
+      mTrace.mFirstAt = mClock.Now();
     mAnswer.Take(*mCaller, aPiece);
-    if (!mExchange)
+    if (!mAttempt.IsOpen())
       return;
     if (mCaller->IsCongested())
       mWaitsForCaller = true;
     else
-      mExchange->ReadOn();
+      mAttempt.ReadOn();
   }
 
   void OnExchangeEnd(exchange_end aEnd)
   {
     if (mIsDone)
       return;
-    if (!mExchange->IsSent())
+    if (!mAttempt.IsSent())
       return OnUnreachable(aEnd);
-    switch (mOutcome) {
+    switch (mAttempt.Outcome()) {
       case attempt_outcome::NotRun:
         return OnNotRun();
       case attempt_outcome::Failed:
@@ -134,8 +134,6 @@
   }
 
 private:
-  using exchange = server_exchange<request_run>;
-
   static constexpr std::chrono::milliseconds kShortWait{ 200 };
   // How often a place is looked for while none is free.
   static constexpr std::chrono::milliseconds kPlaceInterval{ 15 };
@@ -149,7 +147,7 @@
 
   void ArmDeadline()
   {
-    mTimer.expires_after(mRows.mDeadline - mStartedAt);
+    mTimer.expires_after(mRows.mDeadline - mTrace.mStartedAt);
     mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
       if (!aFault)
         self->OnDeadline();
@@ -160,8 +158,8 @@
   {
     if (mIsDone)
       return;
-    bool const mayHaveRun = mMayHaveRun || (mExchange && mExchange->IsSent());
-    EndAttempt();
+    bool const mayHaveRun = mTrace.mMayHaveRun || mAttempt.IsSent();
+    mAttempt.End();
     if (mAnswer.IsHeadSent())
       return Break();
     Refuse(mayHaveRun ? refusal_status::Timeout : refusal_status::NotReady,
@@ -183,14 +181,15 @@
     served_server const* const chosen = ChooseServer(servers, wanted);
     if (chosen == nullptr)
       return WaitForPlace(now);
-    if (mSends > 0 && !mCore.TryRepeat(now, mRows.mPool))
+    if (mTrace.mSends > 0 && !mCore.TryRepeat(now, mRows.mPool))
       return GiveUp();
-    Send(now, wanted, mCore.Servers().Find(chosen->mListed.mId));
+    Send(wanted, mCore.Servers().Find(chosen->mListed.mId));
   }
 
   void WaitForPlace(instant aNow)
   {
-    if (aNow - mStartedAt > mRows.mRoute->mTargetLatency / kPlaceWaitPart)
+    if (aNow - mTrace.mStartedAt >
+        mRows.mRoute->mTargetLatency / kPlaceWaitPart)
       return GiveUp();
     auto const wait =
       std::make_shared<boost::asio::steady_timer>(mContext, kPlaceInterval);
@@ -198,81 +197,57 @@
       [self = this->shared_from_this(), wait](auto) { self->Attempt(); });
   }
 
-  void Send(instant aNow,
-            server_choice_request const& aWanted,
+  void Send(server_choice_request const& aWanted,
             std::shared_ptr<served_server> aServer)
   {
-    mServer = std::move(aServer);
-    mTried.push_back(mServer->mListed.mId);
-    ++mSends;
-    send_terms terms =
-      PlanSend(mCore, aWanted, *mServer, mRows.mWorkspace, mFacts);
-    terms.mTimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
-      mRows.mDeadline - aNow);
-    terms.mPriority = RequestPriority(*mRows.mRoute, mRows.mWorkspace);
-    terms.mLastEvent =
-      mAnswer.LastEvent() ? mAnswer.LastEvent() : mFacts.mLastEvent;
-    mCacheKey = CacheKey(terms, mFacts);
-    mIsStored = terms.mSaveTo.has_value();
-    mFetchFrom = terms.mFetchFrom;
-    mPressure = mServer->Pressure(aNow);
-    mServer->OnStart(RequestTokens(mFacts));
-    mOutcome = attempt_outcome::Open;
-    mExchange = std::make_shared<exchange>(
-      mContext, mCore.Channels(), mServer, this->shared_from_this());
+    mTried.push_back(aServer->mListed.mId);
+    ++mTrace.mSends;
+    send_terms const terms =
+      PlanSend(mCore, aWanted, *aServer, mRows, mFacts, mAnswer.LastEvent());
+    mTrace.mFetchFrom = terms.mFetchFrom;
+    mTrace.mPressure = aServer->Pressure(aWanted.mNow);
     request_head head = Dialect::ForwardedRequest(mHead, terms);
     if (!mBody->empty() || mHead.mMethod != "GET")
       head.mFields.push_back(
         { "Content-Length", std::to_string(mBody->size()) });
-    mExchange->Start(FormatRequestHead(head), mBody, mHead.mMethod != "HEAD");
+    mAttempt.Begin(std::move(aServer),
+                   { .mHead = FormatRequestHead(head),
+                     .mBody = mBody,
+                     .mAnswerHasBody = mHead.mMethod != "HEAD",
+                     .mTokens = RequestTokens(mFacts),
+                     .mPart = PartRead(terms, mFacts) },
+                   this->shared_from_this());
   }
 
   void Begin(answer_head const& aHead)
   {
-    mOutcome = attempt_outcome::Taken;
+    mAttempt.SetOutcome(attempt_outcome::Taken);
     mAnswer.Begin(*mCaller,
                   aHead,
                   mRows.mRoute->mKind == work_kind::Stream &&
                     aHead.IsSuccess());
   }
 
-  void NoteAnswer(server_answer const& aAnswer)
-  {
-    instant const now = mClock.Now();
-    mServer->mBreaker.OnSuccess();
-    if (aAnswer.mIsMisdirected && aAnswer.mServer &&
-        *aAnswer.mServer != mServer->mListed.mId)
-      mCore.OnAbsent(*mServer);
-    if (aAnswer.mLoad) {
-      mServer->mLoad = aAnswer.mLoad;
-      mServer->mLoad->mToldAt = now;
-      mServer->mInFlightAtLoad = mServer->mInFlight;
-    }
-    if (aAnswer.mVersion)
-      mCore.OnWeights(*mServer, mFacts.mModel, *aAnswer.mVersion);
-  }
-
   void OnNotRun()
   {
-    LogAttemptEnd("not_run");
+    LogEnd("not_run");
     SendElsewhere();
   }
 
   void OnUnreachable(exchange_end aEnd)
   {
     instant const now = mClock.Now();
-    mServer->mBreaker.OnAbsence(now);
-    mCore.Channels().Forget(mServer->mListed.mId);
-    LogAttemptEnd(aEnd == exchange_end::Refused ? "connection_refused"
-                                                : "not_connected");
+    mAttempt.OnUnreachable(now);
+    LogEnd(aEnd == exchange_end::Refused ? "connection_refused"
+                                         : "not_connected");
     SendElsewhere();
   }
 
   // No server has run the request.
   void SendElsewhere()
   {
-    EndAttempt();
-    if (mSends >= mRows.mRoute->mMaxAttempts + kExtraSends)
+    mAttempt.End();
+    if (mTrace.mSends >= mRows.mRoute->mMaxAttempts + kExtraSends)
       return GiveUp();
     Attempt();
   }
@@ -281,19 +256,13 @@
   void OnLost(exchange_end aEnd)
   {
     instant const now = mClock.Now();
-    if (aEnd == exchange_end::Silent)
-      mServer->mBreaker.OnAbsence(now);
-    else
-      mServer->mBreaker.OnFailure(now);
-    // Kept connections to it may be as dead as this one; a new one shows at
-    // once whether it lives, before anything is sent.
-    mCore.Channels().Forget(mServer->mListed.mId);
+    mAttempt.OnLost(now, aEnd);
     mCore.OnCrash(now, mRows.mFingerprint);
-    mMayHaveRun = true;
-    LogAttemptEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
+    mTrace.mMayHaveRun = true;
+    LogEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
     bool const mayTry =
       mAnswer.CanGoOn(mRows.mRoute->mIsResumable) && MayTryElsewhere();
-    EndAttempt();
+    mAttempt.End();
     mAnswer.DropRest();
     if (mayTry && !mCore.Crashes().IsPoison(now, mRows.mFingerprint))
       return Attempt();
@@ -305,9 +274,9 @@
   /// The server's own failure: it has run.
   void OnFailed()
   {
-    LogAttemptEnd("failed");
-    mMayHaveRun = true;
-    EndAttempt();
+    LogEnd("failed");
+    mTrace.mMayHaveRun = true;
+    mAttempt.End();
     if (!MayTryElsewhere())
       return GiveUp();
     Attempt();
@@ -315,7 +284,8 @@
 
   [[nodiscard]] bool MayTryElsewhere() const
   {
-    return mRows.mRoute->MayRepeat() && mSends < mRows.mRoute->mMaxAttempts &&
+    return mRows.mRoute->MayRepeat() &&
+           mTrace.mSends < mRows.mRoute->mMaxAttempts &&
            mRows.mDeadline - mClock.Now() > kLeastTime;
   }
 
@@ -323,55 +293,31 @@
   {
     if (mAnswer.IsHeadSent())
       return Break();
-    Refuse(mMayHaveRun ? refusal_status::BadGateway : refusal_status::NotReady,
+    Refuse(mTrace.mMayHaveRun ? refusal_status::BadGateway
+                              : refusal_status::NotReady,
            kShortWait);
   }
 
   void Finish()
   {
     mCore.Crashes().OnAnswer(mRows.mFingerprint);
-    if (mCacheKey)
-      mCore.OnServed(mClock.Now(),
-                     { .mKey = *mCacheKey,
-                       .mServer = mServer->mListed.mId,
-                       .mIsStored = mIsStored });
-    EndAttempt();
+    mAttempt.OnAnswered(mClock.Now());
+    mAttempt.End();
     mIsDone = true;
     mTimer.cancel();
-    LogAnswer();
+    LogAnswer(mClock.Now(),
+              mTrace,
+              mRows,
+              mAttempt.Server().mListed.mId,
+              mAnswer.Status());
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     mAnswer.Finish(*caller);
   }
 
-  // One line for each attempt that the caller's answer didn't come from.
-  void LogAttemptEnd(std::string_view aCause) const
+  void LogEnd(std::string_view aCause) const
   {
-    LogEvent(
-      "attempt_ended",
-      { { "request", mFacts.mId.Text() },
-        { "server", mServer->mListed.mId.Text() },
-        { "cause", std::string{ aCause } },
-        { "sends", std::int64_t{ mSends } },
-        { "may_repeat", std::int64_t{ mRows.mRoute->MayRepeat() } },
-        { "config", static_cast<std::int64_t>(mRows.mConfig->Version()) },
-        { "since_ms", Milliseconds(mClock.Now() - mStartedAt) } });
-  }
-
-  void LogAnswer() const
-  {
-    LogEvent(
-      "answered",
-      { { "request", mFacts.mId.Text() },
-        { "route", mRows.mRoute->mName.Text() },
-        { "server", mServer->mListed.mId.Text() },
-        { "status", std::int64_t{ mAnswer.Status() } },
-        { "sends", std::int64_t{ mSends } },
-        { "pressure", mPressure },
-        { "fetched_from", mFetchFrom ? mFetchFrom->Text() : std::string{} },
-        { "first_ms",
-          Milliseconds((mFirstAt == instant{} ? mClock.Now() : mFirstAt) -
-                       mStartedAt) },
-        { "all_ms", Milliseconds(mClock.Now() - mStartedAt) } });
+    LogAttemptEnd(
+      mClock.Now(), mTrace, mRows, mAttempt.Server().mListed.mId, aCause);
   }
 
   void Break()
@@ -386,18 +332,10 @@
   {
     mIsDone = true;
     mTimer.cancel();
-    LogEvent(
-      "refused",
-      { { "request", mFacts.mId.Text() },
-        { "status", static_cast<std::int64_t>(aStatus) },
-        { "route", mRows.mRoute ? mRows.mRoute->mName.Text() : std::string{} },
-        { "workspace",
-          mRows.mWorkspace ? mRows.mWorkspace->mName.Text() : std::string{} },
-        { "units", mRows.mUnits },
-        { "sends", std::int64_t{ mSends } },
-        { "may_have_run", std::int64_t{ mMayHaveRun } },
-        { "held_ms", Milliseconds(mClock.Now() - mStartedAt) },
-        { "retry_after_ms", std::int64_t{ aRetryAfter.count() } } });
+    LogRefusal(mClock.Now(),
+               mTrace,
+               mRows,
+               { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
     bool const promisesNotRun = aStatus == refusal_status::NotReady;
     if (promisesNotRun && mRows.mWorkspace != nullptr && mRows.mUnits > 0)
       mCore.Quota().Refund(mClock.Now(), mRows.mWorkspace->mName, mRows.mUnits);
@@ -405,20 +343,6 @@
     caller->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
   }
 
-  static std::int64_t Milliseconds(duration aSpan)
-  {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
-  }
-
-  void EndAttempt()
-  {
-    if (!mExchange)
-      return;
-    mServer->OnEnd(RequestTokens(mFacts));
-    mExchange->Cancel();
-    mExchange.reset();
-  }
-
   boost::asio::io_context& mContext;
   traffic_core& mCore;
   /// Null once the request has its final answer.
@@ -427,23 +351,12 @@
   std::shared_ptr<std::string const> mBody;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
-  instant mStartedAt;
-  /// When the first piece of the answer came.
-  instant mFirstAt{};
-  /// Of the server when the request was sent to it.
-  double mPressure = 0;
-  std::optional<endpoint> mFetchFrom;
+  run_trace mTrace;
   request_facts mFacts;
   admitted_request mRows;
   std::vector<backend_server_id> mTried;
-  std::uint32_t mSends = 0;
-  std::shared_ptr<served_server> mServer;
-  std::shared_ptr<exchange> mExchange;
-  std::optional<std::uint64_t> mCacheKey;
-  bool mIsStored = false;
-  attempt_outcome mOutcome = attempt_outcome::Open;
+  server_attempt<request_run> mAttempt;
   answer_relay mAnswer;
-  bool mMayHaveRun = false;
   bool mWaitsForCaller = false;
   bool mIsDone = false;
 };
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -96,6 +96,25 @@
     mPrefixes.OnServed(aNow, holder);
 }
 
+void
+traffic_core::OnAnswer(instant aNow,
+                       served_server& aServer,
+                       model_name const& aModel,
+                       server_answer const& aAnswer)
+{
+  aServer.mBreaker.OnSuccess();
+  if (aAnswer.mIsMisdirected && aAnswer.mServer &&
+      *aAnswer.mServer != aServer.mListed.mId)
+    OnAbsent(aServer);
+  if (aAnswer.mLoad) {
+    aServer.mLoad = aAnswer.mLoad;
+    aServer.mLoad->mToldAt = aNow;
+    aServer.mInFlightAtLoad = aServer.mInFlight;
+  }
+  if (aAnswer.mVersion)
+    OnWeights(aServer, aModel, *aAnswer.mVersion);
+}
+
 void
 traffic_core::OnWeights(served_server& aServer,
                         model_name const& aModel,
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -11,6 +11,7 @@
 #include <LibGateway/ChannelPool.h>
 #include <LibGateway/GatewayOptions.h>
 #include <LibGateway/PeerNews.h>
+#include <LibGateway/ServerAnswer.h>
 #include <LibGateway/TrafficReport.h>
 
 #include <cstdint>
@@ -40,6 +41,12 @@
   /// A server was lost while it ran a request.
   void OnCrash(instant aNow, std::uint64_t aFingerprint);
 
+  /// A server answered, to a request for a model or a plain one.
+  void OnAnswer(instant aNow,
+                served_server& aServer,
+                model_name const& aModel,
+                server_answer const& aAnswer);
+
   /// An answer showed newer weights than were known.
   void OnWeights(served_server& aServer,
                  model_name const& aModel,
--- /dev/null
+++ b/Libraries/LibGateway/WriteQueue.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lycheeseam {
+
+/// Bytes on their way out of a connection: what comes during a write leaves
+/// with the next one.
+///
+/// Owner holds the queue and its socket, has shared_from_this(), and is told
+/// by OnWritten() when all has left and by OnWriteFault() when it can't.
+template<typename Owner>
+class write_queue
+{
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  write_queue(tcp::socket& aSocket, Owner& aOwner)
+    : mSocket(aSocket)
+    , mOwner(aOwner)
+  {
+  }
+
+  /// Adds bytes; without any, the owner is told once all before has left.
+  void Write(std::string_view aBytes)
+  {
+    mPending += aBytes;
+    if (!mIsWriting)
+      WritePending();
+  }
+
+  /// Bytes that the connection hasn't begun to take.
+  [[nodiscard]] std::size_t Pending() const noexcept { return mPending.size(); }
+
+  [[nodiscard]] bool IsWriting() const noexcept { return mIsWriting; }
+
+private:
+  void WritePending()
+  {
+    if (mPending.empty())
+      return mOwner.OnWritten();
+    mIsWriting = true;
+    mWriting.clear();
+    mWriting.swap(mPending);
+    boost::asio::async_write(
+      mSocket,
+      boost::asio::buffer(mWriting),
+      [this, owner = mOwner.shared_from_this()](auto aFault, std::size_t) {
+        mIsWriting = false;
+        if (aFault)
+          return mOwner.OnWriteFault();
+        WritePending();
+      });
+  }
+
+  tcp::socket& mSocket;
+  Owner& mOwner;
+  std::string mPending;
+  std::string mWriting;
+  bool mIsWriting = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpStatus.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+/// \file The statuses of RFC 9110 that calls are decided by.
+
+namespace lycheeseam {
+
+constexpr std::uint32_t kHttpOk = 200;
+constexpr std::uint32_t kHttpAccepted = 202;
+constexpr std::uint32_t kHttpConflict = 409;
+constexpr std::uint32_t kHttpGone = 410;
+constexpr std::uint32_t kHttpPreconditionFailed = 412;
+constexpr std::uint32_t kHttpMisdirected = 421;
+
+}
