All packages: Name types where auto hid them

auto is for iterators, lambdas and structured bindings; casts, pointers out of variants, made objects and the tables' rows have their types. No behaviour.

--- a/Libraries/LibConfig/ConfigTables.cpp
+++ b/Libraries/LibConfig/ConfigTables.cpp
@@ -5,10 +5,9 @@
 namespace {
 
 // Rows are found by name in every table alike.
-template<typename Rows, typename Name>
-auto
-FindRow(Rows const& aRows, Name const& aName)
-  -> decltype(&aRows.begin()->second.mRow)
+template<typename Name, typename Row>
+Row const*
+FindRow(std::map<Name, versioned<Row>> const& aRows, Name const& aName)
 {
   auto const found = aRows.find(aName);
   if (found == aRows.end())
--- a/Libraries/LibConfigLog/ConfigDiff.cpp
+++ b/Libraries/LibConfigLog/ConfigDiff.cpp
@@ -20,7 +20,8 @@
   if (!aWanted)
     return;
   using table = config_table<Row>;
-  auto const& rows = aTables.*table::kRows;
+  std::map<typename table::name, versioned<Row>> const& rows =
+    aTables.*table::kRows;
   std::set<typename table::name> kept;
   for (Row const& row : *aWanted) {
     typename table::name const& name = table::NameOf(row);
--- a/Libraries/LibConfigLog/ConfigFold.cpp
+++ b/Libraries/LibConfigLog/ConfigFold.cpp
@@ -14,7 +14,8 @@
 {
   assert(aEntry.mOffset > mState.mTables.mOffset);
   ForgetOldOutcomes(aEntry.mOffset);
-  if (auto const* proposal = std::get_if<config_proposal>(&aEntry.mRecord))
+  if (config_proposal const* proposal =
+        std::get_if<config_proposal>(&aEntry.mRecord))
     ApplyProposal(*proposal, aEntry.mOffset);
   mState.mTables.mOffset = aEntry.mOffset;
 }
--- a/Libraries/LibConfigLog/RowChanges.cpp
+++ b/Libraries/LibConfigLog/RowChanges.cpp
@@ -40,14 +40,14 @@
           row_version aVersion)
 {
   for (any_row_change const& change : aChanges) {
-    auto const write =
-      [&]<typename Name, typename Row>(row_change<Name, Row> const& aTyped) {
-        auto& rows = aTables.*config_table<Row>::kRows;
-        if (aTyped.mRow)
-          rows[aTyped.mName] = { .mRow = *aTyped.mRow, .mVersion = aVersion };
-        else
-          rows.erase(aTyped.mName);
-      };
+    auto const write = [&]<typename Name, typename Row>(
+                         row_change<Name, Row> const& aTyped) {
+      std::map<Name, versioned<Row>>& rows = aTables.*config_table<Row>::kRows;
+      if (aTyped.mRow)
+        rows[aTyped.mName] = { .mRow = *aTyped.mRow, .mVersion = aVersion };
+      else
+        rows.erase(aTyped.mName);
+    };
     std::visit(write, change);
   }
 }
--- a/Libraries/LibControl/PoolTable.h
+++ b/Libraries/LibControl/PoolTable.h
@@ -24,8 +24,8 @@
     for (auto const& [name, entry] : aTables.mPools)
       mPools[name].Update(entry.mRow);
     for (auto const& [name, entry] : aTables.mWorkspaces) {
-      for (auto& [pool, runtime] : mPools)
-        runtime.Queue().SetWeight(name, entry.mRow.mWeight);
+      for (pool_entry& pool : mPools)
+        pool.second.Queue().SetWeight(name, entry.mRow.mWeight);
     }
   }
 
@@ -41,8 +41,8 @@
   {
     std::vector<pool_runtime<Policy>*> all;
     all.reserve(mPools.size());
-    for (auto& [name, pool] : mPools)
-      all.push_back(&pool);
+    for (pool_entry& pool : mPools)
+      all.push_back(&pool.second);
     return all;
   }
 
@@ -59,6 +59,8 @@
   }
 
 private:
+  using pool_entry = std::pair<pool_name const, pool_runtime<Policy>>;
+
   std::map<pool_name, pool_runtime<Policy>> mPools;
 };
 
--- a/Libraries/LibDispatch/QuotaWindow.cpp
+++ b/Libraries/LibDispatch/QuotaWindow.cpp
@@ -8,7 +8,7 @@
 quota_window::MoveTo(instant aNow)
 {
   std::int64_t const slot = aNow.time_since_epoch() / mSlotTime;
-  auto const size = static_cast<std::int64_t>(mUnits.size());
+  std::int64_t const size = static_cast<std::int64_t>(mUnits.size());
   std::int64_t const steps = std::min(slot - mNewest, size);
   for (std::int64_t step = 0; step < steps; ++step) {
     double& oldest = mUnits[(mNewest + 1 + step) % size];
@@ -45,7 +45,7 @@
 duration
 quota_window::WaitFor(double aUnits) const
 {
-  auto const size = static_cast<std::int64_t>(mUnits.size());
+  std::int64_t const size = static_cast<std::int64_t>(mUnits.size());
   duration wait{};
   double freed = 0;
   for (std::int64_t step = 1; step <= size && freed < aUnits; ++step) {
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -41,10 +41,10 @@
         behind[server.mPool].push_back(&server);
     }
     for (auto& [pool, servers] : behind) {
-      auto const size = static_cast<double>(sizes[pool]);
-      auto const first =
+      double const size = static_cast<double>(sizes[pool]);
+      std::size_t const first =
         static_cast<std::size_t>(std::ceil(size * mTiming.mFirstPart));
-      auto const later =
+      std::size_t const later =
         static_cast<std::size_t>(std::ceil(size * mTiming.mLaterPart));
       std::size_t const most = turned[pool] >= first ? later : first;
       std::stable_sort(
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -191,7 +191,7 @@
     if (aNow - mTrace.mStartedAt >
         mRows.mRoute->mTargetLatency / kPlaceWaitPart)
       return GiveUp();
-    auto const wait =
+    std::shared_ptr<boost::asio::steady_timer> const wait =
       std::make_shared<boost::asio::steady_timer>(mContext, kPlaceInterval);
     wait->async_wait(
       [self = this->shared_from_this(), wait](auto) { self->Attempt(); });
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -112,7 +112,7 @@
   {
     mSocket = std::make_shared<tcp::socket>(mContext);
     boost::system::error_code fault;
-    auto const address =
+    boost::asio::ip::address const address =
       boost::asio::ip::make_address(mServer->mListed.mAddress.mAddress, fault);
     if (fault)
       return End(exchange_end::NotConnected);
--- a/Libraries/LibGateway/SessionListener.h
+++ b/Libraries/LibGateway/SessionListener.h
@@ -85,7 +85,7 @@
   {
     boost::system::error_code ignored;
     aSocket.set_option(tcp::no_delay{ true }, ignored);
-    auto const session =
+    std::shared_ptr<Session> const session =
       std::make_shared<Session>(mContext, mCore, std::move(aSocket));
     if (++mAccepted % kPruneInterval == 0)
       std::erase_if(mSessions,
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -54,7 +54,7 @@
   {
     mSocket = std::make_shared<tcp::socket>(mClient.mContext);
     boost::system::error_code fault;
-    auto const address =
+    boost::asio::ip::address const address =
       boost::asio::ip::make_address(mCall.mTo.mAddress, fault);
     if (fault)
       return End("the address is no IP number");
--- a/Libraries/LibOnce/ClaimBatcher.cpp
+++ b/Libraries/LibOnce/ClaimBatcher.cpp
@@ -56,7 +56,8 @@
 void
 claim_batcher::OnEntry(log_entry const& aEntry)
 {
-  if (auto const* ended = std::get_if<request_outcome_batch>(&aEntry.mRecord))
+  if (request_outcome_batch const* ended =
+        std::get_if<request_outcome_batch>(&aEntry.mRecord))
     mSent.erase(ended->mOrigin.mProposal);
 }
 
--- a/Libraries/LibOnce/ClaimFold.cpp
+++ b/Libraries/LibOnce/ClaimFold.cpp
@@ -23,10 +23,12 @@
 claim_fold::Apply(log_entry const& aEntry)
 {
   Forget(aEntry.mOffset);
-  if (auto const* claims = std::get_if<request_claim_batch>(&aEntry.mRecord))
+  if (request_claim_batch const* claims =
+        std::get_if<request_claim_batch>(&aEntry.mRecord))
     ApplyClaims(aEntry.mOffset, *claims);
   // An outcome counts however late it lands: it only tells what has happened.
-  if (auto const* ended = std::get_if<request_outcome_batch>(&aEntry.mRecord))
+  if (request_outcome_batch const* ended =
+        std::get_if<request_outcome_batch>(&aEntry.mRecord))
     for (request_outcome const& outcome : ended->mOutcomes)
       ApplyOutcome(aEntry.mOffset, OwnerOf(*ended), outcome);
 }
--- a/Libraries/LibOrders/LeaseFold.cpp
+++ b/Libraries/LibOrders/LeaseFold.cpp
@@ -8,7 +8,7 @@
 void
 lease_fold::Apply(log_entry const& aEntry)
 {
-  auto const* grant = std::get_if<lease_grant>(&aEntry.mRecord);
+  lease_grant const* grant = std::get_if<lease_grant>(&aEntry.mRecord);
   if (grant == nullptr || aEntry.mOffset > grant->mOrigin.mLastOffset)
     return;
   lease const* const current = Find(grant->mPool);
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -10,6 +10,9 @@
 // Builds the table of each kind of message.
 class fleet_encoder
 {
+  using units_vector = flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<wire::SpentUnits>>>;
+
 public:
   explicit fleet_encoder(flatbuffers::FlatBufferBuilder& aBuilder)
     : mBuilder(aBuilder)
@@ -18,8 +21,8 @@
 
   encoded_body operator()(fleet_report const& aReport)
   {
-    auto const spent = Units(aReport.mSpent);
-    auto const used = Units(aReport.mUsed);
+    units_vector const spent = Units(aReport.mSpent);
+    units_vector const used = Units(aReport.mUsed);
     std::vector<wire::CrashCount> crashes;
     for (crash_count const& crash : aReport.mCrashes)
       crashes.emplace_back(crash.mFingerprint, crash.mCount);
@@ -74,9 +77,7 @@
     return mBuilder.CreateString(aText);
   }
 
-  flatbuffers::Offset<
-    flatbuffers::Vector<flatbuffers::Offset<wire::SpentUnits>>>
-  Units(std::vector<spent_units> const& aUnits)
+  units_vector Units(std::vector<spent_units> const& aUnits)
   {
     std::vector<flatbuffers::Offset<wire::SpentUnits>> tables;
     tables.reserve(aUnits.size());
@@ -88,7 +89,7 @@
 
   flatbuffers::Offset<wire::KeyedRecord> Record(keyed_record const& aRecord)
   {
-    auto const key = Text(aRecord.mKey);
+    flatbuffers::Offset<flatbuffers::String> const key = Text(aRecord.mKey);
     flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
     if (aRecord.mValue)
       value = mBuilder.CreateVector(
--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -180,11 +180,12 @@
 {
   link_number const number{ mNextLink++ };
   instant const now = mClock.Now();
-  auto const added = std::make_shared<connection>(std::move(aSocket),
-                                                  number,
-                                                  mOptions.mMaxFrameBytes,
-                                                  mOptions.mMaxQueueBytes,
-                                                  *this);
+  std::shared_ptr<connection> const added =
+    std::make_shared<connection>(std::move(aSocket),
+                                 number,
+                                 mOptions.mMaxFrameBytes,
+                                 mOptions.mMaxQueueBytes,
+                                 *this);
   mLinks.emplace(number,
                  link_state{ .mConnection = added,
                              .mDirection = aDirection,
--- a/Libraries/LibPlatform/CheckpointPolicy.cpp
+++ b/Libraries/LibPlatform/CheckpointPolicy.cpp
@@ -23,7 +23,7 @@
 void
 checkpoint_policy::OnEntry(log_entry const& aEntry)
 {
-  auto const* const found = std::get_if<checkpoint>(&aEntry.mRecord);
+  checkpoint const* const found = std::get_if<checkpoint>(&aEntry.mRecord);
   if (!found || found->mCovers < mCovers)
     return;
   mCovers = found->mCovers;
--- a/Libraries/LibPlatform/CheckpointSearch.cpp
+++ b/Libraries/LibPlatform/CheckpointSearch.cpp
@@ -31,7 +31,7 @@
 checkpoint_search::Add(std::span<log_entry const> aEntries)
 {
   for (log_entry const& entry : aEntries) {
-    if (auto const* found = std::get_if<checkpoint>(&entry.mRecord))
+    if (checkpoint const* found = std::get_if<checkpoint>(&entry.mRecord))
       AddCheckpoint(*found);
     mNext = entry.mOffset.Next();
   }
--- a/StandIns/Engine/Generator.cpp
+++ b/StandIns/Engine/Generator.cpp
@@ -92,7 +92,7 @@
 generator::UncachedTokens(sequence const& aSequence)
 {
   std::size_t const blocks = mCache.Match(aSequence.mChain);
-  auto const cached = static_cast<token_count>(blocks * kTokensPerBlock);
+  token_count const cached = static_cast<token_count>(blocks * kTokensPerBlock);
   mAnswers.at(aSequence.mId).SetCachedTokens(cached);
   mCounts.mCachedTokens += cached;
   Import(aSequence.mChain);
--- a/StandIns/EngineModel/EngineBatch.cpp
+++ b/StandIns/EngineModel/EngineBatch.cpp
@@ -147,7 +147,7 @@
 duration
 engine_batch::StepTime() const
 {
-  auto const decoding = static_cast<double>(
+  double const decoding = static_cast<double>(
     std::count_if(mRunning.begin(), mRunning.end(), [](sequence const& aOther) {
       return aOther.mDecoding;
     }));
--- a/StandIns/Service/ServiceApi.cpp
+++ b/StandIns/Service/ServiceApi.cpp
@@ -73,7 +73,7 @@
 {
   if (mDelay.count() == 0)
     return aExchange->Respond(status::ok, aBody);
-  auto const timer =
+  std::shared_ptr<boost::asio::steady_timer> const timer =
     std::make_shared<boost::asio::steady_timer>(mContext, mDelay);
   timer->async_wait([timer, aExchange, aBody](boost::system::error_code) {
     if (aExchange->IsOpen())
--- a/Tests/LibDispatch/TestChooseServer.cpp
+++ b/Tests/LibDispatch/TestChooseServer.cpp
@@ -21,7 +21,7 @@
   explicit engines(std::size_t aCount)
   {
     for (std::size_t index = 0; index < aCount; ++index) {
-      auto server = std::make_unique<served_server>();
+      std::unique_ptr<served_server> server = std::make_unique<served_server>();
       server->mListed.mId = backend_server_id{ std::to_string(index) };
       server->mListed.mSlots = 10;
       server->mListed.mModels = { { .mModel = kModel, .mVersion = 1 } };
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -71,7 +71,7 @@
 
   void StartGateway(std::span<scripted_server* const> aServers)
   {
-    auto view = std::make_shared<fleet_view>();
+    std::shared_ptr<fleet_view> view = std::make_shared<fleet_view>();
     view->mConfig = std::make_shared<dispatch_config const>(
       1,
       std::vector<dispatch_route>{
--- a/Tests/LibGateway/TestGatewayAnswers.cpp
+++ b/Tests/LibGateway/TestGatewayAnswers.cpp
@@ -16,7 +16,7 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
     "Transfer-Encoding: chunked\r\n\r\n" +
     Chunk("part of") + "\a";
-  auto const script = std::make_shared<answer_script>(
+  std::shared_ptr<answer_script> const script = std::make_shared<answer_script>(
     std::vector<std::string>{ broken, Answer("whole") });
   scripted_server first{ script };
   scripted_server second{ script };
@@ -62,7 +62,7 @@
     StreamHead() + Chunk("id: 1\ndata: a\n\nid: 2\nda") + "\a";
   std::string const rest =
     StreamHead() + Chunk("id: 2\ndata: b\n\n") + std::string{ kLastChunk };
-  auto const script =
+  std::shared_ptr<answer_script> const script =
     std::make_shared<answer_script>(std::vector<std::string>{ broken, rest });
   scripted_server first{ script };
   scripted_server second{ script };
--- a/Tests/LibMembership/TestCallerAddresses.cpp
+++ b/Tests/LibMembership/TestCallerAddresses.cpp
@@ -44,7 +44,7 @@
   constexpr double kEach = kCallers / 8.0;
   for (int i = 0; i < kCallers; ++i) {
     failure_domain const domain{ "d" + std::to_string(i % 4) };
-    auto const seed = static_cast<std::uint64_t>(i);
+    std::uint64_t const seed = static_cast<std::uint64_t>(i);
     ++firsts[ChooseCallerAddresses(members, domain, seed, {})[0].mInstance];
   }
   for (auto const& [instance, count] : firsts)
--- a/Tests/LibMembership/VirtualFleet.h
+++ b/Tests/LibMembership/VirtualFleet.h
@@ -81,7 +81,7 @@
   /// The tail as it was some time ago.
   [[nodiscard]] log_offset TailBefore(milliseconds aAge) const
   {
-    auto const steps = static_cast<std::size_t>(aAge / kStep);
+    std::size_t const steps = static_cast<std::size_t>(aAge / kStep);
     return steps < mTails.size() ? mTails[mTails.size() - 1 - steps]
                                  : log_offset{};
   }
--- a/Tests/LibOnce/TestClaimBatcher.cpp
+++ b/Tests/LibOnce/TestClaimBatcher.cpp
@@ -20,7 +20,8 @@
   std::vector<log_record> const records =
     batcher.Due(kNow + milliseconds{ 20 }, log_offset{ 7 });
   ASSERT_EQ(records.size(), 1U);
-  auto const& batch = std::get<request_claim_batch>(records.front());
+  request_claim_batch const& batch =
+    std::get<request_claim_batch>(records.front());
   EXPECT_EQ(batch.mClaims.size(), 50U);
   EXPECT_EQ(batch.mOrigin.mLastOffset, log_offset{ 5007 });
   EXPECT_EQ(batcher.NextWake(), std::nullopt);
@@ -54,7 +55,8 @@
   batcher.Add(kNow, request_outcome{ .mBody = "long" });
   std::vector<log_record> const records =
     batcher.Due(kNow + milliseconds{ 20 }, log_offset{});
-  auto const& batch = std::get<request_outcome_batch>(records.front());
+  request_outcome_batch const& batch =
+    std::get<request_outcome_batch>(records.front());
   EXPECT_TRUE(batch.mOutcomes.front().mBody.empty());
 }
 
--- a/Tests/LibPeer/TestPeerHub.cpp
+++ b/Tests/LibPeer/TestPeerHub.cpp
@@ -175,7 +175,8 @@
 TEST_F(peer_hub_test, DialsAgainAfterAPeerRestarts)
 {
   hub_peer first{ mContext, "a", 1 };
-  auto second = std::make_unique<hub_peer>(mContext, "b", 1);
+  std::unique_ptr<hub_peer> second =
+    std::make_unique<hub_peer>(mContext, "b", 1);
   Link(first, *second);
   endpoint const address = second->Contact().mAddress;
   second->mHub.Stop();
--- a/Tests/LibPlatform/ConfigSchedule.cpp
+++ b/Tests/LibPlatform/ConfigSchedule.cpp
@@ -204,7 +204,8 @@
 {
   std::map<row_reference, log_offset> versions;
   for (log_entry const& entry : mLog.History()) {
-    auto const* const proposal = std::get_if<config_proposal>(&entry.mRecord);
+    config_proposal const* const proposal =
+      std::get_if<config_proposal>(&entry.mRecord);
     if (!proposal)
       continue;
     auto const found = mReference.Outcomes().find(proposal->mOrigin.mProposal);
--- a/Tests/LibPlatform/TestPlatformClient.cpp
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -41,7 +41,8 @@
 
   std::future<read_result> Read(read_request const& aRequest)
   {
-    auto const end = std::make_shared<std::promise<read_result>>();
+    std::shared_ptr<std::promise<read_result>> const end =
+      std::make_shared<std::promise<read_result>>();
     mClient.Read(
       aRequest, [end](read_result const& aResult) { end->set_value(aResult); });
     return end->get_future();
--- a/Tests/LibTrace/TestSpanRing.cpp
+++ b/Tests/LibTrace/TestSpanRing.cpp
@@ -37,7 +37,7 @@
     std::size_t const kept = std::min(kCapacity, aTraces.size());
     RC_ASSERT(ring.size() == kept);
     for (int trace = 0; trace < 256; ++trace) {
-      auto const id = static_cast<std::uint8_t>(trace);
+      std::uint8_t const id = static_cast<std::uint8_t>(trace);
       auto const expected = std::count(
         aTraces.end() - static_cast<std::ptrdiff_t>(kept), aTraces.end(), id);
       std::size_t const found = ring.Find(MakeSpan(id, 0).mTrace).size();
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -51,7 +51,7 @@
 
 TEST(TestStoreDialect, ConfigurationsAreRead)
 {
-  auto const config = ReadConfig(kConfig);
+  std::shared_ptr<dispatch_config const> const config = ReadConfig(kConfig);
   EXPECT_EQ(config->Version(), 7U);
   dispatch_route const* const route = config->FindRoute("h", "/a/x");
   ASSERT_NE(route, nullptr);
@@ -85,8 +85,9 @@
 
 TEST(TestStoreDialect, NamedWeightsAreRead)
 {
-  auto const named = std::get<loaded_model>(store_dialect::ReadOperatorRecord(
-    "version/m", R"({"model": "m", "version": 2})"));
+  loaded_model const named =
+    std::get<loaded_model>(store_dialect::ReadOperatorRecord(
+      "version/m", R"({"model": "m", "version": 2})"));
   EXPECT_EQ(named.mVersion, 2U);
   EXPECT_TRUE(std::holds_alternative<std::monostate>(
     store_dialect::ReadOperatorRecord("else", "{}")));
--- a/Tests/Scenarios/LuaJson.cpp
+++ b/Tests/Scenarios/LuaJson.cpp
@@ -34,7 +34,7 @@
 ArrayAt(lua_State* aLua, int aIndex)
 {
   json array = json::array();
-  auto const size = static_cast<lua_Integer>(lua_rawlen(aLua, aIndex));
+  lua_Integer const size = static_cast<lua_Integer>(lua_rawlen(aLua, aIndex));
   for (lua_Integer item = 1; item <= size; ++item) {
     lua_rawgeti(aLua, aIndex, item);
     array.push_back(LuaToJson(aLua, -1));
--- a/Tests/Scenarios/Relay.cpp
+++ b/Tests/Scenarios/Relay.cpp
@@ -92,7 +92,7 @@
                                     redirect_error(use_awaitable, error));
     if (error)
       co_return;
-    auto const accepted = std::make_shared<link>(
+    std::shared_ptr<link> const accepted = std::make_shared<link>(
       link{ std::move(caller), tcp::socket{ mContext } });
     mLinks.push_back(accepted);
     boost::asio::co_spawn(
--- a/Tests/Scenarios/RelayThread.cpp
+++ b/Tests/Scenarios/RelayThread.cpp
@@ -41,7 +41,8 @@
 std::uint16_t
 relay_thread::Add(std::string_view aName, std::uint16_t aTargetPort)
 {
-  auto const added = std::make_shared<relay>(mContext, aTargetPort);
+  std::shared_ptr<relay> const added =
+    std::make_shared<relay>(mContext, aTargetPort);
   mRelays[std::string{ aName }] = added;
   boost::asio::post(mContext, [added]() { added->Start(); });
   return added->Port();
