All packages: Give every type a name of its own

Cause: three pairs of types stood under one name in the one namespace (server_life, server_load, field_presence). A program that links both of a pair may take one type's inline functions for the other's, without a diagnostic.

Change: LibPlacement's life of cached blocks is cached_life, LibDispatch's load from an answer reported_load; field_presence moved to LibCore for both of its users.

--- a/Libraries/LibCodec/JsonField.h
+++ b/Libraries/LibCodec/JsonField.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCodec/FieldPresence.h>
 #include <LibCodec/JsonForm.h>
+#include <LibCore/FieldPresence.h>
 
 #include <string_view>
 
--- a/Libraries/LibCodec/FieldPresence.h
+++ b/Libraries/LibCore/FieldPresence.h
@@ -2,7 +2,7 @@
 
 namespace lycheeseam {
 
-/// Whether an object may leave a field out.
+/// Whether an object, or a settings file, may leave a field out.
 enum class field_presence
 {
   Required,
--- a/Libraries/LibDispatch/ServerLoad.h
+++ b/Libraries/LibDispatch/ReportedLoad.h
@@ -7,7 +7,7 @@
 namespace lycheeseam {
 
 /// The load that a backend server told with an answer.
-struct server_load
+struct reported_load
 {
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
--- a/Libraries/LibDispatch/ServedServer.h
+++ b/Libraries/LibDispatch/ServedServer.h
@@ -2,7 +2,7 @@
 
 #include <LibAdmission/CircuitBreaker.h>
 #include <LibDispatch/ListedServer.h>
-#include <LibDispatch/ServerLoad.h>
+#include <LibDispatch/ReportedLoad.h>
 
 #include <cstdint>
 #include <optional>
@@ -24,7 +24,7 @@
   std::uint32_t mInFlight = 0;
   /// Their prompts and expected answers, in tokens.
   token_count mInFlightTokens = 0;
-  std::optional<server_load> mLoad;
+  std::optional<reported_load> mLoad;
   /// A usual request's tokens, by the own ones.
   double mUsualTokens = 0;
   /// Own requests in flight when the load was told.
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -17,6 +17,38 @@
   });
 }
 
+std::map<pool_name, turnover_plan::census>
+turnover_plan::Count(std::span<listed_server const> aServers,
+                     named_weights const& aNamed) const
+{
+  std::map<pool_name, census> pools;
+  for (listed_server const& server : aServers) {
+    std::uint64_t const version = server.VersionOf(aNamed.mModel);
+    if (version == 0 || server.mStage != server_stage::Ready)
+      continue;
+    census& pool = pools[server.mPool];
+    ++pool.mSize;
+    if (mTurns.contains(server.mId))
+      ++pool.mTurning;
+    else if (version >= aNamed.Newest())
+      ++pool.mTurned;
+    else
+      pool.mBehind.push_back(&server);
+  }
+  return pools;
+}
+
+std::size_t
+turnover_plan::MostTurning(census const& aPool) const
+{
+  double const size = static_cast<double>(aPool.mSize);
+  std::size_t const first =
+    static_cast<std::size_t>(std::ceil(size * mTiming.mFirstPart));
+  std::size_t const later =
+    static_cast<std::size_t>(std::ceil(size * mTiming.mLaterPart));
+  return std::max<std::size_t>(1, aPool.mTurned >= first ? later : first);
+}
+
 void
 turnover_plan::Update(instant aNow,
                       std::span<listed_server const> aServers,
@@ -24,42 +56,17 @@
 {
   DropDone(aServers);
   for (named_weights const& named : aWeights) {
-    std::map<pool_name, std::vector<listed_server const*>> behind;
-    std::map<pool_name, std::size_t> sizes;
-    std::map<pool_name, std::size_t> turned;
-    std::map<pool_name, std::size_t> turning;
-    for (listed_server const& server : aServers) {
-      std::uint64_t const version = server.VersionOf(named.mModel);
-      if (version == 0 || server.mStage != server_stage::Ready)
-        continue;
-      ++sizes[server.mPool];
-      if (mTurns.contains(server.mId))
-        ++turning[server.mPool];
-      else if (version >= named.Newest())
-        ++turned[server.mPool];
-      else
-        behind[server.mPool].push_back(&server);
-    }
-    for (auto& [pool, servers] : behind) {
-      double const size = static_cast<double>(sizes[pool]);
-      std::size_t const first =
-        static_cast<std::size_t>(std::ceil(size * mTiming.mFirstPart));
-      std::size_t const later =
-        static_cast<std::size_t>(std::ceil(size * mTiming.mLaterPart));
-      std::size_t const most = turned[pool] >= first ? later : first;
-      std::stable_sort(
-        servers.begin(),
-        servers.end(),
-        [&named](listed_server const* aLeft, listed_server const* aRight) {
-          return aLeft->VersionOf(named.mModel) <
-                 aRight->VersionOf(named.mModel);
-        });
-      for (listed_server const* const server : servers) {
-        if (turning[pool] >= std::max<std::size_t>(1, most))
-          break;
-        ++turning[pool];
+    auto const isOlder = [&named](listed_server const* aLeft,
+                                  listed_server const* aRight) {
+      return aLeft->VersionOf(named.mModel) < aRight->VersionOf(named.mModel);
+    };
+    for (auto& [name, pool] : Count(aServers, named)) {
+      std::stable_sort(pool.mBehind.begin(), pool.mBehind.end(), isOlder);
+      std::size_t const most = MostTurning(pool);
+      std::size_t const room = most - std::min(most, pool.mTurning);
+      pool.mBehind.resize(std::min(room, pool.mBehind.size()));
+      for (listed_server const* const server : pool.mBehind)
         Begin(aNow, *server, named);
-      }
     }
   }
 }
--- a/Libraries/LibFleet/TurnoverPlan.h
+++ b/Libraries/LibFleet/TurnoverPlan.h
@@ -78,6 +78,22 @@
     std::optional<std::uint64_t> mOrders;
   };
 
+  /// How a pool stands towards the newest weights of one model.
+  struct census
+  {
+    std::size_t mSize = 0;
+    std::size_t mTurned = 0;
+    std::size_t mTurning = 0;
+    std::vector<listed_server const*> mBehind;
+  };
+
+  [[nodiscard]] std::map<pool_name, census> Count(
+    std::span<listed_server const> aServers,
+    named_weights const& aNamed) const;
+
+  /// How many servers of a pool may turn at a time.
+  [[nodiscard]] std::size_t MostTurning(census const& aPool) const;
+
   void DropDone(std::span<listed_server const> aServers);
   void Begin(instant aNow,
              listed_server const& aServer,
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
-#include <LibDispatch/ServerLoad.h>
+#include <LibDispatch/ReportedLoad.h>
 
 #include <cstdint>
 #include <optional>
@@ -22,7 +22,7 @@
   std::optional<backend_server_id> mServer;
   /// It bears the mark that servers put on the answers that they made.
   bool mIsSigned = false;
-  std::optional<server_load> mLoad;
+  std::optional<reported_load> mLoad;
   /// The version of the weights that made it.
   std::optional<std::uint64_t> mVersion;
 };
--- a/Libraries/LibPlacement/BlockMap.cpp
+++ b/Libraries/LibPlacement/BlockMap.cpp
@@ -50,12 +50,12 @@
                          incarnation aIncarnation)
 {
   auto const [found, isNew] = mLives.try_emplace(aServer);
-  server_life& life = found->second;
+  cached_life& life = found->second;
   if (!isNew && life.mIncarnation >= aIncarnation)
     return;
   // A new number orphans all entries of older lives at once; they are never
   // found again, and full buckets reuse their places.
-  life = server_life{ .mIncarnation = aIncarnation,
+  life = cached_life{ .mIncarnation = aIncarnation,
                       .mNumber = ++mLastLifeNumber,
                       .mRetention = mOptions.mFirstRetention };
 }
@@ -69,7 +69,7 @@
 void
 block_map::OnEvents(cache_event_batch const& aBatch, instant aNow)
 {
-  server_life* const life = LifeOf(aBatch.mServer, aBatch.mIncarnation);
+  cached_life* const life = LifeOf(aBatch.mServer, aBatch.mIncarnation);
   if (life == nullptr)
     return;
   bool const isNewest = FollowSequence(*life, aBatch, aNow);
@@ -88,7 +88,7 @@
                   std::span<block_hash const> aBlocks,
                   instant aNow)
 {
-  server_life const* const life = LifeOf(aServer, aIncarnation);
+  cached_life const* const life = LifeOf(aServer, aIncarnation);
   if (life == nullptr)
     return;
   RememberSend(*life, aBlocks, aNow);
@@ -103,7 +103,7 @@
                     token_count aCachedTokens,
                     instant aNow)
 {
-  server_life* const life = LifeOf(aServer, aIncarnation);
+  cached_life* const life = LifeOf(aServer, aIncarnation);
   if (life == nullptr)
     return;
   std::size_t const cachedBlocks =
@@ -130,16 +130,16 @@
   return known;
 }
 
-server_life*
+cached_life*
 block_map::LifeOf(backend_server_id const& aServer, incarnation aIncarnation)
 {
   OnIncarnation(aServer, aIncarnation);
-  server_life& life = mLives.at(aServer);
+  cached_life& life = mLives.at(aServer);
   return life.mIncarnation == aIncarnation ? &life : nullptr;
 }
 
 bool
-block_map::FollowSequence(server_life& aLife,
+block_map::FollowSequence(cached_life& aLife,
                           cache_event_batch const& aBatch,
                           instant aNow)
 {
@@ -154,7 +154,7 @@
 }
 
 void
-block_map::RememberEvent(server_life const& aLife,
+block_map::RememberEvent(cached_life const& aLife,
                          block_hash aBlock,
                          instant aNow)
 {
@@ -166,7 +166,7 @@
 }
 
 void
-block_map::RememberRequest(server_life const& aLife,
+block_map::RememberRequest(cached_life const& aLife,
                            block_hash aBlock,
                            instant aNow)
 {
@@ -177,7 +177,7 @@
 }
 
 block_entry
-block_map::EntryOf(server_life const& aLife, block_hash aBlock) const
+block_map::EntryOf(cached_life const& aLife, block_hash aBlock) const
 {
   block_entry const* const found = mTable.Find(aBlock, aLife.mNumber);
   if (found == nullptr)
@@ -189,7 +189,7 @@
 }
 
 bool
-block_map::IsTrusted(server_life const& aLife,
+block_map::IsTrusted(cached_life const& aLife,
                      block_hash aBlock,
                      instant aNow) const
 {
@@ -202,7 +202,7 @@
 }
 
 std::size_t
-block_map::CountTrusted(server_life const& aLife,
+block_map::CountTrusted(cached_life const& aLife,
                         std::span<block_hash const> aBlocks,
                         instant aNow) const
 {
@@ -214,7 +214,7 @@
 }
 
 std::uint64_t
-block_map::SendKey(server_life const& aLife,
+block_map::SendKey(cached_life const& aLife,
                    std::span<block_hash const> aBlocks)
 {
   // Equal prompts under way at once share a key; the later one replaces the
@@ -223,7 +223,7 @@
 }
 
 void
-block_map::RememberSend(server_life const& aLife,
+block_map::RememberSend(cached_life const& aLife,
                         std::span<block_hash const> aBlocks,
                         instant aNow)
 {
@@ -239,7 +239,7 @@
 }
 
 void
-block_map::LearnRetention(server_life& aLife,
+block_map::LearnRetention(cached_life& aLife,
                           std::span<block_hash const> aBlocks,
                           std::size_t aCachedBlocks)
 {
--- a/Libraries/LibPlacement/BlockMap.h
+++ b/Libraries/LibPlacement/BlockMap.h
@@ -3,9 +3,9 @@
 #include <LibPlacement/BlockMapOptions.h>
 #include <LibPlacement/BlockTable.h>
 #include <LibPlacement/CacheEventBatch.h>
+#include <LibPlacement/CachedLife.h>
 #include <LibPlacement/KnownPrefix.h>
 #include <LibPlacement/PendingSend.h>
-#include <LibPlacement/ServerLife.h>
 
 #include <span>
 #include <unordered_map>
@@ -57,38 +57,38 @@
   [[nodiscard]] std::size_t Bytes() const { return mTable.Bytes(); }
 
 private:
-  server_life* LifeOf(backend_server_id const& aServer,
+  cached_life* LifeOf(backend_server_id const& aServer,
                       incarnation aIncarnation);
   /// Counts a batch's sequence; false for one that newer ones passed.
-  static bool FollowSequence(server_life& aLife,
+  static bool FollowSequence(cached_life& aLife,
                              cache_event_batch const& aBatch,
                              instant aNow);
-  void RememberEvent(server_life const& aLife, block_hash aBlock, instant aNow);
-  void RememberRequest(server_life const& aLife,
+  void RememberEvent(cached_life const& aLife, block_hash aBlock, instant aNow);
+  void RememberRequest(cached_life const& aLife,
                        block_hash aBlock,
                        instant aNow);
   /// What is known of a block, less what a gap has put in doubt.
-  [[nodiscard]] block_entry EntryOf(server_life const& aLife,
+  [[nodiscard]] block_entry EntryOf(cached_life const& aLife,
                                     block_hash aBlock) const;
-  [[nodiscard]] bool IsTrusted(server_life const& aLife,
+  [[nodiscard]] bool IsTrusted(cached_life const& aLife,
                                block_hash aBlock,
                                instant aNow) const;
-  [[nodiscard]] std::size_t CountTrusted(server_life const& aLife,
+  [[nodiscard]] std::size_t CountTrusted(cached_life const& aLife,
                                          std::span<block_hash const> aBlocks,
                                          instant aNow) const;
   /// The key of a prompt that is under way to a server's life.
-  static std::uint64_t SendKey(server_life const& aLife,
+  static std::uint64_t SendKey(cached_life const& aLife,
                                std::span<block_hash const> aBlocks);
-  void RememberSend(server_life const& aLife,
+  void RememberSend(cached_life const& aLife,
                     std::span<block_hash const> aBlocks,
                     instant aNow);
-  void LearnRetention(server_life& aLife,
+  void LearnRetention(cached_life& aLife,
                       std::span<block_hash const> aBlocks,
                       std::size_t aCachedBlocks);
 
   block_map_options mOptions;
   block_table mTable;
-  std::unordered_map<backend_server_id, server_life> mLives;
+  std::unordered_map<backend_server_id, cached_life> mLives;
   std::uint32_t mLastLifeNumber = 0;
   std::unordered_map<std::uint64_t, pending_send> mPending;
 };
--- a/Libraries/LibPlacement/ServerLife.h
+++ b/Libraries/LibPlacement/CachedLife.h
@@ -8,7 +8,7 @@
 namespace lycheeseam {
 
 /// What a block_map keeps of the present life of one backend server.
-struct server_life
+struct cached_life
 {
   incarnation mIncarnation;
   /// Marks this life's entries in the table; never used again.
--- a/Libraries/LibSettings/SettingsReader.h
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Digest.h>
 #include <LibCore/Endpoint.h>
-#include <LibSettings/FieldPresence.h>
+#include <LibCore/FieldPresence.h>
 #include <LibSettings/LogLevel.h>
 #include <LibSettings/NumberRange.h>
 #include <LibSettings/SettingsFault.h>
--- a/Tests/LibFleet/TestOrderLease.cpp
+++ b/Tests/LibFleet/TestOrderLease.cpp
@@ -14,6 +14,17 @@
 instance_id const kSelf{ "a" };
 instance_id const kOther{ "b" };
 
+// The first lease of all, taken now.
+order_lease
+HeldLease()
+{
+  order_lease lease{ kSelf, kTerm };
+  lease.OnRead(kNow, std::nullopt, 0);
+  lease.OnSend(kNow);
+  lease.OnAppended(0);
+  return lease;
+}
+
 TEST(TestOrderLease, TheFirstHolderOrdersAtOnce)
 {
   order_lease lease{ kSelf, kTerm };
@@ -28,10 +39,7 @@
 
 TEST(TestOrderLease, ALeaseEndsBeforeItsTerm)
 {
-  order_lease lease{ kSelf, kTerm };
-  lease.OnRead(kNow, std::nullopt, 0);
-  lease.OnSend(kNow);
-  lease.OnAppended(0);
+  order_lease lease = HeldLease();
   EXPECT_TRUE(lease.MayOrder(kNow + seconds{ 2 }));
   EXPECT_FALSE(lease.MayOrder(kNow + kTerm - milliseconds{ 300 }));
   EXPECT_TRUE(lease.IsRenewalDue(kNow + seconds{ 2 }));
@@ -63,10 +71,7 @@
 
 TEST(TestOrderLease, ANewerLeaseOfAPeerEndsThisOne)
 {
-  order_lease lease{ kSelf, kTerm };
-  lease.OnRead(kNow, std::nullopt, 0);
-  lease.OnSend(kNow);
-  lease.OnAppended(0);
+  order_lease lease = HeldLease();
   lease.OnPeerLease(kNow, 3);
   EXPECT_FALSE(lease.IsHeld());
   EXPECT_FALSE(lease.AppendAt());
