--- a/Libraries/LibEvents/EventLog.cpp
+++ b/Libraries/LibEvents/EventLog.cpp
@@ -7,8 +7,11 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 
 namespace lycheeseam {
 
@@ -19,6 +22,7 @@
 constexpr double kBurstLines = 300;
 // Fits a pipe's atomic write.
 constexpr std::size_t kMaxLineBytes = 4'000;
+constexpr std::string_view kDropped = "line_dropped";
 
 struct event_log_state
 {
@@ -26,6 +30,16 @@
   std::string mInstance;
   event_rate_limit mLimit{ kLinesPerSecond, kBurstLines };
   bool mIsOpen = false;
+  std::map<std::string, std::uint64_t, std::less<>> mCounts;
+
+  void Count(std::string_view aEvent)
+  {
+    auto const found = mCounts.find(aEvent);
+    if (found != mCounts.end())
+      ++found->second;
+    else
+      mCounts.emplace(aEvent, 1);
+  }
 };
 
 event_log_state&
@@ -71,8 +85,11 @@
 {
   event_log_state& state = State();
   std::lock_guard const lock{ state.mMutex };
-  if (!state.mIsOpen || !state.mLimit.TryTake(boot_clock::now()))
+  state.Count(aEvent);
+  if (!state.mIsOpen)
     return;
+  if (!state.mLimit.TryTake(boot_clock::now()))
+    return state.Count(kDropped);
   nlohmann::ordered_json line{ { "at_ms", UnixMilliseconds() },
                                { "instance", state.mInstance },
                                { "event", aEvent } };
@@ -88,9 +105,22 @@
     line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   if (text.size() > kMaxLineBytes) {
     state.mLimit.OnLost();
-    return;
+    return state.Count(kDropped);
   }
   Events().log(log4cplus::INFO_LOG_LEVEL, text);
 }
 
+std::vector<event_count>
+TakeEventCounts()
+{
+  event_log_state& state = State();
+  std::lock_guard const lock{ state.mMutex };
+  std::vector<event_count> taken;
+  for (auto& [event, count] : state.mCounts) {
+    if (count > 0)
+      taken.push_back({ .mEvent = event, .mCount = std::exchange(count, 0) });
+  }
+  return taken;
+}
+
 }
--- a/Libraries/LibEvents/EventLog.h
+++ b/Libraries/LibEvents/EventLog.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <LibEvents/EventCount.h>
 #include <LibEvents/EventField.h>
 
 #include <initializer_list>
 #include <string_view>
+#include <vector>
 
 /// \file The structured log: one JSON object a line on standard output.
 
@@ -19,4 +21,9 @@
 void
 LogEvent(std::string_view aEvent, std::initializer_list<event_field> aFields);
 
+/// How often each event came since the last call, its lines left out or not;
+/// lines left out count as "line_dropped" besides. Safe from any thread.
+std::vector<event_count>
+TakeEventCounts();
+
 }
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -4,6 +4,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/FleetMetrics.h>
 #include <LibFleet/FleetOptions.h>
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
@@ -12,6 +13,8 @@
 #include <LibFleet/StoreWatch.h>
 #include <LibFleet/UsageKeeper.h>
 #include <LibGateway/PeerNews.h>
+#include <LibGateway/QuestionSession.h>
+#include <LibGateway/SessionListener.h>
 #include <LibGateway/TrafficReport.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
@@ -22,6 +25,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <variant>
@@ -45,7 +49,7 @@
     : mOptions(std::move(aOptions))
     , mPublished(aPublished)
     , mNewsHandler(std::move(aNewsHandler))
-    , mClient(aContext)
+    , mClient(aContext, mMetrics.Recorder())
     , mWatch(
         mClient,
         mOptions.mStore,
@@ -84,6 +88,8 @@
         mClock)
     , mTimer(aContext)
   {
+    if (mOptions.mMetrics)
+      mMetricsPage.emplace(aContext, mMetrics, *mOptions.mMetrics);
   }
 
   /// Throws error when the address for peers is taken.
@@ -91,6 +97,8 @@
   {
     mHub.Listen(mOptions.mSelf.mPeers);
     mHub.Start();
+    if (mMetricsPage)
+      mMetricsPage->Accept();
     mUsage.Read([this]() { Publish(); });
     Tick();
   }
@@ -109,6 +117,7 @@
     for (server_life const& gone : aReport.mGone)
       mRecords.OnAbsent(gone);
     OnWeights(aReport.mWeights);
+    mMetrics.Merge(aReport.mMetrics);
     mSpent = std::move(aReport.mSpent);
     mUsed = std::move(aReport.mUsed);
     Report({ .mCrashes = std::move(aReport.mCrashes),
@@ -182,6 +191,7 @@
       Report({});
     if (areServersGone || haveTurnsChanged)
       Publish();
+    mMetrics.Tick(now, mView, mOrders.Lease());
     mTimer.expires_after(kTick);
     mTimer.async_wait([this](auto aFault) {
       if (!aFault)
@@ -280,6 +290,10 @@
   published<fleet_view>& mPublished;
   news_handler mNewsHandler;
   system_clock mClock;
+  fleet_metrics mMetrics;
+  std::optional<
+    session_listener<question_session<fleet_metrics>, fleet_metrics>>
+    mMetricsPage;
   http_client mClient;
   fleet_records<Dialect> mRecords;
   store_watch<Dialect> mWatch;
--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -171,7 +171,8 @@
                                .mExpectedOrders = mPlan.OrdersOf(aServer.mId) };
     mPlan.OnOrdered(aNow, aServer.mId);
     mClient.Call(
-      { .mTo = aServer.mAddress,
+      { .mPurpose = "engine_order",
+        .mTo = aServer.mAddress,
         .mHead = Dialect::OrderRequest(order),
         .mBody = Dialect::FormatOrder(order),
         .mTimeout = kEngineTimeout },
@@ -194,7 +195,8 @@
   void Ask(instant aNow, listed_server const& aServer)
   {
     mPlan.OnAsked(aNow, aServer.mId);
-    mClient.Call({ .mTo = aServer.mAddress,
+    mClient.Call({ .mPurpose = "engine_report",
+                   .mTo = aServer.mAddress,
                    .mHead = Dialect::ReportRequest(aServer.mId),
                    .mTimeout = kEngineTimeout },
                  [this, id = aServer.mId, life = aServer.mLife](
--- a/Libraries/LibFleet/StoreCalls.h
+++ b/Libraries/LibFleet/StoreCalls.h
@@ -35,7 +35,8 @@
   void ReadNewest(store_topic aTopic, newest_handler aHandler)
   {
     mClient.Call(
-      { .mTo = mStore,
+      { .mPurpose = "store_read",
+        .mTo = mStore,
         .mHead = Dialect::NewestRequest(aTopic, {}),
         .mTimeout = kTimeout },
       [handler = std::move(aHandler)](http_exchange_result const& aResult) {
@@ -50,7 +51,8 @@
               append_handler aHandler)
   {
     mClient.Call(
-      { .mTo = mStore,
+      { .mPurpose = "store_append",
+        .mTo = mStore,
         .mHead = Dialect::AppendRequest(aTopic, aAt),
         .mBody = Dialect::FormatRecord(aRecord),
         .mTimeout = kTimeout },
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -155,9 +155,11 @@
   void Call(request_head aHead,
             std::function<void(http_exchange_result const&)> aHandler)
   {
-    mClient.Call(
-      { .mTo = mStore, .mHead = std::move(aHead), .mTimeout = kReadTimeout },
-      std::move(aHandler));
+    mClient.Call({ .mPurpose = "store_follow",
+                   .mTo = mStore,
+                   .mHead = std::move(aHead),
+                   .mTimeout = kReadTimeout },
+                 std::move(aHandler));
   }
 
   void End(store_read_status aStatus)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/CallerSession.h>
+#include <LibGateway/InstanceQuestions.h>
 #include <LibGateway/QuestionSession.h>
 #include <LibGateway/SessionListener.h>
 
@@ -25,8 +26,9 @@
     , mOptions(std::move(aOptions))
     , mCore(mOptions, aPublished)
     , mHandler(std::move(aHandler))
-    , mReadiness(aContext, mCore, mOptions.mReadiness)
-    , mAddresses(aContext, mCore, mOptions.mAddresses)
+    , mQuestions(mCore)
+    , mReadiness(aContext, mQuestions, mOptions.mReadiness)
+    , mAddresses(aContext, mQuestions, mOptions.mAddresses)
     , mCallers(aContext, mCore, mOptions.mCallers)
     , mTimer(aContext)
   {
@@ -72,6 +74,8 @@
   }
 
 private:
+  using questions = instance_questions<Dialect>;
+
   // Others count what this instance admits this much later.
   static constexpr std::chrono::milliseconds kReportInterval{ 150 };
 
@@ -99,9 +103,10 @@
   gateway_options mOptions;
   traffic_core mCore;
   report_handler mHandler;
-  session_listener<question_session<Dialect>> mReadiness;
-  session_listener<question_session<Dialect>> mAddresses;
-  session_listener<caller_session<Dialect>> mCallers;
+  questions mQuestions;
+  session_listener<question_session<questions>, questions> mReadiness;
+  session_listener<question_session<questions>, questions> mAddresses;
+  session_listener<caller_session<Dialect>, traffic_core> mCallers;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
 };
--- a/Libraries/LibGateway/QuestionSession.h
+++ b/Libraries/LibGateway/QuestionSession.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <LibGateway/GatewayDialect.h>
-#include <LibGateway/RefusalAnswer.h>
-#include <LibGateway/TrafficCore.h>
+#include <LibGateway/OwnAnswer.h>
 #include <LibHttp/FormatHead.h>
 #include <LibHttp/TakeHead.h>
 
@@ -17,22 +15,23 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lycheeseam {
 
-/// A connection on which the instance is asked about itself: whether it is
-/// ready, and which addresses callers should use.
-template<gateway_dialect Dialect>
+/// A connection on which the instance is asked about itself. Answerer has
+/// Answer(request_head) and outlives the session.
+template<typename Answerer>
 class question_session
-  : public std::enable_shared_from_this<question_session<Dialect>>
+  : public std::enable_shared_from_this<question_session<Answerer>>
 {
 public:
   using tcp = boost::asio::ip::tcp;
 
   question_session(boost::asio::io_context& aContext,
-                   traffic_core& aCore,
+                   Answerer& aAnswerer,
                    tcp::socket aSocket)
-    : mCore(aCore)
+    : mAnswerer(aAnswerer)
     , mSocket(std::move(aSocket))
     , mTimer(aContext)
   {
@@ -62,20 +61,10 @@
 
   void OnRequest()
   {
-    request_head const head = TakeRequestHead(*mParser);
-    std::shared_ptr<fleet_view const> const& view = mCore.View(mClock.Now());
-    bool const isReady = view->mConfig && !mCore.IsLeaving();
-    answer_head answer{ .mStatus = 200, .mReason = "OK" };
-    std::string body;
-    if (Dialect::IsAddressQuestion(head) && !view->mEntries.empty()) {
-      answer.mFields.push_back({ "Content-Type", "application/json" });
-      body = Dialect::FormatAddresses(view->mEntries,
-                                      mCore.Options().mAddressLifetime);
-    } else if (!Dialect::IsReadinessCheck(head) || !isReady) {
-      answer = RefusalHead(refusal_status::NotReady, {});
-    }
-    answer.mFields.push_back({ "Content-Length", std::to_string(body.size()) });
-    mBytes = FormatAnswerHead(answer) + body;
+    own_answer answer = mAnswerer.Answer(TakeRequestHead(*mParser));
+    answer.mHead.mFields.push_back(
+      { "Content-Length", std::to_string(answer.mBody.size()) });
+    mBytes = FormatAnswerHead(answer.mHead) + answer.mBody;
     boost::asio::async_write(
       mSocket,
       boost::asio::buffer(mBytes),
@@ -93,10 +82,9 @@
     mSocket.close(ignored);
   }
 
-  traffic_core& mCore;
+  Answerer& mAnswerer;
   tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
-  system_clock mClock;
   boost::beast::flat_buffer mBuffer;
   std::optional<
     boost::beast::http::request_parser<boost::beast::http::empty_body>>
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -201,6 +201,7 @@
             std::shared_ptr<served_server> aServer)
   {
     mTried.push_back(aServer->mListed.mId);
+    mCore.Meter().OnSend(mRows, mTrace.mSends > 0);
     ++mTrace.mSends;
     send_terms const terms =
       PlanSend(mCore, aWanted, *aServer, mRows, mFacts, mAnswer.LastEvent());
@@ -230,7 +231,7 @@
 
   void OnNotRun()
   {
-    LogEnd("not_run");
+    NoteEnd("not_run");
     SendElsewhere();
   }
 
@@ -238,8 +239,8 @@
   {
     instant const now = mClock.Now();
     mAttempt.OnUnreachable(now);
-    LogEnd(aEnd == exchange_end::Refused ? "connection_refused"
-                                         : "not_connected");
+    NoteEnd(aEnd == exchange_end::Refused ? "connection_refused"
+                                          : "not_connected");
     SendElsewhere();
   }
 
@@ -259,7 +260,7 @@
     mAttempt.OnLost(now, aEnd);
     mCore.OnCrash(now, mRows.mFingerprint);
     mTrace.mMayHaveRun = true;
-    LogEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
+    NoteEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
     bool const mayTry =
       mAnswer.CanGoOn(mRows.mRoute->mIsResumable) && MayTryElsewhere();
     mAttempt.End();
@@ -274,7 +275,7 @@
   /// The server's own failure: it has run.
   void OnFailed()
   {
-    LogEnd("failed");
+    NoteEnd("failed");
     mTrace.mMayHaveRun = true;
     mAttempt.End();
     if (!MayTryElsewhere())
@@ -305,19 +306,24 @@
     mAttempt.End();
     mIsDone = true;
     mTimer.cancel();
-    LogAnswer(mClock.Now(),
-              mTrace,
-              mRows,
-              mAttempt.Server().mListed.mId,
-              mAnswer.Status());
+    NoteAnswer(mCore.Meter(),
+               mClock.Now(),
+               mTrace,
+               mRows,
+               mAttempt.Server().mListed.mId,
+               mAnswer.Status());
     std::shared_ptr<Caller> const caller = std::move(mCaller);
     mAnswer.Finish(*caller);
   }
 
-  void LogEnd(std::string_view aCause) const
+  void NoteEnd(std::string_view aCause) const
   {
-    LogAttemptEnd(
-      mClock.Now(), mTrace, mRows, mAttempt.Server().mListed.mId, aCause);
+    NoteAttemptEnd(mCore.Meter(),
+                   mClock.Now(),
+                   mTrace,
+                   mRows,
+                   mAttempt.Server().mListed.mId,
+                   aCause);
   }
 
   void Break()
@@ -332,10 +338,11 @@
   {
     mIsDone = true;
     mTimer.cancel();
-    LogRefusal(mClock.Now(),
-               mTrace,
-               mRows,
-               { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
+    NoteRefusal(mCore.Meter(),
+                mClock.Now(),
+                mTrace,
+                mRows,
+                { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
     bool const promisesNotRun = aStatus == refusal_status::NotReady;
     if (promisesNotRun && mRows.mWorkspace != nullptr && mRows.mUnits > 0)
       mCore.Quota().Refund(mClock.Now(), mRows.mWorkspace->mName, mRows.mUnits);
--- a/Libraries/LibGateway/RunEvents.cpp
+++ b/Libraries/LibGateway/RunEvents.cpp
@@ -16,12 +16,14 @@
 }
 
 void
-LogAttemptEnd(instant aNow,
-              run_trace const& aTrace,
-              admitted_request const& aRows,
-              backend_server_id const& aServer,
-              std::string_view aCause)
+NoteAttemptEnd(traffic_meter& aMeter,
+               instant aNow,
+               run_trace const& aTrace,
+               admitted_request const& aRows,
+               backend_server_id const& aServer,
+               std::string_view aCause)
 {
+  aMeter.OnAttemptEnd(aServer, aCause);
   LogEvent("attempt_ended",
            { { "request", aTrace.mRequest.Text() },
              { "server", aServer.Text() },
@@ -33,12 +35,14 @@
 }
 
 void
-LogAnswer(instant aNow,
-          run_trace const& aTrace,
-          admitted_request const& aRows,
-          backend_server_id const& aServer,
-          std::uint32_t aStatus)
+NoteAnswer(traffic_meter& aMeter,
+           instant aNow,
+           run_trace const& aTrace,
+           admitted_request const& aRows,
+           backend_server_id const& aServer,
+           std::uint32_t aStatus)
 {
+  aMeter.OnAnswer(aNow, aTrace, aRows, aServer, aStatus);
   LogEvent(
     "answered",
     { { "request", aTrace.mRequest.Text() },
@@ -55,11 +59,13 @@
 }
 
 void
-LogRefusal(instant aNow,
-           run_trace const& aTrace,
-           admitted_request const& aRows,
-           request_refusal const& aRefusal)
+NoteRefusal(traffic_meter& aMeter,
+            instant aNow,
+            run_trace const& aTrace,
+            admitted_request const& aRows,
+            request_refusal const& aRefusal)
 {
+  aMeter.OnRefusal(aNow, aTrace, aRows, aRefusal);
   LogEvent(
     "refused",
     { { "request", aTrace.mRequest.Text() },
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibEvents/EventLog.h>
 #include <LibGateway/AttemptOutcome.h>
 #include <LibGateway/AttemptRequest.h>
 #include <LibGateway/ServerExchange.h>
@@ -62,17 +63,21 @@
   /// No connection could be opened to the server.
   void OnUnreachable(instant aNow)
   {
+    breaker_state const before = mServer->mBreaker.State(aNow);
     mServer->mBreaker.OnAbsence(aNow);
+    NoteBreaker(aNow, before);
     mCore.Channels().Forget(mServer->mListed.mId);
   }
 
   /// The server's connection broke, or its machine fell silent.
   void OnLost(instant aNow, exchange_end aEnd)
   {
+    breaker_state const before = mServer->mBreaker.State(aNow);
     if (aEnd == exchange_end::Silent)
       mServer->mBreaker.OnAbsence(aNow);
     else
       mServer->mBreaker.OnFailure(aNow);
+    NoteBreaker(aNow, before);
     // Kept connections to it may be as dead as this one; a new one shows at
     // once whether it lives, before anything is sent.
     mCore.Channels().Forget(mServer->mListed.mId);
@@ -100,6 +105,15 @@
   void SetOutcome(attempt_outcome aOutcome) noexcept { mOutcome = aOutcome; }
 
 private:
+  void NoteBreaker(instant aNow, breaker_state aBefore)
+  {
+    if (aBefore == breaker_state::Open ||
+        mServer->mBreaker.State(aNow) != breaker_state::Open)
+      return;
+    mCore.Meter().OnBreakerOpened(mServer->mListed.mId);
+    LogEvent("breaker_opened", { { "server", mServer->mListed.mId.Text() } });
+  }
+
   boost::asio::io_context& mContext;
   traffic_core& mCore;
   std::shared_ptr<served_server> mServer;
--- a/Libraries/LibGateway/SessionListener.h
+++ b/Libraries/LibGateway/SessionListener.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibCore/Endpoint.h>
-#include <LibGateway/TrafficCore.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,9 +12,10 @@
 
 namespace lycheeseam {
 
-/// Accepts connections at one address and opens a session for each. It knows
-/// its sessions by weak references, for a planned stop.
-template<typename Session>
+/// Accepts connections at one address and opens a session for each; Shared is
+/// what the sessions have in common. It knows its sessions by weak references,
+/// for a planned stop.
+template<typename Session, typename Shared>
 class session_listener
 {
 public:
@@ -23,10 +23,10 @@
 
   /// Throws boost::system::system_error when the address is taken.
   session_listener(boost::asio::io_context& aContext,
-                   traffic_core& aCore,
+                   Shared& aShared,
                    endpoint const& aAddress)
     : mContext(aContext)
-    , mCore(aCore)
+    , mShared(aShared)
     , mAcceptor(
         aContext,
         { boost::asio::ip::make_address(aAddress.mAddress), aAddress.mPort })
@@ -47,6 +47,12 @@
     });
   }
 
+  /// The port that it accepts at.
+  [[nodiscard]] std::uint16_t Port() const
+  {
+    return mAcceptor.local_endpoint().port();
+  }
+
   /// Takes no more connections.
   void Close()
   {
@@ -86,7 +92,7 @@
     boost::system::error_code ignored;
     aSocket.set_option(tcp::no_delay{ true }, ignored);
     std::shared_ptr<Session> const session =
-      std::make_shared<Session>(mContext, mCore, std::move(aSocket));
+      std::make_shared<Session>(mContext, mShared, std::move(aSocket));
     if (++mAccepted % kPruneInterval == 0)
       std::erase_if(mSessions,
                     [](auto const& aSession) { return aSession.expired(); });
@@ -95,7 +101,7 @@
   }
 
   boost::asio::io_context& mContext;
-  traffic_core& mCore;
+  Shared& mShared;
   tcp::acceptor mAcceptor;
   boost::asio::steady_timer mPause;
   std::vector<std::weak_ptr<Session>> mSessions;
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -62,7 +62,10 @@
 {
   retry_budget& allowance = Allowance(aPool);
   allowance.OnTime(aNow);
-  return allowance.TrySpend();
+  if (allowance.TrySpend())
+    return true;
+  mMeter.OnRepeatDenied(aPool);
+  return false;
 }
 
 void
@@ -133,6 +136,7 @@
   traffic_report report = std::exchange(mReport, {});
   report.mSpent = mQuota.Spent();
   report.mUsed = mQuota.UsedByAll(aNow);
+  report.mMetrics = mMeter.TakeDelta();
   return report;
 }
 
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -12,6 +12,7 @@
 #include <LibGateway/GatewayOptions.h>
 #include <LibGateway/PeerNews.h>
 #include <LibGateway/ServerAnswer.h>
+#include <LibGateway/TrafficMeter.h>
 #include <LibGateway/TrafficReport.h>
 
 #include <cstdint>
@@ -75,6 +76,7 @@
   [[nodiscard]] quota_ledger& Quota() noexcept { return mQuota; }
   [[nodiscard]] crash_ledger& Crashes() noexcept { return mCrashes; }
   [[nodiscard]] prefix_memory& Prefixes() noexcept { return mPrefixes; }
+  [[nodiscard]] traffic_meter& Meter() noexcept { return mMeter; }
   [[nodiscard]] channel_pool& Channels() noexcept { return mChannels; }
   [[nodiscard]] bool IsLeaving() const noexcept { return mIsLeaving; }
   void SetLeaving() noexcept { mIsLeaving = true; }
@@ -91,6 +93,7 @@
   prefix_memory mPrefixes;
   channel_pool mChannels;
   std::map<pool_name, retry_budget> mAllowances;
+  traffic_meter mMeter;
   traffic_report mReport;
   bool mIsLeaving = false;
 };
--- /dev/null
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -0,0 +1,107 @@
+#include <LibGateway/TrafficMeter.h>
+
+#include <utility>
+
+namespace lycheeseam {
+
+void
+traffic_meter::OnSend(admitted_request const& aRows, bool aIsRepeat)
+{
+  Count("sends_total", "route", aRows.mRoute->mName.Text());
+  if (aIsRepeat)
+    Count("repeats_total", "pool", aRows.mPool.Text());
+}
+
+void
+traffic_meter::OnRepeatDenied(pool_name const& aPool)
+{
+  Count("repeats_denied_total", "pool", aPool.Text());
+}
+
+void
+traffic_meter::OnAttemptEnd(backend_server_id const& aServer,
+                            std::string_view aCause)
+{
+  Count("attempts_ended_total", "cause", std::string{ aCause });
+  Count("server_attempts_ended_total", "server", ServerLabel(aServer));
+}
+
+void
+traffic_meter::OnBreakerOpened(backend_server_id const& aServer)
+{
+  Count("breakers_opened_total", "server", ServerLabel(aServer));
+}
+
+void
+traffic_meter::OnAnswer(instant aNow,
+                        run_trace const& aTrace,
+                        admitted_request const& aRows,
+                        backend_server_id const& aServer,
+                        std::uint32_t aStatus)
+{
+  duration const all = aNow - aTrace.mStartedAt;
+  duration const first = aTrace.mFirstAt.value_or(aNow) - aTrace.mStartedAt;
+  std::string const route = aRows.mRoute->mName.Text();
+  Count("answers_total", "status", std::to_string(aStatus));
+  if (aTrace.mFetchFrom)
+    Count("prompt_fetches_total", "route", route);
+  Observe("route_first_byte_seconds", "route", route, first);
+  Observe("route_answer_seconds", "route", route, all);
+  Observe("server_first_byte_seconds", "server", ServerLabel(aServer), first);
+  if (aRows.mWorkspace != nullptr)
+    Observe("workspace_first_byte_seconds",
+            "workspace",
+            aRows.mWorkspace->mName.Text(),
+            first);
+}
+
+void
+traffic_meter::OnRefusal(instant aNow,
+                         run_trace const& aTrace,
+                         admitted_request const& aRows,
+                         request_refusal const& aRefusal)
+{
+  Observe("refusal_held_seconds",
+          "status",
+          std::to_string(static_cast<int>(aRefusal.mStatus)),
+          aNow - aTrace.mStartedAt);
+  if (aRows.mRoute != nullptr)
+    Count("route_refusals_total", "route", aRows.mRoute->mName.Text());
+  if (aRows.mWorkspace != nullptr)
+    Count(
+      "workspace_refusals_total", "workspace", aRows.mWorkspace->mName.Text());
+}
+
+void
+traffic_meter::Count(char const* aMetric,
+                     char const* aLabel,
+                     std::string aValue)
+{
+  mRecorder.Count(mRecorder.OpenCounter({ .mMetric = aMetric,
+                                          .mLabel = aLabel,
+                                          .mLabelValue = std::move(aValue) }));
+}
+
+void
+traffic_meter::Observe(char const* aMetric,
+                       char const* aLabel,
+                       std::string aValue,
+                       duration aSpan)
+{
+  mRecorder.Observe(
+    mRecorder.OpenHistogram({ .mMetric = aMetric,
+                              .mLabel = aLabel,
+                              .mLabelValue = std::move(aValue) }),
+    aSpan);
+}
+
+std::string
+traffic_meter::ServerLabel(backend_server_id const& aServer)
+{
+  if (mServers.size() >= kMostServers && !mServers.contains(aServer))
+    return "others";
+  mServers.insert(aServer);
+  return aServer.Text();
+}
+
+}
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -5,6 +5,7 @@
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/SeenWeights.h>
 #include <LibDispatch/SpentUnits.h>
+#include <LibMetrics/MetricsDelta.h>
 
 #include <vector>
 
@@ -26,6 +27,8 @@
   std::vector<server_life> mGone;
   /// Prompt parts that servers read since the last report.
   std::vector<prefix_holder> mHolders;
+  /// What the traffic thread counted and timed since the last report.
+  metrics_delta mMetrics;
 };
 
 }
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/SystemClock.h>
 #include <LibHttp/FormatHead.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/TakeHead.h>
@@ -36,6 +37,7 @@
 
   void Start()
   {
+    mStartedAt = mClock.Now();
     mTimer.expires_after(mCall.mTimeout);
     mTimer.async_wait([self = shared_from_this()](auto aFault) {
       if (!aFault)
@@ -112,6 +114,7 @@
       boost::system::error_code ignored;
       mSocket->close(ignored);
     }
+    mClient.Record(mCall.mPurpose, mClock.Now() - mStartedAt, result);
     mHandler(std::move(result));
   }
 
@@ -119,6 +122,8 @@
   http_exchange_call mCall;
   handler mHandler;
   boost::asio::steady_timer mTimer;
+  system_clock mClock;
+  instant mStartedAt{};
   std::shared_ptr<tcp::socket> mSocket;
   std::string mBytes;
   boost::beast::flat_buffer mBuffer;
@@ -127,11 +132,33 @@
   bool mIsDone = false;
 };
 
-http_client::http_client(boost::asio::io_context& aContext)
+http_client::http_client(boost::asio::io_context& aContext,
+                         metrics_recorder& aRecorder)
   : mContext(aContext)
+  , mRecorder(aRecorder)
 {
 }
 
+void
+http_client::Record(std::string_view aPurpose,
+                    duration aTime,
+                    http_exchange_result const& aResult)
+{
+  auto const series = [aPurpose](char const* aMetric) {
+    return counter_series{ .mMetric = aMetric,
+                           .mLabel = "purpose",
+                           .mLabelValue = std::string{ aPurpose } };
+  };
+  mRecorder.Observe(mRecorder.OpenHistogram(series("control_call_seconds")),
+                    aTime);
+  if (!aResult.mFault.empty())
+    mRecorder.Count(
+      mRecorder.OpenCounter(series("control_calls_unanswered_total")));
+  else if (!aResult.mHead.IsSuccess())
+    mRecorder.Count(
+      mRecorder.OpenCounter(series("control_calls_refused_total")));
+}
+
 void
 http_client::Call(http_exchange_call aCall, handler aHandler)
 {
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/HttpExchangeCall.h>
 #include <LibHttp/HttpExchangeResult.h>
+#include <LibMetrics/MetricsRecorder.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,19 +10,20 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace lycheeseam {
 
-/// Makes HTTP calls on the thread of its io_context and keeps connections
-/// open between them. Never repeats a call by itself.
+/// Makes HTTP calls on the thread of its io_context, keeps connections open
+/// between them, and counts and times the calls. Never repeats one by itself.
 class http_client
 {
 public:
   using tcp = boost::asio::ip::tcp;
   using handler = std::function<void(http_exchange_result)>;
 
-  explicit http_client(boost::asio::io_context& aContext);
+  http_client(boost::asio::io_context& aContext, metrics_recorder& aRecorder);
 
   /// Makes a call; the handler runs once, on the context's thread.
   void Call(http_exchange_call aCall, handler aHandler);
@@ -30,7 +32,12 @@
   class transfer;
   friend class transfer;
 
+  void Record(std::string_view aPurpose,
+              duration aTime,
+              http_exchange_result const& aResult);
+
   boost::asio::io_context& mContext;
+  metrics_recorder& mRecorder;
   std::map<endpoint, std::vector<std::shared_ptr<tcp::socket>>> mIdle;
 };
 
--- a/Libraries/LibHttp/HttpStatus.h
+++ b/Libraries/LibHttp/HttpStatus.h
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t kHttpOk = 200;
 constexpr std::uint32_t kHttpAccepted = 202;
+constexpr std::uint32_t kHttpNotFound = 404;
 constexpr std::uint32_t kHttpConflict = 409;
 constexpr std::uint32_t kHttpGone = 410;
 constexpr std::uint32_t kHttpPreconditionFailed = 412;
--- a/Libraries/LibMetrics/EncodePrometheus.cpp
+++ b/Libraries/LibMetrics/EncodePrometheus.cpp
@@ -47,12 +47,18 @@
   return std::string{ aName } + "=\"" + EscapeLabelValue(aValue) + "\"";
 }
 
+// The series' own label, and one more where it has a name.
 std::string
-Labels(counter_series const& aSeries)
+Labels(counter_series const& aSeries,
+       std::string_view aMore = {},
+       std::string_view aValue = {})
 {
-  if (aSeries.mLabel.empty())
-    return "";
-  return "{" + Label(aSeries.mLabel, aSeries.mLabelValue) + "}";
+  std::string labels;
+  if (!aSeries.mLabel.empty())
+    labels = Label(aSeries.mLabel, aSeries.mLabelValue);
+  if (!aMore.empty())
+    labels += (labels.empty() ? "" : ",") + Label(aMore, aValue);
+  return labels.empty() ? labels : "{" + labels + "}";
 }
 
 std::string_view
@@ -128,6 +134,28 @@
                  NumberText(gauge.mValue));
 }
 
+void
+WriteHistogram(prometheus_writer& aWriter, histogram_report const& aReport)
+{
+  counter_series const& series = aReport.mSeries;
+  latency_histogram const& histogram = aReport.mHistogram;
+  auto const write = [&](std::string_view aSuffix,
+                         std::string const& aLabels,
+                         std::string const& aValue) {
+    aWriter.Line(series.mMetric, "histogram", aSuffix, aLabels, aValue);
+  };
+  std::uint64_t below = 0;
+  for (std::size_t index = 0; index < histogram.Buckets().size(); ++index) {
+    below += histogram.Buckets()[index];
+    std::string const bound = index < latency_histogram::kBounds.size()
+                                ? SecondsText(latency_histogram::kBounds[index])
+                                : "+Inf";
+    write("_bucket", Labels(series, "le", bound), std::to_string(below));
+  }
+  write("_sum", Labels(series), SecondsText(histogram.Sum()));
+  write("_count", Labels(series), std::to_string(histogram.Count()));
+}
+
 void
 WriteLatency(prometheus_writer& aWriter, latency_report const& aLatency)
 {
@@ -158,6 +186,8 @@
   prometheus_writer writer;
   WriteCounters(writer, aReport);
   WriteGauges(writer, aReport);
+  for (histogram_report const& histogram : aReport.mHistograms)
+    WriteHistogram(writer, histogram);
   for (latency_report const& latency : aReport.mLatencies)
     WriteLatency(writer, latency);
   return writer.Text();
--- a/Libraries/LibMetrics/MetricsDelta.h
+++ b/Libraries/LibMetrics/MetricsDelta.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibMetrics/CounterDelta.h>
+#include <LibMetrics/HistogramReport.h>
 #include <LibMetrics/LatencyDelta.h>
 
 #include <vector>
@@ -12,6 +13,7 @@
 struct metrics_delta
 {
   std::vector<counter_delta> mCounters;
+  std::vector<histogram_report> mHistograms;
   std::vector<latency_delta> mLatencies;
 };
 
--- a/Libraries/LibMetrics/MetricsRecorder.cpp
+++ b/Libraries/LibMetrics/MetricsRecorder.cpp
@@ -23,6 +23,22 @@
              OpenSamples(latency_scope::Workspace, aWorkspace.Text()) };
 }
 
+histogram_handle
+metrics_recorder::OpenHistogram(counter_series const& aSeries)
+{
+  auto const [found, isNew] =
+    mHistogramIndex.try_emplace(aSeries, mHistograms.size());
+  if (isNew)
+    mHistograms.push_back({ .mSeries = aSeries });
+  return { .mIndex = found->second };
+}
+
+void
+metrics_recorder::Observe(histogram_handle aHistogram, duration aValue)
+{
+  mHistograms[aHistogram.mIndex].mHistogram.Add(aValue);
+}
+
 void
 metrics_recorder::Count(counter_handle aCounter, std::uint64_t aAdded)
 {
@@ -49,6 +65,12 @@
     delta.mCounters.push_back(counter);
     counter.mAdded = 0;
   }
+  for (histogram_report& histogram : mHistograms) {
+    if (histogram.mHistogram.Count() == 0)
+      continue;
+    delta.mHistograms.push_back(histogram);
+    histogram.mHistogram = {};
+  }
   for (named_samples& samples : mSamples) {
     for (int kind = 0; kind < kLatencyKinds; ++kind) {
       latency_samples taken = std::exchange(samples.mByKind[kind], {});
--- a/Libraries/LibMetrics/MetricsRecorder.h
+++ b/Libraries/LibMetrics/MetricsRecorder.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
 #include <LibMetrics/CounterHandle.h>
+#include <LibMetrics/HistogramHandle.h>
 #include <LibMetrics/LatencyHandle.h>
 #include <LibMetrics/MetricsDelta.h>
 
@@ -29,6 +30,9 @@
   latency_handle OpenLatency(pool_name const& aPool,
                              workspace_id const& aWorkspace);
 
+  /// The histogram of that name; opens it at the first call.
+  histogram_handle OpenHistogram(counter_series const& aSeries);
+
   /// Adds to a counter.
   void Count(counter_handle aCounter, std::uint64_t aAdded = 1);
 
@@ -37,6 +41,9 @@
                      latency_kind aKind,
                      duration aValue);
 
+  /// Adds a span to a histogram.
+  void Observe(histogram_handle aHistogram, duration aValue);
+
   /// What was recorded since the last call.
   [[nodiscard]] metrics_delta TakeDelta();
 
@@ -53,6 +60,8 @@
 
   std::map<counter_series, std::size_t> mCounterIndex;
   std::vector<counter_delta> mCounters;
+  std::map<counter_series, std::size_t> mHistogramIndex;
+  std::vector<histogram_report> mHistograms;
   std::map<std::string, std::size_t> mPoolIndex;
   std::map<std::string, std::size_t> mWorkspaceIndex;
   std::vector<named_samples> mSamples;
--- a/Libraries/LibMetrics/MetricsReport.h
+++ b/Libraries/LibMetrics/MetricsReport.h
@@ -2,6 +2,7 @@
 
 #include <LibMetrics/CounterReport.h>
 #include <LibMetrics/GaugeReport.h>
+#include <LibMetrics/HistogramReport.h>
 #include <LibMetrics/LatencyReport.h>
 
 #include <vector>
@@ -13,6 +14,7 @@
 {
   std::vector<counter_report> mCounters;
   std::vector<gauge_report> mGauges;
+  std::vector<histogram_report> mHistograms;
   std::vector<latency_report> mLatencies;
 };
 
--- a/Libraries/LibMetrics/MetricsStore.cpp
+++ b/Libraries/LibMetrics/MetricsStore.cpp
@@ -9,6 +9,8 @@
 {
   for (counter_delta const& counter : aDelta.mCounters)
     mCounters[counter.mSeries].Add(counter.mAdded);
+  for (histogram_report const& histogram : aDelta.mHistograms)
+    mHistograms[histogram.mSeries].Merge(histogram.mHistogram);
   for (latency_delta const& latency : aDelta.mLatencies) {
     latency_state& state = mLatencies[latency.mSeries];
     state.mCount += latency.mSamples.Count();
@@ -45,6 +47,9 @@
                                  .mPerSecond = rate.PerTick() });
   for (auto const& [series, value] : mGauges)
     report.mGauges.push_back({ .mSeries = series, .mValue = value });
+  for (auto const& [series, histogram] : mHistograms)
+    report.mHistograms.push_back(
+      { .mSeries = series, .mHistogram = histogram });
   for (auto const& [series, state] : mLatencies)
     report.mLatencies.push_back({ .mSeries = series,
                                   .mCount = state.mCount,
--- a/Libraries/LibMetrics/MetricsStore.h
+++ b/Libraries/LibMetrics/MetricsStore.h
@@ -2,6 +2,7 @@
 
 #include <LibMetrics/CounterSeries.h>
 #include <LibMetrics/EventRate.h>
+#include <LibMetrics/LatencyHistogram.h>
 #include <LibMetrics/LatencySeries.h>
 #include <LibMetrics/MetricsDelta.h>
 #include <LibMetrics/MetricsReport.h>
@@ -45,6 +46,7 @@
 
   std::map<counter_series, event_rate> mCounters;
   std::map<counter_series, double> mGauges;
+  std::map<counter_series, latency_histogram> mHistograms;
   std::map<latency_series, latency_state> mLatencies;
   std::uint32_t mTicksInWindow = 0;
 };
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -18,6 +19,8 @@
   endpoint mReadiness;
   endpoint mAddresses;
   endpoint mPeers;
+  /// Where metrics are served; nowhere by default.
+  std::optional<endpoint> mMetrics;
   endpoint mStore;
   /// How long callers keep the answer to their question for addresses.
   std::chrono::seconds mAddressLifetime{ 2 };
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -30,6 +30,8 @@
   aSettings.mReadiness = ReadAddress(aReader, "readiness");
   aSettings.mAddresses = ReadAddress(aReader, "addresses");
   aSettings.mPeers = ReadAddress(aReader, "peers");
+  aSettings.mMetrics =
+    aReader.ReadEndpoint("metrics", field_presence::Optional);
   aReader.RefuseUnknownFields();
 }
 
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -57,6 +57,7 @@
                       .mCallers = aSettings.mCallers,
                       .mPeers = aSettings.mPeers },
            .mStore = aSettings.mStore,
+           .mMetrics = aSettings.mMetrics,
            .mLease = aSettings.mLease };
 }
 
--- a/Tests/LibMetrics/TestMetricsStore.cpp
+++ b/Tests/LibMetrics/TestMetricsStore.cpp
@@ -90,6 +90,52 @@
   EXPECT_NEAR(store.Report().mCounters[0].mPerSecond, 10.0, 1e-9);
 }
 
+counter_series const kAnswers{ .mMetric = "answer_seconds",
+                               .mLabel = "route",
+                               .mLabelValue = "chat" };
+
+TEST(TestMetricsStore, AddsHistogramsOfSeveralThreads)
+{
+  metrics_recorder first;
+  metrics_recorder second;
+  first.Observe(first.OpenHistogram(kAnswers), milliseconds{ 5 });
+  first.Observe(first.OpenHistogram(kAnswers), milliseconds{ 7 });
+  second.Observe(second.OpenHistogram(kAnswers), milliseconds{ 70'000 });
+
+  metrics_store store;
+  store.Merge(first.TakeDelta());
+  store.Merge(second.TakeDelta());
+  store.Merge(first.TakeDelta());
+  metrics_report const report = store.Report();
+  ASSERT_EQ(report.mHistograms.size(), 1u);
+  latency_histogram const& found = report.mHistograms[0].mHistogram;
+  EXPECT_EQ(found.Count(), 3u);
+  EXPECT_EQ(found.Sum(), milliseconds{ 70'012 });
+  EXPECT_EQ(found.Buckets().front(), 1u);
+  EXPECT_EQ(found.Buckets()[1], 1u);
+  EXPECT_EQ(found.Buckets().back(), 1u);
+}
+
+TEST(TestEncodePrometheus, WritesCumulativeBuckets)
+{
+  metrics_report report;
+  report.mHistograms.push_back({ .mSeries = kAnswers });
+  report.mHistograms[0].mHistogram.Add(milliseconds{ 4 });
+  report.mHistograms[0].mHistogram.Add(milliseconds{ 900 });
+  std::string const text = EncodePrometheus(report);
+  EXPECT_TRUE(text.starts_with(
+    "# TYPE lycheeseam_answer_seconds histogram\n"
+    "lycheeseam_answer_seconds_bucket{route=\"chat\",le=\"0.005\"} 1\n"
+    "lycheeseam_answer_seconds_bucket{route=\"chat\",le=\"0.01\"} 1\n"))
+    << text;
+  EXPECT_TRUE(text.ends_with(
+    "lycheeseam_answer_seconds_bucket{route=\"chat\",le=\"60\"} 2\n"
+    "lycheeseam_answer_seconds_bucket{route=\"chat\",le=\"+Inf\"} 2\n"
+    "lycheeseam_answer_seconds_sum{route=\"chat\"} 0.904\n"
+    "lycheeseam_answer_seconds_count{route=\"chat\"} 2\n"))
+    << text;
+}
+
 TEST(TestEncodePrometheus, WritesEachKind)
 {
   latency_report const latency{ .mSeries = { .mKind = latency_kind::FirstToken,
