LibEvents: Tell of the lines that a full pipe lost

Cause: pipe_appender counted the lines that standard output didn't take, but nothing read the count, so dropped_lines told only of those beyond the bound.

Change: the next line takes the appender's count as well, and they count as line_dropped in the metrics.

--- a/Libraries/LibEvents/EventLog.cpp
+++ b/Libraries/LibEvents/EventLog.cpp
@@ -5,6 +5,7 @@
 
 #include <log4cplus/logger.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <chrono>
 #include <functional>
@@ -32,13 +33,25 @@
   bool mIsOpen = false;
   std::map<std::string, std::uint64_t, std::less<>> mCounts;
 
-  void Count(std::string_view aEvent)
+  // Held by the logging library, which lives longer.
+  pipe_appender* mAppender = nullptr;
+
+  void Count(std::string_view aEvent, std::uint64_t aTimes = 1)
   {
     auto const found = mCounts.find(aEvent);
     if (found != mCounts.end())
-      ++found->second;
+      found->second += aTimes;
     else
-      mCounts.emplace(aEvent, 1);
+      mCounts.emplace(aEvent, aTimes);
+  }
+
+  // The lines lost since the last line.
+  std::uint64_t TakeDropped()
+  {
+    std::uint64_t const atPipe = mAppender->TakeDropped();
+    if (atPipe > 0)
+      Count(kDropped, atPipe);
+    return atPipe + mLimit.TakeDropped();
   }
 };
 
@@ -77,7 +90,8 @@
   state.mIsOpen = true;
   Events().setAdditivity(false);
   Events().setLogLevel(log4cplus::INFO_LOG_LEVEL);
-  Events().addAppender(log4cplus::SharedAppenderPtr{ new pipe_appender });
+  state.mAppender = new pipe_appender{ STDOUT_FILENO };
+  Events().addAppender(log4cplus::SharedAppenderPtr{ state.mAppender });
 }
 
 void
@@ -99,7 +113,7 @@
         line[std::string{ field.mName }] = aValue;
       },
       field.mValue);
-  if (std::uint64_t const dropped = state.mLimit.TakeDropped())
+  if (std::uint64_t const dropped = state.TakeDropped())
     line["dropped_lines"] = dropped;
   std::string const text =
     line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/Libraries/LibEvents/PipeAppender.h
+++ b/Libraries/LibEvents/PipeAppender.h
@@ -3,27 +3,35 @@
 #include <log4cplus/appender.h>
 
 #include <cstdint>
+#include <utility>
 
 namespace lycheeseam {
 
-/// Writes lines to standard output, and drops those that would block.
+/// Writes lines to a pipe or a file, and drops those that would block.
 class pipe_appender : public log4cplus::Appender
 {
 public:
-  pipe_appender() = default;
+  explicit pipe_appender(int aOutput)
+    : mOutput(aOutput)
+  {
+  }
   pipe_appender(pipe_appender const&) = delete;
   pipe_appender& operator=(pipe_appender const&) = delete;
   ~pipe_appender() override;
 
   void close() override { closed = true; }
 
-  /// Lines that were dropped since the process started.
-  [[nodiscard]] std::uint64_t Dropped() const noexcept { return mDropped; }
+  /// Takes the count of lines dropped since the last call.
+  [[nodiscard]] std::uint64_t TakeDropped()
+  {
+    return std::exchange(mDropped, 0);
+  }
 
 protected:
   void append(log4cplus::spi::InternalLoggingEvent const& aEvent) override;
 
 private:
+  int mOutput;
   std::uint64_t mDropped = 0;
 };
 
