--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -10,6 +10,7 @@
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/PeerBook.h>
+#include <LibFleet/ReportExchange.h>
 #include <LibFleet/StoreWatch.h>
 #include <LibFleet/UsageKeeper.h>
 #include <LibGateway/PeerNews.h>
@@ -56,8 +57,8 @@
         [this](store_topic aTopic,
                std::span<keyed_record const> aNews,
                page_source aSource) { OnNews(aTopic, aNews, aSource); },
-        [this](topic_relay aRelay) {
-          mHub.Broadcast(fleet_message{ std::move(aRelay) });
+        [this](topic_relay const& aRelay) {
+          mExchange.Relay(mClock.Now(), aRelay, std::nullopt);
         },
         [this]() { mRecords.Servers().OnStoreFailure(); })
     , mRegistration(mClient,
@@ -65,10 +66,20 @@
                     mOptions.mSelf,
                     [this](peer_hello const& aInstance) {
                       mPeers.OnRegistered(mClock.Now(), aInstance);
-                      mHub.SetWanted(mPeers.Contacts());
+                      mExchange.OnInstances();
                     })
     , mUsage(mClient, mOptions.mStore)
     , mPeers(mOptions.mSelf.mLife.mInstance)
+    , mExchange(
+        mOptions.mSelf,
+        mPeers,
+        [this](std::span<instance_id const> aPeers, fleet_message aMessage) {
+          mHub.Multicast(aPeers, std::move(aMessage));
+        },
+        [this](std::span<peer_contact const> aContacts) {
+          mHub.SetWanted(aContacts);
+        },
+        [this](instance_id const& aPeer) { mHub.Release(aPeer); })
     , mOrders(
         mClient,
         mOptions.mStore,
@@ -108,7 +119,7 @@
   {
     mIsLeaving = true;
     Publish();
-    Report({});
+    Report();
   }
 
   /// Takes what the traffic thread saw.
@@ -120,8 +131,9 @@
     mMetrics.Merge(aReport.mMetrics);
     mSpent = std::move(aReport.mSpent);
     mUsed = std::move(aReport.mUsed);
-    Report({ .mCrashes = std::move(aReport.mCrashes),
-             .mHolders = std::move(aReport.mHolders) });
+    mExchange.Add({ .mCrashes = std::move(aReport.mCrashes),
+                    .mHolders = std::move(aReport.mHolders) });
+    Report();
     Publish();
   }
 
@@ -129,8 +141,8 @@
   {
     LogEvent("peer_up", { { "peer", aHello.mLife.mInstance.Text() } });
     mPeers.OnUp(mClock.Now(), aHello);
-    mHub.SetWanted(mPeers.Contacts());
-    Report({});
+    mExchange.OnInstances();
+    Report();
   }
 
   void OnPeerDown(instance_life const& aPeer, link_close_reason aReason)
@@ -139,6 +151,7 @@
              { { "peer", aPeer.mInstance.Text() },
                { "reason", static_cast<std::int64_t>(aReason) } });
     mPeers.OnDown(mClock.Now(), aPeer);
+    mExchange.OnInstances();
     Publish();
   }
 
@@ -149,7 +162,11 @@
       return;
     if (fleet_report* const report = std::get_if<fleet_report>(message))
       return OnPeerReport(aPeer, *report);
-    mWatch.OnRelay(std::get<topic_relay>(*message));
+    if (fleet_roster* const roster = std::get_if<fleet_roster>(message))
+      return OnPeerRoster(aPeer, *roster);
+    topic_relay const& relay = std::get<topic_relay>(*message);
+    mExchange.Relay(mClock.Now(), relay, aPeer.mInstance);
+    mWatch.OnRelay(relay);
   }
 
 private:
@@ -181,6 +198,7 @@
     if (IsReader(now))
       mUsage.Write(now, mUsed);
     mPeers.Prune(now);
+    mExchange.Tick(now);
     bool const areServersGone = mRecords.Servers().Expire(now);
     std::vector<listed_server> const servers = mRecords.Servers().Servers();
     bool const haveTurnsChanged = mOrders.Tick(servers,
@@ -188,7 +206,7 @@
                                                mPeers.Rank(now),
                                                mPeers.NewestLease(now));
     if (haveTurnsChanged)
-      Report({});
+      Report();
     if (areServersGone || haveTurnsChanged)
       Publish();
     mMetrics.Tick(now, mView, mOrders.Lease());
@@ -207,18 +225,30 @@
 
   void OnPeerReport(instance_life const& aPeer, fleet_report const& aReport)
   {
-    instant const now = mClock.Now();
-    std::set<backend_server_id> const turning = mPeers.Turning(now);
-    std::vector<caller_entry> const entries = mPeers.Entries();
-    mPeers.OnReport(now, aPeer, aReport);
+    if (!mExchange.IsTaken(aPeer.mInstance, aReport.mScope))
+      return;
+    bool isNews = mPeers.OnReport(mClock.Now(), aPeer, aReport);
+    mExchange.Add({ .mFrom = aPeer.mInstance,
+                    .mIsOfBranch = aReport.mScope == report_scope::Branch,
+                    .mCrashes = aReport.mCrashes,
+                    .mWeights = aReport.mWeights,
+                    .mHolders = aReport.mHolders });
     if (!aReport.mCrashes.empty() || !aReport.mHolders.empty())
       mNewsHandler(
         { .mCrashes = aReport.mCrashes, .mHolders = aReport.mHolders });
-    bool const isNews = TakeWeightsSeen(aReport.mWeights);
-    if (isNews || mPeers.Turning(now) != turning || mPeers.Entries() != entries)
+    isNews |= TakeWeightsSeen(aReport.mWeights);
+    if (isNews)
       Publish();
   }
 
+  void OnPeerRoster(instance_life const& aPeer, fleet_roster const& aRoster)
+  {
+    if (!mPeers.OnRoster(mClock.Now(), aPeer, aRoster))
+      return;
+    mExchange.OnInstances();
+    Publish();
+  }
+
   void OnNews(store_topic aTopic,
               std::span<keyed_record const> aNews,
               page_source aSource)
@@ -242,26 +272,26 @@
   {
     if (!TakeWeightsSeen(aSeen))
       return;
-    mSeen.insert(mSeen.end(), aSeen.begin(), aSeen.end());
-    Report({});
+    mExchange.Add({ .mWeights = aSeen });
+    Report();
     Publish();
   }
 
-  void Report(peer_news const& aNews)
+  void Report()
   {
     instant const now = mClock.Now();
     std::set<backend_server_id> const turning = mOrders.Turning();
-    mHub.Broadcast(fleet_message{ fleet_report{
-      .mIsLeaving = mIsLeaving,
-      .mIsReady = mRecords.Operators().Config() != nullptr && !mIsLeaving,
-      .mLease = mOrders.Lease(),
-      .mReadsStore = mWatch.IsReading(now),
-      .mSpent = mSpent,
-      .mCrashes = aNews.mCrashes,
-      .mWeights = std::exchange(mSeen, {}),
-      .mTurning = { turning.begin(), turning.end() },
-      .mHolders = aNews.mHolders,
-      .mUsed = mUsed } });
+    bool const isReady =
+      mRecords.Operators().Config() != nullptr && !mIsLeaving;
+    instance_id const& self = mOptions.mSelf.mLife.mInstance;
+    mExchange.Report(now,
+                     { .mLease = mOrders.Lease(),
+                       .mReader = mWatch.IsReading(now) ? self : instance_id{},
+                       .mSpent = mSpent,
+                       .mTurning = { turning.begin(), turning.end() },
+                       .mUsed = mUsed },
+                     isReady,
+                     mIsLeaving);
   }
 
   void Publish()
@@ -300,13 +330,12 @@
   instance_registration<Dialect> mRegistration;
   usage_keeper<Dialect> mUsage;
   peer_book mPeers;
+  report_exchange mExchange;
   order_driver<Dialect> mOrders;
   peer_hub<fleet_control, quiet_link_supervisor, system_clock> mHub;
   fleet_view mView;
   std::vector<spent_units> mSpent;
   std::vector<spent_units> mUsed;
-  /// Seen weights that peers haven't been told of.
-  std::vector<seen_weights> mSeen;
   boost::asio::steady_timer mTimer;
   bool mIsLeaving = false;
 };
--- a/Libraries/LibFleet/PeerBook.cpp
+++ b/Libraries/LibFleet/PeerBook.cpp
@@ -2,32 +2,43 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <utility>
 
 namespace lycheeseam {
 
 namespace {
 
-// Some reports may be lost or late before a peer counts as silent.
-constexpr duration kSilence = std::chrono::milliseconds{ 900 };
-
 // An instance that is away longer has been removed or is being replaced; until
 // then its share of limits is kept for it.
 constexpr duration kMemory = std::chrono::seconds{ 30 };
 
+// One that others still hear of is only cut off from here, and may be reached
+// again.
+constexpr duration kAwayInRosters = std::chrono::seconds{ 10 };
+
+// A child that lost its parent has another one by then.
+constexpr duration kLostRosterUse = std::chrono::seconds{ 3 };
+
 }
 
 void
-peer_book::OnRegistered(instant aNow, peer_hello const& aHello)
+peer_book::Note(instant aNow, peer_hello const& aHello)
 {
   if (aHello.mLife.mInstance == mSelf)
     return;
-  auto const [entry, isNew] = mPeers.try_emplace(aHello.mLife.mInstance);
-  peer& known = entry->second;
-  if (!isNew && known.mIsUp)
-    return;
-  known.mHello = aHello;
-  if (isNew)
-    known.mSeenAt = aNow;
+  mKnown[aHello.mLife.mInstance] = { .mHello = aHello, .mSeenAt = aNow };
+}
+
+void
+peer_book::OnRegistered(instant aNow, peer_hello const& aHello)
+{
+  auto const known = mKnown.find(aHello.mLife.mInstance);
+  bool const isNews =
+    known == mKnown.end() ||
+    known->second.mHello.mLife.mIncarnation < aHello.mLife.mIncarnation;
+  if (isNews)
+    Note(aNow, aHello);
 }
 
 void
@@ -35,118 +46,266 @@
 {
   if (aHello.mLife.mInstance == mSelf)
     return;
-  peer& known = mPeers[aHello.mLife.mInstance];
-  if (known.mHello.mLife != aHello.mLife) {
-    known.mSpent.clear();
-    known.mReportedAt.reset();
-    known.mReport = {};
-  }
-  known.mHello = aHello;
-  known.mIsUp = true;
-  known.mSeenAt = aNow;
+  Note(aNow, aHello);
+  mLinks[aHello.mLife.mInstance] = peer_link{
+    .mHello = aHello, .mUpAt = aNow, .mRoster = { { { .mHello = aHello } } }
+  };
+}
+
+peer_link*
+peer_book::FindLink(instance_life const& aPeer)
+{
+  auto const found = mLinks.find(aPeer.mInstance);
+  bool const isOfLife =
+    found != mLinks.end() && found->second.mHello.mLife == aPeer;
+  return isOfLife ? &found->second : nullptr;
 }
 
 void
 peer_book::OnDown(instant aNow, instance_life const& aPeer)
 {
-  auto const found = mPeers.find(aPeer.mInstance);
-  if (found == mPeers.end() || found->second.mHello.mLife != aPeer)
+  peer_link* const found = FindLink(aPeer);
+  if (found == nullptr)
+    return;
+  peer_link& lost = *found;
+  if (lost.mReportedAt && lost.mReport.mScope == report_scope::Rest) {
+    mLostRoster = std::move(lost.mRoster);
+    std::erase_if(mLostRoster.mEntries, [&aPeer](auto const& aEntry) {
+      return aEntry.mHello.mLife.mInstance == aPeer.mInstance;
+    });
+    mLostUntil = aNow + kLostRosterUse;
+  }
+  mLinks.erase(aPeer.mInstance);
+  auto const known = mKnown.find(aPeer.mInstance);
+  if (known == mKnown.end())
     return;
-  found->second.mIsUp = false;
-  found->second.mSeenAt = aNow;
+  known->second.mSeenAt = aNow;
+  if (!IsInRosters(aPeer.mInstance))
+    known->second.mAwaySince = aNow;
 }
 
-void
+bool
+peer_book::IsInRosters(instance_id const& aInstance) const
+{
+  return std::any_of(mLinks.begin(), mLinks.end(), [&](auto const& aLink) {
+    std::vector<roster_entry> const& entries = aLink.second.mRoster.mEntries;
+    return std::any_of(
+      entries.begin(), entries.end(), [&](roster_entry const& aEntry) {
+        return aEntry.mHello.mLife.mInstance == aInstance;
+      });
+  });
+}
+
+bool
 peer_book::OnReport(instant aNow,
                     instance_life const& aPeer,
                     fleet_report const& aReport)
 {
-  auto const found = mPeers.find(aPeer.mInstance);
-  if (found == mPeers.end() || found->second.mHello.mLife != aPeer)
-    return;
-  peer& known = found->second;
-  // What it admitted before this instance first heard of it lies in the window
-  // that it tells of, or long ago.
+  peer_link* const found = FindLink(aPeer);
+  if (found == nullptr)
+    return false;
+  peer_link& link = *found;
+  // What was admitted before this instance first heard of it lies in the
+  // window that it is told of, or long ago.
   bool const isCounted =
-    known.mReportedAt && aNow - *known.mReportedAt <= kSilence;
+    link.IsLive(aNow) && link.mReport.mScope == aReport.mScope;
+  Count(link, aReport, isCounted);
+  bool const isNews = link.mReport.mLease != aReport.mLease ||
+                      link.mReport.mTurning != aReport.mTurning;
+  link.mReport = aReport;
+  link.mReportedAt = aNow;
+  return isNews;
+}
+
+void
+peer_book::Count(peer_link& aLink, fleet_report const& aReport, bool aIsCounted)
+{
   for (spent_units const& spent : aReport.mSpent) {
-    double& before = known.mSpent[spent.mWorkspace];
-    if (isCounted)
-      mSpent[spent.mWorkspace] += std::max(0.0, spent.mUnits - before);
+    double& before = aLink.mTold[spent.mWorkspace];
+    double const added = std::max(0.0, spent.mUnits - before);
     before = spent.mUnits;
+    if (!aIsCounted)
+      continue;
+    mSpent[spent.mWorkspace] += added;
+    aLink.mCounted[spent.mWorkspace] += added;
+    if (aReport.mScope == report_scope::Branch)
+      mSpentByChildren[spent.mWorkspace] += added;
+  }
+}
+
+bool
+peer_book::OnRoster(instant aNow,
+                    instance_life const& aPeer,
+                    fleet_roster const& aRoster)
+{
+  peer_link* const found = FindLink(aPeer);
+  if (found == nullptr || found->mRoster == aRoster)
+    return false;
+  fleet_roster const before = std::exchange(found->mRoster, aRoster);
+  NoteVanished(aNow, before);
+  for (roster_entry const& entry : aRoster.mEntries)
+    Note(aNow, entry.mHello);
+  if (aRoster.mEntries.size() > 1)
+    mLostRoster = {};
+  return true;
+}
+
+void
+peer_book::NoteVanished(instant aNow, fleet_roster const& aBefore)
+{
+  for (roster_entry const& entry : aBefore.mEntries) {
+    instance_id const& id = entry.mHello.mLife.mInstance;
+    auto const known = mKnown.find(id);
+    if (known != mKnown.end() && !IsInRosters(id))
+      known->second.mAwaySince = aNow;
   }
-  known.mReport = aReport;
-  known.mReportedAt = aNow;
-  known.mSeenAt = aNow;
+}
+
+void
+peer_book::OnUnreachable(instant aNow, instance_id const& aPeer)
+{
+  auto const known = mKnown.find(aPeer);
+  if (known != mKnown.end())
+    known->second.mAwaySince = aNow;
 }
 
 void
 peer_book::Prune(instant aNow)
 {
-  std::erase_if(mPeers, [aNow](auto const& aEntry) {
-    return !aEntry.second.mIsUp && aNow - aEntry.second.mSeenAt > kMemory;
+  if (aNow >= mLostUntil)
+    mLostRoster = {};
+  for (auto const& [id, link] : mLinks) {
+    for (roster_entry const& entry : link.mRoster.mEntries) {
+      auto const known = mKnown.find(entry.mHello.mLife.mInstance);
+      if (known == mKnown.end())
+        continue;
+      known->second.mSeenAt = aNow;
+      if (known->second.mAwaySince &&
+          aNow - *known->second.mAwaySince > kAwayInRosters)
+        known->second.mAwaySince.reset();
+    }
+  }
+  std::erase_if(mKnown, [aNow](auto const& aEntry) {
+    return aNow - aEntry.second.mSeenAt > kMemory;
   });
 }
 
-std::vector<peer_contact>
-peer_book::Contacts() const
+std::vector<peer_hello>
+peer_book::Present() const
+{
+  std::vector<peer_hello> present;
+  for (auto const& [id, known] : mKnown) {
+    if (!known.mAwaySince)
+      present.push_back(known.mHello);
+  }
+  return present;
+}
+
+std::vector<peer_hello>
+peer_book::Away() const
 {
-  std::vector<peer_contact> contacts;
-  for (auto const& [id, known] : mPeers)
-    contacts.push_back({ .mAddress = known.mHello.mPeers, .mInstance = id });
-  return contacts;
+  std::vector<peer_hello> away;
+  for (auto const& [id, known] : mKnown) {
+    if (known.mAwaySince)
+      away.push_back(known.mHello);
+  }
+  return away;
 }
 
 std::vector<caller_entry>
 peer_book::Entries() const
 {
-  std::vector<caller_entry> entries;
-  for (auto const& [id, known] : mPeers) {
-    if (known.mIsUp && known.mReport.mIsReady && !known.mReport.mIsLeaving)
-      entries.push_back({ .mInstance = id,
-                          .mDomain = known.mHello.mFailureDomain,
-                          .mAddress = known.mHello.mCallers });
-  }
-  return entries;
+  std::map<instance_id, caller_entry> entries;
+  auto const add = [&](fleet_roster const& aRoster) {
+    for (roster_entry const& entry : aRoster.mEntries) {
+      instance_id const& id = entry.mHello.mLife.mInstance;
+      if (entry.mIsReady && !entry.mIsLeaving && id != mSelf)
+        entries[id] = { .mInstance = id,
+                        .mDomain = entry.mHello.mFailureDomain,
+                        .mAddress = entry.mHello.mCallers };
+    }
+  };
+  add(mLostRoster);
+  for (auto const& [id, link] : mLinks)
+    add(link.mRoster);
+  std::vector<caller_entry> list;
+  std::transform(entries.begin(),
+                 entries.end(),
+                 std::back_inserter(list),
+                 [](auto const& aEntry) { return aEntry.second; });
+  return list;
 }
 
 std::uint32_t
 peer_book::Count() const
 {
-  return static_cast<std::uint32_t>(mPeers.size());
+  return static_cast<std::uint32_t>(mKnown.size());
 }
 
-bool
-peer_book::IsLive(instant aNow, peer const& aPeer) const
+std::set<instance_id>
+peer_book::Heard(instant aNow) const
 {
-  return aPeer.mIsUp && aPeer.mReportedAt &&
-         aNow - *aPeer.mReportedAt <= kSilence;
+  std::set<instance_id> heard;
+  for (auto const& [id, link] : mLinks) {
+    if (!link.IsLive(aNow))
+      continue;
+    for (roster_entry const& entry : link.mRoster.mEntries)
+      heard.insert(entry.mHello.mLife.mInstance);
+  }
+  heard.erase(mSelf);
+  return heard;
 }
 
 std::uint32_t
 peer_book::Silent(instant aNow) const
 {
+  std::set<instance_id> const heard = Heard(aNow);
   return static_cast<std::uint32_t>(
-    std::count_if(mPeers.begin(), mPeers.end(), [this, aNow](auto const& aAny) {
-      return !IsLive(aNow, aAny.second);
+    std::count_if(mKnown.begin(), mKnown.end(), [&heard](auto const& aEntry) {
+      return !heard.contains(aEntry.first);
     }));
 }
 
+std::vector<spent_units>
+peer_book::List(totals const& aTotals)
+{
+  std::vector<spent_units> list;
+  list.reserve(aTotals.size());
+  for (auto const& [workspace, units] : aTotals)
+    list.push_back({ .mWorkspace = workspace, .mUnits = units });
+  return list;
+}
+
 std::vector<spent_units>
 peer_book::Spent() const
 {
-  std::vector<spent_units> spent;
-  for (auto const& [workspace, units] : mSpent)
-    spent.push_back({ .mWorkspace = workspace, .mUnits = units });
+  return List(mSpent);
+}
+
+std::vector<spent_units>
+peer_book::SpentByChildren() const
+{
+  return List(mSpentByChildren);
+}
+
+std::vector<spent_units>
+peer_book::SpentBesides(peer_link const& aLink) const
+{
+  std::vector<spent_units> spent = Spent();
+  for (spent_units& units : spent) {
+    auto const counted = aLink.mCounted.find(units.mWorkspace);
+    if (counted != aLink.mCounted.end())
+      units.mUnits -= counted->second;
+  }
   return spent;
 }
 
 std::vector<spent_units>
 peer_book::Used(instant aNow) const
 {
-  for (auto const& [id, known] : mPeers) {
-    if (IsLive(aNow, known) && !known.mReport.mUsed.empty())
-      return known.mReport.mUsed;
+  for (auto const& [id, link] : mLinks) {
+    if (link.IsLive(aNow) && !link.mReport.mUsed.empty())
+      return link.mReport.mUsed;
   }
   return {};
 }
@@ -155,9 +314,10 @@
 peer_book::Turning(instant aNow) const
 {
   std::uint64_t const newest = NewestLease(aNow);
-  for (auto const& [id, known] : mPeers) {
-    if (newest != 0 && known.mReport.mLease == newest)
-      return { known.mReport.mTurning.begin(), known.mReport.mTurning.end() };
+  for (auto const& [id, link] : mLinks) {
+    std::vector<backend_server_id> const& turning = link.mReport.mTurning;
+    if (newest != 0 && link.IsLive(aNow) && link.mReport.mLease == newest)
+      return { turning.begin(), turning.end() };
   }
   return {};
 }
@@ -166,9 +326,9 @@
 peer_book::NewestLease(instant aNow) const
 {
   std::uint64_t newest = 0;
-  for (auto const& [id, known] : mPeers) {
-    if (IsLive(aNow, known))
-      newest = std::max(newest, known.mReport.mLease);
+  for (auto const& [id, link] : mLinks) {
+    if (link.IsLive(aNow))
+      newest = std::max(newest, link.mReport.mLease);
   }
   return newest;
 }
@@ -177,20 +337,26 @@
 peer_book::HasReader(instant aNow) const
 {
   return std::any_of(
-    mPeers.begin(), mPeers.end(), [this, aNow](auto const& aEntry) {
-      return aEntry.first < mSelf && IsLive(aNow, aEntry.second) &&
-             aEntry.second.mReport.mReadsStore;
+    mLinks.begin(), mLinks.end(), [this, aNow](auto const& aEntry) {
+      peer_link const& link = aEntry.second;
+      return link.IsLive(aNow) && !link.mReport.mReader.IsEmpty() &&
+             link.mReport.mReader < mSelf;
     });
 }
 
 std::uint32_t
 peer_book::Rank(instant aNow) const
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(mPeers.begin(), mPeers.end(), [this, aNow](auto const& aAny) {
-      return aAny.first < mSelf && IsLive(aNow, aAny.second) &&
-             !aAny.second.mReport.mIsLeaving;
-    }));
+  std::set<instance_id> before;
+  for (auto const& [id, link] : mLinks) {
+    if (!link.IsLive(aNow))
+      continue;
+    for (roster_entry const& entry : link.mRoster.mEntries) {
+      if (!entry.mIsLeaving && entry.mHello.mLife.mInstance < mSelf)
+        before.insert(entry.mHello.mLife.mInstance);
+    }
+  }
+  return static_cast<std::uint32_t>(before.size());
 }
 
 }
--- a/Libraries/LibFleet/PeerBook.h
+++ b/Libraries/LibFleet/PeerBook.h
@@ -3,23 +3,23 @@
 #include <LibCore/Instant.h>
 #include <LibDispatch/CallerEntry.h>
 #include <LibDispatch/SpentUnits.h>
-#include <LibPeer/FleetReport.h>
-#include <LibPeer/PeerContact.h>
-#include <LibPeer/PeerHello.h>
+#include <LibFleet/PeerLink.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <vector>
 
 namespace lycheeseam {
 
 /// The other instances: those registered in the store, those with a link, and
-/// what they reported last.
+/// those that linked ones speak for.
 class peer_book
 {
 public:
+  using links = std::map<instance_id, peer_link>;
+
   explicit peer_book(instance_id aSelf)
     : mSelf(std::move(aSelf))
   {
@@ -30,15 +30,30 @@
 
   void OnUp(instant aNow, peer_hello const& aHello);
   void OnDown(instant aNow, instance_life const& aPeer);
-  void OnReport(instant aNow,
+
+  /// Takes a report; true when it changes which servers turn.
+  bool OnReport(instant aNow,
                 instance_life const& aPeer,
                 fleet_report const& aReport);
 
-  /// Forgets instances that have been away for long.
+  /// Takes who lives behind a link; true when it is news.
+  bool OnRoster(instant aNow,
+                instance_life const& aPeer,
+                fleet_roster const& aRoster);
+
+  /// A parent can't be reached or says nothing; it counts as away until
+  /// something is heard of it.
+  void OnUnreachable(instant aNow, instance_id const& aPeer);
+
+  /// Forgets instances that have been away for long, and after a while what a
+  /// lost parent told.
   void Prune(instant aNow);
 
-  /// Addresses to keep links to.
-  [[nodiscard]] std::vector<peer_contact> Contacts() const;
+  /// The instances that may live, for the layout of reports.
+  [[nodiscard]] std::vector<peer_hello> Present() const;
+
+  /// The others that are known.
+  [[nodiscard]] std::vector<peer_hello> Away() const;
 
   /// The others that take callers and aren't leaving.
   [[nodiscard]] std::vector<caller_entry> Entries() const;
@@ -46,13 +61,20 @@
   /// How many others share limits with this instance.
   [[nodiscard]] std::uint32_t Count() const;
 
-  /// How many of them haven't reported lately.
+  /// How many of them nobody has heard of lately.
   [[nodiscard]] std::uint32_t Silent(instant aNow) const;
 
   /// What the others admitted, so far as this instance heard of it while they
   /// weren't silent; a silent instance's share is taken as spent instead.
   [[nodiscard]] std::vector<spent_units> Spent() const;
 
+  /// The part of it that came from children.
+  [[nodiscard]] std::vector<spent_units> SpentByChildren() const;
+
+  /// The part of it that didn't come over this link.
+  [[nodiscard]] std::vector<spent_units> SpentBesides(
+    peer_link const& aLink) const;
+
   /// What all instances admitted in the last quota window, as told by a peer
   /// that has counted for so long; empty without one.
   [[nodiscard]] std::vector<spent_units> Used(instant aNow) const;
@@ -63,30 +85,45 @@
   /// The newest lease that a live peer gives orders under; 0 for none.
   [[nodiscard]] std::uint64_t NewestLease(instant aNow) const;
 
-  /// True when a live peer with a name before this instance's reads the store
+  /// True when a live instance with a name before this one's reads the store
   /// for others.
   [[nodiscard]] bool HasReader(instant aNow) const;
 
-  /// How many live peers have names before this instance's.
+  /// How many live instances that aren't leaving have names before this one's.
   [[nodiscard]] std::uint32_t Rank(instant aNow) const;
 
+  [[nodiscard]] links const& Links() const noexcept { return mLinks; }
+
 private:
-  struct peer
+  struct known_instance
   {
     peer_hello mHello;
-    bool mIsUp = false;
     instant mSeenAt{};
-    std::optional<instant> mReportedAt;
-    fleet_report mReport;
-    /// Of the life that reports now.
-    std::map<workspace_id, double> mSpent;
+    /// Since when it can't be reached; nothing while it can.
+    std::optional<instant> mAwaySince;
   };
-
-  [[nodiscard]] bool IsLive(instant aNow, peer const& aPeer) const;
+  using totals = std::map<workspace_id, double>;
+
+  // Names of the instances that live links speak for.
+  [[nodiscard]] std::set<instance_id> Heard(instant aNow) const;
+  // The link to that life of a peer, or null.
+  [[nodiscard]] peer_link* FindLink(instance_life const& aPeer);
+  // True when a peer with a link speaks for the instance.
+  [[nodiscard]] bool IsInRosters(instance_id const& aInstance) const;
+  void Note(instant aNow, peer_hello const& aHello);
+  // Instances that no peer speaks for any more can't be reached.
+  void NoteVanished(instant aNow, fleet_roster const& aBefore);
+  void Count(peer_link& aLink, fleet_report const& aReport, bool aIsCounted);
+  static std::vector<spent_units> List(totals const& aTotals);
 
   instance_id mSelf;
-  std::map<instance_id, peer> mPeers;
-  std::map<workspace_id, double> mSpent;
+  std::map<instance_id, known_instance> mKnown;
+  links mLinks;
+  totals mSpent;
+  totals mSpentByChildren;
+  /// What the parent told that was lost last, and until when it is used.
+  fleet_roster mLostRoster;
+  instant mLostUntil{};
 };
 
 }
--- /dev/null
+++ b/Libraries/LibFleet/ReportLayout.cpp
@@ -0,0 +1,132 @@
+#include <LibFleet/ReportLayout.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lycheeseam {
+
+namespace {
+
+using members = std::vector<peer_hello const*>;
+
+// A root has as much work with another root as with a child; with a few more
+// children than roots the links that cross failure domains are fewer.
+constexpr double kBranchFactor = 1.2;
+
+std::uint64_t
+Hash(instance_id const& aInstance, std::uint64_t aSeed = 0)
+{
+  std::string const& name = aInstance.Text();
+  return XXH3_64bits_withSeed(name.data(), name.size(), aSeed);
+}
+
+// The order in which instances become roots: those with the most processor
+// first, then by chance, which spreads them over what their names stand for.
+bool
+ComesBefore(peer_hello const& aFirst, peer_hello const& aSecond)
+{
+  if (aFirst.mCapacity != aSecond.mCapacity)
+    return aFirst.mCapacity > aSecond.mCapacity;
+  std::uint64_t const first = Hash(aFirst.mLife.mInstance);
+  std::uint64_t const second = Hash(aSecond.mLife.mInstance);
+  if (first != second)
+    return first < second;
+  return aFirst.mLife.mInstance < aSecond.mLife.mInstance;
+}
+
+// The roots of one failure domain, which this reorders.
+std::span<peer_hello const* const>
+RootsOf(members& aDomain, std::size_t aBranch)
+{
+  std::size_t const count = (aDomain.size() + aBranch - 1) / aBranch;
+  std::partial_sort(aDomain.begin(),
+                    aDomain.begin() + static_cast<std::ptrdiff_t>(count),
+                    aDomain.end(),
+                    [](peer_hello const* aFirst, peer_hello const* aSecond) {
+                      return ComesBefore(*aFirst, *aSecond);
+                    });
+  return std::span{ aDomain }.first(count);
+}
+
+peer_contact
+Contact(peer_hello const& aPeer)
+{
+  return { .mAddress = aPeer.mPeers, .mInstance = aPeer.mLife.mInstance };
+}
+
+// Rendezvous hashing: a root that is lost spreads its children over the
+// others and moves nobody else.
+peer_hello const&
+ChooseParent(peer_hello const& aSelf, std::span<peer_hello const* const> aRoots)
+{
+  std::uint64_t const seed = Hash(aSelf.mLife.mInstance);
+  return **std::max_element(
+    aRoots.begin(),
+    aRoots.end(),
+    [seed](peer_hello const* aFirst, peer_hello const* aSecond) {
+      return Hash(aFirst->mLife.mInstance, seed) <
+             Hash(aSecond->mLife.mInstance, seed);
+    });
+}
+
+report_layout
+Child(peer_hello const& aParent)
+{
+  return { .mParent = aParent.mLife.mInstance,
+           .mContacts = { Contact(aParent) } };
+}
+
+peer_hello const*
+FindParent(peer_hello const& aSelf,
+           std::span<peer_hello const> aOthers,
+           std::optional<instance_id> const& aParent)
+{
+  auto const found =
+    std::find_if(aOthers.begin(), aOthers.end(), [&](peer_hello const& aOther) {
+      return aOther.mLife.mInstance == aParent && ComesBefore(aOther, aSelf);
+    });
+  return found == aOthers.end() ? nullptr : &*found;
+}
+
+}
+
+report_layout
+LayOutReports(peer_hello const& aSelf,
+              std::span<peer_hello const> aOthers,
+              std::optional<instance_id> const& aParent)
+{
+  report_layout layout;
+  std::size_t const count = aOthers.size() + 1;
+  if (count <= report_layout::kMostRootsOnly) {
+    for (peer_hello const& other : aOthers)
+      layout.mContacts.push_back(Contact(other));
+    return layout;
+  }
+  std::size_t const branch = static_cast<std::size_t>(
+    std::ceil(kBranchFactor * std::sqrt(static_cast<double>(count))));
+  std::map<failure_domain, members> domains;
+  domains[aSelf.mFailureDomain].push_back(&aSelf);
+  for (peer_hello const& other : aOthers)
+    domains[other.mFailureDomain].push_back(&other);
+
+  std::span<peer_hello const* const> const mine =
+    RootsOf(domains[aSelf.mFailureDomain], branch);
+  if (std::find(mine.begin(), mine.end(), &aSelf) == mine.end()) {
+    peer_hello const* const parent = FindParent(aSelf, aOthers, aParent);
+    return Child(parent != nullptr ? *parent : ChooseParent(aSelf, mine));
+  }
+  for (auto& [domain, instances] : domains) {
+    for (peer_hello const* const root : RootsOf(instances, branch)) {
+      if (root != &aSelf)
+        layout.mContacts.push_back(Contact(*root));
+    }
+  }
+  return layout;
+}
+
+}
--- a/Libraries/LibFleet/StoreWatch.h
+++ b/Libraries/LibFleet/StoreWatch.h
@@ -27,7 +27,7 @@
   using news_handler = std::function<
     void(store_topic, std::span<keyed_record const>, page_source)>;
   /// Hears of records that this instance read, to pass them on.
-  using relay_handler = std::function<void(topic_relay)>;
+  using relay_handler = std::function<void(topic_relay const&)>;
   /// Hears that the store didn't answer for the servers.
   using failure_handler = std::function<void()>;
 
--- a/Libraries/LibMembership/FixedHeartbeatSupervisor.h
+++ b/Libraries/LibMembership/FixedHeartbeatSupervisor.h
@@ -12,7 +12,9 @@
 public:
   fixed_heartbeat_supervisor(fixed_heartbeat_options aOptions, instant aNow);
 
-  /// Anything at all came from the peer.
+  static constexpr bool kCountsAllTraffic = false;
+
+  /// A heartbeat came from the peer.
   void OnReceived(instant aNow);
 
   /// To be called at least once an interval.
--- a/Libraries/LibMembership/QuietLinkSupervisor.h
+++ b/Libraries/LibMembership/QuietLinkSupervisor.h
@@ -16,6 +16,8 @@
 public:
   quiet_link_supervisor(quiet_link_options aOptions, instant aNow);
 
+  static constexpr bool kCountsAllTraffic = true;
+
   /// Anything at all came from the peer.
   void OnReceived(instant aNow);
 
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/InvalidInput.h>
 #include <LibPeer/DecodeFleetMessage.h>
+#include <LibPeer/HelloCodec.h>
 
 #include <utility>
 
@@ -15,6 +16,14 @@
   return static_cast<store_topic>(aValue);
 }
 
+report_scope
+DecodeScope(wire::ReportScope aValue)
+{
+  if (aValue > wire::ReportScope::MAX)
+    throw invalid_input("a report's scope is unknown");
+  return static_cast<report_scope>(aValue);
+}
+
 std::vector<spent_units>
 DecodeUnits(
   flatbuffers::Vector<flatbuffers::Offset<wire::SpentUnits>> const& aTables)
@@ -31,10 +40,9 @@
 fleet_message
 DecodeFleetMessage(wire::FleetReport const& aTable)
 {
-  fleet_report report{ .mIsLeaving = aTable.leaving(),
-                       .mIsReady = aTable.ready(),
+  fleet_report report{ .mScope = DecodeScope(aTable.scope()),
                        .mLease = aTable.lease(),
-                       .mReadsStore = aTable.reads_store() };
+                       .mReader = instance_id{ aTable.reader()->str() } };
   report.mSpent = DecodeUnits(*aTable.spent());
   report.mUsed = DecodeUnits(*aTable.used());
   for (wire::CrashCount const* const crash : *aTable.crashes())
@@ -73,4 +81,16 @@
   return relay;
 }
 
+fleet_message
+DecodeFleetMessage(wire::FleetRoster const& aTable)
+{
+  fleet_roster roster;
+  roster.mEntries.reserve(aTable.entries()->size());
+  for (wire::RosterEntry const* const entry : *aTable.entries())
+    roster.mEntries.push_back({ .mHello = DecodeHello(*entry->hello()),
+                                .mIsReady = entry->ready(),
+                                .mIsLeaving = entry->leaving() });
+  return roster;
+}
+
 }
--- a/Libraries/LibPeer/DecodeFleetMessage.h
+++ b/Libraries/LibPeer/DecodeFleetMessage.h
@@ -11,5 +11,7 @@
 DecodeFleetMessage(wire::FleetReport const& aTable);
 fleet_message
 DecodeFleetMessage(wire::TopicRelay const& aTable);
+fleet_message
+DecodeFleetMessage(wire::FleetRoster const& aTable);
 
 }
--- a/Libraries/LibPeer/DecodePeerMessage.cpp
+++ b/Libraries/LibPeer/DecodePeerMessage.cpp
@@ -2,6 +2,7 @@
 #include <LibPeer/DecodeBlockMessage.h>
 #include <LibPeer/DecodeBudgetMessage.h>
 #include <LibPeer/DecodeFleetMessage.h>
+#include <LibPeer/HelloCodec.h>
 #include <LibPeer/PeerCodec.h>
 
 #include <cstring>
@@ -31,14 +32,7 @@
 peer_message
 Decode(wire::Hello const& aHello)
 {
-  return peer_hello{
-    .mVersion = aHello.version(),
-    .mLife = { .mInstance = instance_id{ aHello.instance()->str() },
-               .mIncarnation = incarnation{ aHello.incarnation() } },
-    .mFailureDomain = failure_domain{ aHello.failure_domain()->str() },
-    .mCallers = endpoint::Parse(aHello.callers()->string_view()),
-    .mPeers = endpoint::Parse(aHello.peers()->string_view())
-  };
+  return DecodeHello(aHello);
 }
 
 peer_message
@@ -147,6 +141,8 @@
       return DecodeBlockMessage(*aEnvelope.body_as_BlockUpdate());
     case wire::Body::FleetReport:
       return DecodeFleetMessage(*aEnvelope.body_as_FleetReport());
+    case wire::Body::FleetRoster:
+      return DecodeFleetMessage(*aEnvelope.body_as_FleetRoster());
     case wire::Body::TopicRelay:
       return DecodeFleetMessage(*aEnvelope.body_as_TopicRelay());
     case wire::Body::NONE:
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -1,4 +1,5 @@
 #include <LibPeer/EncodeFleetMessage.h>
+#include <LibPeer/HelloCodec.h>
 
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
 
   encoded_body operator()(fleet_report const& aReport)
   {
+    flatbuffers::Offset<flatbuffers::String> const reader =
+      Text(aReport.mReader.Text());
     units_vector const spent = Units(aReport.mSpent);
     units_vector const used = Units(aReport.mUsed);
     std::vector<wire::CrashCount> crashes;
@@ -44,10 +47,9 @@
     return MakeBody(
       wire::Body::FleetReport,
       wire::CreateFleetReport(mBuilder,
-                              aReport.mIsLeaving,
-                              aReport.mIsReady,
+                              static_cast<wire::ReportScope>(aReport.mScope),
                               aReport.mLease,
-                              aReport.mReadsStore,
+                              reader,
                               spent,
                               mBuilder.CreateVectorOfStructs(crashes),
                               mBuilder.CreateVector(weights),
@@ -71,6 +73,21 @@
                              mBuilder.CreateVector(records)));
   }
 
+  encoded_body operator()(fleet_roster const& aRoster)
+  {
+    std::vector<flatbuffers::Offset<wire::RosterEntry>> entries;
+    entries.reserve(aRoster.mEntries.size());
+    for (roster_entry const& entry : aRoster.mEntries)
+      entries.push_back(
+        wire::CreateRosterEntry(mBuilder,
+                                EncodeHello(mBuilder, entry.mHello),
+                                entry.mIsReady,
+                                entry.mIsLeaving));
+    return MakeBody(
+      wire::Body::FleetRoster,
+      wire::CreateFleetRoster(mBuilder, mBuilder.CreateVector(entries)));
+  }
+
 private:
   flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
   {
--- a/Libraries/LibPeer/EncodePeerMessage.cpp
+++ b/Libraries/LibPeer/EncodePeerMessage.cpp
@@ -2,6 +2,7 @@
 #include <LibPeer/EncodeBudgetMessage.h>
 #include <LibPeer/EncodeFleetMessage.h>
 #include <LibPeer/FrameHeader.h>
+#include <LibPeer/HelloCodec.h>
 #include <LibPeer/PeerCodec.h>
 
 #include <algorithm>
@@ -42,14 +43,7 @@
 
   encoded_body operator()(peer_hello const& aHello)
   {
-    return MakeBody(wire::Body::Hello,
-                    wire::CreateHello(mBuilder,
-                                      aHello.mVersion,
-                                      Text(aHello.mLife.mInstance.Text()),
-                                      aHello.mLife.mIncarnation.Value(),
-                                      Text(aHello.mFailureDomain.Text()),
-                                      Text(aHello.mCallers.Text()),
-                                      Text(aHello.mPeers.Text())));
+    return MakeBody(wire::Body::Hello, EncodeHello(mBuilder, aHello));
   }
 
   encoded_body operator()(peer_heartbeat const& aBeat)
--- a/Libraries/LibPeer/FleetMessage.h
+++ b/Libraries/LibPeer/FleetMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPeer/FleetReport.h>
+#include <LibPeer/FleetRoster.h>
 #include <LibPeer/TopicRelay.h>
 
 #include <variant>
@@ -8,6 +9,6 @@
 namespace lycheeseam {
 
 /// Any message between instances whose state lies in the platform's store.
-using fleet_message = std::variant<fleet_report, topic_relay>;
+using fleet_message = std::variant<fleet_report, topic_relay, fleet_roster>;
 
 }
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -96,6 +96,12 @@
 struct FleetReport;
 struct FleetReportBuilder;
 
+struct RosterEntry;
+struct RosterEntryBuilder;
+
+struct FleetRoster;
+struct FleetRosterBuilder;
+
 struct KeyedRecord;
 struct KeyedRecordBuilder;
 
@@ -144,6 +150,39 @@
   return EnumNamesGrantResult()[index];
 }
 
+enum class ReportScope : uint8_t {
+  Root = 0,
+  Branch = 1,
+  Rest = 2,
+  MIN = Root,
+  MAX = Rest
+};
+
+inline const ReportScope (&EnumValuesReportScope())[3] {
+  static const ReportScope values[] = {
+    ReportScope::Root,
+    ReportScope::Branch,
+    ReportScope::Rest
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesReportScope() {
+  static const char * const names[4] = {
+    "Root",
+    "Branch",
+    "Rest",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameReportScope(ReportScope e) {
+  if (flatbuffers::IsOutRange(e, ReportScope::Root, ReportScope::Rest)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesReportScope()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -165,11 +204,12 @@
   BlockUpdate = 17,
   FleetReport = 18,
   TopicRelay = 19,
+  FleetRoster = 20,
   MIN = NONE,
-  MAX = TopicRelay
+  MAX = FleetRoster
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[21] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -190,13 +230,14 @@
     Body::BlockAnswer,
     Body::BlockUpdate,
     Body::FleetReport,
-    Body::TopicRelay
+    Body::TopicRelay,
+    Body::FleetRoster
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -217,13 +258,14 @@
     "BlockUpdate",
     "FleetReport",
     "TopicRelay",
+    "FleetRoster",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TopicRelay)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::FleetRoster)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -308,6 +350,10 @@
   static const Body enum_value = Body::TopicRelay;
 };
 
+template<> struct BodyTraits<lycheeseam::wire::FleetRoster> {
+  static const Body enum_value = Body::FleetRoster;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -410,7 +456,8 @@
     VT_INCARNATION = 8,
     VT_FAILURE_DOMAIN = 10,
     VT_CALLERS = 12,
-    VT_PEERS = 14
+    VT_PEERS = 14,
+    VT_CAPACITY = 16
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -430,6 +477,9 @@
   const flatbuffers::String *peers() const {
     return GetPointer<const flatbuffers::String *>(VT_PEERS);
   }
+  uint32_t capacity() const {
+    return GetField<uint32_t>(VT_CAPACITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -442,6 +492,7 @@
            verifier.VerifyString(callers()) &&
            VerifyOffsetRequired(verifier, VT_PEERS) &&
            verifier.VerifyString(peers()) &&
+           VerifyField<uint32_t>(verifier, VT_CAPACITY, 4) &&
            verifier.EndTable();
   }
 };
@@ -468,6 +519,9 @@
   void add_peers(flatbuffers::Offset<flatbuffers::String> peers) {
     fbb_.AddOffset(Hello::VT_PEERS, peers);
   }
+  void add_capacity(uint32_t capacity) {
+    fbb_.AddElement<uint32_t>(Hello::VT_CAPACITY, capacity, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -490,9 +544,11 @@
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::String> callers = 0,
-    flatbuffers::Offset<flatbuffers::String> peers = 0) {
+    flatbuffers::Offset<flatbuffers::String> peers = 0,
+    uint32_t capacity = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_capacity(capacity);
   builder_.add_peers(peers);
   builder_.add_callers(callers);
   builder_.add_failure_domain(failure_domain);
@@ -508,7 +564,8 @@
     uint64_t incarnation = 0,
     const char *failure_domain = nullptr,
     const char *callers = nullptr,
-    const char *peers = nullptr) {
+    const char *peers = nullptr,
+    uint32_t capacity = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -520,7 +577,8 @@
       incarnation,
       failure_domain__,
       callers__,
-      peers__);
+      peers__,
+      capacity);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2312,28 +2370,24 @@
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LEAVING = 4,
-    VT_READY = 6,
-    VT_LEASE = 8,
-    VT_READS_STORE = 10,
-    VT_SPENT = 12,
-    VT_CRASHES = 14,
-    VT_WEIGHTS = 16,
-    VT_TURNING = 18,
-    VT_HOLDERS = 20,
-    VT_USED = 22
+    VT_SCOPE = 4,
+    VT_LEASE = 6,
+    VT_READER = 8,
+    VT_SPENT = 10,
+    VT_CRASHES = 12,
+    VT_WEIGHTS = 14,
+    VT_TURNING = 16,
+    VT_HOLDERS = 18,
+    VT_USED = 20
   };
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
-  bool ready() const {
-    return GetField<uint8_t>(VT_READY, 0) != 0;
+  lycheeseam::wire::ReportScope scope() const {
+    return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
   }
   uint64_t lease() const {
     return GetField<uint64_t>(VT_LEASE, 0);
   }
-  bool reads_store() const {
-    return GetField<uint8_t>(VT_READS_STORE, 0) != 0;
+  const flatbuffers::String *reader() const {
+    return GetPointer<const flatbuffers::String *>(VT_READER);
   }
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *spent() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *>(VT_SPENT);
@@ -2355,10 +2409,10 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
            VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
-           VerifyField<uint8_t>(verifier, VT_READS_STORE, 1) &&
+           VerifyOffsetRequired(verifier, VT_READER) &&
+           verifier.VerifyString(reader()) &&
            VerifyOffsetRequired(verifier, VT_SPENT) &&
            verifier.VerifyVector(spent()) &&
            verifier.VerifyVectorOfTables(spent()) &&
@@ -2384,17 +2438,14 @@
   typedef FleetReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(FleetReport::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
-  void add_ready(bool ready) {
-    fbb_.AddElement<uint8_t>(FleetReport::VT_READY, static_cast<uint8_t>(ready), 0);
+  void add_scope(lycheeseam::wire::ReportScope scope) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_SCOPE, static_cast<uint8_t>(scope), 0);
   }
   void add_lease(uint64_t lease) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_LEASE, lease, 0);
   }
-  void add_reads_store(bool reads_store) {
-    fbb_.AddElement<uint8_t>(FleetReport::VT_READS_STORE, static_cast<uint8_t>(reads_store), 0);
+  void add_reader(flatbuffers::Offset<flatbuffers::String> reader) {
+    fbb_.AddOffset(FleetReport::VT_READER, reader);
   }
   void add_spent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> spent) {
     fbb_.AddOffset(FleetReport::VT_SPENT, spent);
@@ -2421,6 +2472,7 @@
   flatbuffers::Offset<FleetReport> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<FleetReport>(end);
+    fbb_.Required(o, FleetReport::VT_READER);
     fbb_.Required(o, FleetReport::VT_SPENT);
     fbb_.Required(o, FleetReport::VT_CRASHES);
     fbb_.Required(o, FleetReport::VT_WEIGHTS);
@@ -2433,10 +2485,9 @@
 
 inline flatbuffers::Offset<FleetReport> CreateFleetReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool leaving = false,
-    bool ready = false,
+    lycheeseam::wire::ReportScope scope = lycheeseam::wire::ReportScope::Root,
     uint64_t lease = 0,
-    bool reads_store = false,
+    flatbuffers::Offset<flatbuffers::String> reader = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> spent = 0,
     flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::CrashCount *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights = 0,
@@ -2451,24 +2502,23 @@
   builder_.add_weights(weights);
   builder_.add_crashes(crashes);
   builder_.add_spent(spent);
-  builder_.add_reads_store(reads_store);
-  builder_.add_ready(ready);
-  builder_.add_leaving(leaving);
+  builder_.add_reader(reader);
+  builder_.add_scope(scope);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<FleetReport> CreateFleetReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool leaving = false,
-    bool ready = false,
+    lycheeseam::wire::ReportScope scope = lycheeseam::wire::ReportScope::Root,
     uint64_t lease = 0,
-    bool reads_store = false,
+    const char *reader = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *spent = nullptr,
     const std::vector<lycheeseam::wire::CrashCount> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr) {
+  auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
   auto weights__ = weights ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>(*weights) : 0;
@@ -2477,10 +2527,9 @@
   auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
-      leaving,
-      ready,
+      scope,
       lease,
-      reads_store,
+      reader__,
       spent__,
       crashes__,
       weights__,
@@ -2489,6 +2538,122 @@
       used__);
 }
 
+struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RosterEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HELLO = 4,
+    VT_READY = 6,
+    VT_LEAVING = 8
+  };
+  const lycheeseam::wire::Hello *hello() const {
+    return GetPointer<const lycheeseam::wire::Hello *>(VT_HELLO);
+  }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_HELLO) &&
+           verifier.VerifyTable(hello()) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct RosterEntryBuilder {
+  typedef RosterEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_hello(flatbuffers::Offset<lycheeseam::wire::Hello> hello) {
+    fbb_.AddOffset(RosterEntry::VT_HELLO, hello);
+  }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(RosterEntry::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(RosterEntry::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit RosterEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RosterEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RosterEntry>(end);
+    fbb_.Required(o, RosterEntry::VT_HELLO);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RosterEntry> CreateRosterEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<lycheeseam::wire::Hello> hello = 0,
+    bool ready = false,
+    bool leaving = false) {
+  RosterEntryBuilder builder_(_fbb);
+  builder_.add_hello(hello);
+  builder_.add_leaving(leaving);
+  builder_.add_ready(ready);
+  return builder_.Finish();
+}
+
+struct FleetRoster FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FleetRosterBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct FleetRosterBuilder {
+  typedef FleetRoster Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>>> entries) {
+    fbb_.AddOffset(FleetRoster::VT_ENTRIES, entries);
+  }
+  explicit FleetRosterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FleetRoster> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FleetRoster>(end);
+    fbb_.Required(o, FleetRoster::VT_ENTRIES);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FleetRoster> CreateFleetRoster(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>>> entries = 0) {
+  FleetRosterBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FleetRoster> CreateFleetRosterDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::RosterEntry>>(*entries) : 0;
+  return lycheeseam::wire::CreateFleetRoster(
+      _fbb,
+      entries__);
+}
+
 struct KeyedRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef KeyedRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2738,6 +2903,9 @@
   const lycheeseam::wire::TopicRelay *body_as_TopicRelay() const {
     return body_type() == lycheeseam::wire::Body::TopicRelay ? static_cast<const lycheeseam::wire::TopicRelay *>(body()) : nullptr;
   }
+  const lycheeseam::wire::FleetRoster *body_as_FleetRoster() const {
+    return body_type() == lycheeseam::wire::Body::FleetRoster ? static_cast<const lycheeseam::wire::FleetRoster *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2823,6 +2991,10 @@
   return body_as_TopicRelay();
 }
 
+template<> inline const lycheeseam::wire::FleetRoster *Envelope::body_as<lycheeseam::wire::FleetRoster>() const {
+  return body_as_FleetRoster();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2936,6 +3108,10 @@
       auto ptr = reinterpret_cast<const lycheeseam::wire::TopicRelay *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FleetRoster: {
+      auto ptr = reinterpret_cast<const lycheeseam::wire::FleetRoster *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibPeer/LinkCloseReason.h
+++ b/Libraries/LibPeer/LinkCloseReason.h
@@ -30,9 +30,11 @@
   Silent,
   /// This process is stopping.
   Stopped,
+  /// This process has no more use for the link.
+  Released,
 };
 
 /// The number of reasons.
-inline constexpr std::size_t kLinkCloseReasons = 14;
+inline constexpr std::size_t kLinkCloseReasons = 15;
 
 }
--- a/Libraries/LibPeer/PeerHub.h
+++ b/Libraries/LibPeer/PeerHub.h
@@ -62,6 +62,14 @@
   /// Queues a message to every peer with a link, encoded once.
   void Broadcast(peer_message const& aMessage);
 
+  /// Queues a message to some peers, encoded once; those without a link are
+  /// left out.
+  void Multicast(std::span<instance_id const> aPeers,
+                 peer_message const& aMessage);
+
+  /// Closes the link to a peer, if there is one.
+  void Release(instance_id const& aPeer);
+
   /// Closes all links and accepts none; the handler hears of each.
   void Stop();
 
--- a/Libraries/LibPeer/PeerHubImplementation.h
+++ b/Libraries/LibPeer/PeerHubImplementation.h
@@ -212,6 +212,14 @@
   closing->Close(aReason);
 }
 
+template<typename Handler, link_supervisor Supervisor, clock_source Clock>
+void
+peer_hub<Handler, Supervisor, Clock>::Release(instance_id const& aPeer)
+{
+  if (std::optional<link_number> const link = mTable.Find(aPeer))
+    CloseLink(*link, link_close_reason::Released);
+}
+
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
 peer_hub<Handler, Supervisor, Clock>::OnConnectionClosed(
--- a/Libraries/LibPeer/PeerHubMessages.h
+++ b/Libraries/LibPeer/PeerHubMessages.h
@@ -29,6 +29,21 @@
     SendFrame(link, frame);
 }
 
+template<typename Handler, link_supervisor Supervisor, clock_source Clock>
+void
+peer_hub<Handler, Supervisor, Clock>::Multicast(
+  std::span<instance_id const> aPeers,
+  peer_message const& aMessage)
+{
+  if (aPeers.empty())
+    return;
+  encoded_frame const frame = EncodePeerMessage(aMessage);
+  for (instance_id const& peer : aPeers) {
+    if (std::optional<link_number> const link = mTable.Find(peer))
+      SendFrame(*link, frame);
+  }
+}
+
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
 void
 peer_hub<Handler, Supervisor, Clock>::OnConnected(link_number aLink)
@@ -55,9 +70,10 @@
   bool const belongs = (hello != nullptr) == !state.mPeer.has_value();
   if (!belongs)
     return CloseLink(aLink, link_close_reason::UnexpectedMessage);
-  // Only heartbeats carry the signs that freshness rests on: on a link that
-  // other messages keep busy they must go on.
-  if (std::holds_alternative<peer_heartbeat>(*message))
+  // Where freshness rests on what heartbeats carry, they must go on also on a
+  // link that other messages keep busy.
+  if (Supervisor::kCountsAllTraffic ||
+      std::holds_alternative<peer_heartbeat>(*message))
     state.mSupervisor.OnReceived(mClock.Now());
   if (hello)
     return OnHello(aLink, state, *hello);
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -22,6 +22,8 @@
   /// Where metrics are served; nowhere by default.
   std::optional<endpoint> mMetrics;
   endpoint mStore;
+  /// The processor cores that this instance has; 0 when it isn't told.
+  double mCores = 0;
   /// How long callers keep the answer to their question for addresses.
   std::chrono::seconds mAddressLifetime{ 2 };
   /// Units that a workspace may be admitted in a window beyond its rate and
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t kMinuteMs = 60'000;
 constexpr std::uint64_t kMostPercent = 1'000;
+constexpr double kMostCores = 1'000;
 constexpr std::uint64_t kMostUnits = 1'000'000'000;
 
 endpoint
@@ -70,6 +71,7 @@
   settings.mDomain = failure_domain{ domain };
   ReadListen(root.Section("listen"), settings);
   settings.mStore = ReadAddress(root, "store");
+  root.ReadFraction("cores", kMostCores, settings.mCores);
   ReadLimits(root.Section("limits"), settings);
   root.RefuseUnknownFields();
 
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -120,6 +120,23 @@
     aTarget = std::chrono::milliseconds{ *number };
 }
 
+void
+settings_reader::ReadFraction(std::string_view aField,
+                              double aMost,
+                              double& aTarget)
+{
+  std::string const allowed =
+    "a number from 0 to " + nlohmann::json(aMost).dump();
+  nlohmann::json const* const value =
+    Find(aField, field_presence::Optional, allowed);
+  if (value == nullptr)
+    return;
+  if (!value->is_number() || value->get<double>() < 0 ||
+      value->get<double>() > aMost)
+    return AddFault(PathOf(aField), value, allowed);
+  aTarget = value->get<double>();
+}
+
 void
 settings_reader::ReadFlag(std::string_view aField, bool& aTarget)
 {
--- a/Libraries/LibSettings/SettingsReader.h
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -56,6 +56,9 @@
                         number_range aRange,
                         std::chrono::milliseconds& aTarget);
 
+  /// Reads a number from 0 to aMost that may have a fraction.
+  void ReadFraction(std::string_view aField, double aMost, double& aTarget);
+
   /// Reads true or false.
   void ReadFlag(std::string_view aField, bool& aTarget);
 
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -51,11 +51,14 @@
 fleet_options
 MakeFleetOptions(fleet_settings const& aSettings)
 {
+  constexpr double kThousandths = 1'000;
   return { .mSelf = { .mLife = { .mInstance = aSettings.mInstance,
                                  .mIncarnation = ThisLife() },
                       .mFailureDomain = aSettings.mDomain,
                       .mCallers = aSettings.mCallers,
-                      .mPeers = aSettings.mPeers },
+                      .mPeers = aSettings.mPeers,
+                      .mCapacity = static_cast<std::uint32_t>(aSettings.mCores *
+                                                              kThousandths) },
            .mStore = aSettings.mStore,
            .mMetrics = aSettings.mMetrics,
            .mLease = aSettings.mLease };
--- /dev/null
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include <LibFleet/ReportExchange.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Instances that exchange reports over links of their own making, in virtual
+/// time. A message arrives one step after it was sent.
+class simulated_fleet
+{
+public:
+  static constexpr std::chrono::milliseconds kStep{ 50 };
+  static constexpr int kStepsAReport = 3;
+
+  struct member
+  {
+    explicit member(peer_hello aHello)
+      : mHello(std::move(aHello))
+      , mBook(mHello.mLife.mInstance)
+    {
+    }
+
+    peer_hello mHello;
+    peer_book mBook;
+    std::unique_ptr<report_exchange> mExchange;
+    std::set<instance_id> mWanted;
+    double mSpent = 0;
+    std::uint64_t mLease = 0;
+    std::vector<report_news> mOwnNews;
+    std::vector<std::uint64_t> mCrashesHeard;
+    std::vector<topic_relay> mRelays;
+  };
+
+  explicit simulated_fleet(int aCount)
+  {
+    for (int index = 0; index < aCount; ++index)
+      Add(index);
+    for (auto& [id, added] : mMembers)
+      Register(*added);
+  }
+
+  /// Adds a member that the others hear of, and that hears of them.
+  void Join(int aIndex)
+  {
+    Register(Add(aIndex));
+    for (auto& [id, known] : mMembers)
+      known->mExchange->OnInstances();
+  }
+
+  void Kill(instance_id const& aId)
+  {
+    std::set<instance_id> const peers = Peers(aId);
+    instance_life const life = mMembers.at(aId)->mHello.mLife;
+    for (instance_id const& peer : peers) {
+      mLinks.erase(Link(aId, peer));
+      mMembers.at(peer)->mBook.OnDown(mNow, life);
+      mMembers.at(peer)->mExchange->OnInstances();
+    }
+    mMembers.erase(aId);
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    for (instant const end = mNow + aTime; mNow < end; mNow += kStep)
+      Step();
+  }
+
+  [[nodiscard]] member& Member(int aIndex)
+  {
+    return *mMembers.at(Name(aIndex));
+  }
+  [[nodiscard]] std::map<instance_id, std::unique_ptr<member>>& Members()
+  {
+    return mMembers;
+  }
+  [[nodiscard]] instant Now() const { return mNow; }
+
+  /// The instances that a member has links to.
+  [[nodiscard]] std::set<instance_id> Peers(instance_id const& aId) const
+  {
+    std::set<instance_id> peers;
+    for (auto const& [first, second] : mLinks) {
+      if (first == aId)
+        peers.insert(second);
+      if (second == aId)
+        peers.insert(first);
+    }
+    return peers;
+  }
+
+  static instance_id Name(int aIndex)
+  {
+    return instance_id{ "entry-" + std::to_string(aIndex) };
+  }
+
+private:
+  using link = std::pair<instance_id, instance_id>;
+  struct message
+  {
+    instance_id mFrom;
+    instance_id mTo;
+    fleet_message mContent;
+  };
+
+  static link Link(instance_id const& aFirst, instance_id const& aSecond)
+  {
+    return std::minmax(aFirst, aSecond);
+  }
+
+  member& Add(int aIndex)
+  {
+    constexpr int kDomains = 3;
+    std::string const domain = std::to_string(aIndex % kDomains);
+    auto const added = std::make_shared<peer_hello>(peer_hello{
+      .mLife = { .mInstance = Name(aIndex), .mIncarnation = incarnation{ 1 } },
+      .mFailureDomain = failure_domain{ "domain-" + domain },
+      .mPeers = { .mAddress = "10.0.0.1",
+                  .mPort = static_cast<std::uint16_t>(aIndex + 1) } });
+    std::unique_ptr<member>& made = mMembers[Name(aIndex)];
+    made = std::make_unique<member>(*added);
+    instance_id const id = Name(aIndex);
+    made->mExchange = std::make_unique<report_exchange>(
+      made->mHello,
+      made->mBook,
+      [this, id](std::span<instance_id const> aPeers, fleet_message aMessage) {
+        for (instance_id const& peer : aPeers)
+          mSent.push_back({ .mFrom = id, .mTo = peer, .mContent = aMessage });
+      },
+      [this, id](std::span<peer_contact const> aContacts) {
+        std::set<instance_id>& wanted = mMembers.at(id)->mWanted;
+        wanted.clear();
+        for (peer_contact const& contact : aContacts)
+          wanted.insert(contact.mInstance);
+      },
+      [this, id](instance_id const& aPeer) { Close(id, aPeer); });
+    return *made;
+  }
+
+  void Register(member& aMember)
+  {
+    for (auto& [id, other] : mMembers) {
+      aMember.mBook.OnRegistered(mNow, other->mHello);
+      other->mBook.OnRegistered(mNow, aMember.mHello);
+    }
+  }
+
+  void Close(instance_id const& aFirst, instance_id const& aSecond)
+  {
+    if (mLinks.erase(Link(aFirst, aSecond)) == 0)
+      return;
+    mMembers.at(aFirst)->mBook.OnDown(mNow, mMembers.at(aSecond)->mHello.mLife);
+    mMembers.at(aSecond)->mBook.OnDown(mNow, mMembers.at(aFirst)->mHello.mLife);
+  }
+
+  void Open()
+  {
+    for (auto& [id, dialler] : mMembers) {
+      for (instance_id const& peer : dialler->mWanted) {
+        if (!mMembers.contains(peer) || !mLinks.insert(Link(id, peer)).second)
+          continue;
+        dialler->mBook.OnUp(mNow, mMembers.at(peer)->mHello);
+        mMembers.at(peer)->mBook.OnUp(mNow, dialler->mHello);
+        dialler->mExchange->OnInstances();
+        mMembers.at(peer)->mExchange->OnInstances();
+      }
+    }
+  }
+
+  void Step()
+  {
+    for (message& arrived : std::exchange(mSent, {})) {
+      if (mLinks.contains(Link(arrived.mFrom, arrived.mTo)))
+        Deliver(*mMembers.at(arrived.mTo), arrived);
+    }
+    std::vector<instance_id> ids;
+    for (auto const& [id, any] : mMembers)
+      ids.push_back(id);
+    for (instance_id const& id : ids) {
+      mMembers.at(id)->mBook.Prune(mNow);
+      mMembers.at(id)->mExchange->Tick(mNow);
+    }
+    Open();
+    if (++mSteps % kStepsAReport == 0) {
+      for (instance_id const& id : ids)
+        Report(*mMembers.at(id));
+    }
+  }
+
+  void Report(member& aMember)
+  {
+    for (report_news& news : std::exchange(aMember.mOwnNews, {}))
+      aMember.mExchange->Add(std::move(news));
+    aMember.mExchange->Report(
+      mNow,
+      { .mLease = aMember.mLease,
+        .mSpent = { { workspace_id{ "w" }, aMember.mSpent } } },
+      true,
+      false);
+  }
+
+  void Deliver(member& aTo, message const& aMessage)
+  {
+    instance_life const from = mMembers.at(aMessage.mFrom)->mHello.mLife;
+    if (auto const* const roster =
+          std::get_if<fleet_roster>(&aMessage.mContent)) {
+      if (aTo.mBook.OnRoster(mNow, from, *roster))
+        aTo.mExchange->OnInstances();
+      return;
+    }
+    if (auto const* const relay =
+          std::get_if<topic_relay>(&aMessage.mContent)) {
+      aTo.mRelays.push_back(*relay);
+      return aTo.mExchange->Relay(mNow, *relay, aMessage.mFrom);
+    }
+    fleet_report const& report = std::get<fleet_report>(aMessage.mContent);
+    if (!aTo.mExchange->IsTaken(aMessage.mFrom, report.mScope))
+      return;
+    aTo.mBook.OnReport(mNow, from, report);
+    for (crash_count const& crash : report.mCrashes)
+      aTo.mCrashesHeard.push_back(crash.mFingerprint);
+    aTo.mExchange->Add({ .mFrom = aMessage.mFrom,
+                         .mIsOfBranch = report.mScope == report_scope::Branch,
+                         .mCrashes = report.mCrashes });
+  }
+
+  instant mNow{ std::chrono::seconds{ 100 } };
+  int mSteps = 0;
+  std::map<instance_id, std::unique_ptr<member>> mMembers;
+  std::set<link> mLinks;
+  std::vector<message> mSent;
+};
+
+}
--- a/Tests/LibFleet/TestPeerBook.cpp
+++ b/Tests/LibFleet/TestPeerBook.cpp
@@ -23,7 +23,13 @@
 fleet_report
 Spent(double aUnits)
 {
-  return { .mIsReady = true, .mSpent = { { kWorkspace, aUnits } } };
+  return { .mSpent = { { kWorkspace, aUnits } } };
+}
+
+fleet_roster
+Roster(std::initializer_list<roster_entry> aEntries)
+{
+  return { .mEntries = aEntries };
 }
 
 double
@@ -40,10 +46,14 @@
   peer_book book{ instance_id{ "m" } };
   book.OnUp(kNow, Hello("a"));
   EXPECT_TRUE(book.Entries().empty());
-  book.OnReport(kNow, Hello("a").mLife, { .mIsReady = true });
+  book.OnRoster(kNow,
+                Hello("a").mLife,
+                Roster({ { .mHello = Hello("a"), .mIsReady = true } }));
   EXPECT_EQ(book.Entries().size(), 1U);
-  book.OnReport(
-    kNow, Hello("a").mLife, { .mIsLeaving = true, .mIsReady = true });
+  book.OnRoster(
+    kNow,
+    Hello("a").mLife,
+    Roster({ { .mHello = Hello("a"), .mIsReady = true, .mIsLeaving = true } }));
   EXPECT_TRUE(book.Entries().empty());
 }
 
@@ -121,15 +131,80 @@
   peer_book book{ instance_id{ "m" } };
   for (char const* const name : { "a", "z" })
     book.OnUp(kNow, Hello(name));
-  book.OnReport(kNow, Hello("z").mLife, { .mReadsStore = true });
+  book.OnReport(kNow, Hello("z").mLife, { .mReader = instance_id{ "z" } });
   EXPECT_FALSE(book.HasReader(kNow));
   EXPECT_EQ(book.Rank(kNow), 0U);
-  book.OnReport(kNow, Hello("a").mLife, { .mReadsStore = true });
+  book.OnReport(kNow, Hello("a").mLife, { .mReader = instance_id{ "a" } });
   EXPECT_TRUE(book.HasReader(kNow));
   EXPECT_EQ(book.Rank(kNow), 1U);
   EXPECT_FALSE(book.HasReader(kNow + seconds{ 2 }));
 }
 
+TEST(TestPeerBook, InstancesBehindALinkCountAsHeard)
+{
+  peer_book book{ instance_id{ "m" } };
+  book.OnRegistered(kNow, Hello("b"));
+  book.OnRegistered(kNow, Hello("gone"));
+  book.OnUp(kNow, Hello("a"));
+  EXPECT_EQ(book.Silent(kNow), 3U);
+  book.OnRoster(kNow,
+                Hello("a").mLife,
+                Roster({ { .mHello = Hello("a") },
+                         { .mHello = Hello("b") },
+                         { .mHello = Hello("m") } }));
+  book.OnReport(kNow, Hello("a").mLife, { .mScope = report_scope::Rest });
+  EXPECT_EQ(book.Count(), 3U);
+  EXPECT_EQ(book.Silent(kNow), 1U);
+  EXPECT_EQ(book.Rank(kNow), 2U);
+  EXPECT_EQ(book.Silent(kNow + seconds{ 2 }), 3U);
+}
+
+TEST(TestPeerBook, CallersAreSentOnWhileAParentIsReplaced)
+{
+  peer_book book{ instance_id{ "m" } };
+  book.OnUp(kNow, Hello("a"));
+  book.OnRoster(kNow,
+                Hello("a").mLife,
+                Roster({ { .mHello = Hello("a"), .mIsReady = true },
+                         { .mHello = Hello("b"), .mIsReady = true } }));
+  book.OnReport(kNow, Hello("a").mLife, { .mScope = report_scope::Rest });
+  book.OnDown(kNow, Hello("a").mLife);
+  ASSERT_EQ(book.Entries().size(), 1U);
+  EXPECT_EQ(book.Entries()[0].mInstance, instance_id{ "b" });
+  book.Prune(kNow + seconds{ 4 });
+  EXPECT_TRUE(book.Entries().empty());
+}
+
+// A report of another scope adds up other instances, so its difference to the
+// one before is no spending.
+TEST(TestPeerBook, AChangeOfScopeCountsNothing)
+{
+  peer_book book{ instance_id{ "m" } };
+  book.OnUp(kNow, Hello("a"));
+  book.OnReport(kNow, Hello("a").mLife, Spent(5));
+  fleet_report rest = Spent(500);
+  rest.mScope = report_scope::Rest;
+  book.OnReport(kNow + milliseconds{ 150 }, Hello("a").mLife, rest);
+  EXPECT_EQ(SpentOf(book), 0);
+  rest.mSpent[0].mUnits = 507;
+  book.OnReport(kNow + milliseconds{ 300 }, Hello("a").mLife, rest);
+  EXPECT_EQ(SpentOf(book), 7);
+}
+
+TEST(TestPeerBook, AnInstanceThatOthersHearOfIsNotAway)
+{
+  peer_book book{ instance_id{ "m" } };
+  for (char const* const name : { "a", "b" })
+    book.OnUp(kNow, Hello(name));
+  book.OnRoster(kNow,
+                Hello("a").mLife,
+                Roster({ { .mHello = Hello("a") }, { .mHello = Hello("b") } }));
+  book.OnDown(kNow, Hello("b").mLife);
+  EXPECT_TRUE(book.Away().empty());
+  book.OnDown(kNow, Hello("a").mLife);
+  EXPECT_EQ(book.Away().size(), 1U);
+}
+
 TEST(TestPeerBook, AnInstanceReadsWhileNobodyElseDoes)
 {
   store_duty duty;
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -111,10 +111,9 @@
 {
   backend_server_id const server{ "s" };
   fleet_report const report{
-    .mIsLeaving = true,
-    .mIsReady = true,
+    .mScope = report_scope::Rest,
     .mLease = 5,
-    .mReadsStore = true,
+    .mReader = instance_id{ "r" },
     .mSpent = { { workspace_id{ "w" }, 1.5 } },
     .mCrashes = { { .mFingerprint = 9, .mCount = 2 } },
     .mWeights = { { .mServer = server,
@@ -132,7 +131,16 @@
                            .mRecords = {
                              { .mOffset = 3, .mKey = "a", .mValue = "bytes" },
                              { .mOffset = 4, .mKey = "b" } } };
-  return { report, fleet_report{}, relay };
+  peer_hello const hello{ .mLife = { .mInstance = instance_id{ "entry-2" },
+                                     .mIncarnation = incarnation{ 8 } },
+                          .mFailureDomain = failure_domain{ "riga-2" },
+                          .mCallers = endpoint::Parse("10.0.0.2:8080"),
+                          .mPeers = endpoint::Parse("10.0.0.2:8082"),
+                          .mCapacity = 250 };
+  fleet_roster const roster{ .mEntries = {
+                               { .mHello = hello, .mIsReady = true },
+                               { .mHello = hello, .mIsLeaving = true } } };
+  return { report, fleet_report{}, relay, roster, fleet_roster{} };
 }
 
 std::vector<peer_message>
--- /dev/null
+++ b/Tests/LibSettings/TestParseFleetSettings.cpp
@@ -0,0 +1,102 @@
+#include <LibSettings/ParseFleetSettings.h>
+#include <LibSettings/SettingsError.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace lycheeseam {
+namespace {
+
+using nlohmann::json;
+
+json
+Smallest()
+{
+  return json::parse(R"({
+    "instance": "entry-1",
+    "failure_domain": "bkk-1",
+    "listen": { "callers": "127.0.0.1:8080", "readiness": "127.0.0.1:8081",
+                "addresses": "127.0.0.1:8082", "peers": "127.0.0.1:8083" },
+    "store": "127.0.0.1:7000"
+  })");
+}
+
+std::vector<std::string>
+FaultPaths(std::string const& aText)
+{
+  std::vector<std::string> paths;
+  try {
+    ParseFleetSettings(aText);
+  } catch (settings_error const& caught) {
+    for (settings_fault const& fault : caught.Faults())
+      paths.push_back(fault.mPath);
+  }
+  return paths;
+}
+
+TEST(TestParseFleetSettings, SmallestFileTakesDefaults)
+{
+  fleet_settings const settings = ParseFleetSettings(Smallest().dump());
+  EXPECT_EQ(settings.mInstance, instance_id{ "entry-1" });
+  EXPECT_EQ(settings.mStore, endpoint::Parse("127.0.0.1:7000"));
+  EXPECT_FALSE(settings.mMetrics);
+  EXPECT_EQ(settings.mCores, 0);
+  EXPECT_EQ(settings.mQuotaWindow, std::chrono::milliseconds{ 8'000 });
+}
+
+TEST(TestParseFleetSettings, EachFieldIsRead)
+{
+  json document = Smallest();
+  document["listen"]["metrics"] = "127.0.0.1:8084";
+  document["cores"] = 0.25;
+  document["limits"] = { { "quota_slack", 7 },      { "quota_window_ms", 11 },
+                         { "retry_percent", 12 },   { "retry_slack", 13 },
+                         { "retry_window_ms", 14 }, { "weights_ms", 15 },
+                         { "stop_ms", 16 },         { "lease_ms", 17 } };
+  fleet_settings const settings = ParseFleetSettings(document.dump());
+  EXPECT_EQ(settings.mMetrics, endpoint::Parse("127.0.0.1:8084"));
+  EXPECT_EQ(settings.mCores, 0.25);
+  EXPECT_EQ(settings.mQuotaSlack, 7u);
+  EXPECT_EQ(settings.mQuotaWindow.count(), 11);
+  EXPECT_EQ(settings.mRetryPercent, 12u);
+  EXPECT_EQ(settings.mRetrySlack, 13u);
+  EXPECT_EQ(settings.mRetryWindow.count(), 14);
+  EXPECT_EQ(settings.mWeightsTime.count(), 15);
+  EXPECT_EQ(settings.mStopTime.count(), 16);
+  EXPECT_EQ(settings.mLease.count(), 17);
+}
+
+TEST(TestParseFleetSettings, AllFaultsAreToldAtOnce)
+{
+  json document = Smallest();
+  document.erase("store");
+  document["listen"]["peers"] = "nowhere";
+  document["listen"]["admin"] = "127.0.0.1:1";
+  document["cores"] = -1;
+  document["limits"] = { { "lease_ms", 0 } };
+  std::vector<std::string> paths = FaultPaths(document.dump());
+  std::sort(paths.begin(), paths.end());
+  EXPECT_EQ(paths,
+            (std::vector<std::string>{ "$.cores",
+                                       "$.limits.lease_ms",
+                                       "$.listen.admin",
+                                       "$.listen.peers",
+                                       "$.store" }));
+}
+
+TEST(TestParseFleetSettings, CoresAreANumberWithinBounds)
+{
+  for (json const& wrong : { json("0.25"), json(1000.5), json::array() }) {
+    json document = Smallest();
+    document["cores"] = wrong;
+    EXPECT_EQ(FaultPaths(document.dump()),
+              std::vector<std::string>{ "$.cores" });
+  }
+}
+
+}
+}
