LibGateway: Share the allowance of repeats with instances found later

Cause: a pool's allowance was cut to this instance's share at its first use and kept it. An instance that repeated a request while it knew of no other went on with the whole fleet's slack.

Change: the allowances take their new share when the number of instances changes. TestTrafficCore fails without it: 39 repeats instead of 10.

--- a/Libraries/LibAdmission/RetryBudget.h
+++ b/Libraries/LibAdmission/RetryBudget.h
@@ -19,6 +19,13 @@
   {
   }
 
+  /// Takes other bounds; what was saved stays as far as they allow.
+  void SetOptions(retry_budget_options aOptions)
+  {
+    mOptions = aOptions;
+    mSaved = std::min(mSaved, mOptions.mMaxSaved);
+  }
+
   /// A first attempt is sent.
   void OnRequest()
   {
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -27,28 +27,33 @@
   std::shared_ptr<fleet_view const> newest = mPublished.Current();
   if (newest == mView)
     return mView;
+  bool const isShareNew = newest->mInstances != mView->mInstances;
   mView = std::move(newest);
+  if (isShareNew) {
+    for (auto& [pool, allowance] : mAllowances)
+      allowance.SetOptions(AllowanceOptions());
+  }
   mServers.Apply(*mView);
   mQuota.Apply(aNow, *mView);
   return mView;
 }
 
-retry_budget&
-traffic_core::Allowance(pool_name const& aPool)
+retry_budget_options
+traffic_core::AllowanceOptions() const
 {
-  auto const found = mAllowances.find(aPool);
-  if (found != mAllowances.end())
-    return found->second;
   double const slack = kRetryCaution * mOptions.mRetrySlack / mView->mInstances;
   // Half of the slack may be saved up, half is earned within a window, so that
   // no window sees more than the whole.
-  retry_budget_options const options{
-    .mRetriesPerRequest = kRetryCaution * mOptions.mRetryRatio,
-    .mMaxSaved = slack / 2,
-    .mRetriesPerSecond =
-      slack / 2 / static_cast<double>(mOptions.mRetryWindow.count())
-  };
-  return mAllowances.emplace(aPool, retry_budget{ options }).first->second;
+  return { .mRetriesPerRequest = kRetryCaution * mOptions.mRetryRatio,
+           .mMaxSaved = slack / 2,
+           .mRetriesPerSecond =
+             slack / 2 / static_cast<double>(mOptions.mRetryWindow.count()) };
+}
+
+retry_budget&
+traffic_core::Allowance(pool_name const& aPool)
+{
+  return mAllowances.try_emplace(aPool, AllowanceOptions()).first->second;
 }
 
 void
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -83,6 +83,8 @@
 
 private:
   retry_budget& Allowance(pool_name const& aPool);
+  [[nodiscard]] retry_budget_options AllowanceOptions() const;
+
 
   gateway_options const& mOptions;
   published<fleet_view> const& mPublished;
