--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -89,9 +89,9 @@
   auto const target = aBook.Links().find(aTo);
   bool const isRest =
     aScope == report_scope::Rest && target != aBook.Links().end();
-  report.mSpent =
-    Sum(aOwn.mSpent,
-        isRest ? aBook.SpentBesides(target->second) : aBook.SpentByChildren());
+  report.mSpent = Sum(aOwn.mSpent,
+                      isRest ? aBook.Spending().SpentBesides(target->second)
+                             : aBook.Spending().SpentByChildren());
   for (report_news const& news : aNews) {
     if (!IsToldOn(news, aScope, aTo))
       continue;
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -307,10 +307,10 @@
       mView.mEntries.push_back({ .mInstance = mOptions.mSelf.mLife.mInstance,
                                  .mDomain = mOptions.mSelf.mFailureDomain,
                                  .mAddress = mOptions.mSelf.mCallers });
-    mView.mInstances = mPeers.Count() + 1;
+    mView.mInstances = mPeers.Known().Count() + 1;
     mView.mSilentInstances = mPeers.Silent(now);
     mView.mReportDelay = mExchange.Delay();
-    mView.mSpentElsewhere = mPeers.Spent();
+    mView.mSpentElsewhere = mPeers.Spending().Spent();
     mView.mUsedElsewhere = mPeers.Used(now);
     if (mView.mUsedElsewhere.empty() && mView.mConfig)
       mView.mUsedElsewhere = mUsage.Stored(*mView.mConfig);
--- a/Libraries/LibFleet/PeerBook.cpp
+++ b/Libraries/LibFleet/PeerBook.cpp
@@ -9,44 +9,17 @@
 
 namespace {
 
-// An instance that is away longer has been removed or is being replaced; until
-// then its share of limits is kept for it.
-constexpr duration kMemory = std::chrono::seconds{ 30 };
-
-// One that others still hear of is only cut off from here, and may be reached
-// again.
-constexpr duration kAwayInRosters = std::chrono::seconds{ 10 };
-
 // A child that lost its parent has another one by then.
 constexpr duration kLostRosterUse = std::chrono::seconds{ 3 };
 
 }
 
-void
-peer_book::Note(instant aNow, peer_hello const& aHello)
-{
-  if (aHello.mLife.mInstance == mSelf)
-    return;
-  mKnown[aHello.mLife.mInstance] = { .mHello = aHello, .mSeenAt = aNow };
-}
-
-void
-peer_book::OnRegistered(instant aNow, peer_hello const& aHello)
-{
-  auto const known = mKnown.find(aHello.mLife.mInstance);
-  bool const isNews =
-    known == mKnown.end() ||
-    known->second.mHello.mLife.mIncarnation < aHello.mLife.mIncarnation;
-  if (isNews)
-    Note(aNow, aHello);
-}
-
 void
 peer_book::OnUp(instant aNow, peer_hello const& aHello)
 {
   if (aHello.mLife.mInstance == mSelf)
     return;
-  Note(aNow, aHello);
+  mKnown.OnHeard(aNow, aHello);
   mLinks[aHello.mLife.mInstance] = peer_link{
     .mHello = aHello, .mUpAt = aNow, .mRoster = { { { .mHello = aHello } } }
   };
@@ -76,12 +49,8 @@
     mLostUntil = aNow + kLostRosterUse;
   }
   mLinks.erase(aPeer.mInstance);
-  auto const known = mKnown.find(aPeer.mInstance);
-  if (known == mKnown.end())
-    return;
-  known->second.mSeenAt = aNow;
   if (!IsInRosters(aPeer.mInstance))
-    known->second.mAwaySince = aNow;
+    mKnown.OnAway(aNow, aPeer.mInstance);
 }
 
 bool
@@ -105,11 +74,7 @@
   if (found == nullptr)
     return false;
   peer_link& link = *found;
-  // What was admitted before this instance first heard of it lies in the
-  // window that it is told of, or long ago.
-  bool const isCounted =
-    link.IsLive(aNow) && link.mReport.mScope == aReport.mScope;
-  Count(link, aReport, isCounted);
+  mTally.OnReport(aNow, link, aReport);
   bool const isNews = link.mReport.mLease != aReport.mLease ||
                       link.mReport.mTurning != aReport.mTurning;
   link.mReport = aReport;
@@ -117,35 +82,6 @@
   return isNews;
 }
 
-void
-peer_book::Count(peer_link& aLink, fleet_report const& aReport, bool aIsCounted)
-{
-  for (spent_units const& spent : aReport.mSpent) {
-    spent_units& before = aLink.mTold[spent.mWorkspace];
-    spent_units const added{ .mWorkspace = spent.mWorkspace,
-                             .mUnits =
-                               std::max(0.0, spent.mUnits - before.mUnits),
-                             .mAsked =
-                               std::max(0.0, spent.mAsked - before.mAsked) };
-    before = spent;
-    if (!aIsCounted)
-      continue;
-    Add(mSpent, added);
-    Add(aLink.mCounted, added);
-    if (aReport.mScope == report_scope::Branch)
-      Add(mSpentByChildren, added);
-  }
-}
-
-void
-peer_book::Add(totals& aTotals, spent_units const& aAdded)
-{
-  spent_units& total = aTotals[aAdded.mWorkspace];
-  total.mWorkspace = aAdded.mWorkspace;
-  total.mUnits += aAdded.mUnits;
-  total.mAsked += aAdded.mAsked;
-}
-
 bool
 peer_book::OnRoster(instant aNow,
                     instance_life const& aPeer,
@@ -157,7 +93,7 @@
   fleet_roster const before = std::exchange(found->mRoster, aRoster);
   NoteVanished(aNow, before);
   for (roster_entry const& entry : aRoster.mEntries)
-    Note(aNow, entry.mHello);
+    mKnown.OnHeard(aNow, entry.mHello);
   if (aRoster.mEntries.size() > 1)
     mLostRoster = {};
   return true;
@@ -168,61 +104,21 @@
 {
   for (roster_entry const& entry : aBefore.mEntries) {
     instance_id const& id = entry.mHello.mLife.mInstance;
-    auto const known = mKnown.find(id);
-    if (known != mKnown.end() && !IsInRosters(id))
-      known->second.mAwaySince = aNow;
+    if (!IsInRosters(id))
+      mKnown.OnAway(aNow, id);
   }
 }
 
-void
-peer_book::OnUnreachable(instant aNow, instance_id const& aPeer)
-{
-  auto const known = mKnown.find(aPeer);
-  if (known != mKnown.end())
-    known->second.mAwaySince = aNow;
-}
-
 void
 peer_book::Prune(instant aNow)
 {
   if (aNow >= mLostUntil)
     mLostRoster = {};
   for (auto const& [id, link] : mLinks) {
-    for (roster_entry const& entry : link.mRoster.mEntries) {
-      auto const known = mKnown.find(entry.mHello.mLife.mInstance);
-      if (known == mKnown.end())
-        continue;
-      known->second.mSeenAt = aNow;
-      if (known->second.mAwaySince &&
-          aNow - *known->second.mAwaySince > kAwayInRosters)
-        known->second.mAwaySince.reset();
-    }
-  }
-  std::erase_if(mKnown, [aNow](auto const& aEntry) {
-    return aNow - aEntry.second.mSeenAt > kMemory;
-  });
-}
-
-std::vector<peer_hello>
-peer_book::Present() const
-{
-  std::vector<peer_hello> present;
-  for (auto const& [id, known] : mKnown) {
-    if (!known.mAwaySince)
-      present.push_back(known.mHello);
-  }
-  return present;
-}
-
-std::vector<peer_hello>
-peer_book::Away() const
-{
-  std::vector<peer_hello> away;
-  for (auto const& [id, known] : mKnown) {
-    if (known.mAwaySince)
-      away.push_back(known.mHello);
+    for (roster_entry const& entry : link.mRoster.mEntries)
+      mKnown.OnStillHeard(aNow, entry.mHello.mLife.mInstance);
   }
-  return away;
+  mKnown.Prune(aNow);
 }
 
 std::vector<caller_entry>
@@ -249,12 +145,6 @@
   return list;
 }
 
-std::uint32_t
-peer_book::Count() const
-{
-  return static_cast<std::uint32_t>(mKnown.size());
-}
-
 std::set<instance_id>
 peer_book::Heard(instant aNow) const
 {
@@ -272,47 +162,7 @@
 std::uint32_t
 peer_book::Silent(instant aNow) const
 {
-  std::set<instance_id> const heard = Heard(aNow);
-  return static_cast<std::uint32_t>(
-    std::count_if(mKnown.begin(), mKnown.end(), [&heard](auto const& aEntry) {
-      return !heard.contains(aEntry.first);
-    }));
-}
-
-std::vector<spent_units>
-peer_book::List(totals const& aTotals)
-{
-  std::vector<spent_units> list;
-  list.reserve(aTotals.size());
-  for (auto const& [workspace, units] : aTotals)
-    list.push_back(units);
-  return list;
-}
-
-std::vector<spent_units>
-peer_book::Spent() const
-{
-  return List(mSpent);
-}
-
-std::vector<spent_units>
-peer_book::SpentByChildren() const
-{
-  return List(mSpentByChildren);
-}
-
-std::vector<spent_units>
-peer_book::SpentBesides(peer_link const& aLink) const
-{
-  std::vector<spent_units> spent = Spent();
-  for (spent_units& units : spent) {
-    auto const counted = aLink.mCounted.find(units.mWorkspace);
-    if (counted == aLink.mCounted.end())
-      continue;
-    units.mUnits -= counted->second.mUnits;
-    units.mAsked -= counted->second.mAsked;
-  }
-  return spent;
+  return mKnown.CountBesides(Heard(aNow));
 }
 
 std::vector<spent_units>
--- a/Libraries/LibFleet/PeerBook.h
+++ b/Libraries/LibFleet/PeerBook.h
@@ -3,7 +3,9 @@
 #include <LibCore/Instant.h>
 #include <LibDispatch/CallerEntry.h>
 #include <LibDispatch/SpentUnits.h>
+#include <LibFleet/KnownInstances.h>
 #include <LibFleet/PeerLink.h>
+#include <LibFleet/SpendingTally.h>
 
 #include <cstdint>
 #include <map>
@@ -21,12 +23,16 @@
   using links = std::map<instance_id, peer_link>;
 
   explicit peer_book(instance_id aSelf)
-    : mSelf(std::move(aSelf))
+    : mSelf(aSelf)
+    , mKnown(std::move(aSelf))
   {
   }
 
   /// An instance is registered in the store.
-  void OnRegistered(instant aNow, peer_hello const& aHello);
+  void OnRegistered(instant aNow, peer_hello const& aHello)
+  {
+    mKnown.OnRegistered(aNow, aHello);
+  }
 
   void OnUp(instant aNow, peer_hello const& aHello);
   void OnDown(instant aNow, instance_life const& aPeer);
@@ -43,37 +49,30 @@
 
   /// A parent can't be reached or says nothing; it counts as away until
   /// something is heard of it.
-  void OnUnreachable(instant aNow, instance_id const& aPeer);
+  void OnUnreachable(instant aNow, instance_id const& aPeer)
+  {
+    mKnown.OnAway(aNow, aPeer);
+  }
 
   /// Forgets instances that have been away for long, and after a while what a
   /// lost parent told.
   void Prune(instant aNow);
 
-  /// The instances that may live, for the layout of reports.
-  [[nodiscard]] std::vector<peer_hello> Present() const;
-
-  /// The others that are known.
-  [[nodiscard]] std::vector<peer_hello> Away() const;
+  /// The other instances, whether or not they can be reached.
+  [[nodiscard]] known_instances const& Known() const noexcept { return mKnown; }
 
   /// The others that take callers and aren't leaving.
   [[nodiscard]] std::vector<caller_entry> Entries() const;
 
-  /// How many others share limits with this instance.
-  [[nodiscard]] std::uint32_t Count() const;
-
-  /// How many of them nobody has heard of lately.
+  /// How many of the others nobody has heard of lately.
   [[nodiscard]] std::uint32_t Silent(instant aNow) const;
 
   /// What the others admitted, so far as this instance heard of it while they
   /// weren't silent; a silent instance's share is taken as spent instead.
-  [[nodiscard]] std::vector<spent_units> Spent() const;
-
-  /// The part of it that came from children.
-  [[nodiscard]] std::vector<spent_units> SpentByChildren() const;
-
-  /// The part of it that didn't come over this link.
-  [[nodiscard]] std::vector<spent_units> SpentBesides(
-    peer_link const& aLink) const;
+  [[nodiscard]] spending_tally const& Spending() const noexcept
+  {
+    return mTally;
+  }
 
   /// What all instances admitted in the last quota window, as told by a peer
   /// that has counted for so long; empty without one.
@@ -95,33 +94,19 @@
   [[nodiscard]] links const& Links() const noexcept { return mLinks; }
 
 private:
-  struct known_instance
-  {
-    peer_hello mHello;
-    instant mSeenAt{};
-    /// Since when it can't be reached; nothing while it can.
-    std::optional<instant> mAwaySince;
-  };
-  using totals = std::map<workspace_id, spent_units>;
-
   // Names of the instances that live links speak for.
   [[nodiscard]] std::set<instance_id> Heard(instant aNow) const;
   // The link to that life of a peer, or null.
   [[nodiscard]] peer_link* FindLink(instance_life const& aPeer);
   // True when a peer with a link speaks for the instance.
   [[nodiscard]] bool IsInRosters(instance_id const& aInstance) const;
-  void Note(instant aNow, peer_hello const& aHello);
   // Instances that no peer speaks for any more can't be reached.
   void NoteVanished(instant aNow, fleet_roster const& aBefore);
-  void Count(peer_link& aLink, fleet_report const& aReport, bool aIsCounted);
-  static void Add(totals& aTotals, spent_units const& aAdded);
-  static std::vector<spent_units> List(totals const& aTotals);
 
   instance_id mSelf;
-  std::map<instance_id, known_instance> mKnown;
+  known_instances mKnown;
   links mLinks;
-  totals mSpent;
-  totals mSpentByChildren;
+  spending_tally mTally;
   /// What the parent told that was lost last, and until when it is used.
   fleet_roster mLostRoster;
   instant mLostUntil{};
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -40,7 +40,8 @@
     if (link == mBook.Links().end() || !link->second.IsLive(aNow))
       mBook.OnUnreachable(aNow, *mLayout.mParent);
   }
-  report_layout layout = LayOutReports(mSelf, mBook.Present(), mLayout.mParent);
+  report_layout layout =
+    LayOutReports(mSelf, mBook.Known().Present(), mLayout.mParent);
   if (layout.mParent != mLayout.mParent) {
     mParentSince = aNow;
     LogEvent("reports_to",
@@ -51,7 +52,7 @@
   std::vector<peer_contact> contacts = mLayout.mContacts;
   // A root keeps trying those that it lost, who try it by the same rule.
   if (!mLayout.mParent) {
-    for (peer_hello const& away : mBook.Away())
+    for (peer_hello const& away : mBook.Known().Away())
       contacts.push_back(
         { .mAddress = away.mPeers, .mInstance = away.mLife.mInstance });
   }
@@ -111,7 +112,7 @@
   // step is covered by the part of the slack that is kept back.
   constexpr std::chrono::milliseconds kThroughRoots{ 400 };
   bool const areAllRoots =
-    mBook.Present().size() < report_layout::kMostRootsOnly;
+    mBook.Known().Present().size() < report_layout::kMostRootsOnly;
   return areAllRoots ? std::chrono::milliseconds{} : kThroughRoots;
 }
 
--- a/Tests/LibFleet/TestPeerBook.cpp
+++ b/Tests/LibFleet/TestPeerBook.cpp
@@ -36,7 +36,7 @@
 SpentOf(peer_book const& aBook)
 {
   double sum = 0;
-  for (spent_units const& spent : aBook.Spent())
+  for (spent_units const& spent : aBook.Spending().Spent())
     sum += spent.mUnits;
   return sum;
 }
@@ -66,9 +66,9 @@
   EXPECT_EQ(book.Silent(kNow + seconds{ 1 }), 1U);
   book.OnDown(kNow + seconds{ 1 }, Hello("a").mLife);
   book.Prune(kNow + seconds{ 20 });
-  EXPECT_EQ(book.Count(), 1U);
+  EXPECT_EQ(book.Known().Count(), 1U);
   book.Prune(kNow + seconds{ 40 });
-  EXPECT_EQ(book.Count(), 0U);
+  EXPECT_EQ(book.Known().Count(), 0U);
 }
 
 TEST(TestPeerBook, SpendingAddsUpOverLives)
@@ -153,7 +153,7 @@
                          { .mHello = Hello("b") },
                          { .mHello = Hello("m") } }));
   book.OnReport(kNow, Hello("a").mLife, { .mScope = report_scope::Rest });
-  EXPECT_EQ(book.Count(), 3U);
+  EXPECT_EQ(book.Known().Count(), 3U);
   EXPECT_EQ(book.Silent(kNow), 1U);
   EXPECT_EQ(book.Rank(kNow), 2U);
   EXPECT_EQ(book.Silent(kNow + seconds{ 2 }), 3U);
@@ -200,9 +200,9 @@
                 Hello("a").mLife,
                 Roster({ { .mHello = Hello("a") }, { .mHello = Hello("b") } }));
   book.OnDown(kNow, Hello("b").mLife);
-  EXPECT_TRUE(book.Away().empty());
+  EXPECT_TRUE(book.Known().Away().empty());
   book.OnDown(kNow, Hello("a").mLife);
-  EXPECT_EQ(book.Away().size(), 1U);
+  EXPECT_EQ(book.Known().Away().size(), 1U);
 }
 
 TEST(TestPeerBook, AnInstanceReadsWhileNobodyElseDoes)
