LibFleet: Read what peers passed on while a link changed

Cause: operators' records are passed on once. An instance whose link went down at that moment, or that was changing its parent, noticed only by the next record's offset, so an older configuration stayed in force until operators wrote again.

Change: reports tell how far their sender has the operators' records. An instance that is behind for 300 ms reads them itself. store_duty's test fails without it: nothing made a read due while another instance reads.

--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -81,7 +81,8 @@
   fleet_report report{ .mScope = aScope,
                        .mLease = aOwn.mLease,
                        .mReader = aOwn.mReader,
-                       .mTurning = aOwn.mTurning };
+                       .mTurning = aOwn.mTurning,
+                       .mOperatorsEnd = aOwn.mOperatorsEnd };
   for (auto const& [id, link] : aBook.Links()) {
     if (link.IsLive(aNow) && SpeaksFor(link, aScope, aTo))
       AddStanding(report, link.mReport);
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -227,6 +227,7 @@
   {
     if (!mExchange.IsTaken(aPeer.mInstance, aReport.mScope))
       return;
+    mWatch.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
     bool isNews = mPeers.OnReport(mClock.Now(), aPeer, aReport);
     mExchange.Add({ .mFrom = aPeer.mInstance,
                     .mIsOfBranch = aReport.mScope == report_scope::Branch,
@@ -289,7 +290,8 @@
                        .mReader = mWatch.IsReading(now) ? self : instance_id{},
                        .mSpent = mSpent,
                        .mTurning = { turning.begin(), turning.end() },
-                       .mUsed = mUsed },
+                       .mUsed = mUsed,
+                       .mOperatorsEnd = mWatch.OperatorsEnd() },
                      isReady,
                      mIsLeaving);
   }
--- a/Libraries/LibFleet/StoreDuty.cpp
+++ b/Libraries/LibFleet/StoreDuty.cpp
@@ -9,6 +9,23 @@
     mAnsweredAt = aNow;
 }
 
+void
+store_duty::OnPeerEnd(instant aNow,
+                      std::uint64_t aOwnEnd,
+                      std::uint64_t aPeerEnd)
+{
+  if (aPeerEnd <= aOwnEnd) {
+    mBehindSince.reset();
+    return;
+  }
+  if (!mBehindSince)
+    mBehindSince = aNow;
+  if (aNow - *mBehindSince < kBehind)
+    return;
+  mBehindSince.reset();
+  ReadSoon();
+}
+
 bool
 store_duty::IsDue(instant aNow, bool aHasReader) const
 {
--- a/Libraries/LibFleet/StoreDuty.h
+++ b/Libraries/LibFleet/StoreDuty.h
@@ -3,6 +3,8 @@
 #include <LibCore/Instant.h>
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -21,6 +23,10 @@
   /// passed on.
   void ReadSoon() { mIsWanted = true; }
 
+  /// A peer tells how far it has the records, of which this instance has those
+  /// before aOwnEnd. Being behind for long, it reads at the next look.
+  void OnPeerEnd(instant aNow, std::uint64_t aOwnEnd, std::uint64_t aPeerEnd);
+
   void OnStart(instant aNow)
   {
     mNextAt = aNow + kInterval;
@@ -36,9 +42,12 @@
   // for a read that fails.
   static constexpr std::chrono::milliseconds kInterval{ 400 };
   static constexpr std::chrono::milliseconds kFresh{ 1'100 };
+  // What a peer passes on comes before its next report.
+  static constexpr std::chrono::milliseconds kBehind{ 300 };
 
   instant mNextAt{};
   instant mAnsweredAt{};
+  std::optional<instant> mBehindSince;
   bool mIsWanted = false;
 };
 
--- a/Libraries/LibFleet/StoreWatch.h
+++ b/Libraries/LibFleet/StoreWatch.h
@@ -71,6 +71,19 @@
       TakeRelay(aRelay, mServers);
   }
 
+  /// The offset behind the last of the operators' records that are known.
+  [[nodiscard]] std::uint64_t OperatorsEnd() const
+  {
+    return mOperators.mReader.Next().value_or(0);
+  }
+
+  /// A peer tells how far it has the operators' records: what it passed on may
+  /// have been lost with a link.
+  void OnPeerEnd(instant aNow, std::uint64_t aEnd)
+  {
+    mOperators.mDuty.OnPeerEnd(aNow, OperatorsEnd(), aEnd);
+  }
+
   /// True while this instance's own reads of both topics are answered.
   [[nodiscard]] bool IsReading(instant aNow) const
   {
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -43,7 +43,8 @@
 {
   fleet_report report{ .mScope = DecodeScope(aTable.scope()),
                        .mLease = aTable.lease(),
-                       .mReader = instance_id{ aTable.reader()->str() } };
+                       .mReader = instance_id{ aTable.reader()->str() },
+                       .mOperatorsEnd = aTable.operators_end() };
   report.mSpent = DecodeUnits(*aTable.spent());
   report.mUsed = DecodeUnits(*aTable.used());
   for (wire::CrashCount const* const crash : *aTable.crashes())
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -55,7 +55,8 @@
                               mBuilder.CreateVector(weights),
                               mBuilder.CreateVector(turning),
                               mBuilder.CreateVector(holders),
-                              used));
+                              used,
+                              aReport.mOperatorsEnd));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -35,6 +35,8 @@
   /// until the sender has counted for a whole window, and for a receiver that
   /// can know it.
   std::vector<spent_units> mUsed;
+  /// The offset behind the last of the operators' records that the sender has.
+  std::uint64_t mOperatorsEnd = 0;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2390,7 +2390,8 @@
     VT_WEIGHTS = 14,
     VT_TURNING = 16,
     VT_HOLDERS = 18,
-    VT_USED = 20
+    VT_USED = 20,
+    VT_OPERATORS_END = 22
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2419,6 +2420,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *>(VT_USED);
   }
+  uint64_t operators_end() const {
+    return GetField<uint64_t>(VT_OPERATORS_END, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2442,6 +2446,7 @@
            VerifyOffsetRequired(verifier, VT_USED) &&
            verifier.VerifyVector(used()) &&
            verifier.VerifyVectorOfTables(used()) &&
+           VerifyField<uint64_t>(verifier, VT_OPERATORS_END, 8) &&
            verifier.EndTable();
   }
 };
@@ -2477,6 +2482,9 @@
   void add_used(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used) {
     fbb_.AddOffset(FleetReport::VT_USED, used);
   }
+  void add_operators_end(uint64_t operators_end) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_OPERATORS_END, operators_end, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2505,8 +2513,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>>> weights = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0,
+    uint64_t operators_end = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
   builder_.add_used(used);
   builder_.add_holders(holders);
@@ -2529,7 +2539,8 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SeenWeights>> *weights = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr,
+    uint64_t operators_end = 0) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2547,7 +2558,8 @@
       weights__,
       turning__,
       holders__,
-      used__);
+      used__,
+      operators_end);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibFleet/TestPeerBook.cpp
+++ b/Tests/LibFleet/TestPeerBook.cpp
@@ -223,6 +223,21 @@
   EXPECT_FALSE(duty.IsDue(kNow, true));
 }
 
+// A configuration that was passed on while a link changed was missed until the
+// next one.
+TEST(TestPeerBook, AnInstanceReadsWhatItMissed)
+{
+  store_duty duty;
+  duty.OnStart(kNow);
+  duty.OnPeerEnd(kNow, 5, 6);
+  EXPECT_FALSE(duty.IsDue(kNow, true));
+  duty.OnPeerEnd(kNow + milliseconds{ 150 }, 6, 6);
+  duty.OnPeerEnd(kNow + milliseconds{ 300 }, 6, 7);
+  EXPECT_FALSE(duty.IsDue(kNow + milliseconds{ 300 }, true));
+  duty.OnPeerEnd(kNow + milliseconds{ 600 }, 6, 7);
+  EXPECT_TRUE(duty.IsDue(kNow + milliseconds{ 600 }, true));
+}
+
 }
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -122,7 +122,8 @@
                     .mVersion = 4 } },
     .mTurning = { server },
     .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
-    .mUsed = { { workspace_id{ "w" }, 2.5 } }
+    .mUsed = { { workspace_id{ "w" }, 2.5 } },
+    .mOperatorsEnd = 12
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsWhole = true,
