--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -131,7 +131,8 @@
     made->mExchange = std::make_unique<report_exchange>(
       made->mHello,
       made->mBook,
-      [this, id](std::span<instance_id const> aPeers, fleet_message aMessage) {
+      [this, id](std::span<instance_id const> aPeers,
+                 fleet_message const& aMessage) {
         for (instance_id const& peer : aPeers)
           mSent.push_back({ .mFrom = id, .mTo = peer, .mContent = aMessage });
       },
