LibFleet, LibDispatch, LibCore: Write once what stood twice

Read over the change. The wall clock as milliseconds stood in four places (LibRouter, LibEvents, LibFleet, lycheeseamd): TimeOfDay. Sums of what workspaces spent were added up in ComposeReport and in spending_tally: spent_totals. Heard and Rank walked live rosters by the same loop: LiveEntries. The tests of both kinds of settings collected faults by the same code: FaultPathsOf.

Work done twice: each root was told a report of its own, though all are told the same but for what young ones lack; it is composed once now. Publishing copied all known instances to count them: CountPresent.

No change in behaviour meant.

--- a/Libraries/LibEvents/EventLog.cpp
+++ b/Libraries/LibEvents/EventLog.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/BootClock.h>
+#include <LibCore/TimeOfDay.h>
 #include <LibEvents/EventLog.h>
 #include <LibEvents/EventRateLimit.h>
 #include <LibEvents/PipeAppender.h>
@@ -7,7 +8,6 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -69,14 +69,6 @@
   return logger;
 }
 
-std::int64_t
-UnixMilliseconds()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 }
 
 void
@@ -104,7 +96,7 @@
     return;
   if (!state.mLimit.TryTake(boot_clock::now()))
     return state.Count(kDropped);
-  nlohmann::ordered_json line{ { "at_ms", UnixMilliseconds() },
+  nlohmann::ordered_json line{ { "at_ms", TimeOfDay().count() },
                                { "instance", state.mInstance },
                                { "event", aEvent } };
   for (event_field const& field : aFields)
--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -27,26 +27,6 @@
   return aScope == report_scope::Rest ? aNews.mFrom != aTo : aNews.mIsOfBranch;
 }
 
-std::vector<spent_units>
-Sum(std::vector<spent_units> const& aFirst,
-    std::vector<spent_units> const& aSecond)
-{
-  std::map<workspace_id, spent_units> sums;
-  for (std::vector<spent_units> const* const list : { &aFirst, &aSecond }) {
-    for (spent_units const& spent : *list) {
-      spent_units& sum = sums[spent.mWorkspace];
-      sum.mWorkspace = spent.mWorkspace;
-      sum.mUnits += spent.mUnits;
-      sum.mAsked += spent.mAsked;
-    }
-  }
-  std::vector<spent_units> summed;
-  summed.reserve(sums.size());
-  for (auto const& [workspace, sum] : sums)
-    summed.push_back(sum);
-  return summed;
-}
-
 template<typename Item>
 void
 Append(std::vector<Item>& aTo, std::vector<Item> const& aFrom)
@@ -90,9 +70,10 @@
   auto const target = aBook.Links().find(aTo);
   bool const isRest =
     aScope == report_scope::Rest && target != aBook.Links().end();
-  report.mSpent = Sum(aOwn.mSpent,
-                      isRest ? aBook.Spending().SpentBesides(target->second)
-                             : aBook.Spending().SpentByChildren());
+  spent_totals spent = isRest ? aBook.Spending().SpentBesides(target->second)
+                              : aBook.Spending().SpentByChildren();
+  spent.Add(aOwn.mSpent);
+  report.mSpent = spent.List();
   for (report_news const& news : aNews) {
     if (!IsToldOn(news, aScope, aTo))
       continue;
--- a/Libraries/LibFleet/KnownInstances.cpp
+++ b/Libraries/LibFleet/KnownInstances.cpp
@@ -74,6 +74,15 @@
   return present;
 }
 
+std::size_t
+known_instances::CountPresent() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mKnown.begin(), mKnown.end(), [](auto const& aEntry) {
+      return !aEntry.second.mAwaySince;
+    }));
+}
+
 std::vector<peer_hello>
 known_instances::Away() const
 {
--- a/Libraries/LibFleet/KnownInstances.h
+++ b/Libraries/LibFleet/KnownInstances.h
@@ -4,6 +4,7 @@
 #include <LibCore/Instant.h>
 #include <LibPeer/PeerHello.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +42,9 @@
   /// Those that may live.
   [[nodiscard]] std::vector<peer_hello> Present() const;
 
+  /// How many those are.
+  [[nodiscard]] std::size_t CountPresent() const;
+
   /// Those that are away.
   [[nodiscard]] std::vector<peer_hello> Away() const;
 
--- a/Libraries/LibFleet/PeerBook.cpp
+++ b/Libraries/LibFleet/PeerBook.cpp
@@ -145,24 +145,26 @@
   return list;
 }
 
-std::set<instance_id>
-peer_book::Heard(instant aNow) const
+std::vector<roster_entry const*>
+peer_book::LiveEntries(instant aNow) const
 {
-  std::set<instance_id> heard;
+  std::vector<roster_entry const*> entries;
   for (auto const& [id, link] : mLinks) {
     if (!link.IsLive(aNow))
       continue;
     for (roster_entry const& entry : link.mRoster.mEntries)
-      heard.insert(entry.mHello.mLife.mInstance);
+      entries.push_back(&entry);
   }
-  heard.erase(mSelf);
-  return heard;
+  return entries;
 }
 
 std::uint32_t
 peer_book::Silent(instant aNow) const
 {
-  return mKnown.CountBesides(Heard(aNow));
+  std::set<instance_id> heard;
+  for (roster_entry const* const entry : LiveEntries(aNow))
+    heard.insert(entry->mHello.mLife.mInstance);
+  return mKnown.CountBesides(heard);
 }
 
 std::vector<spent_units>
@@ -213,13 +215,9 @@
 peer_book::Rank(instant aNow) const
 {
   std::set<instance_id> before;
-  for (auto const& [id, link] : mLinks) {
-    if (!link.IsLive(aNow))
-      continue;
-    for (roster_entry const& entry : link.mRoster.mEntries) {
-      if (!entry.mIsLeaving && entry.mHello.mLife.mInstance < mSelf)
-        before.insert(entry.mHello.mLife.mInstance);
-    }
+  for (roster_entry const* const entry : LiveEntries(aNow)) {
+    if (!entry->mIsLeaving && entry->mHello.mLife.mInstance < mSelf)
+      before.insert(entry->mHello.mLife.mInstance);
   }
   return static_cast<std::uint32_t>(before.size());
 }
--- a/Libraries/LibFleet/PeerBook.h
+++ b/Libraries/LibFleet/PeerBook.h
@@ -94,8 +94,9 @@
   [[nodiscard]] links const& Links() const noexcept { return mLinks; }
 
 private:
-  // Names of the instances that live links speak for.
-  [[nodiscard]] std::set<instance_id> Heard(instant aNow) const;
+  // The instances that live links speak for; one may stand behind several.
+  [[nodiscard]] std::vector<roster_entry const*> LiveEntries(
+    instant aNow) const;
   // The link to that life of a peer, or null.
   [[nodiscard]] peer_link* FindLink(instance_life const& aPeer);
   // True when a peer with a link speaks for the instance.
--- a/Libraries/LibFleet/PeerLink.h
+++ b/Libraries/LibFleet/PeerLink.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
-#include <LibDispatch/SpentUnits.h>
+#include <LibDispatch/SpentTotals.h>
 #include <LibPeer/FleetReport.h>
 #include <LibPeer/FleetRoster.h>
 #include <LibPeer/PeerHello.h>
@@ -27,7 +27,7 @@
   /// What each workspace was admitted by the last report.
   std::map<workspace_id, spent_units> mTold;
   /// What this instance counted of it.
-  std::map<workspace_id, spent_units> mCounted;
+  spent_totals mCounted;
 
   [[nodiscard]] bool IsLive(instant aNow) const
   {
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -112,7 +112,7 @@
   // step is covered by the part of the slack that is kept back.
   constexpr std::chrono::milliseconds kThroughRoots{ 400 };
   bool const areAllRoots =
-    mBook.Known().Present().size() < report_layout::kMostRootsOnly;
+    mBook.Known().CountPresent() < report_layout::kMostRootsOnly;
   return areAllRoots ? std::chrono::milliseconds{} : kThroughRoots;
 }
 
@@ -149,14 +149,15 @@
                            .mIsLeaving = aIsLeaving };
   std::vector<report_news> const news = std::exchange(mNews, {});
   std::vector<instance_id> roots;
+  std::vector<instance_id> youngRoots;
   for (auto const& [id, link] : mBook.Links()) {
     std::optional<report_scope> const scope = ScopeTo(aNow, link);
     if (!scope)
       continue;
     SendRoster(aNow, self, *scope, id);
     bool const isYoung = aNow - link.mUpAt < kUsedIsTold;
-    if (*scope == report_scope::Root && !isYoung) {
-      roots.push_back(id);
+    if (*scope == report_scope::Root) {
+      (isYoung ? youngRoots : roots).push_back(id);
       continue;
     }
     fleet_report report = ComposeReport(aNow, mBook, aOwn, news, *scope, id);
@@ -164,10 +165,16 @@
       report.mUsed = aOwn.mUsed;
     mSend(std::span{ &id, 1 }, std::move(report));
   }
+  if (roots.empty() && youngRoots.empty())
+    return;
+  // All roots are told the same but for what young ones lack.
+  fleet_report report =
+    ComposeReport(aNow, mBook, aOwn, news, report_scope::Root, {});
   if (!roots.empty())
-    mSend(roots,
-          ComposeReport(
-            aNow, mBook, aOwn, news, report_scope::Root, roots.front()));
+    mSend(roots, report);
+  report.mUsed = aOwn.mUsed;
+  if (!youngRoots.empty())
+    mSend(youngRoots, std::move(report));
 }
 
 void
--- a/Libraries/LibFleet/ReportExchange.h
+++ b/Libraries/LibFleet/ReportExchange.h
@@ -70,6 +70,13 @@
   // The other end of an unused link may only be late to find a use for it.
   static constexpr std::chrono::seconds kUnusedLink{ 5 };
 
+  /// What a peer was told last, over the link that began then.
+  struct told_roster
+  {
+    instant mUpAt{};
+    fleet_roster mRoster;
+  };
+
   void LayOut(instant aNow);
   void ReleaseUnused(instant aNow);
   [[nodiscard]] std::optional<report_scope> ScopeTo(
@@ -90,12 +97,6 @@
   instant mParentSince{};
   instant mNextLayout{};
   std::vector<report_news> mNews;
-  /// What each peer was told last, by the link's beginning.
-  struct told_roster
-  {
-    instant mUpAt{};
-    fleet_roster mRoster;
-  };
   std::map<instance_id, told_roster> mTold;
 };
 
--- a/Libraries/LibFleet/SpendingTally.cpp
+++ b/Libraries/LibFleet/SpendingTally.cpp
@@ -23,56 +23,19 @@
     before = spent;
     if (!isCounted)
       continue;
-    Add(mSpent, added);
-    Add(aLink.mCounted, added);
+    mSpent.Add(added);
+    aLink.mCounted.Add(added);
     if (aReport.mScope == report_scope::Branch)
-      Add(mSpentByChildren, added);
+      mSpentByChildren.Add(added);
   }
 }
 
-std::vector<spent_units>
-spending_tally::Spent() const
-{
-  return List(mSpent);
-}
-
-std::vector<spent_units>
-spending_tally::SpentByChildren() const
-{
-  return List(mSpentByChildren);
-}
-
-std::vector<spent_units>
+spent_totals
 spending_tally::SpentBesides(peer_link const& aLink) const
 {
-  std::vector<spent_units> spent = Spent();
-  for (spent_units& units : spent) {
-    auto const counted = aLink.mCounted.find(units.mWorkspace);
-    if (counted == aLink.mCounted.end())
-      continue;
-    units.mUnits -= counted->second.mUnits;
-    units.mAsked -= counted->second.mAsked;
-  }
+  spent_totals spent = mSpent;
+  spent.Subtract(aLink.mCounted);
   return spent;
 }
 
-void
-spending_tally::Add(totals& aTotals, spent_units const& aAdded)
-{
-  spent_units& total = aTotals[aAdded.mWorkspace];
-  total.mWorkspace = aAdded.mWorkspace;
-  total.mUnits += aAdded.mUnits;
-  total.mAsked += aAdded.mAsked;
-}
-
-std::vector<spent_units>
-spending_tally::List(totals const& aTotals)
-{
-  std::vector<spent_units> list;
-  list.reserve(aTotals.size());
-  for (auto const& [workspace, units] : aTotals)
-    list.push_back(units);
-  return list;
-}
-
 }
--- a/Libraries/LibFleet/SpendingTally.h
+++ b/Libraries/LibFleet/SpendingTally.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <LibDispatch/SpentUnits.h>
+#include <LibDispatch/SpentTotals.h>
 #include <LibFleet/PeerLink.h>
 
-#include <map>
 #include <vector>
 
 namespace lycheeseam {
@@ -17,23 +16,20 @@
   void OnReport(instant aNow, peer_link& aLink, fleet_report const& aReport);
 
   /// All that was counted.
-  [[nodiscard]] std::vector<spent_units> Spent() const;
+  [[nodiscard]] std::vector<spent_units> Spent() const { return mSpent.List(); }
 
   /// The part of it that came from children.
-  [[nodiscard]] std::vector<spent_units> SpentByChildren() const;
+  [[nodiscard]] spent_totals const& SpentByChildren() const noexcept
+  {
+    return mSpentByChildren;
+  }
 
   /// The part of it that didn't come over this link.
-  [[nodiscard]] std::vector<spent_units> SpentBesides(
-    peer_link const& aLink) const;
+  [[nodiscard]] spent_totals SpentBesides(peer_link const& aLink) const;
 
 private:
-  using totals = std::map<workspace_id, spent_units>;
-
-  static void Add(totals& aTotals, spent_units const& aAdded);
-  static std::vector<spent_units> List(totals const& aTotals);
-
-  totals mSpent;
-  totals mSpentByChildren;
+  spent_totals mSpent;
+  spent_totals mSpentByChildren;
 };
 
 }
--- a/Libraries/LibFleet/UsageKeeper.h
+++ b/Libraries/LibFleet/UsageKeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/InvalidInput.h>
+#include <LibCore/TimeOfDay.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/StoreCalls.h>
 
@@ -72,12 +73,6 @@
   // Between two writes more than the rate may be admitted, out of the burst.
   static constexpr double kMarginSeconds = 3;
 
-  static std::chrono::milliseconds TimeOfDay()
-  {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  }
-
   // False when a record can't be read.
   bool Take(topic_page const& aPage)
   {
--- a/Libraries/LibGateway/InstanceQuestions.h
+++ b/Libraries/LibGateway/InstanceQuestions.h
@@ -5,6 +5,7 @@
 #include <LibGateway/OwnAnswer.h>
 #include <LibGateway/RefusalAnswer.h>
 #include <LibGateway/TrafficCore.h>
+#include <LibHttp/HttpStatus.h>
 
 #include <memory>
 
@@ -27,14 +28,14 @@
     bool const isReady = view->mConfig && !mCore.IsLeaving();
     if (Dialect::IsAddressQuestion(aQuestion) && !view->mEntries.empty())
       return {
-        .mHead = { .mStatus = 200,
+        .mHead = { .mStatus = kHttpOk,
                    .mReason = "OK",
                    .mFields = { { "Content-Type", "application/json" } } },
         .mBody = Dialect::FormatAddresses(view->mEntries,
                                           mCore.Options().mAddressLifetime)
       };
     if (Dialect::IsReadinessCheck(aQuestion) && isReady)
-      return { .mHead = { .mStatus = 200, .mReason = "OK" } };
+      return { .mHead = { .mStatus = kHttpOk, .mReason = "OK" } };
     return { .mHead = RefusalHead(refusal_status::NotReady, {}) };
   }
 
--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -1,4 +1,5 @@
 #include <LibAdmin/FormatOutcome.h>
+#include <LibCore/TimeOfDay.h>
 #include <LibRouter/Router.h>
 
 #include <boost/asio/post.hpp>
@@ -14,12 +15,9 @@
 instance_life
 MakeLife(daemon_settings const& aSettings)
 {
-  std::chrono::milliseconds const start =
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
   return instance_life{ .mInstance = aSettings.mInstance,
                         .mIncarnation = incarnation{
-                          static_cast<std::uint64_t>(start.count()) } };
+                          static_cast<std::uint64_t>(TimeOfDay().count()) } };
 }
 
 // Longer than the appender takes to settle a lost answer.
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -1,5 +1,7 @@
 #include "FleetOptions.h"
 
+#include <LibCore/TimeOfDay.h>
+
 #include <chrono>
 
 namespace lycheeseam {
@@ -10,10 +12,7 @@
 incarnation
 ThisLife()
 {
-  return incarnation{ static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count()) };
+  return incarnation{ static_cast<std::uint64_t>(TimeOfDay().count()) };
 }
 
 }
--- /dev/null
+++ b/Tests/LibSettings/FaultPaths.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibSettings/SettingsError.h>
+
+#include <string>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Where the faults stand that parsing a settings file's text tells; empty
+/// when it has none.
+template<typename Parser>
+std::vector<std::string>
+FaultPathsOf(Parser aParse, std::string const& aText)
+{
+  std::vector<std::string> paths;
+  try {
+    aParse(aText);
+  } catch (settings_error const& caught) {
+    for (settings_fault const& fault : caught.Faults())
+      paths.push_back(fault.mPath);
+  }
+  return paths;
+}
+
+}
--- a/Tests/LibSettings/TestParseFleetSettings.cpp
+++ b/Tests/LibSettings/TestParseFleetSettings.cpp
@@ -1,5 +1,5 @@
+#include "FaultPaths.h"
 #include <LibSettings/ParseFleetSettings.h>
-#include <LibSettings/SettingsError.h>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -28,14 +28,7 @@
 std::vector<std::string>
 FaultPaths(std::string const& aText)
 {
-  std::vector<std::string> paths;
-  try {
-    ParseFleetSettings(aText);
-  } catch (settings_error const& caught) {
-    for (settings_fault const& fault : caught.Faults())
-      paths.push_back(fault.mPath);
-  }
-  return paths;
+  return FaultPathsOf(ParseFleetSettings, aText);
 }
 
 TEST(TestParseFleetSettings, SmallestFileTakesDefaults)
--- a/Tests/LibSettings/TestParseSettings.cpp
+++ b/Tests/LibSettings/TestParseSettings.cpp
@@ -1,3 +1,4 @@
+#include "FaultPaths.h"
 #include <LibSettings/ParseSettings.h>
 #include <LibSettings/SettingsError.h>
 
@@ -26,14 +27,7 @@
 std::vector<std::string>
 FaultPaths(std::string const& aText)
 {
-  std::vector<std::string> paths;
-  try {
-    ParseSettings(aText);
-  } catch (settings_error const& caught) {
-    for (settings_fault const& fault : caught.Faults())
-      paths.push_back(fault.mPath);
-  }
-  return paths;
+  return FaultPathsOf(ParseSettings, aText);
 }
 
 TEST(TestParseSettings, SmallestFileTakesDefaults)
