LibDispatch: Give the quota's draws a seed that each instance sets

Cause: the test copied one ledger 40 times, and with it the state of its draws, so all instances drew alike; the seed was taken anew in each run, so it passed by luck when it landed. Running instances seed their own ledgers and were not affected.

Change: the seed is a term of the ledger, which a running instance sets from the system's source. The test gives each of its instances a seed and plays 100 fleets; bounds as before.

--- a/Libraries/LibDispatch/QuotaLedger.h
+++ b/Libraries/LibDispatch/QuotaLedger.h
@@ -30,7 +30,7 @@
 public:
   explicit quota_ledger(quota_terms aTerms)
     : mTerms(aTerms)
-    , mRandom(std::random_device{}())
+    , mRandom(aTerms.mSeed)
   {
   }
 
--- a/Libraries/LibDispatch/QuotaTerms.h
+++ b/Libraries/LibDispatch/QuotaTerms.h
@@ -3,6 +3,7 @@
 #include <LibCore/Instant.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace lycheeseam {
 
@@ -15,6 +16,8 @@
   double mOvershoot = 0;
   /// Units that a window may hold besides.
   double mSlackUnits = 0;
+  /// Of the draws near the limit; instances with one seed would all draw alike.
+  std::uint32_t mSeed = 1;
 };
 
 }
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/TimeOfDay.h>
 
 #include <chrono>
+#include <random>
 
 namespace lycheeseam {
 
@@ -37,7 +38,8 @@
     .mQuota = { .mWindow = aSettings.mQuotaWindow,
                 .mOvershoot = kOvershoot,
                 .mSlackUnits =
-                  kSlackPart * static_cast<double>(aSettings.mQuotaSlack) },
+                  kSlackPart * static_cast<double>(aSettings.mQuotaSlack),
+                .mSeed = std::random_device{}() },
     .mRetryRatio = static_cast<double>(aSettings.mRetryPercent) / kPercent,
     .mRetrySlack = static_cast<double>(aSettings.mRetrySlack),
     .mRetryWindow =
--- a/Tests/LibDispatch/TestQuotaLedger.cpp
+++ b/Tests/LibDispatch/TestQuotaLedger.cpp
@@ -124,15 +124,16 @@
   static constexpr int kInstances = 40;
   static constexpr milliseconds kDelay{ 400 };
 
-  quota_fleet()
-    : mLedgers(kInstances,
-               quota_ledger{ { .mWindow = kWindow, .mOvershoot = 0.05 } })
-    , mTold(kInstances)
+  explicit quota_fleet(std::uint32_t aSeed)
+    : mTold(kInstances)
     , mView(View(kInstances, 0))
   {
     mView.mReportDelay = kDelay;
-    for (quota_ledger& ledger : mLedgers)
-      ledger.Apply(At({}) - 2 * kWindow, mView);
+    for (std::uint32_t index = 0; index < kInstances; ++index) {
+      mLedgers.emplace_back(quota_terms{
+        .mWindow = kWindow, .mOvershoot = 0.05, .mSeed = aSeed + index });
+      mLedgers.back().Apply(At({}) - 2 * kWindow, mView);
+    }
   }
 
   // Returns the most and the last that a window held.
@@ -186,15 +187,18 @@
 // the same moment filled it several times over before they heard of it.
 TEST(TestQuotaLedger, AFleetThatHearsLateKeepsToTheLimitAndFillsIt)
 {
-  auto const [most, last] = quota_fleet{}.Run(5 * kWorkspace.mRate);
-  EXPECT_LE(most, 1.1 * kLimit);
-  EXPECT_GE(last, 0.9 * kLimit);
+  for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+    auto const [most, last] =
+      quota_fleet{ seed * 1'000 }.Run(5 * kWorkspace.mRate);
+    EXPECT_LE(most, 1.1 * kLimit) << "seed " << seed;
+    EXPECT_GE(last, 0.9 * kLimit) << "seed " << seed;
+  }
 }
 
 TEST(TestQuotaLedger, AFleetThatIsAskedForLessThanTheRateRefusesNothing)
 {
   constexpr double kAsked = 0.9 * 100;
-  auto const [most, last] = quota_fleet{}.Run(kAsked);
+  auto const [most, last] = quota_fleet{ 1 }.Run(kAsked);
   EXPECT_NEAR(last, kAsked * 8, 0.05 * kLimit);
 }
 
