--- a/Libraries/LibDispatch/DispatchConfig.cpp
+++ b/Libraries/LibDispatch/DispatchConfig.cpp
@@ -27,8 +27,8 @@
 {
   for (dispatch_route& route : aRoutes)
     mRoutes[route.mHost].push_back(std::move(route));
-  for (auto& [host, routes] : mRoutes)
-    std::stable_sort(routes.begin(), routes.end(), HasLongerPrefix);
+  for (routes_by_host::value_type& host : mRoutes)
+    std::stable_sort(host.second.begin(), host.second.end(), HasLongerPrefix);
   for (std::size_t index = 0; index < mWorkspaces.size(); ++index) {
     for (std::string const& key : mWorkspaces[index].mKeys)
       mWorkspaceByKey.emplace(key, index);
--- a/Libraries/LibDispatch/DispatchConfig.h
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -52,9 +52,12 @@
   [[nodiscard]] caller_limits const& Limits() const noexcept { return mLimits; }
 
 private:
+  using routes_by_host =
+    std::map<std::string, std::vector<dispatch_route>, std::less<>>;
+
   std::uint64_t mVersion;
   /// By host; the longest prefix first.
-  std::map<std::string, std::vector<dispatch_route>, std::less<>> mRoutes;
+  routes_by_host mRoutes;
   std::vector<dispatch_pool> mPools;
   std::vector<dispatch_workspace> mWorkspaces;
   std::unordered_map<std::string, std::size_t> mWorkspaceByKey;
--- a/Libraries/LibDispatch/QuotaLedger.cpp
+++ b/Libraries/LibDispatch/QuotaLedger.cpp
@@ -131,8 +131,9 @@
   std::vector<spent_units> used;
   if (!mStartedAt || aNow - *mStartedAt < mTerms.mWindow)
     return used;
-  for (auto& [name, found] : mAccounts)
-    used.push_back({ .mWorkspace = name, .mUnits = found.mWindow.Sum(aNow) });
+  for (accounts::value_type& entry : mAccounts)
+    used.push_back(
+      { .mWorkspace = entry.first, .mUnits = entry.second.mWindow.Sum(aNow) });
   return used;
 }
 
--- a/Libraries/LibDispatch/QuotaLedger.h
+++ b/Libraries/LibDispatch/QuotaLedger.h
@@ -81,13 +81,15 @@
     bool mIsAssumed = false;
   };
 
+  using accounts = std::map<workspace_id, account>;
+
   account& Find(workspace_id const& aWorkspace);
   void TakeUsed(instant aNow, std::vector<spent_units> const& aUsed);
   [[nodiscard]] bool IsDrawn(instant aNow, account& aAccount, double aRoom);
   account& FindFilled(instant aNow, dispatch_workspace const& aWorkspace);
 
   quota_terms mTerms;
-  std::map<workspace_id, account> mAccounts;
+  accounts mAccounts;
   /// When the ledger was first used.
   std::optional<instant> mStartedAt;
   /// The part of rates and bursts that silent instances don't hold.
--- a/Libraries/LibEvents/EventLog.cpp
+++ b/Libraries/LibEvents/EventLog.cpp
@@ -25,13 +25,15 @@
 constexpr std::size_t kMaxLineBytes = 4'000;
 constexpr std::string_view kDropped = "line_dropped";
 
+using event_counts = std::map<std::string, std::uint64_t, std::less<>>;
+
 struct event_log_state
 {
   std::mutex mMutex;
   std::string mInstance;
   event_rate_limit mLimit{ kLinesPerSecond, kBurstLines };
   bool mIsOpen = false;
-  std::map<std::string, std::uint64_t, std::less<>> mCounts;
+  event_counts mCounts;
 
   // Held by the logging library, which lives longer.
   pipe_appender* mAppender = nullptr;
@@ -122,10 +124,9 @@
   event_log_state& state = State();
   std::lock_guard const lock{ state.mMutex };
   std::vector<event_count> taken;
-  for (auto& [event, count] : state.mCounts) {
-    if (count > 0)
-      taken.push_back({ .mEvent = event, .mCount = std::exchange(count, 0) });
-  }
+  for (event_counts::value_type const& counted : state.mCounts)
+    taken.push_back({ .mEvent = counted.first, .mCount = counted.second });
+  state.mCounts.clear();
   return taken;
 }
 
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -4,21 +4,18 @@
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/FleetLinks.h>
 #include <LibFleet/FleetMetrics.h>
 #include <LibFleet/FleetOptions.h>
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
-#include <LibFleet/PeerBook.h>
-#include <LibFleet/ReportExchange.h>
 #include <LibFleet/StoreWatch.h>
 #include <LibFleet/UsageKeeper.h>
 #include <LibGateway/PeerNews.h>
 #include <LibGateway/QuestionSession.h>
 #include <LibGateway/SessionListener.h>
 #include <LibGateway/TrafficReport.h>
-#include <LibMembership/QuietLinkSupervisor.h>
-#include <LibPeer/PeerHub.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,7 +26,6 @@
 #include <optional>
 #include <set>
 #include <span>
-#include <variant>
 
 namespace lycheeseam {
 
@@ -57,29 +53,15 @@
         [this](store_topic aTopic,
                std::span<keyed_record const> aNews,
                page_source aSource) { OnNews(aTopic, aNews, aSource); },
-        [this](topic_relay const& aRelay) {
-          mExchange.Relay(mClock.Now(), aRelay, std::nullopt);
-        },
+        [this](topic_relay const& aRelay) { mLinks.Relay(aRelay); },
         [this]() { mRecords.Servers().OnStoreFailure(); })
-    , mRegistration(mClient,
-                    mOptions.mStore,
-                    mOptions.mSelf,
-                    [this](peer_hello const& aInstance) {
-                      mPeers.OnRegistered(mClock.Now(), aInstance);
-                      mExchange.OnInstances();
-                    })
-    , mUsage(mClient, mOptions.mStore)
-    , mPeers(mOptions.mSelf.mLife.mInstance)
-    , mExchange(
+    , mRegistration(
+        mClient,
+        mOptions.mStore,
         mOptions.mSelf,
-        mPeers,
-        [this](std::span<instance_id const> aPeers, fleet_message aMessage) {
-          mHub.Multicast(aPeers, std::move(aMessage));
-        },
-        [this](std::span<peer_contact const> aContacts) {
-          mHub.SetWanted(aContacts);
-        },
-        [this](instance_id const& aPeer) { mHub.Release(aPeer); })
+        [this](peer_hello const& aInstance) { mLinks.OnRegistered(aInstance); })
+    , mUsage(mClient, mOptions.mStore)
+    , mLinks(aContext, mOptions.mSelf, *this)
     , mOrders(
         mClient,
         mOptions.mStore,
@@ -87,16 +69,6 @@
         mOptions.mLease,
         [this](seen_weights const& aSeen) { OnWeights({ aSeen }); },
         [this](server_life const& aLife) { mRecords.OnAbsent(aLife); })
-    , mHub(
-        aContext,
-        HubOptions(),
-        mOptions.mSelf,
-        *this,
-        [](instant aNow) {
-          return quiet_link_supervisor{ LinkOptions(), aNow };
-        },
-        [this]() { return peer_heartbeat{ .mIsLeaving = mIsLeaving }; },
-        mClock)
     , mTimer(aContext)
   {
     if (mOptions.mMetrics)
@@ -106,8 +78,7 @@
   /// Throws error when the address for peers is taken.
   void Start()
   {
-    mHub.Listen(mOptions.mSelf.mPeers);
-    mHub.Start();
+    mLinks.Start();
     if (mMetricsPage)
       mMetricsPage->Accept();
     mUsage.Read([this]() { Publish(); });
@@ -118,8 +89,9 @@
   void Leave()
   {
     mIsLeaving = true;
+    mLinks.Leave();
     Publish();
-    Report();
+    ReportToPeers();
   }
 
   /// Takes what the traffic thread saw.
@@ -131,87 +103,66 @@
     mMetrics.Merge(aReport.mMetrics);
     mSpent = std::move(aReport.mSpent);
     mUsed = std::move(aReport.mUsed);
-    mExchange.Add({ .mCrashes = std::move(aReport.mCrashes),
-                    .mHolders = std::move(aReport.mHolders) });
-    Report();
+    mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
+                 .mHolders = std::move(aReport.mHolders) });
+    ReportToPeers();
     Publish();
   }
 
-  void OnPeerUp(peer_hello const& aHello)
+  // For fleet_links only.
+  void ReportToPeers()
   {
-    LogEvent("peer_up", { { "peer", aHello.mLife.mInstance.Text() } });
-    mPeers.OnUp(mClock.Now(), aHello);
-    mExchange.OnInstances();
-    Report();
+    instant const now = mClock.Now();
+    std::set<backend_server_id> const turning = mOrders.Turning();
+    instance_id const& self = mOptions.mSelf.mLife.mInstance;
+    mLinks.Report({ .mLease = mOrders.Lease(),
+                    .mReader = mWatch.IsReading(now) ? self : instance_id{},
+                    .mSpent = mSpent,
+                    .mTurning = { turning.begin(), turning.end() },
+                    .mUsed = mUsed,
+                    .mOperatorsEnd = mWatch.OperatorsEnd() },
+                  IsReady());
   }
 
-  void OnPeerDown(instance_life const& aPeer, link_close_reason aReason)
-  {
-    LogEvent("peer_down",
-             { { "peer", aPeer.mInstance.Text() },
-               { "reason", static_cast<std::int64_t>(aReason) } });
-    mPeers.OnDown(mClock.Now(), aPeer);
-    mExchange.OnInstances();
-    Publish();
-  }
+  void OnPeersChanged() { Publish(); }
 
-  void OnPeerMessage(instance_life const& aPeer, peer_message& aMessage)
+  void OnPeerReport(fleet_report const& aReport, bool aHaveTurnsChanged)
   {
-    fleet_message* const message = std::get_if<fleet_message>(&aMessage);
-    if (message == nullptr)
-      return;
-    if (fleet_report* const report = std::get_if<fleet_report>(message))
-      return OnPeerReport(aPeer, *report);
-    if (fleet_roster* const roster = std::get_if<fleet_roster>(message))
-      return OnPeerRoster(aPeer, *roster);
-    topic_relay const& relay = std::get<topic_relay>(*message);
-    mExchange.Relay(mClock.Now(), relay, aPeer.mInstance);
-    mWatch.OnRelay(relay);
+    mWatch.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
+    if (!aReport.mCrashes.empty() || !aReport.mHolders.empty())
+      mNewsHandler(
+        { .mCrashes = aReport.mCrashes, .mHolders = aReport.mHolders });
+    bool const areWeightsNews = TakeWeightsSeen(aReport.mWeights);
+    if (aHaveTurnsChanged || areWeightsNews)
+      Publish();
   }
 
+  void OnPeerRelay(topic_relay const& aRelay) { mWatch.OnRelay(aRelay); }
+
 private:
   static constexpr std::chrono::milliseconds kTick{ 50 };
-  static peer_hub_options HubOptions()
-  {
-    constexpr std::size_t kMostQueued = 4U << 20U;
-    // A peer that was restarted is back within a second or two.
-    return { .mMaxFrameBytes = kMostQueued,
-             .mMaxQueueBytes = kMostQueued,
-             .mHelloTimeout = std::chrono::milliseconds{ 700 },
-             .mDial = { .mMaxBackoff = std::chrono::milliseconds{ 800 } } };
-  }
-
-  // Reports are the signs of life; a link without any is pinged.
-  static quiet_link_options LinkOptions()
-  {
-    return { .mBeatInterval = {},
-             .mQuietInterval = std::chrono::milliseconds{ 500 },
-             .mPingInterval = std::chrono::milliseconds{ 200 },
-             .mPingLimit = 3 };
-  }
 
   void Tick()
   {
     instant const now = mClock.Now();
     mRegistration.Tick(now);
-    mWatch.Tick(now, mPeers.HasReader(now));
+    mWatch.Tick(now, mLinks.Book().HasReader(now));
     if (IsReader(now))
       mUsage.Write(now, mUsed);
-    mPeers.Prune(now);
-    mExchange.Tick(now);
+    mLinks.Tick(now);
     bool const areServersGone = mRecords.Servers().Expire(now);
     std::vector<listed_server> const servers = mRecords.Servers().Servers();
     bool const haveTurnsChanged = mOrders.Tick(servers,
                                                mRecords.Operators().Weights(),
-                                               mPeers.Rank(now),
-                                               mPeers.NewestLease(now));
+                                               mLinks.Book().Rank(now),
+                                               mLinks.Book().NewestLease(now));
     if (haveTurnsChanged)
-      Report();
+      ReportToPeers();
     if (areServersGone || haveTurnsChanged)
       Publish();
     mMetrics.Tick(now, mView, mOrders.Lease());
     mTimer.expires_after(kTick);
-    mTimer.async_wait([this](auto aFault) {
+    mTimer.async_wait([this](boost::system::error_code aFault) {
       if (!aFault)
         Tick();
     });
@@ -220,34 +171,7 @@
   // True while this instance reads the store for the others.
   [[nodiscard]] bool IsReader(instant aNow) const
   {
-    return mWatch.IsReadingServers(aNow) && !mPeers.HasReader(aNow);
-  }
-
-  void OnPeerReport(instance_life const& aPeer, fleet_report const& aReport)
-  {
-    if (!mExchange.IsTaken(aPeer.mInstance, aReport.mScope))
-      return;
-    mWatch.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
-    bool isNews = mPeers.OnReport(mClock.Now(), aPeer, aReport);
-    mExchange.Add({ .mFrom = aPeer.mInstance,
-                    .mIsOfBranch = aReport.mScope == report_scope::Branch,
-                    .mCrashes = aReport.mCrashes,
-                    .mWeights = aReport.mWeights,
-                    .mHolders = aReport.mHolders });
-    if (!aReport.mCrashes.empty() || !aReport.mHolders.empty())
-      mNewsHandler(
-        { .mCrashes = aReport.mCrashes, .mHolders = aReport.mHolders });
-    isNews |= TakeWeightsSeen(aReport.mWeights);
-    if (isNews)
-      Publish();
-  }
-
-  void OnPeerRoster(instance_life const& aPeer, fleet_roster const& aRoster)
-  {
-    if (!mPeers.OnRoster(mClock.Now(), aPeer, aRoster))
-      return;
-    mExchange.OnInstances();
-    Publish();
+    return mWatch.IsReadingServers(aNow) && !mLinks.Book().HasReader(aNow);
   }
 
   void OnNews(store_topic aTopic,
@@ -273,47 +197,35 @@
   {
     if (!TakeWeightsSeen(aSeen))
       return;
-    mExchange.Add({ .mWeights = aSeen });
-    Report();
+    mLinks.Add({ .mWeights = aSeen });
+    ReportToPeers();
     Publish();
   }
 
-  void Report()
+  [[nodiscard]] bool IsReady() const
   {
-    instant const now = mClock.Now();
-    std::set<backend_server_id> const turning = mOrders.Turning();
-    bool const isReady =
-      mRecords.Operators().Config() != nullptr && !mIsLeaving;
-    instance_id const& self = mOptions.mSelf.mLife.mInstance;
-    mExchange.Report(now,
-                     { .mLease = mOrders.Lease(),
-                       .mReader = mWatch.IsReading(now) ? self : instance_id{},
-                       .mSpent = mSpent,
-                       .mTurning = { turning.begin(), turning.end() },
-                       .mUsed = mUsed,
-                       .mOperatorsEnd = mWatch.OperatorsEnd() },
-                     isReady,
-                     mIsLeaving);
+    return mRecords.Operators().Config() != nullptr && !mIsLeaving;
   }
 
   void Publish()
   {
     instant const now = mClock.Now();
+    peer_book const& peers = mLinks.Book();
     mView.mConfig = mRecords.Operators().Config();
     mView.mWeights = mRecords.Operators().Weights();
     mView.mServers = mRecords.Servers().Servers();
     mView.mTurning = mOrders.Turning();
-    mView.mTurning.merge(mPeers.Turning(now));
-    mView.mEntries = mPeers.Entries();
-    if (mView.mConfig && !mIsLeaving)
+    mView.mTurning.merge(peers.Turning(now));
+    mView.mEntries = peers.Entries();
+    if (IsReady())
       mView.mEntries.push_back({ .mInstance = mOptions.mSelf.mLife.mInstance,
                                  .mDomain = mOptions.mSelf.mFailureDomain,
                                  .mAddress = mOptions.mSelf.mCallers });
-    mView.mInstances = mPeers.Known().Count() + 1;
-    mView.mSilentInstances = mPeers.Silent(now);
-    mView.mReportDelay = mExchange.Delay();
-    mView.mSpentElsewhere = mPeers.Spending().Spent();
-    mView.mUsedElsewhere = mPeers.Used(now);
+    mView.mInstances = peers.Known().Count() + 1;
+    mView.mSilentInstances = peers.Silent(now);
+    mView.mReportDelay = mLinks.Delay();
+    mView.mSpentElsewhere = peers.Spending().Spent();
+    mView.mUsedElsewhere = peers.Used(now);
     if (mView.mUsedElsewhere.empty() && mView.mConfig)
       mView.mUsedElsewhere = mUsage.Stored(*mView.mConfig);
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
@@ -332,10 +244,8 @@
   store_watch<Dialect> mWatch;
   instance_registration<Dialect> mRegistration;
   usage_keeper<Dialect> mUsage;
-  peer_book mPeers;
-  report_exchange mExchange;
+  fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrders;
-  peer_hub<fleet_control, quiet_link_supervisor, system_clock> mHub;
   fleet_view mView;
   std::vector<spent_units> mSpent;
   std::vector<spent_units> mUsed;
--- a/Libraries/LibFleet/ReportLayout.cpp
+++ b/Libraries/LibFleet/ReportLayout.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using members = std::vector<peer_hello const*>;
+using domain_members = std::map<failure_domain, members>;
 
 // A root has as much work with another root as with a child; with a few more
 // children than roots the links that cross failure domains are fewer.
@@ -109,7 +110,7 @@
   }
   std::size_t const branch = static_cast<std::size_t>(
     std::ceil(kBranchFactor * std::sqrt(static_cast<double>(count))));
-  std::map<failure_domain, members> domains;
+  domain_members domains;
   domains[aSelf.mFailureDomain].push_back(&aSelf);
   for (peer_hello const& other : aOthers)
     domains[other.mFailureDomain].push_back(&other);
@@ -120,8 +121,8 @@
     peer_hello const* const parent = FindParent(aSelf, aOthers, aParent);
     return Child(parent != nullptr ? *parent : ChooseParent(aSelf, mine));
   }
-  for (auto& [domain, instances] : domains) {
-    for (peer_hello const* const root : RootsOf(instances, branch)) {
+  for (domain_members::value_type& domain : domains) {
+    for (peer_hello const* const root : RootsOf(domain.second, branch)) {
       if (root != &aSelf)
         layout.mContacts.push_back(Contact(*root));
     }
--- a/Libraries/LibFleet/TurnoverPlan.cpp
+++ b/Libraries/LibFleet/TurnoverPlan.cpp
@@ -17,11 +17,11 @@
   });
 }
 
-std::map<pool_name, turnover_plan::census>
+turnover_plan::pool_census
 turnover_plan::Count(std::span<listed_server const> aServers,
                      named_weights const& aNamed) const
 {
-  std::map<pool_name, census> pools;
+  pool_census pools;
   for (listed_server const& server : aServers) {
     std::uint64_t const version = server.VersionOf(aNamed.mModel);
     if (version == 0 || server.mStage != server_stage::Ready)
@@ -60,7 +60,9 @@
                                   listed_server const* aRight) {
       return aLeft->VersionOf(named.mModel) < aRight->VersionOf(named.mModel);
     };
-    for (auto& [name, pool] : Count(aServers, named)) {
+    pool_census pools = Count(aServers, named);
+    for (pool_census::value_type& entry : pools) {
+      census& pool = entry.second;
       std::stable_sort(pool.mBehind.begin(), pool.mBehind.end(), isOlder);
       std::size_t const most = MostTurning(pool);
       std::size_t const room = most - std::min(most, pool.mTurning);
--- a/Libraries/LibFleet/TurnoverPlan.h
+++ b/Libraries/LibFleet/TurnoverPlan.h
@@ -86,10 +86,10 @@
     std::size_t mTurning = 0;
     std::vector<listed_server const*> mBehind;
   };
+  using pool_census = std::map<pool_name, census>;
 
-  [[nodiscard]] std::map<pool_name, census> Count(
-    std::span<listed_server const> aServers,
-    named_weights const& aNamed) const;
+  [[nodiscard]] pool_census Count(std::span<listed_server const> aServers,
+                                  named_weights const& aNamed) const;
 
   /// How many servers of a pool may turn at a time.
   [[nodiscard]] std::size_t MostTurning(census const& aPool) const;
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibGateway/OwnFraming.h>
+#include <LibGateway/AnswerFormat.h>
 #include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
 #include <LibGateway/WriteQueue.h>
@@ -18,6 +18,7 @@
 {
 public:
   using tcp = boost::asio::ip::tcp;
+  using error_code = boost::system::error_code;
 
   caller_session(boost::asio::io_context& aContext,
                  traffic_core& aCore,
@@ -33,7 +34,7 @@
   /// Waits for the next request.
   void ReadRequest()
   {
-    caller_limits const limits = Limits();
+    caller_limits const limits = mCore.Limits(mClock.Now());
     mParser.emplace();
     mParser->header_limit(limits.mHeaderBytes);
     mParser->body_limit(limits.mBodyBytes);
@@ -43,43 +44,28 @@
       mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
         self->OnHead(aFault);
       });
   }
 
   void SendHead(answer_head const& aHead, body_framing aFraming)
   {
-    mFraming = aFraming;
-    Write(FormatAnswerHead(OwnFraming(aHead, aFraming, Use())));
+    Write(mFormat.Head(aHead, aFraming, Use()));
   }
 
-  void SendPiece(std::string_view aPiece)
-  {
-    if (mFraming == body_framing::Sized)
-      return Write(aPiece);
-    std::string chunk = FormatChunkLine(aPiece.size());
-    chunk += aPiece;
-    chunk += "\r\n";
-    Write(chunk);
-  }
+  void SendPiece(std::string_view aPiece) { Write(mFormat.Piece(aPiece)); }
 
   void SendEnd()
   {
     mIsAnswered = true;
-    Write(mFraming == body_framing::Chunked ? kLastChunk : std::string_view{});
+    Write(mFormat.End());
   }
 
   void SendWhole(answer_head aHead, std::string_view aBody)
   {
-    // The answer to HEAD tells the length of a body that it doesn't have.
-    if (!aHead.mLength || !mIsHeadRequest)
-      aHead.mLength = aBody.size();
-    std::string bytes =
-      FormatAnswerHead(OwnFraming(aHead, body_framing::Sized, Use()));
-    bytes += aBody;
     mIsAnswered = true;
-    Write(bytes);
+    Write(mFormat.Whole(std::move(aHead), aBody, Use()));
   }
 
   /// Ends the connection so that the answer doesn't look complete.
@@ -103,7 +89,7 @@
   void Close()
   {
     mTimer.cancel();
-    boost::system::error_code ignored;
+    error_code ignored;
     mSocket.close(ignored);
     mIsClosed = true;
     if (std::shared_ptr<run> const gone = std::exchange(mRun, nullptr))
@@ -123,27 +109,22 @@
   // How long a closing connection waits for its caller to close as well.
   static constexpr std::chrono::seconds kLingerTime{ 1 };
 
-  [[nodiscard]] caller_limits Limits()
-  {
-    std::shared_ptr<fleet_view const> const& view = mCore.View(mClock.Now());
-    return view->mConfig ? view->mConfig->Limits() : caller_limits{};
-  }
-
   void WatchIdle(caller_limits const& aLimits)
   {
     mTimer.expires_after(aLimits.mHeaderTimeout);
-    mTimer.async_wait([self = this->shared_from_this(), aLimits](auto aFault) {
-      if (aFault || self->mIsClosed || self->mRun)
-        return;
-      bool const isIdle = self->mBuffer.size() == 0;
-      if (isIdle &&
-          self->mClock.Now() - self->mIdleSince < aLimits.mIdleTimeout)
-        return self->WatchIdle(aLimits);
-      self->Close();
-    });
+    mTimer.async_wait(
+      [self = this->shared_from_this(), aLimits](error_code aFault) {
+        if (aFault || self->mIsClosed || self->mRun)
+          return;
+        bool const isIdle = self->mBuffer.size() == 0;
+        if (isIdle &&
+            self->mClock.Now() - self->mIdleSince < aLimits.mIdleTimeout)
+          return self->WatchIdle(aLimits);
+        self->Close();
+      });
   }
 
-  void OnHead(boost::system::error_code aFault)
+  void OnHead(error_code aFault)
   {
     if (mIsClosed)
       return;
@@ -152,10 +133,11 @@
     if (HasUnknownCoding(mParser->get()))
       return RefuseBytes(refusal_status::BadRequest);
     mTimer.expires_after(kBodyTimeout);
-    mTimer.async_wait([self = this->shared_from_this()](auto aTimerFault) {
-      if (!aTimerFault && !self->mRun)
-        self->Close();
-    });
+    mTimer.async_wait(
+      [self = this->shared_from_this()](error_code aTimerFault) {
+        if (!aTimerFault && !self->mRun)
+          self->Close();
+      });
     if (IsSameFieldName(std::string{ (*mParser).get()["Expect"] },
                         "100-continue"))
       Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -163,12 +145,12 @@
       mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](auto aBodyFault, std::size_t) {
+      [self = this->shared_from_this()](error_code aBodyFault, std::size_t) {
         self->OnRequest(aBodyFault);
       });
   }
 
-  void OnReadFault(boost::system::error_code aFault)
+  void OnReadFault(error_code aFault)
   {
     std::optional<refusal_status> const refusal = RefusalOf(aFault);
     if (refusal)
@@ -182,7 +164,7 @@
     SendWhole(RefusalHead(aStatus, {}), {});
   }
 
-  void OnRequest(boost::system::error_code aFault)
+  void OnRequest(error_code aFault)
   {
     if (mIsClosed)
       return;
@@ -192,7 +174,7 @@
     mIsAnswered = false;
     mMustClose = !mParser->get().keep_alive() || mCore.IsLeaving();
     request_head head = TakeRequestHead(*mParser);
-    mIsHeadRequest = head.mMethod == "HEAD";
+    mFormat.SetIsToHead(head.mMethod == "HEAD");
     mRun = std::make_shared<run>(mContext,
                                  mCore,
                                  this->shared_from_this(),
@@ -209,7 +191,7 @@
   {
     mSocket.async_wait(
       tcp::socket::wait_read,
-      [self = this->shared_from_this(), count = mRequests](auto aFault) {
+      [self = this->shared_from_this(), count = mRequests](error_code aFault) {
         if (!aFault && self->mRun && self->mRequests == count)
           self->OnReadable();
       });
@@ -217,7 +199,7 @@
 
   void OnReadable()
   {
-    boost::system::error_code fault;
+    error_code fault;
     std::size_t const waiting = mSocket.available(fault);
     if (fault || waiting == 0)
       return Close();
@@ -268,10 +250,10 @@
   // the caller could lose the answer.
   void Linger()
   {
-    boost::system::error_code ignored;
+    error_code ignored;
     mSocket.shutdown(tcp::socket::shutdown_send, ignored);
     mTimer.expires_after(kLingerTime);
-    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
+    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
       if (!aFault)
         self->Close();
     });
@@ -284,7 +266,7 @@
     constexpr std::size_t kDiscardBytes = 4'096;
     mSocket.async_read_some(
       mBuffer.prepare(kDiscardBytes),
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
         if (aFault)
           return self->Close();
         self->ReadUntilClose();
@@ -304,9 +286,8 @@
   std::shared_ptr<run> mRun;
   std::uint64_t mRequests = 0;
   write_queue<caller_session> mOut;
-  body_framing mFraming = body_framing::Sized;
+  answer_format mFormat;
   bool mIsAnswered = false;
-  bool mIsHeadRequest = false;
   bool mMustClose = false;
   bool mIsClosed = false;
 };
--- a/Libraries/LibGateway/ChannelPool.cpp
+++ b/Libraries/LibGateway/ChannelPool.cpp
@@ -51,8 +51,8 @@
 void
 channel_pool::Prune(instant aNow)
 {
-  for (auto& [id, channels] : mServers)
-    std::erase_if(channels.mIdle, [aNow](server_channel const& aChannel) {
+  for (server_map::value_type& server : mServers)
+    std::erase_if(server.second.mIdle, [aNow](server_channel const& aChannel) {
       return aNow >= aChannel.mUsableUntil;
     });
   std::erase_if(mServers,
--- a/Libraries/LibGateway/ChannelPool.h
+++ b/Libraries/LibGateway/ChannelPool.h
@@ -34,8 +34,9 @@
     incarnation mLife;
     std::vector<server_channel> mIdle;
   };
+  using server_map = std::unordered_map<backend_server_id, server_channels>;
 
-  std::unordered_map<backend_server_id, server_channels> mServers;
+  server_map mServers;
 };
 
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -90,7 +90,7 @@
   void Tick()
   {
     mTimer.expires_after(kReportInterval);
-    mTimer.async_wait([this](auto aFault) {
+    mTimer.async_wait([this](boost::system::error_code aFault) {
       if (aFault)
         return;
       mCore.Prune(mClock.Now());
--- a/Libraries/LibGateway/QuestionSession.h
+++ b/Libraries/LibGateway/QuestionSession.h
@@ -40,16 +40,18 @@
   void ReadRequest()
   {
     mTimer.expires_after(kIdleTimeout);
-    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
-      if (!aFault)
-        self->Close();
-    });
+    mTimer.async_wait(
+      [self = this->shared_from_this()](boost::system::error_code aFault) {
+        if (!aFault)
+          self->Close();
+      });
     mParser.emplace();
     boost::beast::http::async_read(
       mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
+      [self = this->shared_from_this()](boost::system::error_code aFault,
+                                        std::size_t) {
         if (aFault)
           return self->Close();
         self->OnRequest();
@@ -65,14 +67,14 @@
     answer.mHead.mFields.push_back(
       { "Content-Length", std::to_string(answer.mBody.size()) });
     mBytes = FormatAnswerHead(answer.mHead) + answer.mBody;
-    boost::asio::async_write(
-      mSocket,
-      boost::asio::buffer(mBytes),
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
-        if (aFault || !self->mParser->get().keep_alive())
-          return self->Close();
-        self->ReadRequest();
-      });
+    boost::asio::async_write(mSocket,
+                             boost::asio::buffer(mBytes),
+                             [self = this->shared_from_this()](
+                               boost::system::error_code aFault, std::size_t) {
+                               if (aFault || !self->mParser->get().keep_alive())
+                                 return self->Close();
+                               self->ReadRequest();
+                             });
   }
 
   void Close()
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -1,22 +1,20 @@
 #pragma once
 
 #include <LibCore/InvalidInput.h>
-#include <LibDispatch/ChooseServer.h>
 #include <LibGateway/AdmitRequest.h>
 #include <LibGateway/AnswerRelay.h>
-#include <LibGateway/GatewayDialect.h>
-#include <LibGateway/PlanSend.h>
+#include <LibGateway/JudgeAnswer.h>
 #include <LibGateway/RefusalAnswer.h>
+#include <LibGateway/RequestSender.h>
 #include <LibGateway/RunEvents.h>
+#include <LibGateway/RunLimits.h>
 #include <LibGateway/ServerAttempt.h>
-#include <LibHttp/FormatHead.h>
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace lycheeseam {
 
@@ -39,10 +37,10 @@
     : mContext(aContext)
     , mCore(aCore)
     , mCaller(std::move(aCaller))
-    , mHead(std::move(aHead))
-    , mBody(std::make_shared<std::string const>(std::move(aBody)))
+    , mSender(aCore, std::move(aHead), std::move(aBody))
     , mTimer(aContext)
     , mTrace({ .mStartedAt = mClock.Now() })
+    , mEvents(aCore.Meter(), mTrace, mRows)
     , mAttempt(aContext, aCore)
   {
   }
@@ -51,13 +49,13 @@
   void Start()
   {
     try {
-      mFacts = Dialect::ReadFacts(mHead);
-      mTrace.mRequest = mFacts.mId;
+      mSender.ReadFacts();
+      mTrace.mRequest = mSender.Facts().mId;
     } catch (invalid_input const&) {
       return Refuse(refusal_status::BadRequest, {});
     }
-    if (std::optional<request_refusal> const refusal =
-          AdmitRequest(mCore, mTrace.mStartedAt, mFacts, *mBody, mRows))
+    if (std::optional<request_refusal> const refusal = AdmitRequest(
+          mCore, mTrace.mStartedAt, mSender.Facts(), mSender.Body(), mRows))
       return Refuse(refusal->mStatus, refusal->mRetryAfter);
     mCore.OnFirstAttempt(mRows.mPool);
     ArmDeadline();
@@ -69,10 +67,8 @@
   {
     if (mIsDone)
       return;
-    mIsDone = true;
-    mTimer.cancel();
     mAttempt.End();
-    mCaller.reset();
+    Settle();
   }
 
   /// The caller has taken what it was sent.
@@ -85,17 +81,16 @@
   answer_use OnExchangeHead(answer_head const& aHead)
   {
     server_answer const answer = Dialect::ReadAnswer(aHead);
-    if (answer.mRequest && *answer.mRequest != mFacts.mId)
+    if (answer.mRequest && *answer.mRequest != mTrace.mRequest)
       return answer_use::Skip;
-    mCore.OnAnswer(mClock.Now(), mAttempt.Server(), mFacts.mModel, answer);
-    if (answer.mIsNotRun || answer.mIsMisdirected)
-      mAttempt.SetOutcome(attempt_outcome::NotRun);
-    else if (aHead.IsSuccess() && !answer.mIsSigned)
-      mAttempt.SetOutcome(attempt_outcome::Spoiled);
-    else if (!aHead.IsSuccess() && (mAnswer.IsHeadSent() || MayTryElsewhere()))
-      mAttempt.SetOutcome(attempt_outcome::Failed);
-    else
-      Begin(aHead);
+    mCore.OnAnswer(
+      mClock.Now(), mAttempt.Server(), mSender.Facts().mModel, answer);
+    bool const isReplaceable =
+      !aHead.IsSuccess() && (mAnswer.IsHeadSent() || MayRepeatNow());
+    mAttempt.SetOutcome(JudgeAnswer(aHead, answer, isReplaceable));
+    bool const isStream = mRows.mRoute->mKind == work_kind::Stream;
+    if (mAttempt.Outcome() == attempt_outcome::Taken)
+      mAnswer.Begin(*mCaller, aHead, isStream && aHead.IsSuccess());
     return answer_use::Take;
   }
 
@@ -108,9 +103,8 @@
     mAnswer.Take(*mCaller, aPiece);
     if (!mAttempt.IsOpen())
       return;
-    if (mCaller->IsCongested())
-      mWaitsForCaller = true;
-    else
+    mWaitsForCaller = mCaller->IsCongested();
+    if (!mWaitsForCaller)
       mAttempt.ReadOn();
   }
 
@@ -122,7 +116,8 @@
       return OnUnreachable(aEnd);
     switch (mAttempt.Outcome()) {
       case attempt_outcome::NotRun:
-        return OnNotRun();
+        NoteEnd("not_run");
+        return SendElsewhere();
       case attempt_outcome::Failed:
         return OnFailed();
       case attempt_outcome::Taken:
@@ -134,21 +129,16 @@
   }
 
 private:
+  using error_code = boost::system::error_code;
+
   static constexpr std::chrono::milliseconds kShortWait{ 200 };
   // How often a place is looked for while none is free.
   static constexpr std::chrono::milliseconds kPlaceInterval{ 15 };
-  // Waiting for a place is free of harm up to this part of the target.
-  static constexpr int kPlaceWaitPart = 8;
-  // An attempt that gets less time than this can't succeed.
-  static constexpr std::chrono::milliseconds kLeastTime{ 10 };
-  // A request that no server has run may go to this many beyond its route's
-  // attempts: servers that refuse it don't count as attempts.
-  static constexpr std::uint32_t kExtraSends = 2;
 
   void ArmDeadline()
   {
     mTimer.expires_after(mRows.mDeadline - mTrace.mStartedAt);
-    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
+    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
       if (!aFault)
         self->OnDeadline();
     });
@@ -160,10 +150,8 @@
       return;
     bool const mayHaveRun = mTrace.mMayHaveRun || mAttempt.IsSent();
     mAttempt.End();
-    if (mAnswer.IsHeadSent())
-      return Break();
-    Refuse(mayHaveRun ? refusal_status::Timeout : refusal_status::NotReady,
-           kShortWait);
+    EndWith(mayHaveRun ? refusal_status::Timeout : refusal_status::NotReady,
+            kShortWait);
   }
 
   void Attempt()
@@ -171,74 +159,31 @@
     if (mIsDone)
       return;
     instant const now = mClock.Now();
-    std::shared_ptr<fleet_view const> const view = mCore.View(now);
-    if (mRows.mDeadline - now < kLeastTime)
+    if (IsTooLate(mRows, now))
       return OnDeadline();
-    server_choice_request const wanted =
-      MakeChoiceRequest(now, mCore.Options(), *view, mFacts, mTried);
-    std::span<served_server* const> const servers =
-      mCore.Servers().Pool(mRows.mPool);
-    served_server const* const chosen = ChooseServer(servers, wanted);
-    if (chosen == nullptr)
+    server_pick const pick = mSender.Pick(now, mRows.mPool);
+    if (!pick.mServer)
       return WaitForPlace(now);
     if (mTrace.mSends > 0 && !mCore.TryRepeat(now, mRows.mPool))
       return GiveUp();
-    Send(wanted, mCore.Servers().Find(chosen->mListed.mId));
+    mAttempt.Begin(pick.mServer,
+                   mSender.Prepare(pick, mRows, mTrace, mAnswer.LastEvent()),
+                   this->shared_from_this());
   }
 
   void WaitForPlace(instant aNow)
   {
-    if (aNow - mTrace.mStartedAt >
-        mRows.mRoute->mTargetLatency / kPlaceWaitPart)
+    if (!MayWaitForPlace(mRows, mTrace, aNow))
       return GiveUp();
     std::shared_ptr<boost::asio::steady_timer> const wait =
       std::make_shared<boost::asio::steady_timer>(mContext, kPlaceInterval);
     wait->async_wait(
-      [self = this->shared_from_this(), wait](auto) { self->Attempt(); });
-  }
-
-  void Send(server_choice_request const& aWanted,
-            std::shared_ptr<served_server> aServer)
-  {
-    mTried.push_back(aServer->mListed.mId);
-    mCore.Meter().OnSend(mRows, mTrace.mSends > 0);
-    ++mTrace.mSends;
-    send_terms const terms =
-      PlanSend(mCore, aWanted, *aServer, mRows, mFacts, mAnswer.LastEvent());
-    mTrace.mFetchFrom = terms.mFetchFrom;
-    mTrace.mPressure = aServer->Pressure(aWanted.mNow);
-    request_head head = Dialect::ForwardedRequest(mHead, terms);
-    if (!mBody->empty() || mHead.mMethod != "GET")
-      head.mFields.push_back(
-        { "Content-Length", std::to_string(mBody->size()) });
-    mAttempt.Begin(std::move(aServer),
-                   { .mHead = FormatRequestHead(head),
-                     .mBody = mBody,
-                     .mAnswerHasBody = mHead.mMethod != "HEAD",
-                     .mTokens = RequestTokens(mFacts),
-                     .mPart = PartRead(terms, mFacts) },
-                   this->shared_from_this());
-  }
-
-  void Begin(answer_head const& aHead)
-  {
-    mAttempt.SetOutcome(attempt_outcome::Taken);
-    mAnswer.Begin(*mCaller,
-                  aHead,
-                  mRows.mRoute->mKind == work_kind::Stream &&
-                    aHead.IsSuccess());
-  }
-
-  void OnNotRun()
-  {
-    NoteEnd("not_run");
-    SendElsewhere();
+      [self = this->shared_from_this(), wait](error_code) { self->Attempt(); });
   }
 
   void OnUnreachable(exchange_end aEnd)
   {
-    instant const now = mClock.Now();
-    mAttempt.OnUnreachable(now);
+    mAttempt.OnUnreachable(mClock.Now());
     NoteEnd(aEnd == exchange_end::Refused ? "connection_refused"
                                           : "not_connected");
     SendElsewhere();
@@ -248,7 +193,7 @@
   void SendElsewhere()
   {
     mAttempt.End();
-    if (mTrace.mSends >= mRows.mRoute->mMaxAttempts + kExtraSends)
+    if (!MaySendElsewhere(mRows, mTrace))
       return GiveUp();
     Attempt();
   }
@@ -262,14 +207,12 @@
     mTrace.mMayHaveRun = true;
     NoteEnd(aEnd == exchange_end::Silent ? "silent" : "broken");
     bool const mayTry =
-      mAnswer.CanGoOn(mRows.mRoute->mIsResumable) && MayTryElsewhere();
+      mAnswer.CanGoOn(mRows.mRoute->mIsResumable) && MayRepeatNow();
     mAttempt.End();
     mAnswer.DropRest();
     if (mayTry && !mCore.Crashes().IsPoison(now, mRows.mFingerprint))
       return Attempt();
-    if (mAnswer.IsHeadSent())
-      return Break();
-    Refuse(refusal_status::BadGateway, {});
+    EndWith(refusal_status::BadGateway, {});
   }
 
   /// The server's own failure: it has run.
@@ -278,25 +221,29 @@
     NoteEnd("failed");
     mTrace.mMayHaveRun = true;
     mAttempt.End();
-    if (!MayTryElsewhere())
+    if (!MayRepeatNow())
       return GiveUp();
     Attempt();
   }
 
-  [[nodiscard]] bool MayTryElsewhere() const
+  [[nodiscard]] bool MayRepeatNow() const
   {
-    return mRows.mRoute->MayRepeat() &&
-           mTrace.mSends < mRows.mRoute->mMaxAttempts &&
-           mRows.mDeadline - mClock.Now() > kLeastTime;
+    return MayRepeat(mRows, mTrace, mClock.Now());
   }
 
   void GiveUp()
+  {
+    EndWith(mTrace.mMayHaveRun ? refusal_status::BadGateway
+                               : refusal_status::NotReady,
+            kShortWait);
+  }
+
+  // Refuses, or breaks off an answer that has begun.
+  void EndWith(refusal_status aStatus, std::chrono::milliseconds aRetryAfter)
   {
     if (mAnswer.IsHeadSent())
-      return Break();
-    Refuse(mTrace.mMayHaveRun ? refusal_status::BadGateway
-                              : refusal_status::NotReady,
-           kShortWait);
+      return Settle()->Abort();
+    Refuse(aStatus, aRetryAfter);
   }
 
   void Finish()
@@ -304,64 +251,45 @@
     mCore.Crashes().OnAnswer(mRows.mFingerprint);
     mAttempt.OnAnswered(mClock.Now());
     mAttempt.End();
-    mIsDone = true;
-    mTimer.cancel();
-    NoteAnswer(mCore.Meter(),
-               mClock.Now(),
-               mTrace,
-               mRows,
-               mAttempt.Server().mListed.mId,
-               mAnswer.Status());
-    std::shared_ptr<Caller> const caller = std::move(mCaller);
-    mAnswer.Finish(*caller);
+    mEvents.OnAnswer(
+      mClock.Now(), mAttempt.Server().mListed.mId, mAnswer.Status());
+    mAnswer.Finish(*Settle());
   }
 
-  void NoteEnd(std::string_view aCause) const
+  void NoteEnd(std::string_view aCause)
   {
-    NoteAttemptEnd(mCore.Meter(),
-                   mClock.Now(),
-                   mTrace,
-                   mRows,
-                   mAttempt.Server().mListed.mId,
-                   aCause);
+    mEvents.OnAttemptEnd(mClock.Now(), mAttempt.Server().mListed.mId, aCause);
   }
 
-  void Break()
+  // Nothing comes after the caller's final answer, or after it has gone.
+  std::shared_ptr<Caller> Settle()
   {
     mIsDone = true;
     mTimer.cancel();
-    std::shared_ptr<Caller> const caller = std::move(mCaller);
-    caller->Abort();
+    return std::move(mCaller);
   }
 
   void Refuse(refusal_status aStatus, std::chrono::milliseconds aRetryAfter)
   {
-    mIsDone = true;
-    mTimer.cancel();
-    NoteRefusal(mCore.Meter(),
-                mClock.Now(),
-                mTrace,
-                mRows,
-                { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
-    bool const promisesNotRun = aStatus == refusal_status::NotReady;
-    if (promisesNotRun && mRows.mWorkspace != nullptr && mRows.mUnits > 0)
+    mEvents.OnRefusal(mClock.Now(),
+                      { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
+    // Only this one promises that nothing has run.
+    if (aStatus == refusal_status::NotReady && mRows.mWorkspace != nullptr &&
+        mRows.mUnits > 0)
       mCore.Quota().Refund(mClock.Now(), mRows.mWorkspace->mName, mRows.mUnits);
-    std::shared_ptr<Caller> const caller = std::move(mCaller);
-    caller->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
+    Settle()->SendWhole(RefusalHead(aStatus, aRetryAfter), {});
   }
 
   boost::asio::io_context& mContext;
   traffic_core& mCore;
   /// Null once the request has its final answer.
   std::shared_ptr<Caller> mCaller;
-  request_head mHead;
-  std::shared_ptr<std::string const> mBody;
+  request_sender<Dialect> mSender;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
   run_trace mTrace;
-  request_facts mFacts;
   admitted_request mRows;
-  std::vector<backend_server_id> mTried;
+  run_events mEvents;
   server_attempt<request_run> mAttempt;
   answer_relay mAnswer;
   bool mWaitsForCaller = false;
--- /dev/null
+++ b/Libraries/LibGateway/RequestSender.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibDispatch/ChooseServer.h>
+#include <LibGateway/AttemptRequest.h>
+#include <LibGateway/GatewayDialect.h>
+#include <LibGateway/PlanSend.h>
+#include <LibGateway/RunTrace.h>
+#include <LibGateway/ServerPick.h>
+#include <LibGateway/TrafficCore.h>
+#include <LibHttp/FormatHead.h>
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheeseam {
+
+/// Chooses the servers of one request, each at most once, and prepares what
+/// each is sent.
+template<gateway_dialect Dialect>
+class request_sender
+{
+public:
+  request_sender(traffic_core& aCore, request_head aHead, std::string aBody)
+    : mCore(aCore)
+    , mHead(std::move(aHead))
+    , mBody(std::make_shared<std::string const>(std::move(aBody)))
+  {
+  }
+
+  /// Reads the head; throws invalid_input.
+  void ReadFacts() { mFacts = Dialect::ReadFacts(mHead); }
+
+  [[nodiscard]] request_facts const& Facts() const noexcept { return mFacts; }
+  [[nodiscard]] std::string const& Body() const noexcept { return *mBody; }
+
+  /// The best server of a pool now.
+  [[nodiscard]] server_pick Pick(instant aNow, pool_name const& aPool)
+  {
+    server_pick pick{ .mView = mCore.View(aNow) };
+    pick.mWanted =
+      MakeChoiceRequest(aNow, mCore.Options(), *pick.mView, mFacts, mTried);
+    std::span<served_server* const> const servers = mCore.Servers().Pool(aPool);
+    if (served_server const* const chosen = ChooseServer(servers, pick.mWanted))
+      pick.mServer = mCore.Servers().Find(chosen->mListed.mId);
+    return pick;
+  }
+
+  /// What the server is sent. aLastEvent is the last one that the caller was
+  /// sent of an answer that another server began.
+  attempt_request Prepare(server_pick const& aPick,
+                          admitted_request const& aRows,
+                          run_trace& aTrace,
+                          std::optional<std::uint64_t> aLastEvent)
+  {
+    served_server const& server = *aPick.mServer;
+    mTried.push_back(server.mListed.mId);
+    mCore.Meter().OnSend(aRows, aTrace.mSends > 0);
+    ++aTrace.mSends;
+    send_terms const terms =
+      PlanSend(mCore, aPick.mWanted, server, aRows, mFacts, aLastEvent);
+    aTrace.mFetchFrom = terms.mFetchFrom;
+    aTrace.mPressure = server.Pressure(aPick.mWanted.mNow);
+    request_head head = Dialect::ForwardedRequest(mHead, terms);
+    if (!mBody->empty() || mHead.mMethod != "GET")
+      head.mFields.push_back(
+        { "Content-Length", std::to_string(mBody->size()) });
+    return { .mHead = FormatRequestHead(head),
+             .mBody = mBody,
+             .mAnswerHasBody = mHead.mMethod != "HEAD",
+             .mTokens = RequestTokens(mFacts),
+             .mPart = PartRead(terms, mFacts) };
+  }
+
+private:
+  traffic_core& mCore;
+  request_head mHead;
+  std::shared_ptr<std::string const> mBody;
+  request_facts mFacts;
+  std::vector<backend_server_id> mTried;
+};
+
+}
--- a/Libraries/LibGateway/RunEvents.cpp
+++ b/Libraries/LibGateway/RunEvents.cpp
@@ -16,67 +16,57 @@
 }
 
 void
-NoteAttemptEnd(traffic_meter& aMeter,
-               instant aNow,
-               run_trace const& aTrace,
-               admitted_request const& aRows,
-               backend_server_id const& aServer,
-               std::string_view aCause)
+run_events::OnAttemptEnd(instant aNow,
+                         backend_server_id const& aServer,
+                         std::string_view aCause)
 {
-  aMeter.OnAttemptEnd(aServer, aCause);
+  mMeter.OnAttemptEnd(aServer, aCause);
   LogEvent("attempt_ended",
-           { { "request", aTrace.mRequest.Text() },
+           { { "request", mTrace.mRequest.Text() },
              { "server", aServer.Text() },
              { "cause", std::string{ aCause } },
-             { "sends", std::int64_t{ aTrace.mSends } },
-             { "may_repeat", std::int64_t{ aRows.mRoute->MayRepeat() } },
-             { "config", static_cast<std::int64_t>(aRows.mConfig->Version()) },
-             { "since_ms", Milliseconds(aNow - aTrace.mStartedAt) } });
+             { "sends", std::int64_t{ mTrace.mSends } },
+             { "may_repeat", std::int64_t{ mRows.mRoute->MayRepeat() } },
+             { "config", static_cast<std::int64_t>(mRows.mConfig->Version()) },
+             { "since_ms", Milliseconds(aNow - mTrace.mStartedAt) } });
 }
 
 void
-NoteAnswer(traffic_meter& aMeter,
-           instant aNow,
-           run_trace const& aTrace,
-           admitted_request const& aRows,
-           backend_server_id const& aServer,
-           std::uint32_t aStatus)
+run_events::OnAnswer(instant aNow,
+                     backend_server_id const& aServer,
+                     std::uint32_t aStatus)
 {
-  aMeter.OnAnswer(aNow, aTrace, aRows, aServer, aStatus);
+  mMeter.OnAnswer(aNow, mTrace, mRows, aServer, aStatus);
   LogEvent(
     "answered",
-    { { "request", aTrace.mRequest.Text() },
-      { "route", aRows.mRoute->mName.Text() },
+    { { "request", mTrace.mRequest.Text() },
+      { "route", mRows.mRoute->mName.Text() },
       { "server", aServer.Text() },
       { "status", std::int64_t{ aStatus } },
-      { "sends", std::int64_t{ aTrace.mSends } },
-      { "pressure", aTrace.mPressure },
+      { "sends", std::int64_t{ mTrace.mSends } },
+      { "pressure", mTrace.mPressure },
       { "fetched_from",
-        aTrace.mFetchFrom ? aTrace.mFetchFrom->Text() : std::string{} },
+        mTrace.mFetchFrom ? mTrace.mFetchFrom->Text() : std::string{} },
       { "first_ms",
-        Milliseconds(aTrace.mFirstAt.value_or(aNow) - aTrace.mStartedAt) },
-      { "all_ms", Milliseconds(aNow - aTrace.mStartedAt) } });
+        Milliseconds(mTrace.mFirstAt.value_or(aNow) - mTrace.mStartedAt) },
+      { "all_ms", Milliseconds(aNow - mTrace.mStartedAt) } });
 }
 
 void
-NoteRefusal(traffic_meter& aMeter,
-            instant aNow,
-            run_trace const& aTrace,
-            admitted_request const& aRows,
-            request_refusal const& aRefusal)
+run_events::OnRefusal(instant aNow, request_refusal const& aRefusal)
 {
-  aMeter.OnRefusal(aNow, aTrace, aRows, aRefusal);
+  mMeter.OnRefusal(aNow, mTrace, mRows, aRefusal);
   LogEvent(
     "refused",
-    { { "request", aTrace.mRequest.Text() },
+    { { "request", mTrace.mRequest.Text() },
       { "status", static_cast<std::int64_t>(aRefusal.mStatus) },
-      { "route", aRows.mRoute ? aRows.mRoute->mName.Text() : std::string{} },
+      { "route", mRows.mRoute ? mRows.mRoute->mName.Text() : std::string{} },
       { "workspace",
-        aRows.mWorkspace ? aRows.mWorkspace->mName.Text() : std::string{} },
-      { "units", aRows.mUnits },
-      { "sends", std::int64_t{ aTrace.mSends } },
-      { "may_have_run", std::int64_t{ aTrace.mMayHaveRun } },
-      { "held_ms", Milliseconds(aNow - aTrace.mStartedAt) },
+        mRows.mWorkspace ? mRows.mWorkspace->mName.Text() : std::string{} },
+      { "units", mRows.mUnits },
+      { "sends", std::int64_t{ mTrace.mSends } },
+      { "may_have_run", std::int64_t{ mTrace.mMayHaveRun } },
+      { "held_ms", Milliseconds(aNow - mTrace.mStartedAt) },
       { "retry_after_ms", std::int64_t{ aRefusal.mRetryAfter.count() } } });
 }
 
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -79,9 +79,8 @@
       *mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
-        self->OnRead(aFault);
-      });
+      [self = this->shared_from_this()](boost::system::error_code aFault,
+                                        std::size_t) { self->OnRead(aFault); });
   }
 
   /// Gives the request up; the server sees its connection close.
@@ -117,14 +116,16 @@
     if (fault)
       return End(exchange_end::NotConnected);
     mTimer.expires_after(kConnectTimeout);
-    mTimer.async_wait([self = this->shared_from_this()](auto aFault) {
-      if (!aFault && !self->mIsSent)
-        self->End(exchange_end::NotConnected);
-    });
-    mSocket->async_connect({ address, mServer->mListed.mAddress.mPort },
-                           [self = this->shared_from_this()](auto aFault) {
-                             self->OnConnected(aFault);
-                           });
+    mTimer.async_wait(
+      [self = this->shared_from_this()](boost::system::error_code aFault) {
+        if (!aFault && !self->mIsSent)
+          self->End(exchange_end::NotConnected);
+      });
+    mSocket->async_connect(
+      { address, mServer->mListed.mAddress.mPort },
+      [self = this->shared_from_this()](boost::system::error_code aFault) {
+        self->OnConnected(aFault);
+      });
   }
 
   void OnConnected(boost::system::error_code aFault)
@@ -148,14 +149,15 @@
     std::array<boost::asio::const_buffer, 2> const buffers{
       boost::asio::buffer(mHead), boost::asio::buffer(*mBody)
     };
-    boost::asio::async_write(
-      *mSocket,
-      buffers,
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
-        // The answer's end tells what became of the request; a server may
-        // answer before it has read all of a long body.
-        self->mIsWritten = !aFault;
-      });
+    boost::asio::async_write(*mSocket,
+                             buffers,
+                             [self = this->shared_from_this()](
+                               boost::system::error_code aFault, std::size_t) {
+                               // The answer's end tells what became of the
+                               // request; a server may answer before it has
+                               // read all of a long body.
+                               self->mIsWritten = !aFault;
+                             });
     ReadHead();
   }
 
@@ -169,9 +171,8 @@
       *mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](auto aFault, std::size_t) {
-        self->OnHead(aFault);
-      });
+      [self = this->shared_from_this()](boost::system::error_code aFault,
+                                        std::size_t) { self->OnHead(aFault); });
   }
 
   void OnHead(boost::system::error_code aFault)
--- a/Libraries/LibGateway/SessionListener.h
+++ b/Libraries/LibGateway/SessionListener.h
@@ -37,14 +37,15 @@
   /// Takes connections from now on.
   void Accept()
   {
-    mAcceptor.async_accept([this](auto aFault, tcp::socket aSocket) {
-      if (aFault == boost::asio::error::operation_aborted)
-        return;
-      if (aFault)
-        return Pause();
-      Open(std::move(aSocket));
-      Accept();
-    });
+    mAcceptor.async_accept(
+      [this](boost::system::error_code aFault, tcp::socket aSocket) {
+        if (aFault == boost::asio::error::operation_aborted)
+          return;
+        if (aFault)
+          return Pause();
+        Open(std::move(aSocket));
+        Accept();
+      });
   }
 
   /// The port that it accepts at.
@@ -81,7 +82,7 @@
   void Pause()
   {
     mPause.expires_after(kFaultPause);
-    mPause.async_wait([this](auto aFault) {
+    mPause.async_wait([this](boost::system::error_code aFault) {
       if (!aFault)
         Accept();
     });
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -30,14 +30,21 @@
   bool const isShareNew = newest->mInstances != mView->mInstances;
   mView = std::move(newest);
   if (isShareNew) {
-    for (auto& [pool, allowance] : mAllowances)
-      allowance.SetOptions(AllowanceOptions());
+    for (allowances::value_type& allowance : mAllowances)
+      allowance.second.SetOptions(AllowanceOptions());
   }
   mServers.Apply(*mView);
   mQuota.Apply(aNow, *mView);
   return mView;
 }
 
+caller_limits
+traffic_core::Limits(instant aNow)
+{
+  std::shared_ptr<fleet_view const> const& view = View(aNow);
+  return view->mConfig ? view->mConfig->Limits() : caller_limits{};
+}
+
 retry_budget_options
 traffic_core::AllowanceOptions() const
 {
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -33,6 +33,9 @@
   /// The newest view, taken over by all that depends on it.
   std::shared_ptr<fleet_view const> const& View(instant aNow);
 
+  /// What callers may send now; the defaults without a configuration.
+  [[nodiscard]] caller_limits Limits(instant aNow);
+
   /// Counts a first attempt towards a pool's allowance of repeats.
   void OnFirstAttempt(pool_name const& aPool);
 
@@ -82,6 +85,8 @@
   void SetLeaving() noexcept { mIsLeaving = true; }
 
 private:
+  using allowances = std::map<pool_name, retry_budget>;
+
   retry_budget& Allowance(pool_name const& aPool);
   [[nodiscard]] retry_budget_options AllowanceOptions() const;
 
@@ -93,7 +98,7 @@
   crash_ledger mCrashes;
   prefix_memory mPrefixes;
   channel_pool mChannels;
-  std::map<pool_name, retry_budget> mAllowances;
+  allowances mAllowances;
   traffic_meter mMeter;
   traffic_report mReport;
   bool mIsLeaving = false;
--- a/Libraries/LibGateway/WriteQueue.h
+++ b/Libraries/LibGateway/WriteQueue.h
@@ -48,15 +48,15 @@
     mIsWriting = true;
     mWriting.clear();
     mWriting.swap(mPending);
-    boost::asio::async_write(
-      mSocket,
-      boost::asio::buffer(mWriting),
-      [this, owner = mOwner.shared_from_this()](auto aFault, std::size_t) {
-        mIsWriting = false;
-        if (aFault)
-          return mOwner.OnWriteFault();
-        WritePending();
-      });
+    boost::asio::async_write(mSocket,
+                             boost::asio::buffer(mWriting),
+                             [this, owner = mOwner.shared_from_this()](
+                               boost::system::error_code aFault, std::size_t) {
+                               mIsWriting = false;
+                               if (aFault)
+                                 return mOwner.OnWriteFault();
+                               WritePending();
+                             });
   }
 
   tcp::socket& mSocket;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -39,10 +39,11 @@
   {
     mStartedAt = mClock.Now();
     mTimer.expires_after(mCall.mTimeout);
-    mTimer.async_wait([self = shared_from_this()](auto aFault) {
-      if (!aFault)
-        self->End("timeout");
-    });
+    mTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aFault) {
+        if (!aFault)
+          self->End("timeout");
+      });
     std::vector<std::shared_ptr<tcp::socket>>& idle = mClient.mIdle[mCall.mTo];
     if (idle.empty())
       return Connect();
@@ -61,7 +62,8 @@
     if (fault)
       return End("the address is no IP number");
     mSocket->async_connect(
-      { address, mCall.mTo.mPort }, [self = shared_from_this()](auto aFault) {
+      { address, mCall.mTo.mPort },
+      [self = shared_from_this()](boost::system::error_code aFault) {
         if (aFault)
           return self->End(aFault.message());
         boost::system::error_code ignored;
@@ -82,16 +84,19 @@
     std::array<boost::asio::const_buffer, 2> const buffers{
       boost::asio::buffer(mBytes), boost::asio::buffer(mCall.mBody)
     };
-    boost::asio::async_write(
-      *mSocket, buffers, [self = shared_from_this()](auto aFault, std::size_t) {
-        if (aFault)
-          self->End(aFault.message());
-      });
+    boost::asio::async_write(*mSocket,
+                             buffers,
+                             [self = shared_from_this()](
+                               boost::system::error_code aFault, std::size_t) {
+                               if (aFault)
+                                 self->End(aFault.message());
+                             });
     boost::beast::http::async_read(
       *mSocket,
       mBuffer,
       mParser,
-      [self = shared_from_this()](auto aFault, std::size_t) {
+      [self = shared_from_this()](boost::system::error_code aFault,
+                                  std::size_t) {
         self->End(aFault ? aFault.message() : std::string{});
       });
   }
--- a/Libraries/LibHttp/TakeHead.h
+++ b/Libraries/LibHttp/TakeHead.h
@@ -40,7 +40,7 @@
   answer_head head{ .mStatus = aParser.get().result_int(),
                     .mReason = std::string{ aParser.get().reason() },
                     .mFields = TakeFields(aParser.get().base()) };
-  if (auto const length = aParser.content_length())
+  if (boost::optional<std::uint64_t> const length = aParser.content_length())
     head.mLength = *length;
   return head;
 }
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -1,10 +1,9 @@
 #include <LibCore/InvalidInput.h>
 #include <LibSettings/SettingsReader.h>
+#include <LibSettings/SettingsText.h>
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace lycheeseam {
@@ -13,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxNameLength = 64;
-constexpr std::size_t kMaxShownValue = 80;
 constexpr std::string_view kEndpointAllowed =
   "an IP number with a port, such as \"10.0.0.1:8080\" or \"[::1]:8080\"";
 
@@ -25,42 +22,6 @@
   return kEmpty;
 }
 
-bool
-IsNameCharacter(unsigned char aCharacter)
-{
-  return std::isalnum(aCharacter) || aCharacter == '.' || aCharacter == '_' ||
-         aCharacter == '-';
-}
-
-bool
-IsName(std::string const& aText)
-{
-  if (aText.empty() || aText.size() > kMaxNameLength)
-    return false;
-  return std::all_of(aText.begin(), aText.end(), IsNameCharacter);
-}
-
-std::string
-RangeText(number_range aRange)
-{
-  return "a whole number from " + std::to_string(aRange.mLeast) + " to " +
-         std::to_string(aRange.mMost);
-}
-
-std::string
-ShownValue(json const* aValue)
-{
-  if (!aValue)
-    return "nothing";
-  std::string text =
-    aValue->dump(-1, ' ', false, json::error_handler_t::replace);
-  if (text.size() > kMaxShownValue) {
-    text.resize(kMaxShownValue);
-    text += "...";
-  }
-  return text;
-}
-
 }
 
 settings_reader::settings_reader(json const& aObject,
@@ -125,10 +86,8 @@
                               double aMost,
                               double& aTarget)
 {
-  std::string const allowed =
-    "a number from 0 to " + nlohmann::json(aMost).dump();
-  nlohmann::json const* const value =
-    Find(aField, field_presence::Optional, allowed);
+  std::string const allowed = "a number from 0 to " + json(aMost).dump();
+  json const* const value = Find(aField, field_presence::Optional, allowed);
   if (value == nullptr)
     return;
   if (!value->is_number() || value->get<double>() < 0 ||
--- a/Libraries/LibStore/TopicState.cpp
+++ b/Libraries/LibStore/TopicState.cpp
@@ -28,7 +28,9 @@
   std::set<std::string_view> listed;
   for (keyed_record const& record : aPage.mRecords)
     listed.insert(record.mKey);
-  for (auto& [key, known] : mKeys) {
+  for (known_keys::value_type& entry : mKeys) {
+    std::string const& key = entry.first;
+    known_key& known = entry.second;
     bool const isCovered = known.mOffset < aPage.mEnd;
     if (known.mIsDropped || !isCovered || listed.contains(key))
       continue;
--- a/Libraries/LibStore/TopicState.h
+++ b/Libraries/LibStore/TopicState.h
@@ -26,10 +26,11 @@
     std::uint64_t mOffset = 0;
     bool mIsDropped = false;
   };
+  using known_keys = std::map<std::string, known_key>;
 
   void AddMissing(topic_page const& aPage, std::vector<keyed_record>& aNews);
 
-  std::map<std::string, known_key> mKeys;
+  known_keys mKeys;
 };
 
 }
--- a/Services/lycheeseamd/PlannedStop.h
+++ b/Services/lycheeseamd/PlannedStop.h
@@ -51,7 +51,7 @@
     if (passed >= kCloseTime)
       mGateway.Close();
     mTimer.expires_after(kInterval);
-    mTimer.async_wait([this](auto aFault) {
+    mTimer.async_wait([this](boost::system::error_code aFault) {
       if (!aFault)
         Check();
     });
--- a/Tests/LibOnce/PoisonFleet.h
+++ b/Tests/LibOnce/PoisonFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PoisonServer.h"
 #include <LibOnce/FingerprintHome.h>
 #include <LibOnce/PermitHome.h>
 #include <LibOnce/RunGuard.h>
@@ -71,22 +72,6 @@
     poison_table mTable{ {} };
   };
 
-  struct running
-  {
-    std::size_t mMember = 0;
-    instance_life mLife;
-    request_id mRequest;
-    digest mFingerprint;
-    bool mIsSuspect = false;
-  };
-
-  struct server
-  {
-    std::uint64_t mLife = 1;
-    instant mUpAt;
-    std::map<request_id, running> mRunning;
-  };
-
   bool Chance(double aShare)
   {
     return std::bernoulli_distribution{ aShare }(mRandom);
@@ -205,13 +190,13 @@
       mRefusedInnocent += isPoison ? 0 : 1;
       return;
     }
-    server& target = mServers[aDecision.mServer->mServer];
+    poison_server& target = mServers[aDecision.mServer->mServer];
     if (mNow < target.mUpAt ||
         aDecision.mServer->mIncarnation.Value() != target.mLife) {
       mMembers[aMember].mGuard.End(id, run_result::Unknown);
       return;
     }
-    running const run{
+    poison_run const run{
       .mMember = aMember,
       .mLife = mMembers[aMember].mLife,
       .mRequest = id,
@@ -234,7 +219,7 @@
     });
   }
 
-  void NoteSuspects(server const& aServer, running const& aRun)
+  void NoteSuspects(poison_server const& aServer, poison_run const& aRun)
   {
     for (auto const& [id, other] : aServer.mRunning) {
       bool const isOther = other.mFingerprint != aRun.mFingerprint;
@@ -245,7 +230,7 @@
 
   void Complete(backend_server_id const& aServer, request_id const& aId)
   {
-    running const done = mServers[aServer].mRunning.at(aId);
+    poison_run const done = mServers[aServer].mRunning.at(aId);
     mServers[aServer].mRunning.erase(aId);
     ++mCompleted;
     if (mMembers[done.mMember].mLife == done.mLife)
@@ -255,9 +240,9 @@
   void CrashServer(backend_server_id const& aServer)
   {
     ++mCrashes;
-    server& crashed = mServers[aServer];
+    poison_server& crashed = mServers[aServer];
     server_life const life = LifeOf(aServer);
-    std::map<request_id, running> const lost =
+    std::map<request_id, poison_run> const lost =
       std::exchange(crashed.mRunning, {});
     ++crashed.mLife;
     crashed.mUpAt = mNow + Time(200, 600);
@@ -295,7 +280,7 @@
   std::array<member, kInstances> mMembers;
   std::vector<instance_id> mNames;
   std::vector<backend_server_id> mServerNames;
-  std::map<backend_server_id, server> mServers;
+  std::map<backend_server_id, poison_server> mServers;
   std::map<request_id, digest> mFingerprints;
   std::multimap<instant, std::function<void()>> mEvents;
   int mRequests = 0;
--- /dev/null
+++ b/Tests/LibOnce/PoisonRun.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Digest.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/InstanceLife.h>
+
+#include <cstddef>
+
+namespace lycheeseam {
+
+/// A request that a server of a poison_fleet runs.
+struct poison_run
+{
+  std::size_t mMember = 0;
+  instance_life mLife;
+  request_id mRequest;
+  digest mFingerprint;
+  bool mIsSuspect = false;
+};
+
+}
--- /dev/null
+++ b/Tests/LibOnce/PoisonServer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "PoisonRun.h"
+#include <LibCore/Instant.h>
+
+#include <cstdint>
+#include <map>
+
+namespace lycheeseam {
+
+/// A server of a poison_fleet: its life, and what it runs.
+struct poison_server
+{
+  std::uint64_t mLife = 1;
+  instant mUpAt;
+  std::map<request_id, poison_run> mRunning;
+};
+
+}
