--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -62,10 +62,10 @@
     Write(mFormat.End());
   }
 
-  void SendWhole(answer_head aHead, std::string_view aBody)
+  void SendWhole(answer_head const& aHead, std::string_view aBody)
   {
     mIsAnswered = true;
-    Write(mFormat.Whole(std::move(aHead), aBody, Use()));
+    Write(mFormat.Whole(aHead, aBody, Use()));
   }
 
   /// Ends the connection so that the answer doesn't look complete.
