LibDispatch+LibFleet: Let a new instance's quota count follow its peers'

Cause: a starting instance spread the total of the last quota window evenly over 8 s. During a flood most of it was younger, so the instance admitted those units again; what a peer admitted between that total and its first report over the link was counted by nobody.

Change: within its first window an instance raises its count to the highest count of the peers that have counted for a full window. Usage from the store is used at the start only, in a field of its own.

--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -35,10 +35,12 @@
   duration mReportDelay{};
   /// Usage of the other instances since they started, summed by workspace.
   std::vector<workspace_usage> mPeerUsage;
-  /// Usage of all instances in the quota window that ended when an instance
-  /// that has counted for a full window last reported. Without such a report it
-  /// is the stored usage, and empty when there is none.
+  /// Usage of all instances in the current quota window, as the other instances
+  /// that have counted for a full window last reported it; empty without any.
   std::vector<workspace_usage> mWindowUsage;
+  /// The same as the store held it when this instance started, for a start
+  /// without such instances.
+  std::vector<workspace_usage> mStoredUsage;
 
   /// The target weights of a model, or null.
   [[nodiscard]] target_weights const* FindWeights(
--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -29,12 +29,17 @@
   return found;
 }
 
+bool
+quota_limiter::IsInFirstWindow(instant aNow) const
+{
+  return mStartedAt && aNow - *mStartedAt < mParameters.mWindow;
+}
+
 void
-quota_limiter::ApplyWindowUsage(instant aNow,
-                                std::vector<workspace_usage> const& aUsage)
+quota_limiter::ReplaceAssumedUsage(instant aNow,
+                                   std::vector<workspace_usage> const& aUsage)
 {
-  if (aUsage.empty() || !mStartedAt ||
-      aNow - *mStartedAt >= mParameters.mWindow)
+  if (!IsInFirstWindow(aNow))
     return;
   for (workspace_usage const& usage : aUsage) {
     account& found = Find(usage.mWorkspace);
@@ -47,17 +52,42 @@
   }
 }
 
+// A total doesn't show when in the window its units were admitted, and misses
+// what a peer admits between the count of that total and the peer's first
+// report over a new link. Both make a new instance count too little, until the
+// units of that time have left the window.
+void
+quota_limiter::RaiseToWindowUsage(instant aNow,
+                                  std::vector<workspace_usage> const& aUsage)
+{
+  if (!IsInFirstWindow(aNow))
+    return;
+  for (workspace_usage const& usage : aUsage) {
+    quota_window& window = Find(usage.mWorkspace).mWindow;
+    window.Add(aNow, std::max(0.0, usage.mUnits - window.Sum(aNow)));
+  }
+}
+
 void
 quota_limiter::Apply(instant aNow, fleet_view const& aView)
 {
   if (!mStartedAt && aView.mConfig)
     mStartedAt = aNow;
-  ApplyWindowUsage(aNow, aView.mWindowUsage);
   mReportDelay = aView.mReportDelay;
   mAvailableShare =
     static_cast<double>(aView.mInstances - aView.mUnresponsiveInstances) /
     aView.mInstances;
-  for (workspace_usage const& usage : aView.mPeerUsage) {
+  ReplaceAssumedUsage(aNow, aView.mWindowUsage);
+  ReplaceAssumedUsage(aNow, aView.mStoredUsage);
+  AddPeerUsage(aNow, aView.mPeerUsage);
+  RaiseToWindowUsage(aNow, aView.mWindowUsage);
+}
+
+void
+quota_limiter::AddPeerUsage(instant aNow,
+                            std::vector<workspace_usage> const& aUsage)
+{
+  for (workspace_usage const& usage : aUsage) {
     account& found = Find(usage.mWorkspace);
     // The sum falls when an instance is removed from it, which refunds nothing.
     found.mWindow.Add(aNow, std::max(0.0, usage.mUnits - found.mPeerUsage));
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -21,7 +21,9 @@
 /// instance doesn't know the earlier usage: until a view brings the window
 /// usage of the instances, it assumes that the limit was used up evenly over
 /// the window. While that assumed usage leaves the window, its units are
-/// admitted again, which is more than the rate but no burst.
+/// admitted again, which is more than the rate but no burst. Until it has
+/// counted for a full window itself, its count follows the highest count of the
+/// instances that have.
 ///
 /// Reports of other instances are delayed. While the demand on all instances
 /// during this delay exceeds what the window has left, each instance admits a
@@ -91,8 +93,16 @@
   using accounts = std::map<workspace_id, account>;
 
   account& Find(workspace_id const& aWorkspace);
-  void ApplyWindowUsage(instant aNow,
-                        std::vector<workspace_usage> const& aUsage);
+  /// True until this instance has counted for a full window.
+  [[nodiscard]] bool IsInFirstWindow(instant aNow) const;
+  /// Replaces the assumed usage of workspaces by known usage.
+  void ReplaceAssumedUsage(instant aNow,
+                           std::vector<workspace_usage> const& aUsage);
+  /// Adds what the other instances admitted since the last view.
+  void AddPeerUsage(instant aNow, std::vector<workspace_usage> const& aUsage);
+  /// Raises the windows to the usage that other instances count.
+  void RaiseToWindowUsage(instant aNow,
+                          std::vector<workspace_usage> const& aUsage);
   /// Decides at random whether to admit a request; true when the headroom
   /// covers the demand that reports don't show yet.
   [[nodiscard]] bool IsSampled(instant aNow,
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -237,8 +237,8 @@
     mView.mReportDelay = mLinks.ReportDelay();
     mView.mPeerUsage = peers.Usage().Total();
     mView.mWindowUsage = peers.WindowUsage(now);
-    if (mView.mWindowUsage.empty() && mView.mConfig)
-      mView.mWindowUsage = mUsageWriter.StoredUsage(*mView.mConfig);
+    if (mView.mConfig)
+      mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
   }
 
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -173,11 +173,19 @@
 std::vector<workspace_usage>
 peer_registry::WindowUsage(instant aNow) const
 {
+  std::map<workspace_id, double> highest;
   for (auto const& [id, link] : mLinks) {
-    if (link.IsLive(aNow) && !link.mReport.mUsed.empty())
-      return link.mReport.mUsed;
+    if (!link.IsLive(aNow))
+      continue;
+    for (workspace_usage const& usage : link.mReport.mUsed)
+      highest[usage.mWorkspace] =
+        std::max(highest[usage.mWorkspace], usage.mUnits);
   }
-  return {};
+  std::vector<workspace_usage> used;
+  used.reserve(highest.size());
+  for (auto const& [workspace, units] : highest)
+    used.push_back({ .mWorkspace = workspace, .mUnits = units });
+  return used;
 }
 
 std::set<backend_server_id>
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -72,8 +72,9 @@
   /// An unresponsive instance is assumed to use its whole share instead.
   [[nodiscard]] peer_usage const& Usage() const noexcept { return mUsage; }
 
-  /// What all instances admitted in the last quota window, from a live peer
-  /// that has counted for a whole window; empty without such a peer.
+  /// What all instances admitted in the last quota window: for each workspace
+  /// the highest count of the live peers that have counted for a whole window;
+  /// empty without such peers.
   [[nodiscard]] std::vector<workspace_usage> WindowUsage(instant aNow) const;
 
   /// The servers that the holder of the newest lease is updating.
--- a/Tests/LibDispatch/TestQuotaLimiter.cpp
+++ b/Tests/LibDispatch/TestQuotaLimiter.cpp
@@ -117,6 +117,34 @@
   EXPECT_NEAR(ChargeAll(limiter, At(milliseconds{ 100 })), kLimit - 400, 10);
 }
 
+// Guards against admissions beyond the limit after a restart during a flood. A
+// window's total doesn't show that most of it was admitted just before the
+// restart, so a new instance took the units for older than they were.
+TEST(TestQuotaLimiter, RestartedInstanceFollowsTheCountOfItsPeers)
+{
+  quota_limiter limiter{ { .mWindow = kWindow } };
+  fleet_view view = View(2, 0);
+  view.mWindowUsage = { { kWorkspace.mName, 900 } };
+  double charged = 0;
+  for (duration at{}; at < kWindow - seconds{ 1 }; at += milliseconds{ 150 }) {
+    limiter.Apply(At(at), view);
+    double const added = ChargeAll(limiter, At(at));
+    charged += added;
+    view.mWindowUsage.front().mUnits += added;
+  }
+  EXPECT_LE(charged, kLimit - 900);
+}
+
+TEST(TestQuotaLimiter, StoredUsageIsNotRenewed)
+{
+  quota_limiter limiter{ { .mWindow = kWindow } };
+  fleet_view view = View(1, 0);
+  view.mStoredUsage = { { kWorkspace.mName, 800 } };
+  limiter.Apply(At({}), view);
+  limiter.Apply(At(kWindow / 2), view);
+  EXPECT_NEAR(limiter.Used(At(kWindow / 2), kWorkspace.mName), 400, 30);
+}
+
 // Simulates 40 instances for 20 s that exchange their usage every 0.4 s.
 class quota_fleet
 {
