LibLimits: Claim free budget slots one after another

Cause: the first instance to start claimed every free slot 1 s later, before the platform's list showed the instances that started just after it.

Change: each slot that an instance has claimed delays its next claim of a free slot by 500 ms, so instances that start together divide the slots.

--- a/Libraries/LibLimits/SlotTakeover.cpp
+++ b/Libraries/LibLimits/SlotTakeover.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -80,7 +81,9 @@
     static_cast<int>(Rank(aSlot, aSlots)) * mTiming.mRankDelay;
   slot_holder const* const holder = aSlots.Find(aSlot);
   if (holder == nullptr)
-    return aNow >= mStartedAt + mTiming.mFirstClaimDelay + rankDelay;
+    return aNow >=
+           mStartedAt + mTiming.mFirstClaimDelay + rankDelay +
+             static_cast<int>(ClaimedSlots(aSlots)) * mTiming.mNextClaimDelay;
   // An earlier incarnation of this instance no longer runs.
   if (holder->mInstance == mSelf.mInstance)
     return holder->mIncarnation < mSelf.mIncarnation;
@@ -106,6 +109,15 @@
          SlotsHeld(aHolder, aSlots) >= 2;
 }
 
+std::size_t
+slot_takeover::ClaimedSlots(slot_fold const& aSlots) const
+{
+  return SlotsHeld(mSelf.mInstance, aSlots) +
+         std::ranges::count_if(mClaimedAt, [&aSlots](auto const& aEntry) {
+           return aSlots.Find(aEntry.first) == nullptr;
+         });
+}
+
 std::size_t
 slot_takeover::Rank(slot_id aSlot, slot_fold const& aSlots) const
 {
--- a/Libraries/LibLimits/SlotTakeover.h
+++ b/Libraries/LibLimits/SlotTakeover.h
@@ -17,13 +17,13 @@
 /// Decides which slots this instance claims.
 ///
 /// A slot that an earlier incarnation of this instance held is claimed at once,
-/// a free slot shortly after the start, and another instance's slot when that
-/// has been missing from the platform's list for long enough. An instance
-/// without a slot also takes one from a holder of several. Candidates wait by
-/// rank, so that usually only one claims: the fewer slots an instance holds,
-/// the earlier it claims; a hash of the slot and the instance decides ties. The
-/// log decides between several claims, and slot_release makes a wrong takeover
-/// harmless.
+/// free slots one after another from shortly after the start, and another
+/// instance's slot when that has been missing from the platform's list for long
+/// enough. An instance without a slot also takes one from a holder of several.
+/// Candidates wait by rank, so that usually only one claims: the fewer slots an
+/// instance holds, the earlier it claims; a hash of the slot and the instance
+/// decides ties. The log decides between several claims, and slot_release makes
+/// a wrong takeover harmless.
 class slot_takeover
 {
 public:
@@ -44,6 +44,8 @@
   [[nodiscard]] bool MayRebalance(instant aNow,
                                   instance_id const& aHolder,
                                   slot_fold const& aSlots) const;
+  // The slots that this instance holds or has a pending claim of.
+  [[nodiscard]] std::size_t ClaimedSlots(slot_fold const& aSlots) const;
   [[nodiscard]] std::size_t Rank(slot_id aSlot, slot_fold const& aSlots) const;
   slot_claim MakeClaim(slot_id aSlot, log_offset aBase, log_offset aTail);
 
--- a/Libraries/LibLimits/TakeoverTiming.h
+++ b/Libraries/LibLimits/TakeoverTiming.h
@@ -16,6 +16,11 @@
   /// it claims free slots. Instances that start together thus divide the slots,
   /// and the failure of one later costs only its own share of the rate.
   duration mFirstClaimDelay = std::chrono::seconds{ 1 };
+  /// How much longer an instance waits before it claims a free slot for each
+  /// slot that it has already claimed. The platform's list shows instances that
+  /// start at the same time only after a delay, so that the first one would
+  /// otherwise claim all slots.
+  duration mNextClaimDelay = std::chrono::milliseconds{ 500 };
   /// How long an instance without a slot waits, from when it first received the
   /// list, before it takes one from a holder of several.
   duration mRebalanceDelay = std::chrono::seconds{ 15 };
