LibDispatch+LibGateway: Use all stores of KV cache

Cause: a configuration may name several stores; the first one alone got every saved prompt part and every fetch. On the further grown site its link was the bottleneck while two stores were idle: requests waited in its queue for up to two seconds, and evicted parts were read again.

Change: a prefix has one store, chosen by rendezvous hashing of its key. RendezvousRank moves to a file of its own.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -1,4 +1,5 @@
 #include <LibDispatch/ChooseServer.h>
+#include <LibDispatch/RendezvousRank.h>
 
 #include <algorithm>
 #include <limits>
@@ -160,16 +161,6 @@
 
 }
 
-std::uint64_t
-RendezvousRank(std::uint64_t aPromptKey, std::uint64_t aServerSeed)
-{
-  // The finalizer of splitmix64: each input bit affects all output bits.
-  std::uint64_t value = aPromptKey ^ aServerSeed;
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
-}
-
 tracked_server*
 ChooseServer(std::span<tracked_server* const> aServers,
              server_choice_request const& aRequest)
--- a/Libraries/LibDispatch/ChooseServer.h
+++ b/Libraries/LibDispatch/ChooseServer.h
@@ -26,8 +26,4 @@
                   server_choice_request const& aRequest,
                   tracked_server const& aChosen);
 
-/// The rendezvous hash of a prompt and a server; the highest rank is preferred.
-std::uint64_t
-RendezvousRank(std::uint64_t aPromptKey, std::uint64_t aServerSeed);
-
 }
--- a/Libraries/LibDispatch/DispatchConfig.cpp
+++ b/Libraries/LibDispatch/DispatchConfig.cpp
@@ -1,6 +1,9 @@
 #include <LibDispatch/DispatchConfig.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace lycheeseam {
@@ -13,6 +16,14 @@
   return aLeft.mPathPrefix.size() > aRight.mPathPrefix.size();
 }
 
+cache_store
+MakeCacheStore(endpoint const& aAddress)
+{
+  std::string const text = aAddress.Text();
+  return { .mAddress = aAddress,
+           .mSeed = XXH3_64bits(text.data(), text.size()) };
+}
+
 }
 
 dispatch_config::dispatch_config(std::uint64_t aVersion,
@@ -33,6 +44,10 @@
     for (std::string const& key : mWorkspaces[index].mKeys)
       mWorkspaceByKey.emplace(key, index);
   }
+  for (dispatch_pool const& pool : mPools) {
+    if (pool.mCacheStore)
+      mCacheStores.push_back(MakeCacheStore(*pool.mCacheStore));
+  }
 }
 
 dispatch_route const*
@@ -65,14 +80,4 @@
   return nullptr;
 }
 
-dispatch_pool const*
-dispatch_config::CacheStore() const
-{
-  for (dispatch_pool const& pool : mPools) {
-    if (pool.mCacheStore)
-      return &pool;
-  }
-  return nullptr;
-}
-
 }
--- a/Libraries/LibDispatch/DispatchConfig.h
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDispatch/CacheStore.h>
 #include <LibDispatch/CallerLimits.h>
 #include <LibDispatch/DispatchPool.h>
 #include <LibDispatch/DispatchRoute.h>
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,8 +39,11 @@
   /// A pool by its name, or null.
   [[nodiscard]] dispatch_pool const* FindPool(pool_name const& aName) const;
 
-  /// The first KV cache store, or null.
-  [[nodiscard]] dispatch_pool const* CacheStore() const;
+  /// The KV cache stores.
+  [[nodiscard]] std::span<cache_store const> CacheStores() const noexcept
+  {
+    return mCacheStores;
+  }
 
   [[nodiscard]] std::uint64_t Version() const noexcept { return mVersion; }
   [[nodiscard]] std::vector<dispatch_workspace> const& Workspaces()
@@ -60,6 +65,7 @@
   /// By host, sorted by descending length of the path prefix.
   routes_by_host mRoutes;
   std::vector<dispatch_pool> mPools;
+  std::vector<cache_store> mCacheStores;
   std::vector<dispatch_workspace> mWorkspaces;
   std::unordered_map<std::string, std::size_t> mWorkspaceByKey;
   caller_limits mLimits;
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -1,3 +1,4 @@
+#include <LibDispatch/ChooseCacheStore.h>
 #include <LibDispatch/ChooseServer.h>
 #include <LibGateway/PlanSend.h>
 
@@ -24,13 +25,16 @@
   return XXH3_64bits_withSeed(aText.data(), aText.size(), aSeed);
 }
 
+// The KV cache store that keeps the prefix with this key, if there is one.
 std::optional<endpoint>
-CacheStoreOf(traffic_core& aCore, instant aNow)
+CacheStoreOf(traffic_core& aCore, instant aNow, std::uint64_t aKey)
 {
   std::shared_ptr<fleet_view const> const& view = aCore.View(aNow);
-  dispatch_pool const* const pool =
-    view->mConfig ? view->mConfig->CacheStore() : nullptr;
-  return pool == nullptr ? std::nullopt : pool->mCacheStore;
+  if (!view->mConfig)
+    return std::nullopt;
+  cache_store const* const store =
+    ChooseCacheStore(view->mConfig->CacheStores(), aKey);
+  return store == nullptr ? std::nullopt : std::optional{ store->mAddress };
 }
 
 // Hash of the request's shared prompt prefix within its cache scope.
@@ -184,7 +188,7 @@
   if (!key || aProperties.SharedTokens() < kMinFetchedTokens)
     return parameters;
   std::optional<endpoint> const store =
-    CacheStoreOf(aCore, aChoiceRequest.mNow);
+    CacheStoreOf(aCore, aChoiceRequest.mNow, *key);
   bool const isStored = aCore.Prefixes().IsStored(aChoiceRequest.mNow, *key);
   parameters.mFetchFrom =
     FetchSource(aCore, aChoiceRequest, aServer, *key, store);
