LibGateway: Allow retries in a large fleet, and don't count failed connections

Cause: each instance may save up half of its share of the retry slack. With 95 instances that share was 0.97, and a budget spends whole retries, so no instance ever retried: every request that met a crashed or updating engine got 503 after its first attempt. Besides, a connection that failed spent the budget and the route's attempts, though it reached no server.

Change: a budget saves up at least one retry and earns the rest of its share over the window. Arrivals and runs are counted apart from sends: only arrivals spend the budget, only runs count towards the route's attempts. attempt_ended logs the status of the answer.

--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -86,12 +86,15 @@
   answer_use OnExchangeHead(answer_head const& aHead)
   {
     server_answer const answer = Dialect::ReadAnswer(aHead);
+    mTrace.mStatus = aHead.mStatus;
     if (answer.mRequest && *answer.mRequest != mTrace.mRequest)
       return answer_use::Skip;
     mCore.OnAnswer(
       mClock.Now(), mAttempt.Server(), mSender.Properties().mModel, answer);
     bool const isReplaceable =
-      !aHead.IsSuccess() && (mAnswer.IsHeadSent() || MayRetryNow());
+      !aHead.IsSuccess() &&
+      (mAnswer.IsHeadSent() ||
+       MayRetry(mAdmitted, mTrace.mRuns + 1, mClock.Now()));
     mAttempt.SetOutcome(JudgeAnswer(aHead, answer, isReplaceable));
     bool const isStream = mAdmitted.mRoute->mKind == request_kind::Stream;
     if (mAttempt.Outcome() == attempt_outcome::Accepted)
@@ -119,6 +122,7 @@
       return;
     if (!mAttempt.IsSent())
       return OnUnreachable(aEnd);
+    ++mTrace.mArrivals;
     switch (mAttempt.Outcome()) {
       case attempt_outcome::NotRun:
         ReportAttemptEnd("not_run");
@@ -154,7 +158,7 @@
   {
     if (mIsDone)
       return;
-    bool const mayHaveRun = mTrace.mMayHaveRun || mAttempt.IsSent();
+    bool const mayHaveRun = mTrace.MayHaveRun() || mAttempt.IsSent();
     mAttempt.End();
     EndWithRefusal(mayHaveRun ? refusal_status::Timeout
                               : refusal_status::NotReady,
@@ -171,7 +175,8 @@
     server_pick const pick = mSender.Pick(now, mAdmitted.mPool);
     if (!pick.mServer)
       return WaitForCapacity(now);
-    if (mTrace.mSends > 0 && !mCore.TrySpendRetry(now, mAdmitted.mPool))
+    // Until the request has reached a server, nothing is retried.
+    if (mTrace.mArrivals > 0 && !mCore.TrySpendRetry(now, mAdmitted.mPool))
       return GiveUp();
     mAttempt.Begin(
       pick.mServer,
@@ -214,7 +219,7 @@
     instant const now = mClock.Now();
     mAttempt.OnConnectionLost(now, aEnd);
     mCore.OnCrash(now, mAdmitted.mFingerprint);
-    mTrace.mMayHaveRun = true;
+    ++mTrace.mRuns;
     ReportAttemptEnd(aEnd == exchange_end::Unresponsive ? "silent" : "broken");
     bool const mayTry =
       mAnswer.CanContinue(mAdmitted.mRoute->mIsResumable) && MayRetryNow();
@@ -229,7 +234,7 @@
   void OnFailed()
   {
     ReportAttemptEnd("failed");
-    mTrace.mMayHaveRun = true;
+    ++mTrace.mRuns;
     mAttempt.End();
     if (!MayRetryNow())
       return GiveUp();
@@ -238,13 +243,13 @@
 
   [[nodiscard]] bool MayRetryNow() const
   {
-    return MayRetry(mAdmitted, mTrace, mClock.Now());
+    return MayRetry(mAdmitted, mTrace.mRuns, mClock.Now());
   }
 
   void GiveUp()
   {
-    EndWithRefusal(mTrace.mMayHaveRun ? refusal_status::BadGateway
-                                      : refusal_status::NotReady,
+    EndWithRefusal(mTrace.MayHaveRun() ? refusal_status::BadGateway
+                                       : refusal_status::NotReady,
                    kRetryAfter);
   }
 
--- a/Libraries/LibGateway/RunEvents.cpp
+++ b/Libraries/LibGateway/RunEvents.cpp
@@ -26,6 +26,7 @@
     { { "request", mTrace.mRequest.Text() },
       { "server", aServer.Text() },
       { "cause", std::string{ aCause } },
+      { "status", std::int64_t{ mTrace.mStatus } },
       { "sends", std::int64_t{ mTrace.mSends } },
       { "may_repeat", std::int64_t{ mAdmitted.mRoute->MayRetry() } },
       { "config", static_cast<std::int64_t>(mAdmitted.mConfig->Version()) },
@@ -68,7 +69,7 @@
                              : std::string{} },
       { "units", mAdmitted.mUnits },
       { "sends", std::int64_t{ mTrace.mSends } },
-      { "may_have_run", std::int64_t{ mTrace.mMayHaveRun } },
+      { "may_have_run", std::int64_t{ mTrace.MayHaveRun() } },
       { "held_ms", Milliseconds(aNow - mTrace.mStartedAt) },
       { "retry_after_ms", std::int64_t{ aRefusal.mRetryAfter.count() } } });
 }
--- a/Libraries/LibGateway/RunLimits.cpp
+++ b/Libraries/LibGateway/RunLimits.cpp
@@ -13,9 +13,13 @@
 // this.
 constexpr int kCapacityWaitDivisor = 8;
 
-// A request that no server has run may be sent this many times beyond its
+// A request that no server has run may reach this many servers beyond its
 // route's attempts: a server that refuses it doesn't count as an attempt.
-constexpr std::uint32_t kExtraSends = 2;
+constexpr std::uint32_t kExtraArrivals = 2;
+
+// Connections that fail cost a server nothing. While a third of a pool is down,
+// six failures in a row are one in 700.
+constexpr std::uint32_t kMaxUnreachable = 6;
 
 }
 
@@ -26,19 +30,18 @@
 }
 
 bool
-MayRetry(admitted_request const& aAdmitted,
-         run_trace const& aTrace,
-         instant aNow)
+MayRetry(admitted_request const& aAdmitted, std::uint32_t aRuns, instant aNow)
 {
   return aAdmitted.mRoute->MayRetry() &&
-         aTrace.mSends < aAdmitted.mRoute->mMaxAttempts &&
+         aRuns < aAdmitted.mRoute->mMaxAttempts &&
          aAdmitted.mDeadline - aNow > kMinAttemptTime;
 }
 
 bool
 MayTryAnotherServer(admitted_request const& aAdmitted, run_trace const& aTrace)
 {
-  return aTrace.mSends < aAdmitted.mRoute->mMaxAttempts + kExtraSends;
+  return aTrace.mArrivals < aAdmitted.mRoute->mMaxAttempts + kExtraArrivals &&
+         aTrace.mSends - aTrace.mArrivals < kMaxUnreachable;
 }
 
 bool
--- a/Libraries/LibGateway/RunLimits.h
+++ b/Libraries/LibGateway/RunLimits.h
@@ -3,6 +3,8 @@
 #include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/RunTrace.h>
 
+#include <cstdint>
+
 /// \file What a request may still do, by its route and by what it has done.
 
 namespace lycheeseam {
@@ -11,12 +13,10 @@
 bool
 IsTooLate(admitted_request const& aAdmitted, instant aNow);
 
-/// True when a request that a server may have run may be sent to another
+/// True when a request that aRuns servers may have run may be sent to another
 /// server.
 bool
-MayRetry(admitted_request const& aAdmitted,
-         run_trace const& aTrace,
-         instant aNow);
+MayRetry(admitted_request const& aAdmitted, std::uint32_t aRuns, instant aNow);
 
 /// True when a request that no server has run may be sent to another server.
 bool
--- a/Libraries/LibGateway/RunTrace.h
+++ b/Libraries/LibGateway/RunTrace.h
@@ -16,14 +16,21 @@
   instant mStartedAt{};
   /// When the first piece of the answer's body was received.
   std::optional<instant> mFirstPieceAt;
+  /// Attempts to send the request to a server.
   std::uint32_t mSends = 0;
-  /// A server may have run the request.
-  bool mMayHaveRun = false;
+  /// Ended attempts in which the request may have reached its server.
+  std::uint32_t mArrivals = 0;
+  /// Those of them in which the server may have run it.
+  std::uint32_t mRuns = 0;
+  /// HTTP status of the latest server's answer; 0 before its head.
+  std::uint32_t mStatus = 0;
   /// The result of the server's Pressure() when the request was sent to it.
   double mPressure = 0;
   /// Where the latest server was told to fetch cached prompt parts, if
   /// anywhere.
   std::optional<endpoint> mFetchFrom;
+
+  [[nodiscard]] bool MayHaveRun() const noexcept { return mRuns > 0; }
 };
 
 }
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/TrafficCore.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeseam {
@@ -51,12 +52,15 @@
 {
   double const slack =
     kRetryBudgetFraction * mOptions.mRetrySlack / mView->mInstances;
-  // Half of the slack can be saved up and half is earned within a window, so
-  // that no window sees more than the full slack.
+  // What is saved up and what is earned within a window add up to the slack, so
+  // that no window sees more. A budget that saves up less than a whole retry
+  // would never allow one.
+  double const saved = std::max(1.0, slack / 2);
+  double const earned = std::max(0.0, slack - saved);
   return { .mRetriesPerRequest = kRetryBudgetFraction * mOptions.mRetryRatio,
-           .mMaxAvailable = slack / 2,
+           .mMaxAvailable = saved,
            .mRetriesPerSecond =
-             slack / 2 /
+             earned /
              std::chrono::duration<double>(mOptions.mRetryWindow).count() };
 }
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -70,6 +70,14 @@
   using test_gateway = gateway<platform::request_dialect>;
 
   void StartGateway(std::span<scripted_server* const> aServers)
+  {
+    std::vector<endpoint> addresses;
+    for (scripted_server* const server : aServers)
+      addresses.push_back(server->Address());
+    StartGatewayAt(addresses);
+  }
+
+  void StartGatewayAt(std::span<endpoint const> aServers)
   {
     std::shared_ptr<fleet_view> view = std::make_shared<fleet_view>();
     view->mConfig = std::make_shared<dispatch_config const>(
@@ -88,7 +96,7 @@
       view->mServers.push_back(
         { .mId = backend_server_id{ "s" + std::to_string(index) },
           .mPool = pool_name{ "p" },
-          .mAddress = aServers[index]->Address(),
+          .mAddress = aServers[index],
           .mSlots = 8 });
     view->mReadyInstances = { { .mAddress = mCallers } };
     mView.Publish(view);
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -64,6 +64,20 @@
   EXPECT_EQ(first.Requests().size() + second.Requests().size(), 2U);
 }
 
+// Guards against refusals while a part of a pool is down: a failed connection
+// is no arrival at a server, so neither the route's attempts nor the retry
+// budget limit the next try.
+TEST_F(TestGateway, RequestPassesOverServersThatRefuseConnections)
+{
+  scripted_server live{ { Answer("ok") } };
+  std::vector<endpoint> addresses;
+  for (int index = 0; index < 4; ++index)
+    addresses.push_back(FreeAddress());
+  addresses.push_back(live.Address());
+  StartGatewayAt(addresses);
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\nok"));
+}
+
 TEST_F(TestGateway, NonIdempotentRequestThatMayHaveRunIsNotRetried)
 {
   scripted_server first{ { "close", Answer("again") } };
--- a/Tests/LibGateway/TestRunDecisions.cpp
+++ b/Tests/LibGateway/TestRunDecisions.cpp
@@ -44,32 +44,41 @@
                          .mMaxAttempts = 2 };
   admitted_request mAdmitted{ .mRoute = &mRoute,
                               .mDeadline = kNow + milliseconds{ 500 } };
-  run_trace mTrace{ .mStartedAt = kNow, .mSends = 1 };
+  run_trace mTrace{ .mStartedAt = kNow,
+                    .mSends = 1,
+                    .mArrivals = 1,
+                    .mRuns = 1 };
 };
 
 TEST_F(TestRunLimits, RetriesIdempotentRequestWithinMaxAttempts)
 {
-  EXPECT_TRUE(MayRetry(mAdmitted, mTrace, kNow));
-  mTrace.mSends = 2;
-  EXPECT_FALSE(MayRetry(mAdmitted, mTrace, kNow));
-  mTrace.mSends = 1;
+  EXPECT_TRUE(MayRetry(mAdmitted, 1, kNow));
+  EXPECT_FALSE(MayRetry(mAdmitted, 2, kNow));
   mRoute.mKind = request_kind::NonIdempotent;
-  EXPECT_FALSE(MayRetry(mAdmitted, mTrace, kNow));
+  EXPECT_FALSE(MayRetry(mAdmitted, 1, kNow));
 }
 
 TEST_F(TestRunLimits, AllowsNoAttemptShortlyBeforeDeadline)
 {
   EXPECT_FALSE(IsTooLate(mAdmitted, kNow + milliseconds{ 490 }));
   EXPECT_TRUE(IsTooLate(mAdmitted, kNow + milliseconds{ 491 }));
-  EXPECT_FALSE(MayRetry(mAdmitted, mTrace, kNow + milliseconds{ 490 }));
+  EXPECT_FALSE(MayRetry(mAdmitted, 1, kNow + milliseconds{ 490 }));
 }
 
-TEST_F(TestRunLimits, AllowsTwoMoreSendsWhenNotRun)
+TEST_F(TestRunLimits, RequestThatDidNotRunMayReachTwoMoreServers)
 {
   mRoute.mKind = request_kind::NonIdempotent;
-  mTrace.mSends = 3;
+  mTrace = { .mStartedAt = kNow, .mSends = 3, .mArrivals = 3 };
   EXPECT_TRUE(MayTryAnotherServer(mAdmitted, mTrace));
-  mTrace.mSends = 4;
+  mTrace = { .mStartedAt = kNow, .mSends = 4, .mArrivals = 4 };
+  EXPECT_FALSE(MayTryAnotherServer(mAdmitted, mTrace));
+}
+
+TEST_F(TestRunLimits, FailedConnectionsAreNoArrivals)
+{
+  mTrace = { .mStartedAt = kNow, .mSends = 5 };
+  EXPECT_TRUE(MayTryAnotherServer(mAdmitted, mTrace));
+  mTrace = { .mStartedAt = kNow, .mSends = 6 };
   EXPECT_FALSE(MayTryAnotherServer(mAdmitted, mTrace));
 }
 
--- a/Tests/LibGateway/TestTrafficCore.cpp
+++ b/Tests/LibGateway/TestTrafficCore.cpp
@@ -51,5 +51,18 @@
   EXPECT_EQ(CountRetries(), 10);
 }
 
+// Guards against a large fleet without retries: with 95 instances the share of
+// the slack that one could save up was less than one retry, so none was ever
+// allowed, and every request that met a crashed engine was refused.
+TEST_F(TestTrafficCore, InstanceOfLargeFleetMayRetry)
+{
+  PublishInstances(300);
+  EXPECT_EQ(CountRetries(), 1);
+  constexpr int kRequestsForARetry = 7;
+  for (int request = 0; request < kRequestsForARetry; ++request)
+    mCore.OnFirstAttempt(kPool);
+  EXPECT_EQ(CountRetries(), 1);
+}
+
 }
 }
