LibDispatch+LibGateway: Fetch the longest prefix that any server holds

Cause: the index knew holders of whole shared prefixes only. After new weights were named, every engine read the first part of the prompts again, though many prompts share it, because the first prompt with any second part found no holder and an empty store.

Change: each shared prefix of a prompt has a key of its own, over all parts before it; the longest one that is known to be cached is fetched. A prefix counts as held from the first piece of the answer on, not from its end. Instances report a holder only when none was reported within the last second.

--- a/Libraries/LibDispatch/PrefixIndex.cpp
+++ b/Libraries/LibDispatch/PrefixIndex.cpp
@@ -10,6 +10,10 @@
 // this time.
 constexpr duration kCacheLifetime = std::chrono::seconds{ 3 };
 
+// A holder that is this fresh is not replaced. It is well below kCacheLifetime,
+// so that parts in constant use always have a known holder.
+constexpr duration kRecentTime = std::chrono::seconds{ 1 };
+
 // A part is copied to the KV cache store again well before the store, which
 // evicts the least recently used parts, is likely to have evicted it.
 constexpr duration kStoreInterval = std::chrono::seconds{ 20 };
@@ -42,6 +46,14 @@
   return found->second.mServer;
 }
 
+bool
+prefix_index::IsRecent(instant aNow, std::uint64_t aKey) const
+{
+  auto const found = mRecords.find(aKey);
+  return found != mRecords.end() &&
+         aNow - found->second.mServedAt <= kRecentTime;
+}
+
 bool
 prefix_index::IsStored(instant aNow, std::uint64_t aKey) const
 {
--- a/Libraries/LibDispatch/PrefixIndex.h
+++ b/Libraries/LibDispatch/PrefixIndex.h
@@ -28,6 +28,10 @@
     instant aNow,
     std::uint64_t aKey) const;
 
+  /// True when a server has processed the part so recently that another holder
+  /// would be no better.
+  [[nodiscard]] bool IsRecent(instant aNow, std::uint64_t aKey) const;
+
   /// True when the KV cache store received the part recently enough to still
   /// have it.
   [[nodiscard]] bool IsStored(instant aNow, std::uint64_t aKey) const;
--- a/Libraries/LibGateway/AttemptRequest.h
+++ b/Libraries/LibGateway/AttemptRequest.h
@@ -4,8 +4,8 @@
 #include <LibDispatch/PrefixHolder.h>
 
 #include <memory>
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -19,8 +19,9 @@
   /// Tokens of the prompt and of the longest possible answer, which occupy the
   /// server's memory.
   token_count mTokens = 0;
-  /// The shared prompt prefix that the server holds once it has answered.
-  std::optional<prefix_holder> mPrefix;
+  /// The shared prompt prefixes that the server holds once it has read the
+  /// prompt.
+  std::vector<prefix_holder> mPrefixes;
 };
 
 }
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -1,10 +1,12 @@
 #include <LibDispatch/ChooseCacheStore.h>
 #include <LibDispatch/ChooseServer.h>
+#include <LibDispatch/PrefixKeys.h>
 #include <LibGateway/PlanSend.h>
 
 #include <xxhash.h>
 
 #include <algorithm>
+#include <ranges>
 
 namespace lycheeseam {
 
@@ -15,10 +17,6 @@
 constexpr std::uint32_t kRoutePriorityLevels = 3;
 constexpr std::uint32_t kLowestPriority = 9;
 
-// An engine reads fewer tokens than this in less time than a transfer waits for
-// the links of both ends.
-constexpr token_count kMinFetchedTokens = 1'000;
-
 std::uint64_t
 Hash(std::string_view aText, std::uint64_t aSeed)
 {
@@ -47,39 +45,47 @@
   return store == nullptr ? std::nullopt : std::optional{ store->mAddress };
 }
 
-// Hash of the request's shared prompt prefix within its cache scope.
-std::optional<std::uint64_t>
-CacheKey(send_parameters const& aParameters,
-         request_properties const& aProperties)
+// The address of a server from which aServer can fetch what it caches, or
+// nothing.
+std::optional<endpoint>
+HolderAddress(traffic_core& aCore,
+              server_choice_request const& aChoiceRequest,
+              tracked_server const& aServer,
+              backend_server_id const& aHolder)
 {
-  prompt_part const* const shared = aProperties.SharedPart();
-  if (shared == nullptr)
-    return std::nullopt;
-  return Hash(shared->mId, Hash(aParameters.mCacheScope, 0));
+  std::shared_ptr<tracked_server> const known = aCore.Servers().Find(aHolder);
+  bool const isUsable =
+    known && !known->mIsUpdating &&
+    known->mBreaker.State(aChoiceRequest.mNow) == breaker_state::Closed &&
+    known->mRegistered.VersionOf(aChoiceRequest.mModel) ==
+      aServer.mRegistered.VersionOf(aChoiceRequest.mModel);
+  return isUsable ? std::optional{ known->mRegistered.mAddress } : std::nullopt;
 }
 
 // Where the server fetches the cached parts of the prompt that it lacks, if
-// anywhere.
+// anywhere: the longest prefix that is known to be cached somewhere counts.
 std::optional<endpoint>
 FetchSource(traffic_core& aCore,
             server_choice_request const& aChoiceRequest,
             tracked_server const& aServer,
-            std::uint64_t aKey,
+            std::span<std::uint64_t const> aKeys,
             std::optional<endpoint> const& aStore)
 {
-  std::optional<backend_server_id> const holder =
-    aCore.Prefixes().Holder(aChoiceRequest.mNow, aKey);
-  // The server may have evicted a part of the prefix that it read, which only
-  // the store can supply; parts that it still has are not transferred.
-  if (holder == aServer.mRegistered.mId)
-    return aStore;
-  if (holder) {
-    std::shared_ptr<tracked_server> const known = aCore.Servers().Find(*holder);
-    if (known && !known->mIsUpdating &&
-        known->mBreaker.State(aChoiceRequest.mNow) == breaker_state::Closed &&
-        known->mRegistered.VersionOf(aChoiceRequest.mModel) ==
-          aServer.mRegistered.VersionOf(aChoiceRequest.mModel))
-      return known->mRegistered.mAddress;
+  instant const now = aChoiceRequest.mNow;
+  for (std::uint64_t const key : aKeys | std::views::reverse) {
+    std::optional<backend_server_id> const holder =
+      aCore.Prefixes().Holder(now, key);
+    // The server may have evicted a part of the prefix that it read, which only
+    // the store can supply; parts that it still has are not transferred.
+    if (holder == aServer.mRegistered.mId)
+      return aStore;
+    std::optional<endpoint> const address =
+      holder ? HolderAddress(aCore, aChoiceRequest, aServer, *holder)
+             : std::nullopt;
+    if (address)
+      return address;
+    if (aStore && aCore.Prefixes().IsStored(now, key))
+      return aStore;
   }
   if (aStore)
     return aStore;
@@ -195,31 +201,31 @@
   parameters.mCacheScope = "v" + std::to_string(version);
   if (workspace != nullptr && workspace->mIsIsolated)
     parameters.mCacheScope += "/" + workspace->mName.Text();
-  std::optional<std::uint64_t> const key = CacheKey(parameters, aProperties);
-  if (!key || aProperties.SharedTokens() < kMinFetchedTokens)
+  parameters.mPrefixKeys =
+    PrefixKeys(aProperties.mParts, parameters.mCacheScope);
+  if (parameters.mPrefixKeys.empty())
     return parameters;
+  std::uint64_t const longest = parameters.mPrefixKeys.back();
   std::optional<endpoint> const store =
-    CacheStoreOf(aCore, aChoiceRequest.mNow, *key);
-  bool const isStored = aCore.Prefixes().IsStored(aChoiceRequest.mNow, *key);
+    CacheStoreOf(aCore, aChoiceRequest.mNow, longest);
   parameters.mFetchFrom =
-    FetchSource(aCore, aChoiceRequest, aServer, *key, store);
-  if (store && !isStored) {
+    FetchSource(aCore, aChoiceRequest, aServer, parameters.mPrefixKeys, store);
+  if (store && !aCore.Prefixes().IsStored(aChoiceRequest.mNow, longest)) {
     parameters.mSaveTo = store;
-    aCore.Prefixes().OnStored(aChoiceRequest.mNow, *key);
+    aCore.Prefixes().OnStored(aChoiceRequest.mNow, longest);
   }
   return parameters;
 }
 
-std::optional<prefix_holder>
-MakePrefixHolder(send_parameters const& aParameters,
-                 request_properties const& aProperties)
+std::vector<prefix_holder>
+MakePrefixHolders(send_parameters const& aParameters)
 {
-  std::optional<std::uint64_t> const key = CacheKey(aParameters, aProperties);
-  if (!key)
-    return std::nullopt;
-  return prefix_holder{ .mKey = *key,
-                        .mServer = aParameters.mServer,
-                        .mIsStored = aParameters.mSaveTo.has_value() };
+  std::vector<prefix_holder> holders;
+  for (std::uint64_t const key : aParameters.mPrefixKeys)
+    holders.push_back({ .mKey = key, .mServer = aParameters.mServer });
+  if (!holders.empty())
+    holders.back().mIsStored = aParameters.mSaveTo.has_value();
+  return holders;
 }
 
 }
--- a/Libraries/LibGateway/PlanSend.h
+++ b/Libraries/LibGateway/PlanSend.h
@@ -63,10 +63,9 @@
          request_properties const& aProperties,
          std::optional<std::uint64_t> aLastEventId);
 
-/// The shared prompt prefix that the server holds once it has answered; nothing
-/// when the request shares none.
-std::optional<prefix_holder>
-MakePrefixHolder(send_parameters const& aParameters,
-                 request_properties const& aProperties);
+/// The shared prompt prefixes that the server holds once it has read the
+/// prompt.
+std::vector<prefix_holder>
+MakePrefixHolders(send_parameters const& aParameters);
 
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -106,8 +106,10 @@
   {
     if (mAttempt.Outcome() != attempt_outcome::Accepted)
       return mAttempt.ReadNext();
-    if (!mTrace.mFirstPieceAt)
+    if (!mTrace.mFirstPieceAt) {
       mTrace.mFirstPieceAt = mClock.Now();
+      mAttempt.OnPromptRead(*mTrace.mFirstPieceAt);
+    }
     mAnswer.RelayPiece(*mCaller, aPiece);
     if (!mAttempt.IsOpen())
       return;
@@ -265,7 +267,6 @@
   void Finish()
   {
     mCore.Crashes().OnAnswer(mAdmitted.mFingerprint);
-    mAttempt.OnAnswered(mClock.Now());
     mAttempt.End();
     mEvents.OnAnswer(
       mClock.Now(), mAttempt.Server().mRegistered.mId, mAnswer.Status());
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -82,7 +82,7 @@
              .mBody = mBody,
              .mAnswerHasBody = mHead.mMethod != "HEAD",
              .mTokens = RequestTokens(mProperties),
-             .mPrefix = MakePrefixHolder(parameters, mProperties) };
+             .mPrefixes = MakePrefixHolders(parameters) };
   }
 
 private:
--- a/Libraries/LibGateway/SendParameters.h
+++ b/Libraries/LibGateway/SendParameters.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -26,6 +27,9 @@
   /// Cached prompt parts are shared only within one scope; empty for requests
   /// without a model.
   std::string mCacheScope;
+  /// Keys of the prompt's shared prefixes in that scope, from the shortest to
+  /// the longest.
+  std::vector<std::uint64_t> mPrefixKeys;
   /// Where the server fetches cached prompt parts that it lacks.
   std::optional<endpoint> mFetchFrom;
   /// Where the server saves the prompt's cached parts once it has read the
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -31,7 +32,7 @@
   {
     mServer = std::move(aServer);
     mTokens = aRequest.mTokens;
-    mPrefix = std::move(aRequest.mPrefix);
+    mPrefixes = std::move(aRequest.mPrefixes);
     mOutcome = attempt_outcome::Pending;
     mServer->OnStart(mTokens);
     // A local copy, because the sink may begin the next attempt while this one
@@ -88,11 +89,12 @@
     mCore.Connections().CloseIdle(mServer->mRegistered.mId);
   }
 
-  /// The complete answer was received.
-  void OnAnswered(instant aNow)
+  /// The first piece of the answer was received: the server has read the
+  /// prompt.
+  void OnPromptRead(instant aNow)
   {
-    if (mPrefix)
-      mCore.OnPrefixRead(aNow, *mPrefix);
+    for (prefix_holder const& prefix : std::exchange(mPrefixes, {}))
+      mCore.OnPrefixRead(aNow, prefix);
   }
 
   [[nodiscard]] bool IsOpen() const noexcept { return mExchange != nullptr; }
@@ -125,7 +127,7 @@
   std::shared_ptr<tracked_server> mServer;
   std::shared_ptr<server_exchange<Sink>> mExchange;
   token_count mTokens = 0;
-  std::optional<prefix_holder> mPrefix;
+  std::vector<prefix_holder> mPrefixes;
   attempt_outcome mOutcome = attempt_outcome::Pending;
 };
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -106,8 +106,11 @@
 void
 traffic_core::OnPrefixRead(instant aNow, prefix_holder const& aHolder)
 {
+  bool const isKnown =
+    !aHolder.mIsStored && mPrefixes.IsRecent(aNow, aHolder.mKey);
   mPrefixes.OnServed(aNow, aHolder);
-  mReport.mHolders.push_back(aHolder);
+  if (!isKnown)
+    mReport.mHolders.push_back(aHolder);
 }
 
 void
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -64,7 +64,8 @@
   /// Another server answered at the address of aServer.
   void OnReplaced(tracked_server& aServer);
 
-  /// A server read a shared prompt prefix.
+  /// A server read a shared prompt prefix. Other instances are told unless they
+  /// have just been told of another server that holds it.
   void OnPrefixRead(instant aNow, prefix_holder const& aHolder);
 
   /// Takes over what another instance observed.
--- /dev/null
+++ b/Tests/LibGateway/TestPlanSend.cpp
@@ -0,0 +1,131 @@
+#include <LibGateway/PlanSend.h>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace lycheeseam {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instant const kNow{ seconds{ 100 } };
+model_name const kModel{ "m" };
+endpoint const kStore{ .mAddress = "10.0.9.1", .mPort = 8603 };
+
+endpoint
+ServerAddress(int aIndex)
+{
+  return { .mAddress = "10.0.0." + std::to_string(aIndex), .mPort = 80 };
+}
+
+backend_server_id
+ServerId(int aIndex)
+{
+  return backend_server_id{ "s" + std::to_string(aIndex) };
+}
+
+/// A pool of three engines with a store of KV cache.
+class TestPlanSend : public testing::Test
+{
+protected:
+  TestPlanSend()
+  {
+    std::shared_ptr<fleet_view> view = std::make_shared<fleet_view>();
+    view->mConfig = std::make_shared<dispatch_config const>(
+      1,
+      std::vector<dispatch_route>{},
+      std::vector<dispatch_pool>{
+        { .mName = pool_name{ "p" } },
+        { .mName = pool_name{ "store" }, .mCacheStore = kStore } },
+      std::vector<dispatch_workspace>{},
+      caller_limits{});
+    for (int index = 0; index < 3; ++index)
+      view->mServers.push_back(
+        { .mId = ServerId(index),
+          .mPool = pool_name{ "p" },
+          .mAddress = ServerAddress(index),
+          .mModels = { { .mModel = kModel, .mVersion = 1 } } });
+    mView.Publish(view);
+    mCore.View(kNow);
+  }
+
+  static request_properties Properties(std::string const& aSecondPart)
+  {
+    return { .mId = request_id{ "r" },
+             .mModel = kModel,
+             .mPromptTokens = 9'200,
+             .mParts = {
+               { "a", 2'500 }, { aSecondPart, 3'800 }, { "own", 2'900 } } };
+  }
+
+  send_parameters Plan(int aServer,
+                       request_properties const& aProperties,
+                       instant aNow = kNow)
+  {
+    std::shared_ptr<tracked_server> const server =
+      mCore.Servers().Find(ServerId(aServer));
+    return PlanSend(mCore,
+                    { .mNow = aNow, .mModel = kModel },
+                    *server,
+                    { .mRoute = &mRoute, .mDeadline = aNow + seconds{ 5 } },
+                    aProperties,
+                    std::nullopt);
+  }
+
+  // A server has read a prompt.
+  void Read(int aServer, request_properties const& aProperties)
+  {
+    for (prefix_holder const& held :
+         MakePrefixHolders(Plan(aServer, aProperties)))
+      mCore.OnPrefixRead(kNow, held);
+  }
+
+  gateway_options mOptions;
+  dispatch_route mRoute;
+  published<fleet_view> mView{ std::make_shared<fleet_view const>() };
+  traffic_core mCore{ mOptions, mView };
+};
+
+TEST_F(TestPlanSend, FetchesFromTheHolderOfTheWholePrefix)
+{
+  Read(0, Properties("b"));
+  EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, ServerAddress(0));
+}
+
+// Guards against a first part that each engine reads again under each new
+// version of the weights: requests share it, but an index of whole prefixes
+// finds it only behind the same second part.
+TEST_F(TestPlanSend, FetchesFromTheHolderOfAShorterPrefix)
+{
+  Read(0, Properties("b"));
+  EXPECT_EQ(Plan(1, Properties("c")).mFetchFrom, ServerAddress(0));
+}
+
+TEST_F(TestPlanSend, FetchesFromTheStoreWhenNoHolderIsKnown)
+{
+  EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, kStore);
+  Read(0, Properties("b"));
+  EXPECT_EQ(Plan(1, Properties("b"), kNow + seconds{ 15 }).mFetchFrom, kStore);
+}
+
+TEST_F(TestPlanSend, DoesNotFetchFromAHolderThatFails)
+{
+  Read(0, Properties("b"));
+  mCore.Servers().Find(ServerId(0))->mBreaker.OnUnreachable(kNow);
+  EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, kStore);
+}
+
+TEST_F(TestPlanSend, HolderOfAPartInUseIsReportedOnce)
+{
+  Read(0, Properties("b"));
+  Read(1, Properties("b"));
+  // Two prefixes, of which only the first send was saved to the store.
+  EXPECT_EQ(mCore.TakeReport(kNow).mHolders.size(), 2U);
+}
+
+}
+}
