LibDispatch: Keep a part of the quota window for small requests

Change: while less than half of the limit is left, large requests leave room for what small ones are likely to ask for until the window ends, at most a quarter of the limit. A workspace without small requests uses the whole limit.

--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -5,12 +5,34 @@
 
 namespace lycheeseam {
 
+namespace {
+
+// A request counts as small when its units are at most this part of the limit:
+// of a limit of a million tokens, chats and lookups are small and prompts with
+// a long shared prefix aren't.
+constexpr double kSmallPart = 0.002;
+
+// The most of the limit that is kept for small requests, and only while less
+// than kNearLimit of it is left.
+constexpr double kSmallRequestShare = 0.25;
+constexpr double kNearLimit = 0.5;
+
+bool
+IsSmall(double aUnits, double aLimit)
+{
+  return aUnits <= kSmallPart * aLimit;
+}
+
+}
+
 quota_limiter::account&
 quota_limiter::Find(workspace_id const& aWorkspace)
 {
   return mAccounts
-    .try_emplace(aWorkspace,
-                 account{ .mWindow = quota_window{ mParameters.mWindow } })
+    .try_emplace(
+      aWorkspace,
+      account{ .mWindow = quota_window{ mParameters.mWindow },
+               .mSmallAdmitted = quota_window{ mParameters.mWindow } })
     .first->second;
 }
 
@@ -74,6 +96,7 @@
   if (!mStartedAt && aView.mConfig)
     mStartedAt = aNow;
   mReportDelay = aView.mReportDelay;
+  mInstances = aView.mInstances;
   mAvailableShare =
     static_cast<double>(aView.mInstances - aView.mUnresponsiveInstances) /
     aView.mInstances;
@@ -114,30 +137,63 @@
   return Find(aWorkspace).mWindow.Sum(aNow);
 }
 
+// Small requests keep what they are likely to ask for until the window that
+// they began to fill ends, and never less than the demand of a second.
+double
+quota_limiter::ReserveForSmall(instant aNow, account& aAccount) const
+{
+  double const perSecond = aAccount.mSmallDemand.Sum(aNow);
+  double const perWindow =
+    perSecond * std::chrono::duration<double>(mParameters.mWindow).count();
+  double const expected = perWindow - aAccount.mSmallAdmitted.Sum(aNow);
+  return std::max(perSecond, expected) * mInstances;
+}
+
+double
+quota_limiter::UsableHeadroom(instant aNow,
+                              account& aAccount,
+                              double aLimit,
+                              double aUnits) const
+{
+  double const headroom = aLimit - aAccount.mWindow.Sum(aNow);
+  if (IsSmall(aUnits, aLimit) || headroom > kNearLimit * aLimit)
+    return headroom;
+  return headroom -
+         std::min(kSmallRequestShare * aLimit, ReserveForSmall(aNow, aAccount));
+}
+
 bool
 quota_limiter::TryCharge(instant aNow,
                          dispatch_workspace const& aWorkspace,
                          double aUnits)
 {
   account& found = FindInitialized(aNow, aWorkspace);
+  double const limit = Limit(aWorkspace);
+  bool const isSmall = IsSmall(aUnits, limit);
   found.mDemand += aUnits;
   found.mRecentDemand.Add(aNow, aUnits);
+  if (isSmall)
+    found.mSmallDemand.Add(aNow, aUnits);
   bool const isLimited = aWorkspace.mRate > 0;
-  double const headroom = Limit(aWorkspace) - found.mWindow.Sum(aNow);
-  if (isLimited && (aUnits > headroom || !IsSampled(aNow, found, headroom)))
+  double const headroom = UsableHeadroom(aNow, found, limit, aUnits);
+  double const demand = isSmall ? found.mSmallDemand.Sum(aNow) * mInstances
+                                : found.mRecentDemand.Sum(aNow);
+  if (isLimited && (aUnits > headroom || !IsSampled(demand, headroom)))
     return false;
   found.mWindow.Add(aNow, aUnits);
+  if (isSmall)
+    found.mSmallAdmitted.Add(aNow, aUnits);
   found.mUsage += aUnits;
   return true;
 }
 
 bool
-quota_limiter::IsSampled(instant aNow, account& aAccount, double aHeadroom)
+quota_limiter::IsSampled(double aRecentDemand, double aHeadroom)
 {
   double const delayRatio =
     std::chrono::duration<double>(mReportDelay) / kDemandTime;
   // Units requested from all instances since their latest reports.
-  double const unreported = aAccount.mRecentDemand.Sum(aNow) * delayRatio;
+  double const unreported = aRecentDemand * delayRatio;
   return unreported <= aHeadroom || std::uniform_real_distribution<double>{}(
                                       mRandom)*unreported < aHeadroom;
 }
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -28,6 +28,9 @@
 /// Reports of other instances are delayed. While the demand on all instances
 /// during this delay exceeds what the window has left, each instance admits a
 /// random sample of its requests, so that together they just fill the window.
+///
+/// Near the limit, part of the headroom is kept for small requests as far as
+/// the workspace sends any: a large prompt takes the units of many of them.
 class quota_limiter
 {
 public:
@@ -76,6 +79,10 @@
   {
     quota_window mWindow;
     quota_window mRecentDemand{ kDemandTime };
+    /// The part of it that small requests asked this instance for.
+    quota_window mSmallDemand{ kDemandTime };
+    /// What this instance admitted of small requests.
+    quota_window mSmallAdmitted;
     /// Admitted by this instance since its start, in units.
     double mUsage = 0;
     /// Requested from this instance since its start, admitted or not, in units.
@@ -103,17 +110,23 @@
   /// Raises the windows to the usage that other instances count.
   void RaiseToWindowUsage(instant aNow,
                           std::vector<workspace_usage> const& aUsage);
+  /// The units to keep for the small requests of all instances.
+  [[nodiscard]] double ReserveForSmall(instant aNow, account& aAccount) const;
+  /// The part of the headroom that a request of aUnits may use.
+  [[nodiscard]] double UsableHeadroom(instant aNow,
+                                      account& aAccount,
+                                      double aLimit,
+                                      double aUnits) const;
   /// Decides at random whether to admit a request; true when the headroom
   /// covers the demand that reports don't show yet.
-  [[nodiscard]] bool IsSampled(instant aNow,
-                               account& aAccount,
-                               double aHeadroom);
+  [[nodiscard]] bool IsSampled(double aRecentDemand, double aHeadroom);
   account& FindInitialized(instant aNow, dispatch_workspace const& aWorkspace);
 
   quota_parameters mParameters;
   accounts mAccounts;
   /// When this instance began to count.
   std::optional<instant> mStartedAt;
+  std::uint32_t mInstances = 1;
   /// The part of the limits that isn't set aside for unresponsive instances,
   /// from 0 to 1.
   double mAvailableShare = 1.0;
--- a/Tests/LibDispatch/TestQuotaLimiter.cpp
+++ b/Tests/LibDispatch/TestQuotaLimiter.cpp
@@ -145,6 +145,39 @@
   EXPECT_NEAR(limiter.Used(At(kWindow / 2), kWorkspace.mName), 400, 30);
 }
 
+// Guards against lookups and chats that are refused because prompts with long
+// prefixes use up the window: on trouble-3 of the further site a workspace that
+// sent five times its usual got 22 of 100 lookups refused, each of which costs
+// a fortieth of a prompt.
+TEST(TestQuotaLimiter, SmallRequestsAreAdmittedWhileLargeOnesExceedTheLimit)
+{
+  quota_limiter limiter = SettledLimiter(View(1, 0));
+  int refused = 0;
+  double admitted = 0;
+  int index = 0;
+  for (duration at{}; at < 4 * kWindow; at += milliseconds{ 10 }, ++index) {
+    // 300 units a second in large requests, 20 in small ones.
+    if (index % 10 == 0 && limiter.TryCharge(At(at), kWorkspace, 30))
+      admitted += 30;
+    if (limiter.TryCharge(At(at), kWorkspace, 0.2))
+      admitted += 0.2;
+    else
+      ++refused;
+    EXPECT_LE(limiter.Used(At(at), kWorkspace.mName), kLimit + 0.01);
+  }
+  EXPECT_EQ(refused, 0);
+  EXPECT_GE(admitted, 0.9 * 4 * kLimit);
+}
+
+TEST(TestQuotaLimiter, LargeRequestsMayUseTheWholeLimitWithoutSmallOnes)
+{
+  quota_limiter limiter = SettledLimiter(View(1, 0));
+  double charged = 0;
+  while (limiter.TryCharge(At({}), kWorkspace, 50))
+    charged += 50;
+  EXPECT_EQ(charged, kLimit);
+}
+
 // Simulates 40 instances for 20 s that exchange their usage every 0.4 s.
 class quota_fleet
 {
