LibGateway: Don't trust what servers send, and answer all that a stop finds

- A late copy of an answer without a request id was taken for the next answer on a reused connection; such answers are rejected now, refusals too.
The client for the store and for orders took an idle connection with unread bytes.
- Bodies that no caller gets were read to their end, and an event without end filled the memory: both are bounded now (64 KiB or 100 ms, 256 KiB), and so are interim answers.
The request goes to another server where it may.
- A planned stop reset idle connections on which a request had arrived, and connections that the kernel had accepted; they are served now.
Requests that still run when the stop time ends get a final answer.
- A caller that didn't read its complete answer kept its connection for good.
- An error in one handler ended the process; it ends that handler's work now, and listeners and ticks are armed before anything that may throw.
- Numbers in heads are bounded, so that sums and times can't overflow into negative charges.

--- a/Libraries/LibControl/ControlThread.h
+++ b/Libraries/LibControl/ControlThread.h
@@ -26,6 +26,8 @@
   void Stop();
 
 private:
+  void Run();
+
   boost::asio::io_context mContext{ 1 };
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mWork;
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -150,6 +150,12 @@
 
   void Tick()
   {
+    // Armed first, so that an error below doesn't end the ticks.
+    mTimer.expires_after(kTickInterval);
+    mTimer.async_wait([this](boost::system::error_code aFault) {
+      if (!aFault)
+        Tick();
+    });
     instant const now = mClock.Now();
     mRegistration.Tick(now);
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
@@ -168,11 +174,6 @@
     if (haveServersExpired || haveUpdatesChanged)
       Publish();
     mMetrics.Tick(now, mView, mOrderDriver.Lease());
-    mTimer.expires_after(kTickInterval);
-    mTimer.async_wait([this](boost::system::error_code aFault) {
-      if (!aFault)
-        Tick();
-    });
   }
 
   // True while this instance reads the store for the others.
--- a/Libraries/LibGateway/AnswerRelay.h
+++ b/Libraries/LibGateway/AnswerRelay.h
@@ -73,6 +73,13 @@
     mEvents.DropPartial();
   }
 
+  /// True when an event has grown so large that the stream is no stream of
+  /// events.
+  [[nodiscard]] bool IsEventTooLarge() const noexcept
+  {
+    return mEvents.PartialBytes() > kMaxEventBytes;
+  }
+
   /// True once the caller has been sent the head of an answer.
   [[nodiscard]] bool IsHeadSent() const noexcept { return mIsHeadSent; }
 
@@ -95,6 +102,9 @@
 private:
   // Small enough to buffer for every request that runs at once.
   static constexpr std::uint64_t kMaxBufferedBytes = 65'536;
+  // An event holds some tokens; without a limit, a server that never ends one
+  // would use up the memory.
+  static constexpr std::size_t kMaxEventBytes = 262'144;
 
   template<typename Caller>
   void SendHead(Caller& aCaller)
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -59,13 +59,13 @@
 
   void SendEnd()
   {
-    mIsAnswered = true;
+    MarkAnswered();
     Write(mFormat.End());
   }
 
   void SendCompleteAnswer(answer_head const& aHead, std::string_view aBody)
   {
-    mIsAnswered = true;
+    MarkAnswered();
     Write(mFormat.CompleteAnswer(aHead, aBody, Use()));
   }
 
@@ -81,10 +81,25 @@
     return mOut.Pending() > kCongestedBytes;
   }
 
-  /// True while a request is being read or answered.
-  [[nodiscard]] bool IsBusy() const noexcept
+  /// True while a request is being read or answered, or may have been sent and
+  /// not been read yet.
+  [[nodiscard]] bool IsBusy()
   {
-    return mRun != nullptr || mOut.IsWriting() || mBuffer.size() > 0;
+    if (mRun != nullptr || mOut.IsWriting() || mBuffer.size() > 0)
+      return true;
+    if (mIsClosed || !mSocket.is_open())
+      return false;
+    bool const isNew =
+      mRequests == 0 && mClock.Now() - mOpenedAt < kFirstRequestTime;
+    error_code fault;
+    return isNew || mSocket.available(fault) > 0;
+  }
+
+  /// Gives a running request its final answer now.
+  void EndRequest()
+  {
+    if (std::shared_ptr<run> const running = mRun)
+      running->EndNow();
   }
 
   void Close()
@@ -110,9 +125,25 @@
   // Longer than any request's time limit: a body that takes this long to arrive
   // is abandoned.
   static constexpr std::chrono::seconds kBodyTimeout{ 15 };
+  // How long a caller may take to read the rest of a complete answer.
+  static constexpr std::chrono::seconds kWriteTimeout{ 15 };
+  // A caller that opens a connection sends its request at once.
+  static constexpr std::chrono::milliseconds kFirstRequestTime{ 500 };
   // How long a closing connection waits for the caller to close its end.
   static constexpr std::chrono::seconds kLingerTime{ 1 };
 
+  // The answer is complete; closes the connection of a caller that doesn't read
+  // it.
+  void MarkAnswered()
+  {
+    mIsAnswered = true;
+    mTimer.expires_after(kWriteTimeout);
+    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
+      if (!aFault && self->mIsAnswered)
+        self->Close();
+    });
+  }
+
   // Closes a connection that has begun a head but not completed it when the
   // header timeout ends, or that has sent nothing for the idle timeout.
   void WatchIdle(caller_limits const& aLimits)
@@ -289,6 +320,7 @@
   std::optional<
     boost::beast::http::request_parser<boost::beast::http::string_body>>
     mParser;
+  instant mOpenedAt = mClock.Now();
   instant mIdleSince{};
   std::shared_ptr<run> mRun;
   std::uint64_t mRequests = 0;
--- a/Libraries/LibGateway/ConnectionPool.cpp
+++ b/Libraries/LibGateway/ConnectionPool.cpp
@@ -1,26 +1,10 @@
 #include <LibGateway/ConnectionPool.h>
-
-#include <sys/socket.h>
+#include <LibHttp/IsConnectionIdle.h>
 
 #include <utility>
 
 namespace lycheeseam {
 
-namespace {
-
-// A server sends nothing on an idle connection: after an end of stream, a reset
-// or bytes that belong to no request, the connection can't be reused.
-bool
-IsStillIdle(boost::asio::ip::tcp::socket& aSocket)
-{
-  char byte = 0;
-  return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
-           0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}
-
 std::shared_ptr<connection_pool::tcp::socket>
 connection_pool::Acquire(instant aNow, registered_server const& aServer)
 {
@@ -32,7 +16,7 @@
   while (!idle.empty()) {
     idle_connection connection = std::move(idle.back());
     idle.pop_back();
-    if (aNow < connection.mUsableUntil && IsStillIdle(*connection.mSocket))
+    if (aNow < connection.mUsableUntil && IsConnectionIdle(*connection.mSocket))
       return std::move(connection.mSocket);
   }
   return nullptr;
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -28,6 +28,12 @@
   /// True when no partial event is kept.
   [[nodiscard]] bool IsAtEventEnd() const noexcept { return mPartial.empty(); }
 
+  /// The bytes kept of a partial event.
+  [[nodiscard]] std::size_t PartialBytes() const noexcept
+  {
+    return mPartial.size();
+  }
+
   /// The last numeric id in the complete events; nothing when none had one.
   [[nodiscard]] std::optional<std::uint64_t> LastId() const noexcept
   {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -46,11 +46,7 @@
 
   /// Begins a planned stop: still serves requests, but reports the instance as
   /// not ready and closes each caller's connection after its answer.
-  void StartDraining()
-  {
-    mCore.SetDraining();
-    CloseIdle();
-  }
+  void StartDraining() { mCore.SetDraining(); }
 
   /// Stops accepting callers; running requests continue.
   void Close()
@@ -59,6 +55,13 @@
     CloseIdle();
   }
 
+  /// Gives all running requests their final answers now.
+  void EndRequests()
+  {
+    for (auto const& session : mCallers.Sessions())
+      session->EndRequest();
+  }
+
   /// True when no request is being answered.
   [[nodiscard]] bool IsIdle()
   {
@@ -95,9 +98,10 @@
     mTimer.async_wait([this](boost::system::error_code aFault) {
       if (aFault)
         return;
+      // Armed first, so that an error below doesn't end the ticks.
+      Tick();
       mCore.Prune(mClock.Now());
       mHandler(mCore.TakeReport(mClock.Now()));
-      Tick();
     });
   }
 
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -76,6 +76,9 @@
     MarkDone();
   }
 
+  /// Gives the request its final answer now, because the instance stops.
+  void EndNow() { OnDeadline(); }
+
   /// Continues a paused answer: all that the caller was sent is written.
   void OnDrained()
   {
@@ -86,9 +89,11 @@
   answer_use OnExchangeHead(answer_head const& aHead)
   {
     server_answer const answer = Dialect::ReadAnswer(aHead);
-    mTrace.mStatus = aHead.mStatus;
     if (answer.mRequest && *answer.mRequest != mTrace.mRequest)
       return answer_use::Skip;
+    if (IsUnidentified(answer))
+      return answer_use::Reject;
+    mTrace.mStatus = aHead.mStatus;
     mCore.OnAnswer(
       mClock.Now(), mAttempt.Server(), mSender.Properties().mModel, answer);
     bool const isReplaceable =
@@ -96,16 +101,11 @@
       (mAnswer.IsHeadSent() ||
        MayRetry(mAdmitted, mTrace.mRuns + 1, mClock.Now()));
     mAttempt.SetOutcome(JudgeAnswer(aHead, answer, isReplaceable));
-    bool const isStream = mAdmitted.mRoute->mKind == request_kind::Stream;
-    if (mAttempt.Outcome() == attempt_outcome::Accepted)
-      mAnswer.Begin(*mCaller, aHead, isStream && aHead.IsSuccess());
-    return answer_use::Accept;
+    return UseAnswer(aHead);
   }
 
   void OnExchangePiece(std::string_view aPiece)
   {
-    if (mAttempt.Outcome() != attempt_outcome::Accepted)
-      return mAttempt.ReadNext();
     if (!mTrace.mFirstPieceAt) {
       mTrace.mFirstPieceAt = mClock.Now();
       mAttempt.OnPromptRead(*mTrace.mFirstPieceAt);
@@ -113,6 +113,8 @@
     mAnswer.RelayPiece(*mCaller, aPiece);
     if (!mAttempt.IsOpen())
       return;
+    if (mAnswer.IsEventTooLarge())
+      return OnAnswerBroken(exchange_end::Broken);
     mWaitsForCaller = mCaller->IsCongested();
     if (!mWaitsForCaller)
       mAttempt.ReadNext();
@@ -147,6 +149,33 @@
   // How often the request looks for a server with free capacity.
   static constexpr std::chrono::milliseconds kCapacityCheckInterval{ 15 };
 
+  // A late copy of an earlier answer carries the id of its own request. On a
+  // connection that was used before, an answer without an id may be one as
+  // well.
+  [[nodiscard]] bool IsUnidentified(server_answer const& aAnswer) const
+  {
+    return !aAnswer.mRequest && mAttempt.IsOnReusedConnection();
+  }
+
+  answer_use UseAnswer(answer_head const& aHead)
+  {
+    switch (mAttempt.Outcome()) {
+      case attempt_outcome::Accepted:
+        mAnswer.Begin(*mCaller,
+                      aHead,
+                      mAdmitted.mRoute->mKind == request_kind::Stream &&
+                        aHead.IsSuccess());
+        return answer_use::Accept;
+      case attempt_outcome::NotRun:
+      case attempt_outcome::Failed:
+        return answer_use::Discard;
+      case attempt_outcome::Invalid:
+      case attempt_outcome::Pending:
+        return answer_use::Reject;
+    }
+    return answer_use::Reject;
+  }
+
   void ArmDeadline()
   {
     mTimer.expires_after(mAdmitted.mDeadline - mTrace.mStartedAt);
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -105,6 +105,12 @@
     return mExchange != nullptr && mExchange->IsSent();
   }
 
+  /// True when bytes of an answer to an earlier request may arrive.
+  [[nodiscard]] bool IsOnReusedConnection() const
+  {
+    return mExchange != nullptr && mExchange->IsReused();
+  }
+
   /// The server of the latest attempt.
   [[nodiscard]] tracked_server& Server() const { return *mServer; }
 
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -16,6 +16,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <memory>
@@ -30,7 +31,8 @@
 /// traffic thread.
 ///
 /// Sink has OnExchangeHead(answer_head const&) -> answer_use,
-/// OnExchangePiece(std::string_view) and OnExchangeEnd(exchange_end). After a
+/// OnExchangePiece(std::string_view) and OnExchangeEnd(exchange_end). Only an
+/// accepted answer has pieces. After a
 /// piece nothing more is read until ReadNext is called, so a slow caller slows
 /// its server down. After Cancel the sink is not called any more.
 template<typename Sink>
@@ -61,6 +63,7 @@
     mBody = std::move(aBody);
     mAnswerHasBody = aAnswerHasBody;
     mSocket = mPool.Acquire(mClock.Now(), mServer->mRegistered);
+    mIsReused = mSocket != nullptr;
     if (mSocket)
       return Send();
     Connect();
@@ -90,6 +93,10 @@
     Close();
   }
 
+  /// True when an earlier request was answered over the connection, so that
+  /// bytes of that answer may still arrive.
+  [[nodiscard]] bool IsReused() const noexcept { return mIsReused; }
+
   /// True once the request may have reached the server.
   [[nodiscard]] bool IsSent() const noexcept { return mIsSent; }
 
@@ -103,8 +110,15 @@
   // Allows several retransmissions of lost packets before a server that
   // acknowledges nothing counts as unresponsive.
   static constexpr std::chrono::milliseconds kUnresponsiveTimeout{ 900 };
+  // What is read of bodies that no caller gets, and for how long: a server may
+  // send bytes that are no answer without end.
+  static constexpr std::size_t kMaxUnusedBytes = 65'536;
+  static constexpr std::chrono::milliseconds kDiscardTimeout{ 100 };
+  // Interim answers that precede an answer.
+  static constexpr std::uint32_t kMaxInterimAnswers = 8;
   // Servers that announce no timeout close idle connections after some seconds.
   static constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 2'000 };
+  static constexpr std::int64_t kMaxIdleSeconds = 3'600;
   // A connection is last used this long before the timeout that its server
   // announced: a server that is about to close a connection must not be sent a
   // request on it.
@@ -186,17 +200,32 @@
       return End(EndFor(aFault));
     constexpr std::uint32_t kFirstFinalStatus = 200;
     if (mParser->get().result_int() < kFirstFinalStatus)
-      return ReadHead();
+      return ++mInterimAnswers > kMaxInterimAnswers ? End(exchange_end::Broken)
+                                                    : ReadHead();
     answer_head const head = TakeAnswerHead(*mParser);
     ReadIdleTimeout(head);
-    mIsSkipped = mSink->OnExchangeHead(head) == answer_use::Skip;
+    mUse = mSink->OnExchangeHead(head);
     if (!mSink)
       return;
+    if (mUse == answer_use::Reject)
+      return End(exchange_end::Broken);
     if (mParser->is_done())
       return OnDone();
+    if (mUse == answer_use::Discard)
+      LimitDiscard();
     ReadNext();
   }
 
+  void LimitDiscard()
+  {
+    mTimer.expires_after(kDiscardTimeout);
+    mTimer.async_wait(
+      [self = this->shared_from_this()](boost::system::error_code aFault) {
+        if (!aFault)
+          self->End(exchange_end::Broken);
+      });
+  }
+
   void OnRead(boost::system::error_code aFault)
   {
     if (!mSink)
@@ -205,7 +234,11 @@
       return End(EndFor(aFault));
     std::size_t const size = mPiece.size() - mParser->get().body().size;
     bool const isDone = mParser->is_done();
-    if (size == 0 || mIsSkipped)
+    if (mUse != answer_use::Accept)
+      mUnusedBytes += size;
+    if (mUnusedBytes > kMaxUnusedBytes)
+      return End(exchange_end::Broken);
+    if (size == 0 || mUse != answer_use::Accept)
       return isDone ? OnDone() : ReadNext();
     mIsDonePending = isDone;
     mSink->OnExchangePiece({ mPiece.data(), size });
@@ -221,7 +254,7 @@
 
   void OnDone()
   {
-    if (std::exchange(mIsSkipped, false))
+    if (mUse == answer_use::Skip)
       return ReadHead();
     End(exchange_end::Complete);
   }
@@ -238,7 +271,9 @@
     std::optional<std::int64_t> const count =
       ParseWholeNumber(seconds.substr(0, seconds.find(',')));
     if (count)
-      mIdleTimeout = std::chrono::seconds{ *count } - kIdleTimeoutMargin;
+      mIdleTimeout = std::chrono::seconds{
+        std::clamp<std::int64_t>(*count, 0, kMaxIdleSeconds)
+      } - kIdleTimeoutMargin;
   }
 
   void End(exchange_end aEnd)
@@ -286,7 +321,10 @@
   bool mAnswerHasBody = true;
   bool mIsSent = false;
   bool mIsWritten = false;
-  bool mIsSkipped = false;
+  bool mIsReused = false;
+  answer_use mUse = answer_use::Accept;
+  std::size_t mUnusedBytes = 0;
+  std::uint32_t mInterimAnswers = 0;
   /// True while the sink handles the last piece: ReadNext then ends the
   /// exchange instead of reading.
   bool mIsDonePending = false;
--- a/Libraries/LibGateway/SessionListener.h
+++ b/Libraries/LibGateway/SessionListener.h
@@ -43,8 +43,10 @@
           return;
         if (aFault)
           return Pause();
-        Open(std::move(aSocket));
+        // Accepts the next one first, so that an error in a session doesn't end
+        // the listener.
         Accept();
+        Open(std::move(aSocket));
       });
   }
 
@@ -54,11 +56,19 @@
     return mAcceptor.local_endpoint().port();
   }
 
-  /// Stops accepting connections.
+  /// Stops accepting connections. Those that the system has accepted already
+  /// are served: their callers may have sent a request.
   void Close()
   {
-    boost::system::error_code ignored;
-    mAcceptor.close(ignored);
+    boost::system::error_code fault;
+    mAcceptor.non_blocking(true, fault);
+    while (!fault) {
+      tcp::socket socket{ mContext };
+      mAcceptor.accept(socket, fault);
+      if (!fault)
+        Open(std::move(socket));
+    }
+    mAcceptor.close(fault);
   }
 
   /// The sessions that are still open.
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibHttp/FormatHead.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/IsConnectionIdle.h>
 #include <LibHttp/TakeHead.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -45,11 +46,9 @@
         if (!aFault)
           self->End("timeout");
       });
-    std::vector<std::shared_ptr<tcp::socket>>& idle = mClient.mIdle[mCall.mTo];
-    if (idle.empty())
+    mSocket = mClient.TakeIdle(mCall.mTo);
+    if (!mSocket)
       return Connect();
-    mSocket = std::move(idle.back());
-    idle.pop_back();
     Write();
   }
 
@@ -145,6 +144,20 @@
 {
 }
 
+std::shared_ptr<http_client::tcp::socket>
+http_client::TakeIdle(endpoint const& aTo)
+{
+  std::vector<std::shared_ptr<tcp::socket>>& idle = mIdle[aTo];
+  while (!idle.empty()) {
+    std::shared_ptr<tcp::socket> socket = std::move(idle.back());
+    idle.pop_back();
+    // A late copy of an earlier answer would be taken for the next one.
+    if (IsConnectionIdle(*socket))
+      return socket;
+  }
+  return nullptr;
+}
+
 void
 http_client::Record(std::string_view aPurpose,
                     duration aTime,
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -33,6 +33,9 @@
   class transfer;
   friend class transfer;
 
+  // Takes an idle connection that is still usable; null when there is none.
+  std::shared_ptr<tcp::socket> TakeIdle(endpoint const& aTo);
+
   void Record(std::string_view aPurpose,
               duration aTime,
               http_exchange_result const& aResult);
--- a/Services/lycheeseamd/PlannedStop.h
+++ b/Services/lycheeseamd/PlannedStop.h
@@ -44,16 +44,21 @@
   // An idle gateway stops no earlier than this. It exceeds kAcceptTime, so the
   // gateway is closed to new connections by then.
   static constexpr std::chrono::milliseconds kMinStopTime{ 3'000 };
-  // The stop ends this long before the platform kills the process.
-  static constexpr std::chrono::milliseconds kKillMargin{ 300 };
+  // Requests that still run get their final answers this long before the
+  // platform kills the process.
+  static constexpr std::chrono::milliseconds kKillMargin{ 400 };
+  // Time to write these answers.
+  static constexpr std::chrono::milliseconds kFlushTime{ 100 };
   static constexpr std::chrono::milliseconds kCheckInterval{ 50 };
 
   void Check()
   {
     duration const elapsed = mClock.Now() - *mBeganAt;
     bool const isDone = elapsed >= kMinStopTime && mGateway.IsIdle();
-    if (isDone || elapsed >= mStopTime - kKillMargin)
+    if (isDone)
       return mDone.set_value();
+    if (elapsed >= mStopTime - kKillMargin)
+      return EndRequests();
     if (elapsed >= kAcceptTime)
       mGateway.Close();
     mTimer.expires_after(kCheckInterval);
@@ -63,6 +68,13 @@
     });
   }
 
+  void EndRequests()
+  {
+    mGateway.EndRequests();
+    mTimer.expires_after(kFlushTime);
+    mTimer.async_wait([this](boost::system::error_code) { mDone.set_value(); });
+  }
+
   Gateway& mGateway;
   std::chrono::milliseconds mStopTime;
   boost::asio::steady_timer mTimer;
--- a/Tests/LibGateway/ScriptedServer.h
+++ b/Tests/LibGateway/ScriptedServer.h
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -22,7 +23,10 @@
 /// A backend server that answers each request with the next answer of its
 /// script, byte for byte; servers may share a script. "close" instead of an
 /// answer closes the connection, "hang" waits until the gateway closes it.
-/// After an answer that ends with "\a" the connection is closed as well.
+/// After an answer that ends with "\a" the connection is closed as well. An
+/// answer that ends with "\f" is followed by bytes without end, one that ends
+/// with "\v" by a byte each 20 ms, until the gateway closes the connection; the
+/// bytes repeat what follows the last "\b" of the answer.
 class scripted_server
 {
 public:
@@ -100,6 +104,8 @@
         ++mAbandoned;
         return;
       }
+      if (answer.ends_with('\f') || answer.ends_with('\v'))
+        return SendWithoutEnd(aSocket, answer);
       bool const closes = answer.ends_with('\a');
       if (closes)
         answer.pop_back();
@@ -110,6 +116,26 @@
     }
   }
 
+  void SendWithoutEnd(tcp::socket& aSocket, std::string const& aAnswer)
+  {
+    bool const isSlow = aAnswer.ends_with('\v');
+    std::size_t const mark = aAnswer.rfind('\b');
+    std::string const filler =
+      aAnswer.substr(mark + 1, aAnswer.size() - mark - 2);
+    std::string block;
+    while (block.size() < (isSlow ? 1 : 16'384))
+      block += filler;
+    boost::system::error_code fault;
+    boost::asio::write(
+      aSocket, boost::asio::buffer(aAnswer.substr(0, mark)), fault);
+    while (!fault && !mIsStopped) {
+      boost::asio::write(aSocket, boost::asio::buffer(block), fault);
+      if (isSlow)
+        std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+    }
+    ++mAbandoned;
+  }
+
   bool ReadRequest(tcp::socket& aSocket, std::string& aBytes)
   {
     boost::system::error_code fault;
