LibDispatch, Tests: Keep a paused instance to its share; mutate what decoders read

- An instance that was paused went on by its view from before the pause and admitted up to the whole limit, though the others had set its share aside and used the rest.
Without a fresh view for a second it keeps to its share now.

--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -17,6 +17,11 @@
 constexpr double kSmallRequestShare = 0.25;
 constexpr double kNearLimit = 0.5;
 
+// Views arrive several times a second. One that is older shows that this
+// process was paused or its control thread is stuck: the other instances then
+// count its whole share as used, and no more than that.
+constexpr duration kMaxViewAge = std::chrono::seconds{ 1 };
+
 bool
 IsSmall(double aUnits, double aLimit)
 {
@@ -97,6 +102,7 @@
     mStartedAt = aNow;
   mReportDelay = aView.mReportDelay;
   mInstances = aView.mInstances;
+  mAppliedAt = aNow;
   mAvailableShare =
     static_cast<double>(aView.mInstances - aView.mUnresponsiveInstances) /
     aView.mInstances;
@@ -167,6 +173,8 @@
                          dispatch_workspace const& aWorkspace,
                          double aUnits)
 {
+  if (aNow - mAppliedAt > kMaxViewAge)
+    mAvailableShare = std::min(mAvailableShare, 1.0 / mInstances);
   account& found = FindInitialized(aNow, aWorkspace);
   double const limit = Limit(aWorkspace);
   bool const isSmall = IsSmall(aUnits, limit);
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -17,10 +17,11 @@
 ///
 /// Each instance counts its own admissions at once and those of the others as
 /// they report them. The share of an unresponsive instance counts as used, so
-/// that instances on both sides of a partition don't admit it twice. A starting
-/// instance doesn't know the earlier usage: until a view brings the window
-/// usage of the instances, it assumes that the limit was used up evenly over
-/// the window. While that assumed usage leaves the window, its units are
+/// that instances on both sides of a partition don't admit it twice. For the
+/// same reason an instance without a fresh view keeps to its own share. A
+/// starting instance doesn't know the earlier usage: until a view brings the
+/// window usage of the instances, it assumes that the limit was used up evenly
+/// over the window. While that assumed usage leaves the window, its units are
 /// admitted again, which is more than the rate but no burst. Until it has
 /// counted for a full window itself, its count follows the highest count of the
 /// instances that have.
@@ -127,6 +128,8 @@
   /// When this instance began to count.
   std::optional<instant> mStartedAt;
   std::uint32_t mInstances = 1;
+  /// When the newest view was applied.
+  instant mAppliedAt{};
   /// The part of the limits that isn't set aside for unresponsive instances,
   /// from 0 to 1.
   double mAvailableShare = 1.0;
--- a/Tests/LibDispatch/TestQuotaLimiter.cpp
+++ b/Tests/LibDispatch/TestQuotaLimiter.cpp
@@ -82,6 +82,18 @@
   EXPECT_EQ(ChargeAll(limiter, At({})), kLimit / 4);
 }
 
+// Guards against a process that was paused and goes on by the view from before:
+// the others have set its share aside meanwhile and used up all the rest.
+TEST(TestQuotaLimiter, PausedInstanceKeepsToItsShareUntilItHasAFreshView)
+{
+  fleet_view const view = View(4, 0);
+  quota_limiter limiter = SettledLimiter(view);
+  limiter.Apply(At({}), view);
+  EXPECT_EQ(ChargeAll(limiter, At(seconds{ 5 })), kLimit / 4);
+  limiter.Apply(At(seconds{ 5 }), view);
+  EXPECT_EQ(ChargeAll(limiter, At(seconds{ 5 })), kLimit * 3 / 4);
+}
+
 TEST(TestQuotaLimiter, RefundAllowsAnotherCharge)
 {
   quota_limiter limiter = SettledLimiter(View(1, 0));
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -1,9 +1,14 @@
 #include <LibPeer/FrameHeader.h>
 #include <LibPeer/PeerCodec.h>
 
+#include <Tests/Support/MutateBytes.h>
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <random>
+#include <string>
+#include <vector>
+
 namespace lycheeseam {
 namespace {
 
@@ -193,6 +198,27 @@
   EXPECT_EQ(kinds.size(), std::variant_size_v<fleet_message>);
 }
 
+// Guards against a damaged frame that ends the process: a few changed bytes
+// pass more checks than random ones.
+TEST(TestPeerCodec, MutatedMessagesDecodeOrAreRefused)
+{
+  constexpr int kInputsPerMessage = 2'000;
+  std::minstd_rand random{ 20261204 };
+  for (peer_message const& message : OneOfEach()) {
+    encoded_frame const frame = EncodePeerMessage(message);
+    std::span<std::uint8_t const> const content = ContentOf(frame);
+    constexpr std::size_t kMostBytes = 4'096;
+    if (content.size() > kMostBytes)
+      continue;
+    for (int input = 0; input < kInputsPerMessage; ++input) {
+      std::string const mutated =
+        MutateBytes({ content.begin(), content.end() }, random);
+      std::vector<std::uint8_t> const bytes{ mutated.begin(), mutated.end() };
+      EXPECT_NO_THROW(DecodePeerMessage(bytes));
+    }
+  }
+}
+
 TEST(TestPeerCodec, ArbitraryBytesDecodeOrAreRefused)
 {
   rc::check(
