--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <ranges>
 
 namespace lycheeseam {
 
@@ -72,19 +71,19 @@
             std::optional<endpoint> const& aStore)
 {
   instant const now = aChoiceRequest.mNow;
-  for (std::uint64_t const key : aKeys | std::views::reverse) {
+  for (auto key = aKeys.rbegin(); key != aKeys.rend(); ++key) {
     std::optional<backend_server_id> const holder =
-      aCore.Prefixes().Holder(now, key);
+      aCore.Prefixes().Holder(now, *key);
     // The server may have evicted a part of the prefix that it read, which only
     // the store can supply; parts that it still has are not transferred.
     if (holder == aServer.mRegistered.mId)
       return aStore;
-    std::optional<endpoint> const address =
+    std::optional<endpoint> address =
       holder ? HolderAddress(aCore, aChoiceRequest, aServer, *holder)
              : std::nullopt;
     if (address)
       return address;
-    if (aStore && aCore.Prefixes().IsStored(now, key))
+    if (aStore && aCore.Prefixes().IsStored(now, *key))
       return aStore;
   }
   if (aStore)
--- a/Tests/LibGateway/TestGateway.cpp
+++ b/Tests/LibGateway/TestGateway.cpp
@@ -70,11 +70,11 @@
 TEST_F(TestGateway, RequestPassesOverServersThatRefuseConnections)
 {
   scripted_server live{ { Answer("ok") } };
-  std::vector<endpoint> addresses;
-  for (int index = 0; index < 4; ++index)
-    addresses.push_back(FreeAddress());
-  addresses.push_back(live.Address());
-  StartGatewayAt(addresses);
+  StartGatewayAt(std::array{ FreeAddress(),
+                             FreeAddress(),
+                             FreeAddress(),
+                             FreeAddress(),
+                             live.Address() });
   EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\nok"));
 }
 
