--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -31,10 +31,10 @@
 /// traffic thread.
 ///
 /// Sink has OnExchangeHead(answer_head const&) -> answer_use,
-/// OnExchangePiece(std::string_view) and OnExchangeEnd(exchange_end). Only an
-/// accepted answer has pieces. After a
-/// piece nothing more is read until ReadNext is called, so a slow caller slows
-/// its server down. After Cancel the sink is not called any more.
+/// OnExchangePiece(std::string_view) and OnExchangeEnd(exchange_end). Only the
+/// pieces of an accepted answer are passed on. After a piece nothing more is
+/// read until ReadNext is called, so a slow caller slows its server down. After
+/// Cancel the sink is not called any more.
 template<typename Sink>
 class server_exchange
   : public std::enable_shared_from_this<server_exchange<Sink>>
