LibFleet: Give the order lease up while the store refuses to renew it

The store turned the holder of the order lease away with 503. A refused append left the lease as it was: the holder tried again on each tick, 20 times a second for 8 s, and went on reporting the lease, so no other instance took over and no engine got the weights that were named meanwhile; requests were refused for want of a server.

Change: after a second of refusals a holder whose term is over gives the lease up and leaves it to others for 2 s. Refused calls to the store wait 300 ms.

--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -73,6 +73,15 @@
         Acquire();
       return hadUpdates;
     }
+    if (mLease.IsLost(now)) {
+      LogEvent(
+        "lease_lost",
+        { { "offset", static_cast<std::int64_t>(mLease.HeldOffset()) } });
+      mLease.Invalidate();
+      mPlan.Clear();
+      mVacantSince = now + kRefusedDelay;
+      return hadUpdates;
+    }
     std::set<backend_server_id> const before = mPlan.Updating();
     mPlan.Update(now, aServers, aWeights);
     if (!mPlan.IsIdle())
@@ -97,6 +106,10 @@
   // lease.
   static constexpr std::chrono::milliseconds kStartDelay{ 900 };
   static constexpr std::chrono::milliseconds kEngineTimeout{ 800 };
+  // A holder that the store refused leaves the lease to others for this long.
+  static constexpr std::chrono::seconds kRefusedDelay{ 2 };
+  // From a call that the store refused to the next one.
+  static constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 
   void SendDue(instant aNow, std::span<registered_server const> aServers)
   {
@@ -116,7 +129,7 @@
 
   void Acquire()
   {
-    if (std::exchange(mIsStoreBusy, true))
+    if (mClock.Now() < mNextCallAt || std::exchange(mIsStoreBusy, true))
       return;
     if (mLease.AppendOffset())
       return Append();
@@ -124,7 +137,8 @@
                       [this](std::optional<topic_page> const& aPage) {
                         mIsStoreBusy = false;
                         if (aPage)
-                          OnNewest(*aPage);
+                          return OnNewest(*aPage);
+                        mNextCallAt = mClock.Now() + kRetryDelay;
                       });
   }
 
@@ -153,13 +167,21 @@
                  { { "status", std::int64_t{ aAnswer.mHead.mStatus } },
                    { "offset", static_cast<std::int64_t>(aResult.mOffset) },
                    { "fault", aAnswer.mFault } });
-        if (aResult.mStatus == store_append_status::Done)
-          mLease.OnAppended(aResult.mOffset);
-        else if (aResult.mStatus != store_append_status::Refused)
-          OnLeaseLost();
+        OnAppendResult(aResult);
       });
   }
 
+  void OnAppendResult(store_append_result const& aResult)
+  {
+    if (aResult.mStatus == store_append_status::Done)
+      return mLease.OnAppended(aResult.mOffset);
+    if (aResult.mStatus != store_append_status::Refused)
+      return OnLeaseLost();
+    instant const now = mClock.Now();
+    mLease.OnRefused(now);
+    mNextCallAt = now + kRetryDelay;
+  }
+
   void OnLeaseLost()
   {
     mLease.Invalidate();
@@ -242,6 +264,8 @@
   /// the start.
   instant mVacantSince{};
   bool mIsStoreBusy = false;
+  /// The store is not called before this time.
+  instant mNextCallAt{};
 };
 
 }
--- a/Libraries/LibFleet/OrderLease.cpp
+++ b/Libraries/LibFleet/OrderLease.cpp
@@ -9,6 +9,10 @@
 // The time that an order may take to arrive, which must lie within the term.
 constexpr duration kDeliveryMargin = std::chrono::milliseconds{ 400 };
 
+// The store turns single instances away for seconds. While it does, another
+// instance may reach it.
+constexpr duration kRefusedTime = std::chrono::seconds{ 1 };
+
 }
 
 order_lease::order_lease(instance_id aSelf, duration aTerm)
@@ -37,6 +41,7 @@
 {
   bool const isTakeover = !mHeldOffset && mIsOtherNewest;
   mHeldOffset = aOffset;
+  mRefusedSince.reset();
   mTopicEnd = aOffset + 1;
   mHeldSince = mSentAt;
   if (isTakeover)
@@ -48,9 +53,17 @@
 order_lease::Invalidate()
 {
   mHeldOffset.reset();
+  mRefusedSince.reset();
   mTopicEnd.reset();
 }
 
+bool
+order_lease::IsLost(instant aNow) const
+{
+  return mHeldOffset && mRefusedSince && aNow - *mRefusedSince > kRefusedTime &&
+         !FencingNumber(aNow);
+}
+
 void
 order_lease::RecordOther(instant aNow, std::uint64_t aOffset)
 {
--- a/Libraries/LibFleet/OrderLease.h
+++ b/Libraries/LibFleet/OrderLease.h
@@ -38,6 +38,17 @@
   /// whether the append succeeded: the topic must be read again.
   void Invalidate();
 
+  /// The store refused to append the record that was sent last.
+  void OnRefused(instant aNow)
+  {
+    if (!mRefusedSince)
+      mRefusedSince = aNow;
+  }
+
+  /// True when the store has refused to renew the lease for so long that
+  /// another instance should hold it.
+  [[nodiscard]] bool IsLost(instant aNow) const;
+
   /// A peer holds the lease at an offset.
   void OnPeerLease(instant aNow, std::uint64_t aOffset);
 
@@ -75,6 +86,8 @@
   /// When the record of the held lease was sent.
   instant mHeldSince{};
   std::optional<std::uint64_t> mHeldOffset;
+  /// Since when the store has refused all appends; empty after a success.
+  std::optional<instant> mRefusedSince;
   /// The offset after the newest record; empty when the topic must be read.
   std::optional<std::uint64_t> mTopicEnd;
   /// The offset of the newest record of another instance, and when this
--- a/Tests/LibFleet/TestOrderLease.cpp
+++ b/Tests/LibFleet/TestOrderLease.cpp
@@ -37,6 +37,25 @@
   EXPECT_EQ(lease.FencingNumber(kNow), 0U);
 }
 
+// Guards against an update that stops while the store turns its holder away: on
+// a recorded day the holder tried to renew for 8 s, 20 times a second, and no
+// other instance took over, since it still reported to hold the lease.
+TEST(TestOrderLease, HolderThatTheStoreRefusesLosesTheLeaseAfterItsTerm)
+{
+  order_lease lease = HeldLease();
+  lease.OnRefused(kNow + milliseconds{ 1'600 });
+  EXPECT_TRUE(lease.FencingNumber(kNow + seconds{ 2 }));
+  EXPECT_FALSE(lease.IsLost(kNow + seconds{ 2 }));
+  EXPECT_TRUE(lease.IsLost(kNow + kTerm));
+  // An idle holder's term is long over; it has a second to renew.
+  lease = HeldLease();
+  lease.OnRefused(kNow + seconds{ 20 });
+  EXPECT_FALSE(lease.IsLost(kNow + milliseconds{ 20'900 }));
+  EXPECT_TRUE(lease.IsLost(kNow + milliseconds{ 21'100 }));
+  lease.OnAppended(1);
+  EXPECT_FALSE(lease.IsLost(kNow + milliseconds{ 21'100 }));
+}
+
 TEST(TestOrderLease, OrdersStopAMarginBeforeTheTermEnds)
 {
   order_lease lease = HeldLease();
