lycheeseamd, Tests: End an instance that can't start; retry a taken port in tests

A port chosen for the test was taken before its use; the error of the constructor, which ended the process before, is now caught on the traffic thread, and the test waited for its start for good. The same holds for an instance whose address for peers is in use: it went on without its listener.

Change: the work that starts an instance runs on its threads and throws on the main thread, so that the process ends as before. The fixture tries other ports.

--- a/Services/lycheeseamd/FleetInstance.h
+++ b/Services/lycheeseamd/FleetInstance.h
@@ -33,9 +33,8 @@
                [this](traffic_report aReport) { OnReport(std::move(aReport)); })
     , mPlannedStop(mTrafficThread.Context(), mGateway, aSettings.mStopTime)
   {
-    boost::asio::post(mControlThread.Context(),
-                      [this]() { mFleetControl.Start(); });
-    boost::asio::post(mTrafficThread.Context(), [this]() { mGateway.Start(); });
+    RunOn(mControlThread, [this]() { mFleetControl.Start(); });
+    RunOn(mTrafficThread, [this]() { mGateway.Start(); });
   }
 
   /// Leaves the fleet and drains the gateway; returns when both threads have
@@ -57,6 +56,17 @@
   using fleet_gateway = gateway<platform::request_dialect>;
   using store_control = fleet_control<platform::store_dialect>;
 
+  // Runs work on a thread and throws what it throws: an instance that can't
+  // start must end.
+  template<typename Work>
+  static void RunOn(control_thread& aThread, Work aWork)
+  {
+    std::packaged_task<void()> task{ std::move(aWork) };
+    std::future<void> done = task.get_future();
+    boost::asio::post(aThread.Context(), [&task]() { task(); });
+    done.get();
+  }
+
   void OnPeerUpdate(peer_update aUpdate)
   {
     boost::asio::post(
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -100,19 +100,35 @@
           .mSlots = 8 });
     view->mReadyInstances = { { .mAddress = mCallers } };
     mView.Publish(view);
-    std::promise<void> started;
+    // Another process may take a port between its choice and its use.
+    constexpr int kTries = 5;
+    for (int tries = 1; !TryStart(); ++tries) {
+      ASSERT_LT(tries, kTries);
+      mCallers = FreeAddress();
+      mAddresses = FreeAddress();
+    }
+  }
+
+  /// False when one of the addresses is in use.
+  bool TryStart()
+  {
+    std::promise<bool> started;
     boost::asio::post(mTraffic.Context(), [this, &started]() {
-      mGateway = std::make_unique<test_gateway>(
-        mTraffic.Context(),
-        gateway_options{ .mCallers = mCallers,
-                         .mReadiness = FreeAddress(),
-                         .mAddresses = mAddresses },
-        mView,
-        [](traffic_report const&) {});
-      mGateway->Start();
-      started.set_value();
+      try {
+        mGateway = std::make_unique<test_gateway>(
+          mTraffic.Context(),
+          gateway_options{ .mCallers = mCallers,
+                           .mReadiness = FreeAddress(),
+                           .mAddresses = mAddresses },
+          mView,
+          [](traffic_report const&) {});
+        mGateway->Start();
+        started.set_value(true);
+      } catch (boost::system::system_error const&) {
+        started.set_value(false);
+      }
     });
-    started.get_future().wait();
+    return started.get_future().get();
   }
 
   void TearDown() override
