LibControl: Give work that a thread waits for its error

Cause: since errors in handlers end only their work, the own interface's router waited for good when its control state couldn't be made, as with an address in use: the error never reached the thread that waits.

Change: control_thread::Invoke runs work and returns or throws what it does; the router, the fleet instance and the tests use it.

Tests: TestControlThread, two; the gateway's tests publish the addresses that they have in the end.

--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -54,17 +54,14 @@
       [this](control_message aMessage) { mCore->Handle(std::move(aMessage)); })
   , mTraffic(mSettings, RequestIdPrefix(mSelf), mInbox, mTables, mInstancesBody)
 {
-  std::promise<void> created;
-  boost::asio::post(mControl.Context(), [this, &created]() {
+  mControl.Invoke([this]() {
     mCore = std::make_unique<control_core>(
       mControl.Context(),
       mSettings,
       mSelf,
       mTraffic,
       published_views{ .mTables = mTables, .mInstancesBody = mInstancesBody });
-    created.set_value();
   });
-  created.get_future().wait();
   mTraffic.Open();
   mAdmin = std::make_unique<admin_server>(
     mSettings.mListen.mAdmin, OperatorsOf(mSettings), [this](admin_call aCall) {
--- a/Services/lycheeseamd/FleetInstance.h
+++ b/Services/lycheeseamd/FleetInstance.h
@@ -33,8 +33,8 @@
                [this](traffic_report aReport) { OnReport(std::move(aReport)); })
     , mPlannedStop(mTrafficThread.Context(), mGateway, aSettings.mStopTime)
   {
-    RunOn(mControlThread, [this]() { mFleetControl.Start(); });
-    RunOn(mTrafficThread, [this]() { mGateway.Start(); });
+    mControlThread.Invoke([this]() { mFleetControl.Start(); });
+    mTrafficThread.Invoke([this]() { mGateway.Start(); });
   }
 
   /// Leaves the fleet and drains the gateway; returns when both threads have
@@ -43,11 +43,9 @@
   {
     boost::asio::post(mControlThread.Context(),
                       [this]() { mFleetControl.Leave(); });
-    std::promise<std::future<void>> drained;
-    boost::asio::post(mTrafficThread.Context(), [this, &drained]() {
-      drained.set_value(mPlannedStop.Begin());
-    });
-    drained.get_future().get().wait();
+    std::future<void> const drained =
+      mTrafficThread.Invoke([this]() { return mPlannedStop.Begin(); });
+    drained.wait();
     mTrafficThread.Stop();
     mControlThread.Stop();
   }
@@ -56,17 +54,6 @@
   using fleet_gateway = gateway<platform::request_dialect>;
   using store_control = fleet_control<platform::store_dialect>;
 
-  // Runs work on a thread and throws what it throws: an instance that can't
-  // start must end.
-  template<typename Work>
-  static void RunOn(control_thread& aThread, Work aWork)
-  {
-    std::packaged_task<void()> task{ std::move(aWork) };
-    std::future<void> done = task.get_future();
-    boost::asio::post(aThread.Context(), [&task]() { task(); });
-    done.get();
-  }
-
   void OnPeerUpdate(peer_update aUpdate)
   {
     boost::asio::post(
--- /dev/null
+++ b/Tests/LibControl/TestControlThread.cpp
@@ -0,0 +1,31 @@
+#include <LibControl/ControlThread.h>
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+namespace lycheeseam {
+
+namespace {
+
+// Guards against an instance that can't start and waits for good: the error of
+// work that another thread waits for belongs to that thread.
+TEST(TestControlThread, InvokeThrowsWhatTheWorkThrows)
+{
+  control_thread thread;
+  EXPECT_THROW(thread.Invoke([]() { throw std::runtime_error("in use"); }),
+               std::runtime_error);
+  EXPECT_EQ(thread.Invoke([]() { return 3; }), 3);
+}
+
+TEST(TestControlThread, ErrorInPostedWorkLeavesTheThreadRunning)
+{
+  control_thread thread;
+  boost::asio::post(thread.Context(),
+                    []() { throw std::runtime_error("unexpected"); });
+  EXPECT_EQ(thread.Invoke([]() { return 3; }), 3);
+}
+
+}
+
+}
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -98,37 +98,37 @@
           .mPool = pool_name{ "p" },
           .mAddress = aServers[index],
           .mSlots = 8 });
-    view->mReadyInstances = { { .mAddress = mCallers } };
-    mView.Publish(view);
     // Another process may take a port between its choice and its use.
     constexpr int kTries = 5;
-    for (int tries = 1; !TryStart(); ++tries) {
+    for (int tries = 1; !TryStart(*view); ++tries)
       ASSERT_LT(tries, kTries);
-      mCallers = FreeAddress();
-      mAddresses = FreeAddress();
+  }
+
+  /// Starts the gateway at new addresses; false when one of them is in use.
+  bool TryStart(fleet_view aView)
+  {
+    mCallers = FreeAddress();
+    mAddresses = FreeAddress();
+    aView.mReadyInstances = { { .mAddress = mCallers } };
+    mView.Publish(std::make_shared<fleet_view const>(std::move(aView)));
+    try {
+      mTraffic.Invoke([this]() { MakeGateway(); });
+      return true;
+    } catch (boost::system::system_error const&) {
+      return false;
     }
   }
 
-  /// False when one of the addresses is in use.
-  bool TryStart()
+  void MakeGateway()
   {
-    std::promise<bool> started;
-    boost::asio::post(mTraffic.Context(), [this, &started]() {
-      try {
-        mGateway = std::make_unique<test_gateway>(
-          mTraffic.Context(),
-          gateway_options{ .mCallers = mCallers,
-                           .mReadiness = FreeAddress(),
-                           .mAddresses = mAddresses },
-          mView,
-          [](traffic_report const&) {});
-        mGateway->Start();
-        started.set_value(true);
-      } catch (boost::system::system_error const&) {
-        started.set_value(false);
-      }
-    });
-    return started.get_future().get();
+    mGateway = std::make_unique<test_gateway>(
+      mTraffic.Context(),
+      gateway_options{ .mCallers = mCallers,
+                       .mReadiness = FreeAddress(),
+                       .mAddresses = mAddresses },
+      mView,
+      [](traffic_report const&) {});
+    mGateway->Start();
   }
 
   void TearDown() override
@@ -166,8 +166,8 @@
     return answer;
   }
 
-  endpoint mCallers = FreeAddress();
-  endpoint mAddresses = FreeAddress();
+  endpoint mCallers;
+  endpoint mAddresses;
   published<fleet_view> mView{ std::make_shared<fleet_view const>() };
   control_thread mTraffic;
   std::unique_ptr<test_gateway> mGateway;
