LibGateway: Split the run of a request and the exchange with a server

caller_answer owns the one answer that a caller gets and the caller until then; IdleTimeout reads what a server announces; Refund, RunAfter and the rule on answers without an id have places of their own.

A stream that is cut for an event without end now ends like any broken answer: it was not counted as an arrival before, so that its retry was free of the budget.

--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -90,4 +90,17 @@
   return std::nullopt;
 }
 
+void
+Refund(traffic_core& aCore,
+       instant aNow,
+       admitted_request const& aAdmitted,
+       refusal_status aStatus)
+{
+  // Of the refusals after a charge, only this one makes that promise.
+  if (aStatus != refusal_status::NotReady || aAdmitted.mWorkspace == nullptr ||
+      aAdmitted.mUnits <= 0)
+    return;
+  aCore.Quota().Refund(aNow, aAdmitted.mWorkspace->mName, aAdmitted.mUnits);
+}
+
 }
--- a/Libraries/LibGateway/AdmitRequest.h
+++ b/Libraries/LibGateway/AdmitRequest.h
@@ -20,4 +20,12 @@
              std::string_view aBody,
              admitted_request& aAdmitted);
 
+/// Refunds the charge of an admitted request that is refused with a status
+/// which promises that it has not run.
+void
+Refund(traffic_core& aCore,
+       instant aNow,
+       admitted_request const& aAdmitted,
+       refusal_status aStatus);
+
 }
--- a/Libraries/LibGateway/JudgeAnswer.h
+++ b/Libraries/LibGateway/JudgeAnswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/AnswerUse.h>
 #include <LibGateway/AttemptOutcome.h>
 #include <LibGateway/ServerAnswer.h>
 #include <LibHttp/AnswerHead.h>
@@ -15,4 +16,8 @@
             server_answer const& aAnswer,
             bool aIsReplaceable);
 
+/// What is done with the rest of an answer whose attempt has this outcome.
+answer_use
+UseOfAnswer(attempt_outcome aOutcome);
+
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -2,10 +2,10 @@
 
 #include <LibCore/InvalidInput.h>
 #include <LibGateway/AdmitRequest.h>
-#include <LibGateway/AnswerRelay.h>
+#include <LibGateway/CallerAnswer.h>
 #include <LibGateway/JudgeAnswer.h>
-#include <LibGateway/RefusalAnswer.h>
 #include <LibGateway/RequestSender.h>
+#include <LibGateway/RunAfter.h>
 #include <LibGateway/RunEvents.h>
 #include <LibGateway/RunLimits.h>
 #include <LibGateway/ServerAttempt.h>
@@ -21,10 +21,8 @@
 /// Runs one request of a caller: finds its route and workspace, sends it in one
 /// or more attempts, and gives it one final answer. Runs on the traffic thread.
 ///
-/// Caller has SendHead(answer_head, body_framing), SendPiece(string_view),
-/// SendEnd(), SendCompleteAnswer(answer_head, string), Abort() and
-/// IsCongested(). A congested caller calls OnDrained once all that it was sent
-/// is written.
+/// Caller is the one that caller_answer describes. A congested caller calls
+/// OnDrained once all that it was sent is written.
 template<gateway_dialect Dialect, typename Caller>
 class request_run
   : public std::enable_shared_from_this<request_run<Dialect, Caller>>
@@ -37,12 +35,12 @@
               std::string aBody)
     : mContext(aContext)
     , mCore(aCore)
-    , mCaller(std::move(aCaller))
     , mSender(aCore, std::move(aHead), std::move(aBody))
     , mTimer(aContext)
     , mTrace({ .mStartedAt = mClock.Now() })
     , mEvents(aCore.Meter(), mTrace, mAdmitted)
     , mAttempt(aContext, aCore)
+    , mAnswer(std::move(aCaller))
   {
   }
 
@@ -70,10 +68,11 @@
   /// Ends the request because its caller disconnected.
   void Cancel()
   {
-    if (mIsDone)
+    if (mAnswer.IsDone())
       return;
     mAttempt.End();
-    MarkDone();
+    mTimer.cancel();
+    mAnswer.Drop();
   }
 
   /// Gives the request its final answer now, because the instance stops.
@@ -82,7 +81,7 @@
   /// Continues a paused answer: all that the caller was sent is written.
   void OnDrained()
   {
-    if (std::exchange(mWaitsForCaller, false))
+    if (mAnswer.Resume())
       mAttempt.ReadNext();
   }
 
@@ -91,17 +90,21 @@
     server_answer const answer = Dialect::ReadAnswer(aHead);
     if (answer.mRequest && *answer.mRequest != mTrace.mRequest)
       return answer_use::Skip;
-    if (IsUnidentified(answer))
+    if (mAttempt.MayBeOfEarlierRequest(answer))
       return answer_use::Reject;
     mTrace.mStatus = aHead.mStatus;
     mCore.OnAnswer(
       mClock.Now(), mAttempt.Server(), mSender.Properties().mModel, answer);
     bool const isReplaceable =
       !aHead.IsSuccess() &&
-      (mAnswer.IsHeadSent() ||
+      (mAnswer.Relay().IsHeadSent() ||
        MayRetry(mAdmitted, mTrace.mRuns + 1, mClock.Now()));
     mAttempt.SetOutcome(JudgeAnswer(aHead, answer, isReplaceable));
-    return UseAnswer(aHead);
+    if (mAttempt.Outcome() == attempt_outcome::Accepted)
+      mAnswer.Begin(aHead,
+                    mAdmitted.mRoute->mKind == request_kind::Stream &&
+                      aHead.IsSuccess());
+    return UseOfAnswer(mAttempt.Outcome());
   }
 
   void OnExchangePiece(std::string_view aPiece)
@@ -110,19 +113,18 @@
       mTrace.mFirstPieceAt = mClock.Now();
       mAttempt.OnPromptRead(*mTrace.mFirstPieceAt);
     }
-    mAnswer.RelayPiece(*mCaller, aPiece);
+    mAnswer.RelayPiece(aPiece);
     if (!mAttempt.IsOpen())
       return;
-    if (mAnswer.IsEventTooLarge())
-      return OnAnswerBroken(exchange_end::Broken);
-    mWaitsForCaller = mCaller->IsCongested();
-    if (!mWaitsForCaller)
+    if (mAnswer.Relay().IsEventTooLarge())
+      return OnExchangeEnd(exchange_end::Broken);
+    if (!mAnswer.Pause())
       mAttempt.ReadNext();
   }
 
   void OnExchangeEnd(exchange_end aEnd)
   {
-    if (mIsDone)
+    if (mAnswer.IsDone())
       return;
     if (!mAttempt.IsSent())
       return OnUnreachable(aEnd);
@@ -149,33 +151,6 @@
   // How often the request looks for a server with free capacity.
   static constexpr std::chrono::milliseconds kCapacityCheckInterval{ 15 };
 
-  // A late copy of an earlier answer carries the id of its own request. On a
-  // connection that was used before, an answer without an id may be one as
-  // well.
-  [[nodiscard]] bool IsUnidentified(server_answer const& aAnswer) const
-  {
-    return !aAnswer.mRequest && mAttempt.IsOnReusedConnection();
-  }
-
-  answer_use UseAnswer(answer_head const& aHead)
-  {
-    switch (mAttempt.Outcome()) {
-      case attempt_outcome::Accepted:
-        mAnswer.Begin(*mCaller,
-                      aHead,
-                      mAdmitted.mRoute->mKind == request_kind::Stream &&
-                        aHead.IsSuccess());
-        return answer_use::Accept;
-      case attempt_outcome::NotRun:
-      case attempt_outcome::Failed:
-        return answer_use::Discard;
-      case attempt_outcome::Invalid:
-      case attempt_outcome::Pending:
-        return answer_use::Reject;
-    }
-    return answer_use::Reject;
-  }
-
   void ArmDeadline()
   {
     mTimer.expires_after(mAdmitted.mDeadline - mTrace.mStartedAt);
@@ -187,7 +162,7 @@
 
   void OnDeadline()
   {
-    if (mIsDone)
+    if (mAnswer.IsDone())
       return;
     bool const mayHaveRun = mTrace.MayHaveRun() || mAttempt.IsSent();
     mAttempt.End();
@@ -198,7 +173,7 @@
 
   void Attempt()
   {
-    if (mIsDone)
+    if (mAnswer.IsDone())
       return;
     instant const now = mClock.Now();
     if (IsTooLate(mAdmitted, now))
@@ -211,7 +186,7 @@
       return GiveUp();
     mAttempt.Begin(
       pick.mServer,
-      mSender.Prepare(pick, mAdmitted, mTrace, mAnswer.LastEventId()),
+      mSender.Prepare(pick, mAdmitted, mTrace, mAnswer.Relay().LastEventId()),
       this->shared_from_this());
   }
 
@@ -219,11 +194,9 @@
   {
     if (!MayWaitForCapacity(mAdmitted, mTrace, aNow))
       return GiveUp();
-    std::shared_ptr<boost::asio::steady_timer> const wait =
-      std::make_shared<boost::asio::steady_timer>(mContext,
-                                                  kCapacityCheckInterval);
-    wait->async_wait(
-      [self = this->shared_from_this(), wait](error_code) { self->Attempt(); });
+    RunAfter(mContext,
+             kCapacityCheckInterval,
+             [self = this->shared_from_this()]() { self->Attempt(); });
   }
 
   void OnUnreachable(exchange_end aEnd)
@@ -253,7 +226,8 @@
     ++mTrace.mRuns;
     ReportAttemptEnd(aEnd == exchange_end::Unresponsive ? "silent" : "broken");
     bool const mayTry =
-      mAnswer.CanContinue(mAdmitted.mRoute->mIsResumable) && MayRetryNow();
+      mAnswer.Relay().CanContinue(mAdmitted.mRoute->mIsResumable) &&
+      MayRetryNow();
     mAttempt.End();
     mAnswer.DiscardUnsent();
     if (mayTry && !mCore.Crashes().IsPoison(now, mAdmitted.mFingerprint))
@@ -288,9 +262,10 @@
   void EndWithRefusal(refusal_status aStatus,
                       std::chrono::milliseconds aRetryAfter)
   {
-    if (mAnswer.IsHeadSent())
-      return MarkDone()->Abort();
-    Refuse(aStatus, aRetryAfter);
+    if (!mAnswer.Relay().IsHeadSent())
+      return Refuse(aStatus, aRetryAfter);
+    mTimer.cancel();
+    mAnswer.Abort();
   }
 
   void Finish()
@@ -298,42 +273,27 @@
     mCore.Crashes().OnAnswer(mAdmitted.mFingerprint);
     mAttempt.End();
     mEvents.OnAnswer(
-      mClock.Now(), mAttempt.Server().mRegistered.mId, mAnswer.Status());
-    mAnswer.Finish(*MarkDone());
+      mClock.Now(), mAttempt.ServerId(), mAnswer.Relay().Status());
+    mTimer.cancel();
+    mAnswer.Finish();
   }
 
   void ReportAttemptEnd(std::string_view aCause)
   {
-    mEvents.OnAttemptEnd(
-      mClock.Now(), mAttempt.Server().mRegistered.mId, aCause);
-  }
-
-  // Marks the request as done and returns its caller: nothing follows the final
-  // answer or a disconnect of the caller.
-  std::shared_ptr<Caller> MarkDone()
-  {
-    mIsDone = true;
-    mTimer.cancel();
-    return std::move(mCaller);
+    mEvents.OnAttemptEnd(mClock.Now(), mAttempt.ServerId(), aCause);
   }
 
   void Refuse(refusal_status aStatus, std::chrono::milliseconds aRetryAfter)
   {
     mEvents.OnRefusal(mClock.Now(),
                       { .mStatus = aStatus, .mRetryAfter = aRetryAfter });
-    // Of the refusals after a charge, only NotReady promises that the request
-    // has not run.
-    if (aStatus == refusal_status::NotReady &&
-        mAdmitted.mWorkspace != nullptr && mAdmitted.mUnits > 0)
-      mCore.Quota().Refund(
-        mClock.Now(), mAdmitted.mWorkspace->mName, mAdmitted.mUnits);
-    MarkDone()->SendCompleteAnswer(RefusalHead(aStatus, aRetryAfter), {});
+    Refund(mCore, mClock.Now(), mAdmitted, aStatus);
+    mTimer.cancel();
+    mAnswer.Refuse(aStatus, aRetryAfter);
   }
 
   boost::asio::io_context& mContext;
   traffic_core& mCore;
-  /// Null once the request has its final answer.
-  std::shared_ptr<Caller> mCaller;
   request_sender<Dialect> mSender;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
@@ -341,9 +301,7 @@
   admitted_request mAdmitted;
   run_events mEvents;
   server_attempt<request_run> mAttempt;
-  answer_relay mAnswer;
-  bool mWaitsForCaller = false;
-  bool mIsDone = false;
+  caller_answer<Caller> mAnswer;
 };
 
 }
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -71,7 +71,7 @@
     breaker_state const before = mServer->mBreaker.State(aNow);
     mServer->mBreaker.OnUnreachable(aNow);
     ReportBreaker(aNow, before);
-    mCore.Connections().CloseIdle(mServer->mRegistered.mId);
+    mCore.Connections().CloseIdle(ServerId());
   }
 
   /// The connection to the server broke, its machine became unresponsive, or
@@ -86,7 +86,7 @@
     ReportBreaker(aNow, before);
     // Idle connections to the server may have failed as well; a new connection
     // shows at once, before a request is sent, whether the server is up.
-    mCore.Connections().CloseIdle(mServer->mRegistered.mId);
+    mCore.Connections().CloseIdle(ServerId());
   }
 
   /// The first piece of the answer was received: the server has read the
@@ -105,14 +105,19 @@
     return mExchange != nullptr && mExchange->IsSent();
   }
 
-  /// True when bytes of an answer to an earlier request may arrive.
-  [[nodiscard]] bool IsOnReusedConnection() const
+  /// True for an answer that doesn't say whose it is on a connection that was
+  /// used before: it may be a late copy of an earlier answer.
+  [[nodiscard]] bool MayBeOfEarlierRequest(server_answer const& aAnswer) const
   {
-    return mExchange != nullptr && mExchange->IsReused();
+    return !aAnswer.mRequest && mExchange != nullptr && mExchange->IsReused();
   }
 
   /// The server of the latest attempt.
   [[nodiscard]] tracked_server& Server() const { return *mServer; }
+  [[nodiscard]] backend_server_id const& ServerId() const
+  {
+    return mServer->mRegistered.mId;
+  }
 
   [[nodiscard]] attempt_outcome Outcome() const noexcept { return mOutcome; }
   void SetOutcome(attempt_outcome aOutcome) noexcept { mOutcome = aOutcome; }
@@ -123,9 +128,8 @@
     if (aBefore == breaker_state::Open ||
         mServer->mBreaker.State(aNow) != breaker_state::Open)
       return;
-    mCore.Meter().OnBreakerOpened(mServer->mRegistered.mId);
-    LogEvent("breaker_opened",
-             { { "server", mServer->mRegistered.mId.Text() } });
+    mCore.Meter().OnBreakerOpened(ServerId());
+    LogEvent("breaker_opened", { { "server", ServerId().Text() } });
   }
 
   boost::asio::io_context& mContext;
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -5,7 +5,7 @@
 #include <LibGateway/AnswerUse.h>
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/ExchangeEnd.h>
-#include <LibHttp/FieldLookup.h>
+#include <LibGateway/IdleTimeout.h>
 #include <LibHttp/TakeHead.h>
 #include <LibHttp/WatchLiveness.h>
 
@@ -16,7 +16,6 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <algorithm>
 #include <array>
 #include <chrono>
 #include <memory>
@@ -116,13 +115,6 @@
   static constexpr std::chrono::milliseconds kDiscardTimeout{ 100 };
   // Interim answers that precede an answer.
   static constexpr std::uint32_t kMaxInterimAnswers = 8;
-  // Servers that announce no timeout close idle connections after some seconds.
-  static constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 2'000 };
-  static constexpr std::int64_t kMaxIdleSeconds = 3'600;
-  // A connection is last used this long before the timeout that its server
-  // announced: a server that is about to close a connection must not be sent a
-  // request on it.
-  static constexpr std::chrono::milliseconds kIdleTimeoutMargin{ 700 };
 
   void Connect()
   {
@@ -203,7 +195,7 @@
       return ++mInterimAnswers > kMaxInterimAnswers ? End(exchange_end::Broken)
                                                     : ReadHead();
     answer_head const head = TakeAnswerHead(*mParser);
-    ReadIdleTimeout(head);
+    mIdleTimeout = IdleTimeout(head);
     mUse = mSink->OnExchangeHead(head);
     if (!mSink)
       return;
@@ -259,23 +251,6 @@
     End(exchange_end::Complete);
   }
 
-  void ReadIdleTimeout(answer_head const& aHead)
-  {
-    mIdleTimeout = kDefaultIdleTimeout;
-    std::optional<std::string_view> const keepAlive =
-      FindField(aHead.mFields, "Keep-Alive");
-    if (!keepAlive || !keepAlive->starts_with("timeout="))
-      return;
-    std::string_view const seconds =
-      keepAlive->substr(keepAlive->find('=') + 1);
-    std::optional<std::int64_t> const count =
-      ParseWholeNumber(seconds.substr(0, seconds.find(',')));
-    if (count)
-      mIdleTimeout = std::chrono::seconds{
-        std::clamp<std::int64_t>(*count, 0, kMaxIdleSeconds)
-      } - kIdleTimeoutMargin;
-  }
-
   void End(exchange_end aEnd)
   {
     std::shared_ptr<Sink> const sink = std::move(mSink);
