--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/AnswerFormat.h>
+#include <LibGateway/CloseWatch.h>
 #include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
 #include <LibGateway/WriteQueue.h>
@@ -28,6 +29,7 @@
     , mCore(aCore)
     , mSocket(std::move(aSocket))
     , mTimer(aContext)
+    , mCloseWatch(mSocket, mBuffer, *this)
     , mOut(mSocket, *this)
   {
   }
@@ -113,15 +115,13 @@
   }
 
 private:
+  friend class close_watch<caller_session>;
   friend class write_queue<caller_session>;
   using run = request_run<Dialect, caller_session>;
 
   // An answer pauses while more bytes than this wait to be written: about as
   // much as a connection with a small TCP window takes at once.
   static constexpr std::size_t kCongestedBytes = 65'536;
-  // Limit for bytes that are read of pipelined requests while one runs. Beyond
-  // it nothing is read, and only a failed write shows that the caller closed.
-  static constexpr std::size_t kPipelinedBytes = 65'536;
   // Longer than any request's time limit: a body that takes this long to arrive
   // is abandoned.
   static constexpr std::chrono::seconds kBodyTimeout{ 15 };
@@ -132,16 +132,25 @@
   // How long a closing connection waits for the caller to close its end.
   static constexpr std::chrono::seconds kLingerTime{ 1 };
 
-  // The answer is complete; closes the connection of a caller that doesn't read
-  // it.
+  // Closes the connection after a time, unless the timer is used for another
+  // purpose before or the condition doesn't hold then.
+  template<typename Condition>
+  void CloseAfter(std::chrono::milliseconds aTime, Condition aCondition)
+  {
+    mTimer.expires_after(aTime);
+    mTimer.async_wait(
+      [self = this->shared_from_this(), aCondition](error_code aFault) {
+        if (!aFault && aCondition(*self))
+          self->Close();
+      });
+  }
+
+  // The answer is complete; a caller that doesn't read it loses its connection.
   void MarkAnswered()
   {
     mIsAnswered = true;
-    mTimer.expires_after(kWriteTimeout);
-    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
-      if (!aFault && self->mIsAnswered)
-        self->Close();
-    });
+    CloseAfter(kWriteTimeout,
+               [](caller_session const& aSelf) { return aSelf.mIsAnswered; });
   }
 
   // Closes a connection that has begun a head but not completed it when the
@@ -169,12 +178,9 @@
       return OnReadFault(aFault);
     if (HasUnsupportedCoding(mParser->get()))
       return RefuseInvalidBytes(refusal_status::BadRequest);
-    mTimer.expires_after(kBodyTimeout);
-    mTimer.async_wait(
-      [self = this->shared_from_this()](error_code aTimerFault) {
-        if (!aTimerFault && !self->mRun)
-          self->Close();
-      });
+    CloseAfter(kBodyTimeout, [](caller_session const& aSelf) {
+      return aSelf.mRun == nullptr;
+    });
     if (IsSameFieldName(std::string{ (*mParser).get()["Expect"] },
                         "100-continue"))
       Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -219,35 +225,13 @@
                                  std::move(mParser->get().body()));
     ++mRequests;
     std::shared_ptr<run> const started = mRun;
-    WatchClose();
+    mCloseWatch.Watch(mRequests);
     started->Start();
   }
 
-  // While a request runs, its caller's close must be noticed at once, so that
-  // its attempt ends too.
-  void WatchClose()
-  {
-    mSocket.async_wait(
-      tcp::socket::wait_read,
-      [self = this->shared_from_this(), count = mRequests](error_code aFault) {
-        if (!aFault && self->mRun && self->mRequests == count)
-          self->OnReadable();
-      });
-  }
-
-  void OnReadable()
+  [[nodiscard]] std::uint64_t RunningRequest() const
   {
-    error_code fault;
-    std::size_t const waiting = mSocket.available(fault);
-    if (fault || waiting == 0)
-      return Close();
-    if (mBuffer.size() + waiting > kPipelinedBytes)
-      return;
-    std::size_t const size = mSocket.read_some(mBuffer.prepare(waiting), fault);
-    if (fault)
-      return Close();
-    mBuffer.commit(size);
-    WatchClose();
+    return mRun == nullptr ? 0 : mRequests;
   }
 
   [[nodiscard]] connection_use Use() const
@@ -290,11 +274,7 @@
   {
     error_code ignored;
     mSocket.shutdown(tcp::socket::shutdown_send, ignored);
-    mTimer.expires_after(kLingerTime);
-    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
-      if (!aFault)
-        self->Close();
-    });
+    CloseAfter(kLingerTime, [](caller_session const&) { return true; });
     ReadUntilClose();
   }
 
@@ -324,6 +304,7 @@
   instant mIdleSince{};
   std::shared_ptr<run> mRun;
   std::uint64_t mRequests = 0;
+  close_watch<caller_session> mCloseWatch;
   write_queue<caller_session> mOut;
   answer_format mFormat;
   bool mIsAnswered = false;
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -6,6 +6,7 @@
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/ExchangeEnd.h>
 #include <LibGateway/IdleTimeout.h>
+#include <LibGateway/UnusedInput.h>
 #include <LibHttp/TakeHead.h>
 #include <LibHttp/WatchLiveness.h>
 
@@ -40,6 +41,7 @@
 {
 public:
   using tcp = boost::asio::ip::tcp;
+  using error_code = boost::system::error_code;
 
   server_exchange(boost::asio::io_context& aContext,
                   connection_pool& aPool,
@@ -81,8 +83,9 @@
       *mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](boost::system::error_code aFault,
-                                        std::size_t) { self->OnRead(aFault); });
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
+        self->OnRead(aFault);
+      });
   }
 
   /// Abandons the request; the server sees its connection close.
@@ -109,35 +112,28 @@
   // Allows several retransmissions of lost packets before a server that
   // acknowledges nothing counts as unresponsive.
   static constexpr std::chrono::milliseconds kUnresponsiveTimeout{ 900 };
-  // What is read of bodies that no caller gets, and for how long: a server may
-  // send bytes that are no answer without end.
-  static constexpr std::size_t kMaxUnusedBytes = 65'536;
+  // How long the rest of an answer that no caller gets is read.
   static constexpr std::chrono::milliseconds kDiscardTimeout{ 100 };
-  // Interim answers that precede an answer.
-  static constexpr std::uint32_t kMaxInterimAnswers = 8;
 
   void Connect()
   {
     mSocket = std::make_shared<tcp::socket>(mContext);
-    boost::system::error_code fault;
+    error_code fault;
     boost::asio::ip::address const address = boost::asio::ip::make_address(
       mServer->mRegistered.mAddress.mAddress, fault);
     if (fault)
       return End(exchange_end::NotConnected);
     mTimer.expires_after(kConnectTimeout);
-    mTimer.async_wait(
-      [self = this->shared_from_this()](boost::system::error_code aFault) {
-        if (!aFault && !self->mIsSent)
-          self->End(exchange_end::NotConnected);
-      });
-    mSocket->async_connect(
-      { address, mServer->mRegistered.mAddress.mPort },
-      [self = this->shared_from_this()](boost::system::error_code aFault) {
-        self->OnConnected(aFault);
-      });
+    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
+      if (!aFault && !self->mIsSent)
+        self->End(exchange_end::NotConnected);
+    });
+    mSocket->async_connect({ address, mServer->mRegistered.mAddress.mPort },
+                           [self = this->shared_from_this()](
+                             error_code aFault) { self->OnConnected(aFault); });
   }
 
-  void OnConnected(boost::system::error_code aFault)
+  void OnConnected(error_code aFault)
   {
     if (!mSink)
       return;
@@ -146,7 +142,7 @@
     if (aFault)
       return End(exchange_end::NotConnected);
     mTimer.cancel();
-    boost::system::error_code ignored;
+    error_code ignored;
     mSocket->set_option(tcp::no_delay{ true }, ignored);
     WatchLiveness(*mSocket, kUnresponsiveTimeout);
     Send();
@@ -158,15 +154,15 @@
     std::array<boost::asio::const_buffer, 2> const buffers{
       boost::asio::buffer(mHead), boost::asio::buffer(*mBody)
     };
-    boost::asio::async_write(*mSocket,
-                             buffers,
-                             [self = this->shared_from_this()](
-                               boost::system::error_code aFault, std::size_t) {
-                               // The end of the answer decides what became of
-                               // the request; a server may answer before it has
-                               // read all of a long body.
-                               self->mIsWritten = !aFault;
-                             });
+    boost::asio::async_write(
+      *mSocket,
+      buffers,
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
+        // The end of the answer decides what became of
+        // the request; a server may answer before it has
+        // read all of a long body.
+        self->mIsWritten = !aFault;
+      });
     ReadHead();
   }
 
@@ -180,11 +176,12 @@
       *mSocket,
       mBuffer,
       *mParser,
-      [self = this->shared_from_this()](boost::system::error_code aFault,
-                                        std::size_t) { self->OnHead(aFault); });
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
+        self->OnHead(aFault);
+      });
   }
 
-  void OnHead(boost::system::error_code aFault)
+  void OnHead(error_code aFault)
   {
     if (!mSink)
       return;
@@ -192,8 +189,8 @@
       return End(EndFor(aFault));
     constexpr std::uint32_t kFirstFinalStatus = 200;
     if (mParser->get().result_int() < kFirstFinalStatus)
-      return ++mInterimAnswers > kMaxInterimAnswers ? End(exchange_end::Broken)
-                                                    : ReadHead();
+      return mUnused.AddInterimAnswer() ? ReadHead()
+                                        : End(exchange_end::Broken);
     answer_head const head = TakeAnswerHead(*mParser);
     mIdleTimeout = IdleTimeout(head);
     mUse = mSink->OnExchangeHead(head);
@@ -211,14 +208,13 @@
   void LimitDiscard()
   {
     mTimer.expires_after(kDiscardTimeout);
-    mTimer.async_wait(
-      [self = this->shared_from_this()](boost::system::error_code aFault) {
-        if (!aFault)
-          self->End(exchange_end::Broken);
-      });
+    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
+      if (!aFault)
+        self->End(exchange_end::Broken);
+    });
   }
 
-  void OnRead(boost::system::error_code aFault)
+  void OnRead(error_code aFault)
   {
     if (!mSink)
       return;
@@ -226,11 +222,10 @@
       return End(EndFor(aFault));
     std::size_t const size = mPiece.size() - mParser->get().body().size;
     bool const isDone = mParser->is_done();
-    if (mUse != answer_use::Accept)
-      mUnusedBytes += size;
-    if (mUnusedBytes > kMaxUnusedBytes)
+    bool const isUsed = mUse == answer_use::Accept;
+    if (!isUsed && !mUnused.AddBytes(size))
       return End(exchange_end::Broken);
-    if (size == 0 || mUse != answer_use::Accept)
+    if (size == 0 || !isUsed)
       return isDone ? OnDone() : ReadNext();
     mIsDonePending = isDone;
     mSink->OnExchangePiece({ mPiece.data(), size });
@@ -238,7 +233,7 @@
       OnDone();
   }
 
-  static exchange_end EndFor(boost::system::error_code aFault)
+  static exchange_end EndFor(error_code aFault)
   {
     return aFault == boost::asio::error::timed_out ? exchange_end::Unresponsive
                                                    : exchange_end::Broken;
@@ -273,7 +268,7 @@
     mTimer.cancel();
     if (!mSocket)
       return;
-    boost::system::error_code ignored;
+    error_code ignored;
     mSocket->close(ignored);
   }
 
@@ -298,8 +293,7 @@
   bool mIsWritten = false;
   bool mIsReused = false;
   answer_use mUse = answer_use::Accept;
-  std::size_t mUnusedBytes = 0;
-  std::uint32_t mInterimAnswers = 0;
+  unused_input mUnused;
   /// True while the sink handles the last piece: ReadNext then ends the
   /// exchange instead of reading.
   bool mIsDonePending = false;
