--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -168,13 +168,19 @@
          std::min(kSmallRequestShare * aLimit, ReserveForSmall(aNow, aAccount));
 }
 
+void
+quota_limiter::KeepToOwnShareIfStale(instant aNow)
+{
+  if (aNow - mAppliedAt > kMaxViewAge)
+    mAvailableShare = std::min(mAvailableShare, 1.0 / mInstances);
+}
+
 bool
 quota_limiter::TryCharge(instant aNow,
                          dispatch_workspace const& aWorkspace,
                          double aUnits)
 {
-  if (aNow - mAppliedAt > kMaxViewAge)
-    mAvailableShare = std::min(mAvailableShare, 1.0 / mInstances);
+  KeepToOwnShareIfStale(aNow);
   account& found = FindInitialized(aNow, aWorkspace);
   double const limit = Limit(aWorkspace);
   bool const isSmall = IsSmall(aUnits, limit);
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -111,6 +111,9 @@
   /// Raises the windows to the usage that other instances count.
   void RaiseToWindowUsage(instant aNow,
                           std::vector<workspace_usage> const& aUsage);
+  /// Sets the shares of all other instances aside while the newest view is too
+  /// old to tell what they admit.
+  void KeepToOwnShareIfStale(instant aNow);
   /// The units to keep for the small requests of all instances.
   [[nodiscard]] double ReserveForSmall(instant aNow, account& aAccount) const;
   /// The part of the headroom that a request of aUnits may use.
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/AnswerFormat.h>
 #include <LibGateway/CloseWatch.h>
+#include <LibGateway/DiscardUntilEnd.h>
 #include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
 #include <LibGateway/WriteQueue.h>
@@ -181,8 +182,7 @@
     CloseAfter(kBodyTimeout, [](caller_session const& aSelf) {
       return aSelf.mRun == nullptr;
     });
-    if (IsSameFieldName(std::string{ (*mParser).get()["Expect"] },
-                        "100-continue"))
+    if (ExpectsContinue(mParser->get()))
       Write("HTTP/1.1 100 Continue\r\n\r\n");
     boost::beast::http::async_read(
       mSocket,
@@ -195,8 +195,8 @@
 
   void OnReadFault(error_code aFault)
   {
-    std::optional<refusal_status> const refusal = RefusalForReadFault(aFault);
-    if (refusal)
+    if (std::optional<refusal_status> const refusal =
+          RefusalForReadFault(aFault))
       return RefuseInvalidBytes(*refusal);
     Close();
   }
@@ -262,11 +262,7 @@
     ReadRequest();
   }
 
-  void OnWriteFault()
-  {
-    if (!mIsClosed)
-      Close();
-  }
+  void OnWriteFault() { Close(); }
 
   // An immediate close would reset the connection if received bytes are still
   // unread, and the caller could lose the answer.
@@ -275,20 +271,8 @@
     error_code ignored;
     mSocket.shutdown(tcp::socket::shutdown_send, ignored);
     CloseAfter(kLingerTime, [](caller_session const&) { return true; });
-    ReadUntilClose();
-  }
-
-  void ReadUntilClose()
-  {
-    mBuffer.clear();
-    constexpr std::size_t kDiscardBytes = 4'096;
-    mSocket.async_read_some(
-      mBuffer.prepare(kDiscardBytes),
-      [self = this->shared_from_this()](error_code aFault, std::size_t) {
-        if (aFault)
-          return self->Close();
-        self->ReadUntilClose();
-      });
+    DiscardUntilEnd(
+      mSocket, mBuffer, [self = this->shared_from_this()]() { self->Close(); });
   }
 
   boost::asio::io_context& mContext;
--- a/Libraries/LibGateway/RequestFault.h
+++ b/Libraries/LibGateway/RequestFault.h
@@ -28,4 +28,13 @@
          !IsSameFieldName(std::string{ coding->value() }, "chunked");
 }
 
+/// True when a caller sends its body only after an interim answer.
+template<typename Message>
+bool
+ExpectsContinue(Message const& aMessage)
+{
+  return IsSameFieldName(
+    std::string{ aMessage[boost::beast::http::field::expect] }, "100-continue");
+}
+
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -75,8 +75,18 @@
     mAnswer.Drop();
   }
 
-  /// Gives the request its final answer now, because the instance stops.
-  void EndNow() { OnDeadline(); }
+  /// Gives the request its final answer now: its time limit, or the stop time
+  /// of the instance, is over.
+  void EndNow()
+  {
+    if (mAnswer.IsDone())
+      return;
+    bool const mayHaveRun = mTrace.MayHaveRun() || mAttempt.IsSent();
+    mAttempt.End();
+    EndWithRefusal(mayHaveRun ? refusal_status::Timeout
+                              : refusal_status::NotReady,
+                   kRetryAfter);
+  }
 
   /// Continues a paused answer: all that the caller was sent is written.
   void OnDrained()
@@ -144,8 +154,6 @@
   }
 
 private:
-  using error_code = boost::system::error_code;
-
   // How long a refused caller should wait before another try.
   static constexpr std::chrono::milliseconds kRetryAfter{ 200 };
   // How often the request looks for a server with free capacity.
@@ -154,21 +162,11 @@
   void ArmDeadline()
   {
     mTimer.expires_after(mAdmitted.mDeadline - mTrace.mStartedAt);
-    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
-      if (!aFault)
-        self->OnDeadline();
-    });
-  }
-
-  void OnDeadline()
-  {
-    if (mAnswer.IsDone())
-      return;
-    bool const mayHaveRun = mTrace.MayHaveRun() || mAttempt.IsSent();
-    mAttempt.End();
-    EndWithRefusal(mayHaveRun ? refusal_status::Timeout
-                              : refusal_status::NotReady,
-                   kRetryAfter);
+    mTimer.async_wait(
+      [self = this->shared_from_this()](boost::system::error_code aFault) {
+        if (!aFault)
+          self->EndNow();
+      });
   }
 
   void Attempt()
@@ -177,7 +175,7 @@
       return;
     instant const now = mClock.Now();
     if (IsTooLate(mAdmitted, now))
-      return OnDeadline();
+      return EndNow();
     server_pick const pick = mSender.Pick(now, mAdmitted.mPool);
     if (!pick.mServer)
       return WaitForCapacity(now);
@@ -227,7 +225,7 @@
     ReportAttemptEnd(aEnd == exchange_end::Unresponsive ? "silent" : "broken");
     bool const mayTry =
       mAnswer.Relay().CanContinue(mAdmitted.mRoute->mIsResumable) &&
-      MayRetryNow();
+      MayRetry(mAdmitted, mTrace.mRuns, now);
     mAttempt.End();
     mAnswer.DiscardUnsent();
     if (mayTry && !mCore.Crashes().IsPoison(now, mAdmitted.mFingerprint))
@@ -241,16 +239,11 @@
     ReportAttemptEnd("failed");
     ++mTrace.mRuns;
     mAttempt.End();
-    if (!MayRetryNow())
+    if (!MayRetry(mAdmitted, mTrace.mRuns, mClock.Now()))
       return GiveUp();
     Attempt();
   }
 
-  [[nodiscard]] bool MayRetryNow() const
-  {
-    return MayRetry(mAdmitted, mTrace.mRuns, mClock.Now());
-  }
-
   void GiveUp()
   {
     EndWithRefusal(mTrace.MayHaveRun() ? refusal_status::BadGateway
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -7,6 +7,7 @@
 #include <LibGateway/ExchangeEnd.h>
 #include <LibGateway/IdleTimeout.h>
 #include <LibGateway/UnusedInput.h>
+#include <LibHttp/HttpStatus.h>
 #include <LibHttp/TakeHead.h>
 #include <LibHttp/WatchLiveness.h>
 
@@ -65,9 +66,7 @@
     mAnswerHasBody = aAnswerHasBody;
     mSocket = mPool.Acquire(mClock.Now(), mServer->mRegistered);
     mIsReused = mSocket != nullptr;
-    if (mSocket)
-      return Send();
-    Connect();
+    return mIsReused ? Send() : Connect();
   }
 
   /// Reads the next piece of the answer.
@@ -187,8 +186,7 @@
       return;
     if (aFault)
       return End(EndFor(aFault));
-    constexpr std::uint32_t kFirstFinalStatus = 200;
-    if (mParser->get().result_int() < kFirstFinalStatus)
+    if (mParser->get().result_int() < kHttpOk)
       return mUnused.AddInterimAnswer() ? ReadHead()
                                         : End(exchange_end::Broken);
     answer_head const head = TakeAnswerHead(*mParser);
@@ -248,8 +246,7 @@
 
   void End(exchange_end aEnd)
   {
-    std::shared_ptr<Sink> const sink = std::move(mSink);
-    mSink.reset();
+    std::shared_ptr<Sink> const sink = std::exchange(mSink, nullptr);
     if (!sink)
       return;
     bool const isReusable = aEnd == exchange_end::Complete && mIsWritten &&
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -125,7 +125,9 @@
       mTraffic.Context(),
       gateway_options{ .mCallers = mCallers,
                        .mReadiness = FreeAddress(),
-                       .mAddresses = mAddresses },
+                       .mAddresses = mAddresses,
+                       .mRetryRatio = mRetryRatio,
+                       .mRetrySlack = mRetrySlack },
       mView,
       [](traffic_report const&) {});
     mGateway->Start();
@@ -166,6 +168,8 @@
     return answer;
   }
 
+  double mRetryRatio = 0.2;
+  double mRetrySlack = 50;
   endpoint mCallers;
   endpoint mAddresses;
   published<fleet_view> mView{ std::make_shared<fleet_view const>() };
--- a/Tests/LibGateway/TestUntrustedServers.cpp
+++ b/Tests/LibGateway/TestUntrustedServers.cpp
@@ -150,6 +150,24 @@
   EXPECT_LT(steady_clock::now() - start, milliseconds{ 1'000 });
 }
 
+// Guards against retries that no budget counts: a stream that is cut for an
+// event without end has reached its server.
+TEST_F(TestGateway, StreamThatIsCutSpendsTheRetryBudget)
+{
+  mRetryRatio = 0;
+  mRetrySlack = 0;
+  std::string const endless = StreamHead() + "7fffffff\r\n\bx\f";
+  std::string const complete =
+    StreamHead() + Chunk("id: 1\ndata: a\n\n") + std::string{ kLastChunk };
+  std::shared_ptr<answer_script> const script = std::make_shared<answer_script>(
+    std::vector<std::string>{ endless, complete, endless, complete });
+  scripted_server first{ script };
+  scripted_server second{ script };
+  StartGateway(std::array{ &first, &second });
+  EXPECT_TRUE(Exchange(Request("/stream/x")).ends_with(kLastChunk));
+  EXPECT_FALSE(Exchange(Request("/stream/x")).ends_with(kLastChunk));
+}
+
 }
 
 }
--- a/Tests/LibSettings/TestParseFleetSettings.cpp
+++ b/Tests/LibSettings/TestParseFleetSettings.cpp
@@ -83,6 +83,30 @@
                                        "$.store" }));
 }
 
+TEST(TestParseFleetSettings, RefusesTimesThatAreNoNumberOrOutOfBounds)
+{
+  for (char const* const field :
+       { "quota_window_s", "retry_window_s", "stop_s" }) {
+    for (json const& wrong : { json(0), json(60.5), json(-1), json("8") }) {
+      json document = MinimalSettings();
+      document["limits"] = { { field, wrong } };
+      EXPECT_EQ(FaultPaths(document.dump()),
+                std::vector<std::string>{ std::string{ "$.limits." } + field });
+    }
+  }
+}
+
+TEST(TestParseFleetSettings, RefusesRatiosAndSlacksOutOfBounds)
+{
+  for (char const* const field :
+       { "quota_slack", "quota_overshoot", "retry_ratio", "retry_slack" }) {
+    json document = MinimalSettings();
+    document["limits"] = { { field, -0.5 } };
+    EXPECT_EQ(FaultPaths(document.dump()),
+              std::vector<std::string>{ std::string{ "$.limits." } + field });
+  }
+}
+
 TEST(TestParseFleetSettings, RefusesCoresThatAreNoNumberOrOutOfBounds)
 {
   for (json const& wrong : { json("0.25"), json(1000.5), json::array() }) {
