LibFleet: Read when any peer is ahead, though others lag too

Cause: an instance that starts may read a configuration and pass it on to the one peer that it has so far. The others see that peer ahead, but each report of a peer that lagged as well reset the time since which they lagged, so none read for itself until the next full read of the elected reader.

Change: an instance lags until it has all that any peer reported. A read that doesn't catch up is repeated after a second instead of 0.3 s.

--- a/Libraries/LibFleet/ReaderElection.cpp
+++ b/Libraries/LibFleet/ReaderElection.cpp
@@ -1,5 +1,7 @@
 #include <LibFleet/ReaderElection.h>
 
+#include <algorithm>
+
 namespace lycheeseam {
 
 void
@@ -14,7 +16,9 @@
                            std::uint64_t aOwnEnd,
                            std::uint64_t aPeerEnd)
 {
-  if (aPeerEnd <= aOwnEnd) {
+  // A peer that lags as well says nothing about the records that another has.
+  mHighestPeerEnd = std::max(mHighestPeerEnd, aPeerEnd);
+  if (mHighestPeerEnd <= aOwnEnd) {
     mLaggingSince.reset();
     return;
   }
@@ -22,7 +26,7 @@
     mLaggingSince = aNow;
   if (aNow - *mLaggingSince < kLagTolerance)
     return;
-  mLaggingSince.reset();
+  mLaggingSince = aNow + kLagRetryDelay;
   RequestRead();
 }
 
--- a/Libraries/LibFleet/ReaderElection.h
+++ b/Libraries/LibFleet/ReaderElection.h
@@ -48,8 +48,13 @@
   // them, so a longer lag means that some were lost.
   static constexpr std::chrono::milliseconds kLagTolerance{ 300 };
 
+  // Between two reads that are due to a lag. Reads of the store may lag too.
+  static constexpr std::chrono::milliseconds kLagRetryDelay{ 700 };
+
   instant mNextReadAt{};
   instant mAnsweredAt{};
+  /// The highest offset that a peer has reported as its end.
+  std::uint64_t mHighestPeerEnd = 0;
   std::optional<instant> mLaggingSince;
   bool mIsReadRequested = false;
 };
