LibGateway+LibFleet: Log servers' announcements that they leave

To tell the hypotheses of the incident apart: server_leaving is logged when an answer first announces that its server leaves, and a dropped entry's line says for how long the server stays in use. Nothing acts on the announcement yet.

--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -19,6 +19,8 @@
   circuit_breaker mBreaker;
   /// True while a rolling update loads weights on it; it gets no new requests.
   bool mIsUpdating = false;
+  /// True once one of its answers has announced that it is leaving.
+  bool mHasAnnouncedLeaving = false;
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
   token_count mMemoryTokens = 0;
   /// This instance's requests that haven't ended.
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -7,6 +7,7 @@
 #include <LibFleet/PageSource.h>
 #include <LibFleet/ServerRegistry.h>
 
+#include <chrono>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,8 +62,9 @@
         ApplyServer(record, aSource);
         continue;
       }
-      mServers.OnDropped(aNow, backend_server_id{ record.mKey });
-      LogServer(record, "dropped", aSource);
+      LogDropped(record,
+                 mServers.OnDropped(aNow, backend_server_id{ record.mKey }),
+                 aSource);
     }
   }
 
@@ -88,12 +90,32 @@
                         std::string_view aState,
                         page_source aSource)
   {
-    bool const isPeer = aSource == page_source::Peer;
     LogEvent("server",
              { { "server", aRecord.mKey },
                { "state", std::string{ aState } },
                { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
-               { "told_by", std::string{ isPeer ? "peer" : "store" } } });
+               { "told_by", NameOf(aSource) } });
+  }
+
+  static void LogDropped(keyed_record const& aRecord,
+                         duration aInUseFor,
+                         page_source aSource)
+  {
+    LogEvent(
+      "server",
+      { { "server", aRecord.mKey },
+        { "state", std::string{ "dropped" } },
+        { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
+        { "told_by", NameOf(aSource) },
+        { "in_use_ms",
+          std::int64_t{
+            std::chrono::duration_cast<std::chrono::milliseconds>(aInUseFor)
+              .count() } } });
+  }
+
+  static std::string NameOf(page_source aSource)
+  {
+    return aSource == page_source::Peer ? "peer" : "store";
   }
 
   void ApplyOperatorRecord(instant aNow, keyed_record const& aRecord)
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -30,22 +30,23 @@
   return isNew;
 }
 
-void
+duration
 server_registry::OnDropped(instant aNow, backend_server_id const& aServer)
 {
   auto const found = mEntries.find(aServer);
   if (found == mEntries.end())
-    return;
+    return {};
   bool const mayRegisterAgain =
     mIsStoreUnreachable ||
     (mStoreReachableSince && aNow - *mStoreReachableSince < kGracePeriod);
   if (!mayRegisterAgain) {
     mEntries.erase(found);
-    return;
+    return {};
   }
   if (!found->second.mGracePeriodEnd)
     found->second.mGracePeriodEnd =
       mStoreReachableSince.value_or(aNow) + kGracePeriod;
+  return *found->second.mGracePeriodEnd - aNow;
 }
 
 bool
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -22,8 +22,9 @@
   /// its stage is new.
   bool OnEntry(registered_server aServer);
 
-  /// A server's entry has been dropped from the store.
-  void OnDropped(instant aNow, backend_server_id const& aServer);
+  /// A server's entry has been dropped from the store. Returns how long the
+  /// server stays in use.
+  duration OnDropped(instant aNow, backend_server_id const& aServer);
 
   /// Another server answered at the address of aServer, which stays removed
   /// until it writes its next entry. True when that incarnation was registered.
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -18,6 +18,8 @@
   /// The server is not the one that the request was meant for, or lacks the
   /// requested weights, and did not run the request.
   bool mIsMisdirected = false;
+  /// The server takes no new requests and exits soon.
+  bool mIsLeaving = false;
   /// The server that answered, when the head states it.
   std::optional<backend_server_id> mServer;
   /// The head has the stamp that servers put on the answers that they make.
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -1,3 +1,4 @@
+#include <LibEvents/EventLog.h>
 #include <LibGateway/TrafficCore.h>
 
 #include <algorithm>
@@ -103,6 +104,18 @@
       .mIncarnation = aServer.mRegistered.mIncarnation });
 }
 
+void
+traffic_core::OnLeaving(tracked_server& aServer)
+{
+  if (std::exchange(aServer.mHasAnnouncedLeaving, true))
+    return;
+  bool const isRegisteredReady =
+    aServer.mRegistered.mStage == server_stage::Ready;
+  LogEvent("server_leaving",
+           { { "server", aServer.mRegistered.mId.Text() },
+             { "registered_ready", std::int64_t{ isRegisteredReady } } });
+}
+
 void
 traffic_core::OnPrefixRead(instant aNow, prefix_holder const& aHolder)
 {
@@ -132,6 +145,8 @@
   if (aAnswer.mIsMisdirected && aAnswer.mServer &&
       *aAnswer.mServer != aServer.mRegistered.mId)
     OnReplaced(aServer);
+  else if (aAnswer.mIsLeaving)
+    OnLeaving(aServer);
   if (aAnswer.mLoad) {
     aServer.mLoad = aAnswer.mLoad;
     aServer.mLoad->mReportedAt = aNow;
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -64,6 +64,9 @@
   /// Another server answered at the address of aServer.
   void OnReplaced(tracked_server& aServer);
 
+  /// An answer of the server announced that it is leaving.
+  void OnLeaving(tracked_server& aServer);
+
   /// A server read a shared prompt prefix. Other instances are told unless they
   /// have just been told of another server that holds it.
   void OnPrefixRead(instant aNow, prefix_holder const& aHolder);
--- a/Tests/Platform/TestRequestDialect.cpp
+++ b/Tests/Platform/TestRequestDialect.cpp
@@ -107,7 +107,11 @@
   EXPECT_EQ(answer.mVersion, 4U);
   ASSERT_TRUE(answer.mLoad);
   EXPECT_EQ(answer.mLoad->mWaiting, 1U);
+  EXPECT_FALSE(answer.mIsLeaving);
   EXPECT_TRUE(request_dialect::ReadAnswer({ .mStatus = 421 }).mIsMisdirected);
+  EXPECT_TRUE(request_dialect::ReadAnswer(
+                { .mStatus = 200, .mFields = { { "server-leaving", "1" } } })
+                .mIsLeaving);
 }
 
 TEST(TestRequestDialect, ArbitraryLoadsAreReadOrIgnored)
