--- a/Tests/LibFleet/TestServerRegistry.cpp
+++ b/Tests/LibFleet/TestServerRegistry.cpp
@@ -55,6 +55,19 @@
   EXPECT_TRUE(known.Servers().empty());
 }
 
+// Guards against requests to a server whose entry was dropped, by an instance
+// that the store refuses while its peers are answered.
+TEST(TestServerRegistry, DropThatAPeerReadIsFinalWhileOwnReadsFail)
+{
+  server_registry known;
+  known.OnStoreAnswer(kNow);
+  known.OnEntry(Entry(1));
+  known.OnStoreFailure();
+  known.OnStoreAnswer(kNow + milliseconds{ 500 });
+  known.OnDropped(kNow + milliseconds{ 500 }, kServer);
+  EXPECT_TRUE(known.Servers().empty());
+}
+
 TEST(TestServerRegistry, EntryOfAnEarlierIncarnationIsIgnored)
 {
   server_registry known;
