LibFleet: Keep a dropped server only after an outage that entries expire in

Cause: one failed read of this instance counted as an outage of the store, and each page that a peer passed on as its end, so that on an instance that the store refuses every drop began a grace period. Class: a local failure taken for a failure of the shared service.

Entries expire after three missed heartbeats, so only a gap of 2 s without any page, own or passed on, counts as an outage now. Drops in shorter gaps are final.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -55,8 +55,7 @@
                page_source aSource) {
           OnNewRecords(aTopic, aNewRecords, aSource);
         },
-        [this](topic_relay const& aRelay) { mLinks.Relay(aRelay); },
-        [this]() { mRecords.Servers().OnStoreFailure(); })
+        [this](topic_relay const& aRelay) { mLinks.Relay(aRelay); })
     , mRegistration(
         mClient,
         mOptions.mStore,
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -12,6 +12,11 @@
 // return.
 constexpr duration kGracePeriod = std::chrono::milliseconds{ 2'200 };
 
+// Entries expire after three missed heartbeats of 1.2 s, the last of which may
+// have been due up to one interval before the outage. After a shorter outage a
+// dropped entry is one that its server, or its operator, removed.
+constexpr duration kMinOutage = std::chrono::seconds{ 2 };
+
 }
 
 bool
@@ -36,16 +41,11 @@
   auto const found = mEntries.find(aServer);
   if (found == mEntries.end())
     return {};
-  bool const mayRegisterAgain =
-    mIsStoreUnreachable ||
-    (mStoreReachableSince && aNow - *mStoreReachableSince < kGracePeriod);
-  if (!mayRegisterAgain) {
+  if (!mOutageEnd || aNow - *mOutageEnd >= kGracePeriod) {
     mEntries.erase(found);
     return {};
   }
-  if (!found->second.mGracePeriodEnd)
-    found->second.mGracePeriodEnd =
-      mStoreReachableSince.value_or(aNow) + kGracePeriod;
+  found->second.mGracePeriodEnd = *mOutageEnd + kGracePeriod;
   return *found->second.mGracePeriodEnd - aNow;
 }
 
@@ -60,17 +60,12 @@
   return true;
 }
 
-void
-server_registry::OnStoreFailure()
-{
-  mIsStoreUnreachable = true;
-}
-
 void
 server_registry::OnStoreAnswer(instant aNow)
 {
-  if (std::exchange(mIsStoreUnreachable, false))
-    mStoreReachableSince = aNow;
+  if (mAnsweredAt && aNow - *mAnsweredAt >= kMinOutage)
+    mOutageEnd = aNow;
+  mAnsweredAt = aNow;
 }
 
 bool
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -14,7 +14,8 @@
 ///
 /// Entries expire during an outage of the store, even those of running servers.
 /// Such a server gets a grace period after the outage to register again before
-/// it is removed.
+/// it is removed. A page that any instance reads shows that there is no outage,
+/// whether or not the store answers this one.
 class server_registry
 {
 public:
@@ -30,10 +31,7 @@
   /// until it writes its next entry. True when that incarnation was registered.
   bool OnAddressTaken(server_identity const& aServer);
 
-  /// The store failed to answer.
-  void OnStoreFailure();
-
-  /// The store answered.
+  /// The store answered this instance or a peer that passed the answer on.
   void OnStoreAnswer(instant aNow);
 
   /// Weights of an engine were observed; true when they are newer than the
@@ -57,9 +55,10 @@
   };
 
   std::map<backend_server_id, entry> mEntries;
-  bool mIsStoreUnreachable = false;
+  /// When the store last answered; empty before it first did.
+  std::optional<instant> mAnsweredAt;
   /// When the last outage of the store ended; empty before the first one.
-  std::optional<instant> mStoreReachableSince;
+  std::optional<instant> mOutageEnd;
 };
 
 }
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -29,17 +29,13 @@
     void(store_topic, std::span<keyed_record const>, page_source)>;
   /// Receives records that this instance read, to be passed on to peers.
   using relay_handler = std::function<void(topic_relay const&)>;
-  /// Called when the store didn't answer a read of the servers.
-  using failure_handler = std::function<void()>;
 
   store_follower(http_client& aClient,
                  endpoint const& aStore,
                  new_records_handler aNewRecordsHandler,
-                 relay_handler aRelayHandler,
-                 failure_handler aFailureHandler)
+                 relay_handler aRelayHandler)
     : mNewRecordsHandler(std::move(aNewRecordsHandler))
     , mRelayHandler(std::move(aRelayHandler))
-    , mFailureHandler(std::move(aFailureHandler))
     , mOperators(MakeFollowedTopic(aClient, aStore, store_topic::Operators))
     , mServers(MakeFollowedTopic(aClient, aStore, store_topic::Servers))
   {
@@ -137,8 +133,6 @@
       aTopic.mElection.OnRead(mClock.Now(), isAnswered);
       if (aStatus == store_read_status::Expired)
         aTopic.mElection.RequestRead();
-      if (!isAnswered && &aTopic == &mServers)
-        mFailureHandler();
     });
   }
 
@@ -177,7 +171,6 @@
 
   new_records_handler mNewRecordsHandler;
   relay_handler mRelayHandler;
-  failure_handler mFailureHandler;
   system_clock mClock;
   /// The source of the page that is being applied.
   page_source mSource = page_source::Store;
--- a/Tests/LibFleet/TestServerRegistry.cpp
+++ b/Tests/LibFleet/TestServerRegistry.cpp
@@ -33,8 +33,8 @@
 TEST(TestServerRegistry, EntryDroppedAfterAStoreOutageGetsAGracePeriod)
 {
   server_registry known;
+  known.OnStoreAnswer(kNow);
   known.OnEntry(Entry(1));
-  known.OnStoreFailure();
   known.OnStoreAnswer(kNow + seconds{ 4 });
   known.OnDropped(kNow + seconds{ 4 }, kServer);
   EXPECT_EQ(known.Servers().size(), 1U);
@@ -47,8 +47,8 @@
 TEST(TestServerRegistry, EntryIsRemovedAfterTheGracePeriod)
 {
   server_registry known;
+  known.OnStoreAnswer(kNow);
   known.OnEntry(Entry(1));
-  known.OnStoreFailure();
   known.OnStoreAnswer(kNow + seconds{ 4 });
   known.OnDropped(kNow + seconds{ 4 }, kServer);
   EXPECT_TRUE(known.Expire(kNow + seconds{ 4 } + milliseconds{ 2'300 }));
@@ -62,7 +62,6 @@
   server_registry known;
   known.OnStoreAnswer(kNow);
   known.OnEntry(Entry(1));
-  known.OnStoreFailure();
   known.OnStoreAnswer(kNow + milliseconds{ 500 });
   known.OnDropped(kNow + milliseconds{ 500 }, kServer);
   EXPECT_TRUE(known.Servers().empty());
