LibDispatch+LibGateway: Send nothing to a server that announced it is leaving

Callers' requests went on to servers whose answers said that they leave, as long as the store's entry, which may be late or unreadable, said ready.

Cause: the announcement in answers was not read, and a stage that an answer showed was overwritten by the next view (server_table::Apply). Class: what a server says of itself is taken from one source only.

The announcement is kept beside the registration, for the server's incarnation, so that no view undoes it and a restart does. A 421 without the server's id is not trusted: another server may have taken the address.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -39,7 +39,7 @@
 bool
 IsEligible(tracked_server const& aServer, server_choice_request const& aRequest)
 {
-  if (aServer.mRegistered.mStage != server_stage::Ready || aServer.mIsUpdating)
+  if (aServer.IsLeaving() || aServer.mIsUpdating)
     return false;
   if (IsOutdated(aServer, aRequest))
     return false;
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -19,7 +19,8 @@
   circuit_breaker mBreaker;
   /// True while a rolling update loads weights on it; it gets no new requests.
   bool mIsUpdating = false;
-  /// True once one of its answers has announced that it is leaving.
+  /// True once one of its answers has announced that it is leaving. Views don't
+  /// change that: they may be older, and the store may be out.
   bool mHasAnnouncedLeaving = false;
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
   token_count mMemoryTokens = 0;
@@ -34,6 +35,12 @@
   /// This instance's requests in flight when mLoad was reported.
   std::uint32_t mInFlightAtLoad = 0;
 
+  /// True when the server takes no new requests until it restarts.
+  [[nodiscard]] bool IsLeaving() const noexcept
+  {
+    return mHasAnnouncedLeaving || mRegistered.mStage == server_stage::Leaving;
+  }
+
   /// Counts a request of aTokens that this instance sends to the server.
   void OnStart(token_count aTokens);
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -142,10 +142,12 @@
                        server_answer const& aAnswer)
 {
   aServer.mBreaker.OnSuccess();
-  if (aAnswer.mIsMisdirected && aAnswer.mServer &&
-      *aAnswer.mServer != aServer.mRegistered.mId)
+  bool const isItself = aAnswer.mServer == aServer.mRegistered.mId;
+  if (aAnswer.mIsMisdirected && aAnswer.mServer && !isItself)
     OnReplaced(aServer);
-  else if (aAnswer.mIsLeaving)
+  // A misdirected answer that doesn't say whose it is may be of another server
+  // that has taken the address.
+  if (aAnswer.mIsLeaving && (!aAnswer.mIsMisdirected || isItself))
     OnLeaving(aServer);
   if (aAnswer.mLoad) {
     aServer.mLoad = aAnswer.mLoad;
