LibDispatch+LibGateway: Give servers the pause that they ask for

A server that refuses a request with 503 may say for how long it wants none from this instance. That was not read: the next request went to the same server, and when all of a pool had asked for a pause, callers were told to come back after 0.2 s.

The pause excludes the server from the choice, for its incarnation. A request that only paused servers could take, and that may not wait for the first of them, is refused at once as not run, with the time until then and a spread of up to 0.2 s as Retry-After.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -36,8 +36,9 @@
   return replaced && aRequest.mNow - *replaced > aRequest.mOutdatedAfter;
 }
 
+// True when the server may get the request unless it pauses.
 bool
-IsEligible(tracked_server const& aServer, server_choice_request const& aRequest)
+IsUsable(tracked_server const& aServer, server_choice_request const& aRequest)
 {
   if (aServer.IsLeaving() || aServer.mIsUpdating)
     return false;
@@ -59,7 +60,7 @@
 {
   std::vector<tracked_server*> eligible;
   for (tracked_server* const server : aServers) {
-    if (IsEligible(*server, aRequest))
+    if (server->mPausedUntil <= aRequest.mNow && IsUsable(*server, aRequest))
       eligible.push_back(server);
   }
   return eligible;
@@ -184,6 +185,19 @@
   return LeastLoaded(eligible, aRequest);
 }
 
+std::optional<instant>
+FirstPauseEnd(std::span<tracked_server* const> aServers,
+              server_choice_request const& aRequest)
+{
+  std::optional<instant> first;
+  for (tracked_server const* const server : aServers) {
+    bool const isPaused = server->mPausedUntil > aRequest.mNow;
+    if (isPaused && IsUsable(*server, aRequest))
+      first = std::min(first.value_or(instant::max()), server->mPausedUntil);
+  }
+  return first;
+}
+
 tracked_server*
 ChooseCacheSource(std::span<tracked_server* const> aServers,
                   server_choice_request const& aRequest,
--- a/Libraries/LibDispatch/ChooseServer.h
+++ b/Libraries/LibDispatch/ChooseServer.h
@@ -3,6 +3,7 @@
 #include <LibDispatch/ServerChoiceRequest.h>
 #include <LibDispatch/TrackedServer.h>
 
+#include <optional>
 #include <span>
 
 namespace lycheeseam {
@@ -18,6 +19,12 @@
 ChooseServer(std::span<tracked_server* const> aServers,
              server_choice_request const& aRequest);
 
+/// When the first server takes requests again of those that are only excluded
+/// because they asked this instance for a pause; nothing when there are none.
+std::optional<instant>
+FirstPauseEnd(std::span<tracked_server* const> aServers,
+              server_choice_request const& aRequest);
+
 /// Returns the server other than aChosen that most likely caches the prompt's
 /// shared part: the one with the highest rendezvous rank among those with the
 /// same version of the weights. Null when there is none.
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -22,6 +22,8 @@
   /// True once one of its answers has announced that it is leaving. Views don't
   /// change that: they may be older, and the store may be out.
   bool mHasAnnouncedLeaving = false;
+  /// Until when it wants no requests from this instance.
+  instant mPausedUntil{};
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
   token_count mMemoryTokens = 0;
   /// This instance's requests that haven't ended.
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -178,7 +178,7 @@
       return EndNow();
     server_pick const pick = mSender.Pick(now, mAdmitted.mPool);
     if (!pick.mServer)
-      return WaitForCapacity(now);
+      return WaitForCapacity(now, pick);
     // Until the request has reached a server, nothing is retried.
     if (mTrace.mArrivals > 0 && !mCore.TrySpendRetry(now, mAdmitted.mPool))
       return GiveUp();
@@ -188,10 +188,11 @@
       this->shared_from_this());
   }
 
-  void WaitForCapacity(instant aNow)
+  void WaitForCapacity(instant aNow, server_pick const& aPick)
   {
-    if (!MayWaitForCapacity(mAdmitted, mTrace, aNow))
-      return GiveUp();
+    instant const freeAt = aPick.mPauseEnd.value_or(aNow);
+    if (!MayWaitForCapacity(mAdmitted, mTrace, freeAt))
+      return GiveUp(RetryAfterPause(aPick));
     RunAfter(mContext,
              kCapacityCheckInterval,
              [self = this->shared_from_this()]() { self->Attempt(); });
@@ -244,11 +245,22 @@
     Attempt();
   }
 
-  void GiveUp()
+  void GiveUp(std::chrono::milliseconds aRetryAfter = kRetryAfter)
   {
     EndWithRefusal(mTrace.MayHaveRun() ? refusal_status::BadGateway
                                        : refusal_status::NotReady,
-                   kRetryAfter);
+                   aRetryAfter);
+  }
+
+  // Callers that are refused during a pause don't all come back at its end.
+  static std::chrono::milliseconds RetryAfterPause(server_pick const& aPick)
+  {
+    if (!aPick.mPauseEnd)
+      return kRetryAfter;
+    std::chrono::duration<double, std::milli> const spread =
+      kRetryAfter * aPick.mChoiceRequest.mSample;
+    return std::chrono::ceil<std::chrono::milliseconds>(
+      *aPick.mPauseEnd - aPick.mChoiceRequest.mNow + spread);
   }
 
   // Refuses the request, or aborts an answer that has begun.
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -52,6 +52,8 @@
     if (tracked_server const* const chosen =
           ChooseServer(servers, pick.mChoiceRequest))
       pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
+    else
+      pick.mPauseEnd = FirstPauseEnd(servers, pick.mChoiceRequest);
     return pick;
   }
 
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/ReportedLoad.h>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -20,6 +21,8 @@
   bool mIsMisdirected = false;
   /// The server takes no new requests and exits soon.
   bool mIsLeaving = false;
+  /// How long the server wants no requests from this instance.
+  std::chrono::milliseconds mPause{};
   /// The server that answered, when the head states it.
   std::optional<backend_server_id> mServer;
   /// The head has the stamp that servers put on the answers that they make.
--- a/Libraries/LibGateway/ServerPick.h
+++ b/Libraries/LibGateway/ServerPick.h
@@ -5,6 +5,7 @@
 #include <LibDispatch/TrackedServer.h>
 
 #include <memory>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -16,6 +17,9 @@
   server_choice_request mChoiceRequest;
   /// Null when no server can take the request now.
   std::shared_ptr<tracked_server> mServer;
+  /// When the first server's pause ends, if there is no server only because all
+  /// that could take the request pause.
+  std::optional<instant> mPauseEnd;
 };
 
 }
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -116,6 +116,17 @@
              { "registered_ready", std::int64_t{ isRegisteredReady } } });
 }
 
+void
+traffic_core::OnPause(instant aNow,
+                      tracked_server& aServer,
+                      std::chrono::milliseconds aPause)
+{
+  aServer.mPausedUntil = std::max(aServer.mPausedUntil, aNow + aPause);
+  LogEvent("server_paused",
+           { { "server", aServer.mRegistered.mId.Text() },
+             { "pause_ms", std::int64_t{ aPause.count() } } });
+}
+
 void
 traffic_core::OnPrefixRead(instant aNow, prefix_holder const& aHolder)
 {
@@ -149,6 +160,8 @@
   // that has taken the address.
   if (aAnswer.mIsLeaving && (!aAnswer.mIsMisdirected || isItself))
     OnLeaving(aServer);
+  if (aAnswer.mPause.count() > 0)
+    OnPause(aNow, aServer, aAnswer.mPause);
   if (aAnswer.mLoad) {
     aServer.mLoad = aAnswer.mLoad;
     aServer.mLoad->mReportedAt = aNow;
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -67,6 +67,11 @@
   /// An answer of the server announced that it is leaving.
   void OnLeaving(tracked_server& aServer);
 
+  /// The server wants no requests from this instance for aPause.
+  void OnPause(instant aNow,
+               tracked_server& aServer,
+               std::chrono::milliseconds aPause);
+
   /// A server read a shared prompt prefix. Other instances are told unless they
   /// have just been told of another server that holds it.
   void OnPrefixRead(instant aNow, prefix_holder const& aHolder);
--- a/Libraries/LibHttp/HttpStatus.h
+++ b/Libraries/LibHttp/HttpStatus.h
@@ -13,5 +13,6 @@
 constexpr std::uint32_t kHttpGone = 410;
 constexpr std::uint32_t kHttpPreconditionFailed = 412;
 constexpr std::uint32_t kHttpMisdirected = 421;
+constexpr std::uint32_t kHttpUnavailable = 503;
 
 }
--- a/Tests/LibDispatch/TestChooseServer.cpp
+++ b/Tests/LibDispatch/TestChooseServer.cpp
@@ -63,6 +63,21 @@
     EXPECT_GT(count, 50);
 }
 
+TEST(TestChooseServer, PausedServerGetsRequestsAfterItsPause)
+{
+  engine_pool pool{ 2 };
+  pool[0].mPausedUntil = kNow + seconds{ 2 };
+  pool[1].mPausedUntil = kNow + seconds{ 1 };
+  server_choice_request request = Request(5);
+  EXPECT_EQ(ChooseServer(pool.All(), request), nullptr);
+  EXPECT_EQ(FirstPauseEnd(pool.All(), request), kNow + seconds{ 1 });
+  pool[1].mIsUpdating = true;
+  EXPECT_EQ(FirstPauseEnd(pool.All(), request), kNow + seconds{ 2 });
+  request.mNow = kNow + seconds{ 2 };
+  EXPECT_EQ(ChooseServer(pool.All(), request), &pool[0]);
+  EXPECT_EQ(FirstPauseEnd(pool.All(), request), std::nullopt);
+}
+
 TEST(TestChooseServer, RoutesPromptToAnotherServerAboveLoadBound)
 {
   engine_pool pool{ 4 };
--- a/Tests/Platform/TestRequestDialect.cpp
+++ b/Tests/Platform/TestRequestDialect.cpp
@@ -114,6 +114,23 @@
                 .mIsLeaving);
 }
 
+TEST(TestRequestDialect, RefusalsMayAskForAPause)
+{
+  using std::chrono::milliseconds;
+  auto const pause = [](std::uint32_t aStatus, char const* aText) {
+    return request_dialect::ReadAnswer(
+             { .mStatus = aStatus, .mFields = { { "Retry-After", aText } } })
+      .mPause;
+  };
+  EXPECT_EQ(pause(503, "2"), milliseconds{ 2'000 });
+  EXPECT_EQ(pause(503, "0.25"), milliseconds{ 250 });
+  EXPECT_EQ(pause(503, "1e300"), std::chrono::hours{ 24 });
+  for (char const* const text :
+       { "", "0", "-1", "nan", "2s", "Fri, 31 Dec 1999 23:59:59 GMT" })
+    EXPECT_EQ(pause(503, text), milliseconds{}) << text;
+  EXPECT_EQ(pause(200, "2"), milliseconds{});
+}
+
 TEST(TestRequestDialect, ArbitraryLoadsAreReadOrIgnored)
 {
   rc::check([](std::string const& aValue) {
