--- a/Libraries/LibDispatch/RequestProperties.h
+++ b/Libraries/LibDispatch/RequestProperties.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -35,11 +36,28 @@
   [[nodiscard]] token_count SharedTokens() const
   {
     token_count tokens = 0;
-    for (std::size_t index = 0; index + 1 < mParts.size(); ++index)
-      tokens += mParts[index].mTokens;
+    for (prompt_part const& part : SharedParts())
+      tokens += part.mTokens;
     return tokens;
   }
 
+  /// The parts that other requests may share: all but the last one.
+  [[nodiscard]] std::span<prompt_part const> SharedParts() const
+  {
+    return { mParts.data(), mParts.empty() ? 0 : mParts.size() - 1 };
+  }
+
+  /// The ids of these parts, separated by commas.
+  [[nodiscard]] std::string SharedPartIds() const
+  {
+    std::string ids;
+    for (prompt_part const& part : SharedParts()) {
+      ids += ids.empty() ? "" : ",";
+      ids += part.mId;
+    }
+    return ids;
+  }
+
   /// The last part that other requests may share; null when there is none.
   [[nodiscard]] prompt_part const* SharedPart() const
   {
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -50,6 +50,7 @@
     try {
       mSender.ReadProperties();
       mTrace.mRequest = mSender.Properties().mId;
+      mTrace.mSharedParts = mSender.Properties().SharedPartIds();
     } catch (invalid_input const&) {
       return Refuse(refusal_status::BadRequest, {});
     }
--- a/Libraries/LibGateway/RunEvents.cpp
+++ b/Libraries/LibGateway/RunEvents.cpp
@@ -30,6 +30,11 @@
       { "sends", std::int64_t{ mTrace.mSends } },
       { "may_repeat", std::int64_t{ mAdmitted.mRoute->MayRetry() } },
       { "config", static_cast<std::int64_t>(mAdmitted.mConfig->Version()) },
+      { "first_ms",
+        mTrace.mFirstPieceAt
+          ? Milliseconds(*mTrace.mFirstPieceAt - mTrace.mStartedAt)
+          : std::int64_t{ -1 } },
+      { "parts", mTrace.mSharedParts },
       { "since_ms", Milliseconds(aNow - mTrace.mStartedAt) } });
 }
 
--- a/Libraries/LibGateway/RunTrace.h
+++ b/Libraries/LibGateway/RunTrace.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace lycheeseam {
 
@@ -13,6 +14,8 @@
 struct run_trace
 {
   request_id mRequest;
+  /// Ids of the prompt's parts that other requests may share, with commas.
+  std::string mSharedParts;
   instant mStartedAt{};
   /// When the first piece of the answer's body was received.
   std::optional<instant> mFirstPieceAt;
