--- a/Tests/LibGateway/ScriptedServer.h
+++ b/Tests/LibGateway/ScriptedServer.h
@@ -12,8 +12,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,7 +23,8 @@
 namespace lycheeseam {
 
 /// A backend server that answers each request with the next answer of its
-/// script, byte for byte; servers may share a script. "close" instead of an
+/// script, byte for byte, or with the result of a function of the request's
+/// bytes; servers may share a script. "close" instead of an
 /// answer closes the connection, "hang" waits until the gateway closes it.
 /// After an answer that ends with "\a" the connection is closed as well. An
 /// answer that ends with "\f" is followed by bytes without end, one that ends
@@ -38,7 +41,16 @@
   }
 
   explicit scripted_server(std::shared_ptr<answer_script> aScript)
-    : mScript(std::move(aScript))
+    : scripted_server([script = std::move(aScript)](std::string const&) {
+      return script->Next();
+    })
+  {
+  }
+
+  /// The function runs on any thread.
+  explicit scripted_server(
+    std::function<std::string(std::string const&)> aAnswerTo)
+    : mAnswerTo(std::move(aAnswerTo))
     , mAcceptor(mContext, { boost::asio::ip::make_address("127.0.0.1"), 0 })
     , mThread([this]() { Serve(); })
   {
@@ -93,8 +105,11 @@
   void ServeConnection(tcp::socket& aSocket)
   {
     std::string bytes;
-    while (ReadRequest(aSocket, bytes)) {
-      std::string answer = mScript->Next();
+    for (;;) {
+      std::optional<std::string> const request = ReadRequest(aSocket, bytes);
+      if (!request)
+        return;
+      std::string answer = mAnswerTo(*request);
       if (answer == "close")
         return;
       if (answer == "hang") {
@@ -136,13 +151,14 @@
     ++mAbandoned;
   }
 
-  bool ReadRequest(tcp::socket& aSocket, std::string& aBytes)
+  std::optional<std::string> ReadRequest(tcp::socket& aSocket,
+                                         std::string& aBytes)
   {
     boost::system::error_code fault;
     std::size_t const head = boost::asio::read_until(
       aSocket, boost::asio::dynamic_buffer(aBytes), "\r\n\r\n", fault);
     if (fault)
-      return false;
+      return std::nullopt;
     std::size_t length = 0;
     std::size_t const at = aBytes.find("Content-Length: ");
     if (at != std::string::npos && at < head)
@@ -154,14 +170,14 @@
         boost::asio::transfer_exactly(head + length - aBytes.size()),
         fault);
     if (fault)
-      return false;
+      return std::nullopt;
     std::lock_guard const lock{ mMutex };
     mRequests.push_back(aBytes.substr(0, head + length));
     aBytes.erase(0, head + length);
-    return true;
+    return mRequests.back();
   }
 
-  std::shared_ptr<answer_script> mScript;
+  std::function<std::string(std::string const&)> mAnswerTo;
   boost::asio::io_context mContext;
   tcp::acceptor mAcceptor;
   std::mutex mMutex;
