LibDispatch+LibGateway: Quarantine prompt parts that crash servers

Cause: crashes were counted by a hash of the whole request, and requests that share only the part that crashes servers are no two alike. Class: a fault is counted by too narrow a key. Evidence: in each crash one attempt without a piece of its answer has the same part.

suspect_parts counts crashes by each shared part. A crash breaks all requests on the server, so it counts only against those whose answers hadn't begun, only if they were sent when the crash before was known, and an answer to a request that was sent later clears its parts: crashes at one time count once, and parts that sound requests share are cleared in between. After three in a row a part is in quarantine; one instance tries it again after 30 s. Evidence merges in any order and repeatedly; a new link brings what is in quarantine, so a restarted instance knows it. No clocks of other instances are compared.

--- /dev/null
+++ b/Libraries/LibDispatch/PartCrashes.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace lycheeseam {
+
+/// The evidence that a part of prompts crashes servers.
+struct part_crashes
+{
+  /// The part's key, as PartKeys returns it.
+  std::uint64_t mPart = 0;
+  /// How often an answer has cleared the part of all crashes before it.
+  std::uint32_t mClearances = 0;
+  /// Consecutive crashes since then: each of a request that was sent when the
+  /// crash before it was known.
+  std::uint32_t mCrashes = 0;
+
+  bool operator==(part_crashes const&) const = default;
+
+  /// True when this is later evidence on the same part than aOther.
+  [[nodiscard]] bool IsNewerThan(part_crashes const& aOther) const noexcept
+  {
+    if (mClearances != aOther.mClearances)
+      return mClearances > aOther.mClearances;
+    return mCrashes > aOther.mCrashes;
+  }
+};
+
+}
--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -84,6 +84,7 @@
     if (!ForwardsUpdate(update, aScope, aTo))
       continue;
     Append(report.mCrashes, update.mCrashes);
+    Append(report.mPartCrashes, update.mPartCrashes);
     Append(report.mWeights, update.mWeights);
     Append(report.mHolders, update.mHolders);
   }
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -3,6 +3,7 @@
 #include <LibCore/Published.h>
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
+#include <LibDispatch/SuspectParts.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/FleetLinks.h>
 #include <LibFleet/FleetMetrics.h>
@@ -108,7 +109,9 @@
     mMetrics.Merge(aReport.mMetrics);
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
+    MergePartCrashes(aReport.mPartCrashes);
     mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
+                 .mPartCrashes = std::move(aReport.mPartCrashes),
                  .mHolders = std::move(aReport.mHolders) });
     ReportToPeers();
     Publish();
@@ -123,6 +126,7 @@
     mLinks.Report({ .mLease = mOrderDriver.Lease(),
                     .mReader = mFollower.IsReading(now) ? self : instance_id{},
                     .mSpent = mOwnUsage,
+                    .mPartCrashes = mSuspects.Quarantined(),
                     .mUpdating = { updating.begin(), updating.end() },
                     .mUsed = mWindowUsage,
                     .mOperatorsEnd = mFollower.OperatorsEnd() },
@@ -134,9 +138,12 @@
   void OnPeerReport(fleet_report const& aReport, bool aHaveUpdatesChanged)
   {
     mFollower.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
-    if (!aReport.mCrashes.empty() || !aReport.mHolders.empty())
-      mUpdateHandler(
-        { .mCrashes = aReport.mCrashes, .mHolders = aReport.mHolders });
+    MergePartCrashes(aReport.mPartCrashes);
+    if (!aReport.mCrashes.empty() || !aReport.mPartCrashes.empty() ||
+        !aReport.mHolders.empty())
+      mUpdateHandler({ .mCrashes = aReport.mCrashes,
+                       .mPartCrashes = aReport.mPartCrashes,
+                       .mHolders = aReport.mHolders });
     bool const areWeightsNew = ApplyObservedWeights(aReport.mWeights);
     if (aHaveUpdatesChanged || areWeightsNew)
       Publish();
@@ -161,6 +168,7 @@
     if (IsReader(now))
       mUsageWriter.Write(now, mWindowUsage);
     mLinks.Tick(now);
+    mSuspects.Prune(now);
     bool const haveServersExpired = mRecords.Servers().Expire(now);
     std::vector<registered_server> const servers = mRecords.Servers().Servers();
     bool const haveUpdatesChanged =
@@ -203,6 +211,14 @@
     return areNew;
   }
 
+  // Keeps a copy of what the traffic thread knows, for peers with a new link.
+  void MergePartCrashes(std::span<part_crashes const> aEvidence)
+  {
+    instant const now = mClock.Now();
+    for (part_crashes const& evidence : aEvidence)
+      mSuspects.Merge(now, evidence);
+  }
+
   void OnObservedWeights(std::vector<observed_weights> const& aObserved)
   {
     if (!ApplyObservedWeights(aObserved))
@@ -257,6 +273,7 @@
   fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrderDriver;
   fleet_view mView;
+  suspect_parts mSuspects;
   /// What this instance admitted since its start.
   std::vector<workspace_usage> mOwnUsage;
   /// What all instances admitted in the last quota window.
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -170,6 +170,7 @@
     mExchange.Add({ .mFrom = aPeer.mInstance,
                     .mIsOfBranch = aReport.mScope == report_scope::Branch,
                     .mCrashes = aReport.mCrashes,
+                    .mPartCrashes = aReport.mPartCrashes,
                     .mWeights = aReport.mWeights,
                     .mHolders = aReport.mHolders });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -6,6 +6,20 @@
 
 namespace lycheeseam {
 
+namespace {
+
+// Adds what an instance that starts, or was unreachable, has missed.
+void
+AddEarlierState(fleet_report& aReport, fleet_report const& aOwn)
+{
+  aReport.mUsed = aOwn.mUsed;
+  aReport.mPartCrashes.insert(aReport.mPartCrashes.end(),
+                              aOwn.mPartCrashes.begin(),
+                              aOwn.mPartCrashes.end());
+}
+
+}
+
 report_exchange::report_exchange(peer_hello aSelf,
                                  peer_registry& aRegistry,
                                  send_handler aSend,
@@ -159,7 +173,7 @@
     if (!scope)
       continue;
     SendRoster(aNow, self, *scope, id);
-    bool const isNewLink = aNow - link.mUpAt < kWindowUsagePeriod;
+    bool const isNewLink = aNow - link.mUpAt < kEarlierStatePeriod;
     if (*scope == report_scope::Root) {
       (isNewLink ? newRoots : roots).push_back(id);
       continue;
@@ -167,18 +181,18 @@
     fleet_report report =
       ComposeReport(aNow, mRegistry, aOwn, updates, *scope, id);
     if (isNewLink)
-      report.mUsed = aOwn.mUsed;
+      AddEarlierState(report, aOwn);
     mSend(std::span{ &id, 1 }, std::move(report));
   }
   if (roots.empty() && newRoots.empty())
     return;
   // All roots get the same report, except that roots with a new link also get
-  // the usage of the quota window.
+  // the earlier state.
   fleet_report report =
     ComposeReport(aNow, mRegistry, aOwn, updates, report_scope::Root, {});
   if (!roots.empty())
     mSend(roots, report);
-  report.mUsed = aOwn.mUsed;
+  AddEarlierState(report, aOwn);
   if (!newRoots.empty())
     mSend(newRoots, std::move(report));
 }
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -14,12 +14,14 @@
   /// True when it came from a child, or is this instance's own.
   bool mIsOfBranch = true;
   std::vector<crash_count> mCrashes;
+  std::vector<part_crashes> mPartCrashes;
   std::vector<observed_weights> mWeights;
   std::vector<prefix_holder> mHolders;
 
   [[nodiscard]] bool IsEmpty() const
   {
-    return mCrashes.empty() && mWeights.empty() && mHolders.empty();
+    return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
+           mHolders.empty();
   }
 };
 
--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -1,6 +1,9 @@
+#include <LibDispatch/PartKeys.h>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/AdmitRequest.h>
+#include <LibGateway/LogEvidence.h>
 #include <LibGateway/PlanSend.h>
+#include <LibGateway/RetryAfter.h>
 
 #include <algorithm>
 
@@ -11,8 +14,6 @@
 // A new instance reads its first configuration within milliseconds of its
 // start.
 constexpr std::chrono::milliseconds kConfigRetryAfter{ 200 };
-// The wait for a request that has crashed too many servers to be sent again.
-constexpr std::chrono::milliseconds kPoisonRetryAfter{ 2'000 };
 
 std::optional<request_refusal>
 FindRouteAndWorkspace(request_properties const& aProperties,
@@ -31,6 +32,37 @@
   return std::nullopt;
 }
 
+// Refuses a request with a part in quarantine, unless it is the trial that is
+// due.
+std::optional<request_refusal>
+CheckParts(traffic_core& aCore,
+           instant aNow,
+           request_properties const& aProperties,
+           admitted_request& aAdmitted)
+{
+  aAdmitted.mParts = PartKeys(aProperties.SharedParts(), aProperties.mModel);
+  std::optional<quarantined_part> const found =
+    aCore.Suspects().FindQuarantined(aAdmitted.mParts);
+  if (!found)
+    return std::nullopt;
+  if (aNow >= found->mTrialAt && aCore.RunsTrialOf(aNow, found->mPart)) {
+    aAdmitted.mIsTrial = true;
+    aCore.Suspects().OnTrial(aNow, aAdmitted.mParts);
+    return std::nullopt;
+  }
+  LogEvent("part_refused",
+           { { "request", aProperties.mId.Text() },
+             { "parts", aProperties.SharedPartIds() },
+             { "part_key", PartKeyText(found->mPart) },
+             { "crashes", std::int64_t{ found->mCrashes } } });
+  return request_refusal{
+    .mRetryAfter =
+      std::max(kPoisonRetryAfter,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 found->mTrialAt - aNow))
+  };
+}
+
 std::optional<request_refusal>
 Charge(traffic_core& aCore,
        instant aNow,
@@ -79,6 +111,9 @@
   aAdmitted.mFingerprint = RequestFingerprint(aProperties, aBody);
   if (aCore.Crashes().IsPoison(aNow, aAdmitted.mFingerprint))
     return request_refusal{ .mRetryAfter = kPoisonRetryAfter };
+  if (std::optional<request_refusal> const refusal =
+        CheckParts(aCore, aNow, aProperties, aAdmitted))
+    return refusal;
   if (std::optional<request_refusal> const refusal =
         Charge(aCore, aNow, aProperties, aAdmitted))
     return refusal;
@@ -90,6 +125,13 @@
   return std::nullopt;
 }
 
+bool
+IsPoison(traffic_core& aCore, instant aNow, admitted_request const& aAdmitted)
+{
+  return aCore.Crashes().IsPoison(aNow, aAdmitted.mFingerprint) ||
+         aCore.Suspects().FindQuarantined(aAdmitted.mParts).has_value();
+}
+
 void
 Refund(traffic_core& aCore,
        instant aNow,
--- a/Libraries/LibGateway/AdmitRequest.h
+++ b/Libraries/LibGateway/AdmitRequest.h
@@ -20,6 +20,11 @@
              std::string_view aBody,
              admitted_request& aAdmitted);
 
+/// True when the request, or a part of its prompt, has crashed too many servers
+/// to be sent to one more.
+bool
+IsPoison(traffic_core& aCore, instant aNow, admitted_request const& aAdmitted);
+
 /// Refunds the charge of an admitted request that is refused with a status
 /// which promises that it has not run.
 void
--- a/Libraries/LibGateway/AdmittedRequest.h
+++ b/Libraries/LibGateway/AdmittedRequest.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -25,6 +26,12 @@
   /// The result of RequestFingerprint, by which a request that crashes servers
   /// is recognized when it is sent again.
   std::uint64_t mFingerprint = 0;
+  /// Keys of the prompt's parts that other requests may share, by which a part
+  /// that crashes servers is recognized.
+  std::vector<std::uint64_t> mParts;
+  /// True for the request that tries whether a part in quarantine still crashes
+  /// servers.
+  bool mIsTrial = false;
   instant mDeadline{};
 };
 
--- a/Libraries/LibGateway/AttemptRequest.h
+++ b/Libraries/LibGateway/AttemptRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 
 #include <memory>
@@ -22,6 +23,8 @@
   /// The shared prompt prefixes that the server holds once it has read the
   /// prompt.
   std::vector<prefix_holder> mPrefixes;
+  /// What is known now of the prompt's parts and the crashes of servers.
+  std::vector<part_crashes> mPartCrashes;
 };
 
 }
--- a/Libraries/LibGateway/PeerUpdate.h
+++ b/Libraries/LibGateway/PeerUpdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/CrashCount.h>
+#include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 
 #include <vector>
@@ -11,6 +12,8 @@
 struct peer_update
 {
   std::vector<crash_count> mCrashes;
+  /// New evidence on parts of prompts that crash servers.
+  std::vector<part_crashes> mPartCrashes;
   std::vector<prefix_holder> mHolders;
 };
 
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -5,6 +5,7 @@
 #include <LibGateway/CallerAnswer.h>
 #include <LibGateway/JudgeAnswer.h>
 #include <LibGateway/RequestSender.h>
+#include <LibGateway/RetryAfter.h>
 #include <LibGateway/RunAfter.h>
 #include <LibGateway/RunEvents.h>
 #include <LibGateway/RunLimits.h>
@@ -120,10 +121,10 @@
 
   void OnExchangePiece(std::string_view aPiece)
   {
-    if (!mTrace.mFirstPieceAt) {
-      mTrace.mFirstPieceAt = mClock.Now();
-      mAttempt.OnPromptRead(*mTrace.mFirstPieceAt);
-    }
+    instant const now = mClock.Now();
+    if (!mTrace.mFirstPieceAt)
+      mTrace.mFirstPieceAt = now;
+    mAttempt.OnPiece(now);
     mAnswer.RelayPiece(aPiece);
     if (!mAttempt.IsOpen())
       return;
@@ -155,8 +156,6 @@
   }
 
 private:
-  // How long a refused caller should wait before another try.
-  static constexpr std::chrono::milliseconds kRetryAfter{ 200 };
   // How often the request looks for a server with free capacity.
   static constexpr std::chrono::milliseconds kCapacityCheckInterval{ 15 };
 
@@ -177,6 +176,8 @@
     instant const now = mClock.Now();
     if (IsTooLate(mAdmitted, now))
       return EndNow();
+    if (!mAdmitted.mIsTrial && IsPoison(mCore, now, mAdmitted))
+      return GiveUp(kPoisonRetryAfter);
     server_pick const pick = mSender.Pick(now, mAdmitted.mPool);
     if (!pick.mServer)
       return WaitForCapacity(now, pick);
@@ -193,7 +194,7 @@
   {
     instant const freeAt = aPick.mPauseEnd.value_or(aNow);
     if (!MayWaitForCapacity(mAdmitted, mTrace, freeAt))
-      return GiveUp(RetryAfterPause(aPick));
+      return GiveUp(RetryAfter(aPick));
     RunAfter(mContext,
              kCapacityCheckInterval,
              [self = this->shared_from_this()]() { self->Attempt(); });
@@ -211,9 +212,7 @@
   void TryAnotherServer()
   {
     mAttempt.End();
-    if (!MayTryAnotherServer(mAdmitted, mTrace))
-      return GiveUp();
-    Attempt();
+    return MayTryAnotherServer(mAdmitted, mTrace) ? Attempt() : GiveUp();
   }
 
   // The answer broke off or is not a server's; a server may have run the
@@ -230,7 +229,7 @@
       MayRetry(mAdmitted, mTrace.mRuns, now);
     mAttempt.End();
     mAnswer.DiscardUnsent();
-    if (mayTry && !mCore.Crashes().IsPoison(now, mAdmitted.mFingerprint))
+    if (mayTry && !IsPoison(mCore, now, mAdmitted))
       return Attempt();
     EndWithRefusal(refusal_status::BadGateway, {});
   }
@@ -241,9 +240,8 @@
     ReportAttemptEnd("failed");
     ++mTrace.mRuns;
     mAttempt.End();
-    if (!MayRetry(mAdmitted, mTrace.mRuns, mClock.Now()))
-      return GiveUp();
-    Attempt();
+    return MayRetry(mAdmitted, mTrace.mRuns, mClock.Now()) ? Attempt()
+                                                           : GiveUp();
   }
 
   void GiveUp(std::chrono::milliseconds aRetryAfter = kRetryAfter)
@@ -253,17 +251,6 @@
                    aRetryAfter);
   }
 
-  // Callers that are refused during a pause don't all come back at its end.
-  static std::chrono::milliseconds RetryAfterPause(server_pick const& aPick)
-  {
-    if (!aPick.mPauseEnd)
-      return kRetryAfter;
-    std::chrono::duration<double, std::milli> const spread =
-      kRetryAfter * aPick.mChoiceRequest.mSample;
-    return std::chrono::ceil<std::chrono::milliseconds>(
-      *aPick.mPauseEnd - aPick.mChoiceRequest.mNow + spread);
-  }
-
   // Refuses the request, or aborts an answer that has begun.
   void EndWithRefusal(refusal_status aStatus,
                       std::chrono::milliseconds aRetryAfter)
@@ -277,6 +264,7 @@
   void Finish()
   {
     mCore.Crashes().OnAnswer(mAdmitted.mFingerprint);
+    mAttempt.OnAnswering(mClock.Now());
     mAttempt.End();
     mEvents.OnAnswer(
       mClock.Now(), mAttempt.ServerId(), mAnswer.Relay().Status());
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -84,7 +84,8 @@
              .mBody = mBody,
              .mAnswerHasBody = mHead.mMethod != "HEAD",
              .mTokens = RequestTokens(mProperties),
-             .mPrefixes = MakePrefixHolders(parameters) };
+             .mPrefixes = MakePrefixHolders(parameters),
+             .mPartCrashes = mCore.Suspects().Evidence(aAdmitted.mParts) };
   }
 
 private:
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -6,7 +6,9 @@
 #include <LibGateway/ServerExchange.h>
 #include <LibGateway/TrafficCore.h>
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -33,6 +35,8 @@
     mServer = std::move(aServer);
     mTokens = aRequest.mTokens;
     mPrefixes = std::move(aRequest.mPrefixes);
+    mPartCrashes = std::move(aRequest.mPartCrashes);
+    mFirstPieceAt.reset();
     mOutcome = attempt_outcome::Pending;
     mServer->OnStart(mTokens);
     // A local copy, because the sink may begin the next attempt while this one
@@ -84,17 +88,29 @@
     else
       mServer->mBreaker.OnFailure(aNow);
     ReportBreaker(aNow, before);
+    if (aEnd == exchange_end::Broken && mOutcome != attempt_outcome::Invalid)
+      mCore.OnPartsCrashed(aNow, mPartCrashes);
     // Idle connections to the server may have failed as well; a new connection
     // shows at once, before a request is sent, whether the server is up.
     mCore.Connections().CloseIdle(ServerId());
   }
 
-  /// The first piece of the answer was received: the server has read the
-  /// prompt.
-  void OnPromptRead(instant aNow)
+  /// A piece of the answer was received, so the server has read the prompt.
+  void OnPiece(instant aNow)
   {
-    for (prefix_holder const& prefix : std::exchange(mPrefixes, {}))
-      mCore.OnPrefixRead(aNow, prefix);
+    if (!mFirstPieceAt) {
+      mFirstPieceAt = aNow;
+      for (prefix_holder const& prefix : std::exchange(mPrefixes, {}))
+        mCore.OnPrefixRead(aNow, prefix);
+    }
+    if (aNow - *mFirstPieceAt >= kAnswerStartTime)
+      OnAnswering(aNow);
+  }
+
+  /// The server answers the request without having crashed under it.
+  void OnAnswering(instant aNow)
+  {
+    mCore.OnPartsAnswered(aNow, std::exchange(mPartCrashes, {}));
   }
 
   [[nodiscard]] bool IsOpen() const noexcept { return mExchange != nullptr; }
@@ -123,6 +139,10 @@
   void SetOutcome(attempt_outcome aOutcome) noexcept { mOutcome = aOutcome; }
 
 private:
+  // A part that crashes servers does so when they begin to answer; one that
+  // goes on for so long has not crashed under the request.
+  static constexpr std::chrono::milliseconds kAnswerStartTime{ 50 };
+
   void ReportBreaker(instant aNow, breaker_state aBefore)
   {
     if (aBefore == breaker_state::Open ||
@@ -138,6 +158,10 @@
   std::shared_ptr<server_exchange<Sink>> mExchange;
   token_count mTokens = 0;
   std::vector<prefix_holder> mPrefixes;
+  /// What was known of the prompt's parts when the request was sent; empty once
+  /// the server answers it.
+  std::vector<part_crashes> mPartCrashes;
+  std::optional<instant> mFirstPieceAt;
   attempt_outcome mOutcome = attempt_outcome::Pending;
 };
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -1,6 +1,10 @@
+#include <LibDispatch/RendezvousRank.h>
 #include <LibEvents/EventLog.h>
+#include <LibGateway/LogEvidence.h>
 #include <LibGateway/TrafficCore.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -95,6 +99,44 @@
   mReport.mCrashes.push_back({ .mFingerprint = aFingerprint, .mCount = 1 });
 }
 
+void
+traffic_core::OnPartsCrashed(instant aNow,
+                             std::span<part_crashes const> aWhenSent)
+{
+  Report(mSuspects.OnCrash(aNow, aWhenSent));
+}
+
+void
+traffic_core::OnPartsAnswered(instant aNow,
+                              std::span<part_crashes const> aWhenSent)
+{
+  Report(mSuspects.OnAnswer(aNow, aWhenSent));
+}
+
+void
+traffic_core::Report(std::span<part_crashes const> aNews)
+{
+  for (part_crashes const& evidence : aNews) {
+    LogEvidence(evidence, evidence_source::Own);
+    mReport.mPartCrashes.push_back(evidence);
+  }
+}
+
+bool
+traffic_core::RunsTrialOf(instant aNow, std::uint64_t aPart)
+{
+  auto const rank = [aPart](instance_id const& aInstance) {
+    return RendezvousRank(
+      aPart, XXH3_64bits(aInstance.Text().data(), aInstance.Text().size()));
+  };
+  std::uint64_t const own = rank(mOptions.mInstance);
+  std::vector<ready_instance> const& ready = View(aNow)->mReadyInstances;
+  return std::none_of(
+    ready.begin(), ready.end(), [&](ready_instance const& aOther) {
+      return rank(aOther.mInstance) > own;
+    });
+}
+
 void
 traffic_core::OnReplaced(tracked_server& aServer)
 {
@@ -142,6 +184,10 @@
 {
   for (crash_count const& crash : aUpdate.mCrashes)
     mCrashes.OnCrash(aNow, crash.mFingerprint, crash.mCount);
+  for (part_crashes const& evidence : aUpdate.mPartCrashes) {
+    if (mSuspects.Merge(aNow, evidence))
+      LogEvidence(evidence, evidence_source::Peer);
+  }
   for (prefix_holder const& holder : aUpdate.mHolders)
     mPrefixes.OnServed(aNow, holder);
 }
@@ -198,6 +244,7 @@
 traffic_core::Prune(instant aNow)
 {
   mCrashes.Prune(aNow);
+  mSuspects.Prune(aNow);
   mPrefixes.Prune(aNow);
   mConnections.Prune(aNow);
 }
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/PrefixIndex.h>
 #include <LibDispatch/QuotaLimiter.h>
 #include <LibDispatch/ServerTable.h>
+#include <LibDispatch/SuspectParts.h>
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/GatewayOptions.h>
 #include <LibGateway/PeerUpdate.h>
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace lycheeseam {
@@ -47,6 +49,17 @@
   /// The connection to a server failed while it ran a request.
   void OnCrash(instant aNow, std::uint64_t aFingerprint);
 
+  /// A server crashed before it answered a request; aWhenSent is the evidence
+  /// on the request's parts when it was sent.
+  void OnPartsCrashed(instant aNow, std::span<part_crashes const> aWhenSent);
+
+  /// A server answers such a request.
+  void OnPartsAnswered(instant aNow, std::span<part_crashes const> aWhenSent);
+
+  /// True when this instance is the one that tries whether a part still crashes
+  /// servers.
+  [[nodiscard]] bool RunsTrialOf(instant aNow, std::uint64_t aPart);
+
   /// A server answered a request; aModel is empty when the request names none.
   void OnAnswer(instant aNow,
                 tracked_server& aServer,
@@ -89,6 +102,7 @@
   [[nodiscard]] server_table& Servers() noexcept { return mServers; }
   [[nodiscard]] quota_limiter& Quota() noexcept { return mQuota; }
   [[nodiscard]] crash_tracker& Crashes() noexcept { return mCrashes; }
+  [[nodiscard]] suspect_parts& Suspects() noexcept { return mSuspects; }
   [[nodiscard]] prefix_index& Prefixes() noexcept { return mPrefixes; }
   [[nodiscard]] traffic_meter& Meter() noexcept { return mMeter; }
   [[nodiscard]] connection_pool& Connections() noexcept { return mConnections; }
@@ -98,6 +112,8 @@
 private:
   using retry_budgets = std::map<pool_name, retry_budget>;
 
+  // Logs new evidence and collects it for the control thread.
+  void Report(std::span<part_crashes const> aNews);
   retry_budget& RetryBudget(pool_name const& aPool);
   [[nodiscard]] retry_budget_options RetryBudgetOptions() const;
 
@@ -107,6 +123,7 @@
   server_table mServers;
   quota_limiter mQuota;
   crash_tracker mCrashes;
+  suspect_parts mSuspects;
   prefix_index mPrefixes;
   connection_pool mConnections;
   retry_budgets mRetryBudgets;
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -3,6 +3,7 @@
 #include <LibCore/ServerIdentity.h>
 #include <LibDispatch/CrashCount.h>
 #include <LibDispatch/ObservedWeights.h>
+#include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibMetrics/MetricsDelta.h>
@@ -21,6 +22,8 @@
   std::vector<workspace_usage> mWindowUsage;
   /// Servers that failed while they ran a request, since the last report.
   std::vector<crash_count> mCrashes;
+  /// New evidence on parts of prompts that crash servers.
+  std::vector<part_crashes> mPartCrashes;
   /// Versions of weights that answers showed and that are newer than those in
   /// the servers' entries.
   std::vector<observed_weights> mWeights;
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -63,6 +63,13 @@
       { .mKey = holder->key(),
         .mServer = backend_server_id{ holder->server()->str() },
         .mIsStored = holder->stored() });
+  // Instances with an older schema don't send these.
+  if (aTable.part_crashes() == nullptr)
+    return report;
+  for (wire::PartCrashes const* const evidence : *aTable.part_crashes())
+    report.mPartCrashes.push_back({ .mPart = evidence->part(),
+                                    .mClearances = evidence->clearances(),
+                                    .mCrashes = evidence->crashes() });
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -44,6 +44,10 @@
     for (prefix_holder const& holder : aReport.mHolders)
       holders.push_back(wire::CreatePrefixHolder(
         mBuilder, holder.mKey, Text(holder.mServer.Text()), holder.mIsStored));
+    std::vector<wire::PartCrashes> partCrashes;
+    for (part_crashes const& evidence : aReport.mPartCrashes)
+      partCrashes.emplace_back(
+        evidence.mPart, evidence.mClearances, evidence.mCrashes);
     return MakeBody(
       wire::Body::FleetReport,
       wire::CreateFleetReport(mBuilder,
@@ -56,7 +60,8 @@
                               mBuilder.CreateVector(updating),
                               mBuilder.CreateVector(holders),
                               used,
-                              aReport.mOperatorsEnd));
+                              aReport.mOperatorsEnd,
+                              mBuilder.CreateVectorOfStructs(partCrashes)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/CrashCount.h>
 #include <LibDispatch/ObservedWeights.h>
+#include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibPeer/ReportScope.h>
@@ -26,6 +27,9 @@
   std::vector<workspace_usage> mSpent;
   /// Requests whose servers crashed since the last report.
   std::vector<crash_count> mCrashes;
+  /// New evidence on parts of prompts that crash servers; on a new link, also
+  /// that on all parts in quarantine.
+  std::vector<part_crashes> mPartCrashes;
   /// Weights observed since the last report.
   std::vector<observed_weights> mWeights;
   /// Servers that take no new requests because the holder of mLease updates
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -87,6 +87,8 @@
 
 struct CrashCount;
 
+struct PartCrashes;
+
 struct SeenWeights;
 struct SeenWeightsBuilder;
 
@@ -448,6 +450,35 @@
 };
 FLATBUFFERS_STRUCT_END(CrashCount, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartCrashes FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t clearances_;
+  uint32_t crashes_;
+
+ public:
+  PartCrashes()
+      : part_(0),
+        clearances_(0),
+        crashes_(0) {
+  }
+  PartCrashes(uint64_t _part, uint32_t _clearances, uint32_t _crashes)
+      : part_(flatbuffers::EndianScalar(_part)),
+        clearances_(flatbuffers::EndianScalar(_clearances)),
+        crashes_(flatbuffers::EndianScalar(_crashes)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t clearances() const {
+    return flatbuffers::EndianScalar(clearances_);
+  }
+  uint32_t crashes() const {
+    return flatbuffers::EndianScalar(crashes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartCrashes, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2391,7 +2422,8 @@
     VT_TURNING = 16,
     VT_HOLDERS = 18,
     VT_USED = 20,
-    VT_OPERATORS_END = 22
+    VT_OPERATORS_END = 22,
+    VT_PART_CRASHES = 24
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2423,6 +2455,9 @@
   uint64_t operators_end() const {
     return GetField<uint64_t>(VT_OPERATORS_END, 0);
   }
+  const flatbuffers::Vector<const lycheeseam::wire::PartCrashes *> *part_crashes() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::PartCrashes *> *>(VT_PART_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2447,6 +2482,8 @@
            verifier.VerifyVector(used()) &&
            verifier.VerifyVectorOfTables(used()) &&
            VerifyField<uint64_t>(verifier, VT_OPERATORS_END, 8) &&
+           VerifyOffset(verifier, VT_PART_CRASHES) &&
+           verifier.VerifyVector(part_crashes()) &&
            verifier.EndTable();
   }
 };
@@ -2485,6 +2522,9 @@
   void add_operators_end(uint64_t operators_end) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_OPERATORS_END, operators_end, 0);
   }
+  void add_part_crashes(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::PartCrashes *>> part_crashes) {
+    fbb_.AddOffset(FleetReport::VT_PART_CRASHES, part_crashes);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2514,10 +2554,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> turning = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0,
-    uint64_t operators_end = 0) {
+    uint64_t operators_end = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::PartCrashes *>> part_crashes = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
+  builder_.add_part_crashes(part_crashes);
   builder_.add_used(used);
   builder_.add_holders(holders);
   builder_.add_turning(turning);
@@ -2540,7 +2582,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *turning = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr,
-    uint64_t operators_end = 0) {
+    uint64_t operators_end = 0,
+    const std::vector<lycheeseam::wire::PartCrashes> *part_crashes = nullptr) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2548,6 +2591,7 @@
   auto turning__ = turning ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*turning) : 0;
   auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>(*holders) : 0;
   auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
+  auto part_crashes__ = part_crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::PartCrashes>(*part_crashes) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
@@ -2559,7 +2603,8 @@
       turning__,
       holders__,
       used__,
-      operators_end);
+      operators_end,
+      part_crashes__);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -121,6 +121,7 @@
     .mReader = instance_id{ "r" },
     .mSpent = { { workspace_id{ "w" }, 1.5, 2.0 } },
     .mCrashes = { { .mFingerprint = 9, .mCount = 2 } },
+    .mPartCrashes = { { .mPart = 7, .mClearances = 1, .mCrashes = 3 } },
     .mWeights = { { .mServer = server,
                     .mIncarnation = incarnation{ 3 },
                     .mModel = model_name{ "m" },
