LibDispatch: Refuse only prompts with all parts that crashed requests share

Three requests with equal parts had crashed engines within 0.45 s, one of them twice by this system's own retry. No answer could clear the workspace's first part in that time, and it went to quarantine with the poisonous one.

Cause: parts that were in all crashed requests can't be told apart, and each was refused alone. The evidence on a part now has the parts that all these requests had in common; a prompt is in quarantine only if it has all of them that no answer has cleared. The next request that differs narrows the cause down, by its answer or its crash. And a quarantine begins a second after the first crash, so that answers can come first.

--- a/Libraries/LibDispatch/PartCrashes.h
+++ b/Libraries/LibDispatch/PartCrashes.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -15,16 +15,11 @@
   /// Consecutive crashes since then: each of a request that was sent when the
   /// crash before it was known.
   std::uint32_t mCrashes = 0;
+  /// The parts that all requests of these crashes had, this one included; empty
+  /// without a crash.
+  std::vector<std::uint64_t> mCommonParts;
 
   bool operator==(part_crashes const&) const = default;
-
-  /// True when this is later evidence on the same part than aOther.
-  [[nodiscard]] bool IsNewerThan(part_crashes const& aOther) const noexcept
-  {
-    if (mClearances != aOther.mClearances)
-      return mClearances > aOther.mClearances;
-    return mCrashes > aOther.mCrashes;
-  }
 };
 
 }
--- a/Libraries/LibDispatch/SuspectParts.cpp
+++ b/Libraries/LibDispatch/SuspectParts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace lycheeseam {
 
@@ -11,6 +12,9 @@
 // crash in a row marks the part as their cause.
 constexpr std::uint32_t kPoisonCrashes = 3;
 
+// Answers that clear the parts of sound requests arrive within this time.
+constexpr duration kObservationTime = std::chrono::seconds{ 1 };
+
 // A trial costs a server and the requests on it if the part is poisonous; as
 // long as none is made, a part that was suspected wrongly is refused.
 constexpr duration kFirstQuarantine = std::chrono::seconds{ 30 };
@@ -26,6 +30,16 @@
   return aEvidence.mCrashes >= kPoisonCrashes;
 }
 
+// Removes from aParts what is not in aOthers.
+void
+KeepCommon(std::vector<std::uint64_t>& aParts,
+           std::span<std::uint64_t const> aOthers)
+{
+  std::erase_if(aParts, [aOthers](std::uint64_t aPart) {
+    return std::find(aOthers.begin(), aOthers.end(), aPart) == aOthers.end();
+  });
+}
+
 // Doubles with each crash of a trial.
 duration
 QuarantinePeriod(part_crashes const& aEvidence)
@@ -56,11 +70,19 @@
 std::vector<part_crashes>
 suspect_parts::OnCrash(instant aNow, std::span<part_crashes const> aWhenSent)
 {
+  std::vector<std::uint64_t> parts;
+  parts.reserve(aWhenSent.size());
+  for (part_crashes const& evidence : aWhenSent)
+    parts.push_back(evidence.mPart);
   std::vector<part_crashes> news;
   for (part_crashes evidence : aWhenSent) {
+    if (evidence.mCrashes == 0)
+      evidence.mCommonParts = parts;
+    else
+      KeepCommon(evidence.mCommonParts, parts);
     ++evidence.mCrashes;
     if (Merge(aNow, evidence))
-      news.push_back(evidence);
+      news.push_back(mRecords[evidence.mPart].mEvidence);
   }
   return news;
 }
@@ -74,6 +96,7 @@
       continue;
     ++evidence.mClearances;
     evidence.mCrashes = 0;
+    evidence.mCommonParts.clear();
     if (Merge(aNow, evidence))
       news.push_back(evidence);
   }
@@ -84,27 +107,65 @@
 suspect_parts::Merge(instant aNow, part_crashes const& aEvidence)
 {
   record& known = mRecords[aEvidence.mPart];
+  part_crashes merged = aEvidence;
+  bool const isSameSuspicion =
+    aEvidence.mClearances == known.mEvidence.mClearances &&
+    known.mEvidence.mCrashes > 0;
+  if (isSameSuspicion) {
+    merged.mCrashes = std::max(merged.mCrashes, known.mEvidence.mCrashes);
+    KeepCommon(merged.mCommonParts, known.mEvidence.mCommonParts);
+  }
   known.mEvidence.mPart = aEvidence.mPart;
-  if (!aEvidence.IsNewerThan(known.mEvidence))
+  if (merged.mClearances < known.mEvidence.mClearances ||
+      merged == known.mEvidence)
     return false;
-  known = { .mEvidence = aEvidence,
-            .mChangedAt = aNow,
-            .mTrialAt = aNow + QuarantinePeriod(aEvidence) };
+  if (!isSameSuspicion)
+    known.mSuspectedAt = aNow;
+  if (merged.mCrashes > known.mEvidence.mCrashes)
+    known.mTrialAt = aNow + QuarantinePeriod(merged);
+  known.mEvidence = std::move(merged);
+  known.mChangedAt = aNow;
   return true;
 }
 
+bool
+suspect_parts::IsCleared(std::uint64_t aPart) const
+{
+  auto const found = mRecords.find(aPart);
+  return found != mRecords.end() && found->second.mEvidence.mCrashes == 0;
+}
+
+bool
+suspect_parts::HasCommonParts(std::span<std::uint64_t const> aParts,
+                              part_crashes const& aEvidence) const
+{
+  return std::all_of(
+    aEvidence.mCommonParts.begin(),
+    aEvidence.mCommonParts.end(),
+    [&](std::uint64_t aCommon) {
+      return std::find(aParts.begin(), aParts.end(), aCommon) != aParts.end() ||
+             IsCleared(aCommon);
+    });
+}
+
 std::optional<quarantined_part>
-suspect_parts::FindQuarantined(std::span<std::uint64_t const> aParts) const
+suspect_parts::FindQuarantined(instant aNow,
+                               std::span<std::uint64_t const> aParts) const
 {
   std::optional<quarantined_part> longest;
   for (std::uint64_t const part : aParts) {
     auto const found = mRecords.find(part);
-    if (found == mRecords.end() || !IsPoisonous(found->second.mEvidence))
+    if (found == mRecords.end())
+      continue;
+    record const& known = found->second;
+    if (!IsPoisonous(known.mEvidence) ||
+        aNow - known.mSuspectedAt < kObservationTime ||
+        !HasCommonParts(aParts, known.mEvidence))
       continue;
-    if (!longest || found->second.mTrialAt > longest->mTrialAt)
+    if (!longest || known.mTrialAt > longest->mTrialAt)
       longest = { .mPart = part,
-                  .mCrashes = found->second.mEvidence.mCrashes,
-                  .mTrialAt = found->second.mTrialAt };
+                  .mCrashes = known.mEvidence.mCrashes,
+                  .mTrialAt = known.mTrialAt };
   }
   return longest;
 }
--- a/Libraries/LibDispatch/SuspectParts.h
+++ b/Libraries/LibDispatch/SuspectParts.h
@@ -17,7 +17,9 @@
 /// A crash breaks all requests on its server, nearly all of them sound. So it
 /// counts once for all requests that were sent before it was known, and an
 /// answer to a request that was sent later clears the parts of that request:
-/// the parts of sound requests are cleared before the next crash.
+/// the parts of sound requests are cleared before the next crash. As long as
+/// several parts were in all crashed requests, any of them may be the cause,
+/// and only requests with all of them are in quarantine.
 ///
 /// The evidence of several instances may be merged in any order and repeatedly.
 class suspect_parts
@@ -40,17 +42,18 @@
   /// Applies evidence; true when it is new.
   bool Merge(instant aNow, part_crashes const& aEvidence);
 
-  /// Of these parts the one whose quarantine lasts longest; nothing when none
-  /// is in quarantine. A quarantine goes on after the moment of its trial until
-  /// the part is cleared.
+  /// Of the parts of a prompt the one whose quarantine lasts longest; nothing
+  /// when the prompt isn't in quarantine. A quarantine goes on after the moment
+  /// of its trial until the part is cleared.
   [[nodiscard]] std::optional<quarantined_part> FindQuarantined(
+    instant aNow,
     std::span<std::uint64_t const> aParts) const;
 
   /// A request with these parts is sent as a trial: the next one is due after
   /// another quarantine period.
   void OnTrial(instant aNow, std::span<std::uint64_t const> aParts);
 
-  /// The evidence on all parts in quarantine.
+  /// The evidence on all parts that are, or will soon be, in quarantine.
   [[nodiscard]] std::vector<part_crashes> Quarantined() const;
 
   /// Removes evidence that is too old to matter.
@@ -61,10 +64,18 @@
   {
     part_crashes mEvidence;
     instant mChangedAt{};
+    /// When the first crash since the last clearance became known.
+    instant mSuspectedAt{};
     /// When the next trial is due; only used in quarantine.
     instant mTrialAt{};
   };
 
+  // True when a prompt with these parts has all that the crashed requests had
+  // in common, but for parts that were cleared since.
+  [[nodiscard]] bool HasCommonParts(std::span<std::uint64_t const> aParts,
+                                    part_crashes const& aEvidence) const;
+  [[nodiscard]] bool IsCleared(std::uint64_t aPart) const;
+
   std::unordered_map<std::uint64_t, record> mRecords;
 };
 
--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -42,7 +42,7 @@
 {
   aAdmitted.mParts = PartKeys(aProperties.SharedParts(), aProperties.mModel);
   std::optional<quarantined_part> const found =
-    aCore.Suspects().FindQuarantined(aAdmitted.mParts);
+    aCore.Suspects().FindQuarantined(aNow, aAdmitted.mParts);
   if (!found)
     return std::nullopt;
   if (aNow >= found->mTrialAt && aCore.RunsTrialOf(aNow, found->mPart)) {
@@ -129,7 +129,7 @@
 IsPoison(traffic_core& aCore, instant aNow, admitted_request const& aAdmitted)
 {
   return aCore.Crashes().IsPoison(aNow, aAdmitted.mFingerprint) ||
-         aCore.Suspects().FindQuarantined(aAdmitted.mParts).has_value();
+         aCore.Suspects().FindQuarantined(aNow, aAdmitted.mParts).has_value();
 }
 
 void
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -66,10 +66,15 @@
   // Instances with an older schema don't send these.
   if (aTable.part_crashes() == nullptr)
     return report;
-  for (wire::PartCrashes const* const evidence : *aTable.part_crashes())
-    report.mPartCrashes.push_back({ .mPart = evidence->part(),
-                                    .mClearances = evidence->clearances(),
-                                    .mCrashes = evidence->crashes() });
+  for (wire::PartCrashes const* const evidence : *aTable.part_crashes()) {
+    part_crashes decoded{ .mPart = evidence->part(),
+                          .mClearances = evidence->clearances(),
+                          .mCrashes = evidence->crashes() };
+    if (evidence->common_parts() != nullptr)
+      decoded.mCommonParts.assign(evidence->common_parts()->begin(),
+                                  evidence->common_parts()->end());
+    report.mPartCrashes.push_back(std::move(decoded));
+  }
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -44,10 +44,14 @@
     for (prefix_holder const& holder : aReport.mHolders)
       holders.push_back(wire::CreatePrefixHolder(
         mBuilder, holder.mKey, Text(holder.mServer.Text()), holder.mIsStored));
-    std::vector<wire::PartCrashes> partCrashes;
+    std::vector<flatbuffers::Offset<wire::PartCrashes>> partCrashes;
     for (part_crashes const& evidence : aReport.mPartCrashes)
-      partCrashes.emplace_back(
-        evidence.mPart, evidence.mClearances, evidence.mCrashes);
+      partCrashes.push_back(
+        wire::CreatePartCrashes(mBuilder,
+                                evidence.mPart,
+                                evidence.mClearances,
+                                evidence.mCrashes,
+                                mBuilder.CreateVector(evidence.mCommonParts)));
     return MakeBody(
       wire::Body::FleetReport,
       wire::CreateFleetReport(mBuilder,
@@ -61,7 +65,7 @@
                               mBuilder.CreateVector(holders),
                               used,
                               aReport.mOperatorsEnd,
-                              mBuilder.CreateVectorOfStructs(partCrashes)));
+                              mBuilder.CreateVector(partCrashes)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -88,6 +88,7 @@
 struct CrashCount;
 
 struct PartCrashes;
+struct PartCrashesBuilder;
 
 struct SeenWeights;
 struct SeenWeightsBuilder;
@@ -450,35 +451,6 @@
 };
 FLATBUFFERS_STRUCT_END(CrashCount, 16);
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartCrashes FLATBUFFERS_FINAL_CLASS {
- private:
-  uint64_t part_;
-  uint32_t clearances_;
-  uint32_t crashes_;
-
- public:
-  PartCrashes()
-      : part_(0),
-        clearances_(0),
-        crashes_(0) {
-  }
-  PartCrashes(uint64_t _part, uint32_t _clearances, uint32_t _crashes)
-      : part_(flatbuffers::EndianScalar(_part)),
-        clearances_(flatbuffers::EndianScalar(_clearances)),
-        crashes_(flatbuffers::EndianScalar(_crashes)) {
-  }
-  uint64_t part() const {
-    return flatbuffers::EndianScalar(part_);
-  }
-  uint32_t clearances() const {
-    return flatbuffers::EndianScalar(clearances_);
-  }
-  uint32_t crashes() const {
-    return flatbuffers::EndianScalar(crashes_);
-  }
-};
-FLATBUFFERS_STRUCT_END(PartCrashes, 16);
-
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2243,6 +2215,93 @@
       asked);
 }
 
+struct PartCrashes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartCrashesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_CLEARANCES = 6,
+    VT_CRASHES = 8,
+    VT_COMMON_PARTS = 10
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint32_t clearances() const {
+    return GetField<uint32_t>(VT_CLEARANCES, 0);
+  }
+  uint32_t crashes() const {
+    return GetField<uint32_t>(VT_CRASHES, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *common_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_COMMON_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARANCES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyOffset(verifier, VT_COMMON_PARTS) &&
+           verifier.VerifyVector(common_parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PartCrashesBuilder {
+  typedef PartCrashes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(PartCrashes::VT_PART, part, 0);
+  }
+  void add_clearances(uint32_t clearances) {
+    fbb_.AddElement<uint32_t>(PartCrashes::VT_CLEARANCES, clearances, 0);
+  }
+  void add_crashes(uint32_t crashes) {
+    fbb_.AddElement<uint32_t>(PartCrashes::VT_CRASHES, crashes, 0);
+  }
+  void add_common_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> common_parts) {
+    fbb_.AddOffset(PartCrashes::VT_COMMON_PARTS, common_parts);
+  }
+  explicit PartCrashesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartCrashes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartCrashes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartCrashes> CreatePartCrashes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint32_t clearances = 0,
+    uint32_t crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> common_parts = 0) {
+  PartCrashesBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_common_parts(common_parts);
+  builder_.add_crashes(crashes);
+  builder_.add_clearances(clearances);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PartCrashes> CreatePartCrashesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint32_t clearances = 0,
+    uint32_t crashes = 0,
+    const std::vector<uint64_t> *common_parts = nullptr) {
+  auto common_parts__ = common_parts ? _fbb.CreateVector<uint64_t>(*common_parts) : 0;
+  return lycheeseam::wire::CreatePartCrashes(
+      _fbb,
+      part,
+      clearances,
+      crashes,
+      common_parts__);
+}
+
 struct SeenWeights FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SeenWeightsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2455,8 +2514,8 @@
   uint64_t operators_end() const {
     return GetField<uint64_t>(VT_OPERATORS_END, 0);
   }
-  const flatbuffers::Vector<const lycheeseam::wire::PartCrashes *> *part_crashes() const {
-    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::PartCrashes *> *>(VT_PART_CRASHES);
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *>(VT_PART_CRASHES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2484,6 +2543,7 @@
            VerifyField<uint64_t>(verifier, VT_OPERATORS_END, 8) &&
            VerifyOffset(verifier, VT_PART_CRASHES) &&
            verifier.VerifyVector(part_crashes()) &&
+           verifier.VerifyVectorOfTables(part_crashes()) &&
            verifier.EndTable();
   }
 };
@@ -2522,7 +2582,7 @@
   void add_operators_end(uint64_t operators_end) {
     fbb_.AddElement<uint64_t>(FleetReport::VT_OPERATORS_END, operators_end, 0);
   }
-  void add_part_crashes(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::PartCrashes *>> part_crashes) {
+  void add_part_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes) {
     fbb_.AddOffset(FleetReport::VT_PART_CRASHES, part_crashes);
   }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -2555,7 +2615,7 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0,
     uint64_t operators_end = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::PartCrashes *>> part_crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
@@ -2583,7 +2643,7 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr,
     uint64_t operators_end = 0,
-    const std::vector<lycheeseam::wire::PartCrashes> *part_crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes = nullptr) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2591,7 +2651,7 @@
   auto turning__ = turning ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*turning) : 0;
   auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>(*holders) : 0;
   auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
-  auto part_crashes__ = part_crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::PartCrashes>(*part_crashes) : 0;
+  auto part_crashes__ = part_crashes ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>(*part_crashes) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
