LibGateway: Treat a stream that closes inside an event as broken

Cause: the end of the connection counted as the end of the answer, and the rest of the event was passed on. Such an exchange now ends as Closed, and a stream is complete then only after an event; otherwise it goes on at another server or ends without its last chunk. The two StreamThat...InsideAnEvent tests failed before.

--- a/Libraries/LibGateway/AnswerRelay.h
+++ b/Libraries/LibGateway/AnswerRelay.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/BodyFraming.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibGateway/ExchangeEnd.h>
 #include <LibHttp/AnswerHead.h>
 
 #include <cstdint>
@@ -66,6 +67,15 @@
     aCaller.SendEnd();
   }
 
+  /// True when an answer that ended so is complete. A stream is whose server
+  /// closed the connection after an event, and not within one.
+  [[nodiscard]] bool IsComplete(exchange_end aEnd) const noexcept
+  {
+    if (aEnd == exchange_end::Closed)
+      return !mIsEventStream || mEvents.IsAtEventEnd();
+    return aEnd == exchange_end::Complete;
+  }
+
   /// Discards what the caller has not been sent, because the answer broke off.
   void DiscardUnsent()
   {
--- a/Libraries/LibGateway/ExchangeEnd.h
+++ b/Libraries/LibGateway/ExchangeEnd.h
@@ -7,6 +7,9 @@
 {
   /// The complete answer was read.
   Complete,
+  /// The server closed the connection at the end of an answer that states
+  /// neither a length nor chunks, or within it.
+  Closed,
   /// No connection could be opened, so the request was not sent.
   NotConnected,
   /// The connection was refused because nothing listens at the address, so the
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -122,8 +122,7 @@
   void OnExchangePiece(std::string_view aPiece)
   {
     instant const now = mClock.Now();
-    if (!mTrace.mFirstPieceAt)
-      mTrace.mFirstPieceAt = now;
+    mTrace.mFirstPieceAt = mTrace.mFirstPieceAt.value_or(now);
     mAttempt.OnPiece(now);
     mAnswer.RelayPiece(aPiece);
     if (!mAttempt.IsOpen())
@@ -148,17 +147,17 @@
       case attempt_outcome::Failed:
         return OnFailed();
       case attempt_outcome::Accepted:
-        return aEnd == exchange_end::Complete ? Finish() : OnAnswerBroken(aEnd);
+        if (mAnswer.Relay().IsComplete(aEnd))
+          return Finish();
+        break;
       case attempt_outcome::Invalid:
       case attempt_outcome::Pending:
-        return OnAnswerBroken(aEnd);
+        break;
     }
+    OnAnswerBroken(aEnd);
   }
 
 private:
-  // How often the request looks for a server with free capacity.
-  static constexpr std::chrono::milliseconds kCapacityCheckInterval{ 15 };
-
   void ArmDeadline()
   {
     mTimer.expires_after(mAdmitted.mDeadline - mTrace.mStartedAt);
--- a/Libraries/LibGateway/RunLimits.h
+++ b/Libraries/LibGateway/RunLimits.h
@@ -3,6 +3,7 @@
 #include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/RunTrace.h>
 
+#include <chrono>
 #include <cstdint>
 
 /// \file What a request may still do, by its route and by what it has done.
@@ -22,6 +23,9 @@
 bool
 MayTryAnotherServer(admitted_request const& aAdmitted, run_trace const& aTrace);
 
+/// How often a request looks for a server with free capacity.
+constexpr std::chrono::milliseconds kCapacityCheckInterval{ 15 };
+
 /// True while waiting for free capacity on a server does no harm.
 bool
 MayWaitForCapacity(admitted_request const& aAdmitted,
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -88,7 +88,8 @@
     else
       mServer->mBreaker.OnFailure(aNow);
     ReportBreaker(aNow, before);
-    if (aEnd == exchange_end::Broken && mOutcome != attempt_outcome::Invalid)
+    if (aEnd != exchange_end::Unresponsive &&
+        mOutcome != attempt_outcome::Invalid)
       mCore.OnPartsCrashed(aNow, mPartCrashes);
     // Idle connections to the server may have failed as well; a new connection
     // shows at once, before a request is sent, whether the server is up.
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -241,7 +241,7 @@
   {
     if (mUse == answer_use::Skip)
       return ReadHead();
-    End(exchange_end::Complete);
+    End(mParser->need_eof() ? exchange_end::Closed : exchange_end::Complete);
   }
 
   void End(exchange_end aEnd)
