LibUpstream: Treat an answer whose head broke off as lost

A report of other operators: clients get a 200 with an empty body, framed as whole, when a server stops in the middle of its answer's head and closes.

It could happen behind the own interface: to libcurl such an answer is complete and empty once its status line has arrived. An answer now counts only once the empty line that ends its head has been seen.

--- a/Libraries/LibUpstream/Transfer.cpp
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -19,6 +19,9 @@
 // control thread may retry at another one. So an event stream is buffered too.
 constexpr std::uint16_t kFirstErrorStatus = 500;
 
+// Answers with a lower status are interim ones.
+constexpr std::uint16_t kFirstFinalStatus = 200;
+
 // The empty line that ends an event of an event stream.
 constexpr std::string_view kEventEnd = "\n\n";
 
@@ -91,6 +94,8 @@
   curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, kStallSeconds);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &transfer::OnBytes);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &transfer::OnHeadLine);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
   if (mRequest.mMethod == "GET" || mRequest.mMethod == "HEAD")
     return;
   // libcurl silently resends a request when a reused connection is closed
@@ -119,6 +124,22 @@
   return bytes;
 }
 
+std::size_t
+transfer::OnHeadLine(char* aData,
+                     std::size_t aSize,
+                     std::size_t aCount,
+                     void* aTransfer)
+{
+  std::string_view const line{ aData, aSize * aCount };
+  transfer& self = *static_cast<transfer*>(aTransfer);
+  // The empty line ends a head; an interim answer's head comes before.
+  if (line.starts_with("HTTP/"))
+    self.mIsHeadComplete = false;
+  else if (line == "\r\n" || line == "\n")
+    self.mIsHeadComplete = true;
+  return line.size();
+}
+
 void
 transfer::Receive(std::string_view aBytes)
 {
@@ -218,6 +239,10 @@
 transfer::Classify(CURLcode aResult) const
 {
   if (aResult == CURLE_OK) {
+    // To libcurl, an answer is complete and empty when its connection ends
+    // within its head.
+    if (!mIsHeadComplete || Status() < kFirstFinalStatus)
+      return transfer_failure::ConnectionLost;
     // To libcurl, a stream that is delimited by the connection's end looks
     // complete even when it ends early.
     bool const isTruncated = mIsEventStream && !mScan.IsDone();
--- a/Libraries/LibUpstream/Transfer.h
+++ b/Libraries/LibUpstream/Transfer.h
@@ -85,6 +85,10 @@
                              std::size_t aSize,
                              std::size_t aCount,
                              void* aTransfer);
+  static std::size_t OnHeadLine(char* aData,
+                                std::size_t aSize,
+                                std::size_t aCount,
+                                void* aTransfer);
   void Receive(std::string_view aBytes);
   void DecideForwarding();
   [[nodiscard]] std::size_t ForwardableBytes() const;
@@ -104,6 +108,8 @@
   instant mFirstByteDeadline;
   std::optional<instant> mFirstByte;
   forwarding mForwarding = forwarding::Undecided;
+  /// True while the last head that began has ended.
+  bool mIsHeadComplete = false;
   bool mIsHeadTaken = false;
   bool mIsEventStream = false;
   event_stream_scan mScan;
