LibUpstream: Use a connection for one attempt only

A report of other operators: a server writes an earlier refusal, or answer, once more on a kept connection.

EachAttemptHasAConnectionOfItsOwn failed before for GET (one connection for two attempts). It costs a handshake for each lookup; that was not measured.

--- a/Libraries/LibUpstream/Transfer.cpp
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -96,11 +96,9 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &transfer::OnHeadLine);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
-  if (mRequest.mMethod == "GET" || mRequest.mMethod == "HEAD")
-    return;
-  // libcurl silently resends a request when a reused connection is closed
-  // before the answer's first byte. So a request that may have side effects
-  // always gets a new connection.
+  // On a reused connection libcurl silently resends a request when the
+  // connection is closed before the answer's first byte, and takes a late copy
+  // of an earlier answer for the next one: answers don't name their requests.
   curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
 }
--- a/Tests/LibGateway/ScriptedServer.h
+++ b/Tests/LibGateway/ScriptedServer.h
@@ -86,6 +86,9 @@
   /// How many connections the gateway closed while an answer was due.
   [[nodiscard]] int Abandoned() const { return mAbandoned; }
 
+  /// How many connections were opened.
+  [[nodiscard]] int Accepted() const { return mAccepted; }
+
 private:
   void Serve()
   {
@@ -95,6 +98,7 @@
       mAcceptor.accept(socket, fault);
       if (mIsStopped || fault)
         return;
+      ++mAccepted;
       mConnections.emplace_back(
         [this, connection = std::move(socket)]() mutable {
           ServeConnection(connection);
@@ -184,6 +188,7 @@
   std::vector<std::string> mRequests;
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mAbandoned{ 0 };
+  std::atomic<int> mAccepted{ 0 };
   std::vector<std::thread> mConnections;
   std::thread mThread;
 };
--- a/Tests/LibUpstream/TestBrokenHeads.cpp
+++ b/Tests/LibUpstream/TestUpstreamAnswers.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Receives the end of one attempt.
+/// Receives the end of one attempt at a time.
 struct single_sink
 {
   void OnHead(upstream_head const&) {}
@@ -20,12 +20,24 @@
   std::promise<upstream_end> mEnd;
 };
 
+/// Runs attempts one after the other.
+class TestUpstreamAnswers : public testing::Test
+{
+protected:
+  upstream_end RunAttempt(scripted_server const& aServer,
+                          std::string const& aMethod);
+
+  single_sink mSink;
+  upstream_loop<single_sink> mLoop{ mSink };
+};
+
 upstream_end
-RunAttempt(scripted_server const& aServer, std::string const& aMethod)
+TestUpstreamAnswers::RunAttempt(scripted_server const& aServer,
+                                std::string const& aMethod)
 {
-  single_sink sink;
-  upstream_loop<single_sink> loop{ sink };
-  loop.Post(upstream_request{
+  mSink.mEnd = {};
+  std::future<upstream_end> end = mSink.mEnd.get_future();
+  mLoop.Post(upstream_request{
     .mCall = call_number{ 1 },
     .mAttempt = attempt_number{ 1 },
     .mServer = aServer.Address(),
@@ -33,14 +45,16 @@
     .mTarget = "/",
     .mBody = std::make_shared<std::string const>(
       aMethod == "GET" ? std::string{} : std::string{ "{}" }) });
-  return sink.mEnd.get_future().get();
+  return end.get();
 }
 
 std::string const kHead =
   "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX: y\r\n\r\n";
 
 /// How many bytes of the head arrive before the server closes its connection.
-class TestBrokenHeads : public testing::TestWithParam<std::size_t>
+class TestBrokenHeads
+  : public TestUpstreamAnswers
+  , public testing::WithParamInterface<std::size_t>
 {};
 
 // Guards against an empty success for an answer whose head broke off.
@@ -59,7 +73,7 @@
                          TestBrokenHeads,
                          testing::Range(std::size_t{ 1 }, kHead.size()));
 
-TEST(TestUpstreamAnswers, AnswerThatEndsWithItsConnectionIsComplete)
+TEST_F(TestUpstreamAnswers, AnswerThatEndsWithItsConnectionIsComplete)
 {
   scripted_server server{ { kHead + "{}\a" } };
   upstream_end const end = RunAttempt(server, "POST");
@@ -67,6 +81,19 @@
   EXPECT_EQ(end.mBody, "{}");
 }
 
+// Guards against a late copy of an earlier answer, or refusal, that the next
+// caller gets: answers of these servers don't name their requests.
+TEST_F(TestUpstreamAnswers, EachAttemptHasAConnectionOfItsOwn)
+{
+  std::string const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  for (char const* const method : { "GET", "POST" }) {
+    scripted_server server{ { answer, answer } };
+    RunAttempt(server, method);
+    RunAttempt(server, method);
+    EXPECT_EQ(server.Accepted(), 2) << method;
+  }
+}
+
 }
 
 }
