LibFleet: Pass on only new evidence on prompt parts

For 10 s a new link brings the parts in quarantine with each report, and each receiver passed them on: by reading, a restarted root of a fleet of 95 would send each child some 80 copies of an entry a second. What an instance knows already is not passed on any more. Not measured.

Tests: evidence reaches each instance once, a joining instance learns what is in quarantine (fleets of all sizes of TestReportExchange), and exactly one of the ready instances runs the trial of a part.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -27,6 +27,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -138,7 +139,6 @@
   void OnPeerReport(fleet_report const& aReport, bool aHaveUpdatesChanged)
   {
     mFollower.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
-    MergePartCrashes(aReport.mPartCrashes);
     if (!aReport.mCrashes.empty() || !aReport.mPartCrashes.empty() ||
         !aReport.mHolders.empty())
       mUpdateHandler({ .mCrashes = aReport.mCrashes,
@@ -149,6 +149,19 @@
       Publish();
   }
 
+  // Keeps a copy of what the traffic thread knows, for peers with a new link.
+  std::vector<part_crashes> MergePartCrashes(
+    std::span<part_crashes const> aEvidence)
+  {
+    instant const now = mClock.Now();
+    std::vector<part_crashes> news;
+    for (part_crashes const& evidence : aEvidence) {
+      if (mSuspects.Merge(now, evidence))
+        news.push_back(evidence);
+    }
+    return news;
+  }
+
   void OnPeerRelay(topic_relay const& aRelay) { mFollower.OnRelay(aRelay); }
 
 private:
@@ -211,14 +224,6 @@
     return areNew;
   }
 
-  // Keeps a copy of what the traffic thread knows, for peers with a new link.
-  void MergePartCrashes(std::span<part_crashes const> aEvidence)
-  {
-    instant const now = mClock.Now();
-    for (part_crashes const& evidence : aEvidence)
-      mSuspects.Merge(now, evidence);
-  }
-
   void OnObservedWeights(std::vector<observed_weights> const& aObserved)
   {
     if (!ApplyObservedWeights(aObserved))
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -23,7 +23,8 @@
 /// Control provides ReportToPeers(), called when a link has opened;
 /// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
 /// whether the peer's lease or the servers that it is updating have changed;
-/// and OnPeerRelay(topic_relay const&).
+/// MergePartCrashes(std::span<part_crashes const>), which returns the evidence
+/// that is new, to be passed on; and OnPeerRelay(topic_relay const&).
 template<typename Control>
 class fleet_links
 {
@@ -167,12 +168,13 @@
       return;
     bool const haveUpdatesChanged =
       mRegistry.OnReport(mClock.Now(), aPeer, aReport);
-    mExchange.Add({ .mFrom = aPeer.mInstance,
-                    .mIsOfBranch = aReport.mScope == report_scope::Branch,
-                    .mCrashes = aReport.mCrashes,
-                    .mPartCrashes = aReport.mPartCrashes,
-                    .mWeights = aReport.mWeights,
-                    .mHolders = aReport.mHolders });
+    mExchange.Add(
+      { .mFrom = aPeer.mInstance,
+        .mIsOfBranch = aReport.mScope == report_scope::Branch,
+        .mCrashes = aReport.mCrashes,
+        .mPartCrashes = mControl.MergePartCrashes(aReport.mPartCrashes),
+        .mWeights = aReport.mWeights,
+        .mHolders = aReport.mHolders });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
   }
 
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -36,7 +36,9 @@
     double mUsage = 0;
     std::uint64_t mLease = 0;
     std::vector<report_update> mOwnUpdates;
+    std::vector<part_crashes> mQuarantined;
     std::vector<std::uint64_t> mReceivedCrashes;
+    std::vector<part_crashes> mReceivedEvidence;
     std::vector<topic_relay> mRelays;
   };
 
@@ -206,7 +208,8 @@
     aMember.mExchange->Report(
       mNow,
       { .mLease = aMember.mLease,
-        .mSpent = { { workspace_id{ "w" }, aMember.mUsage } } },
+        .mSpent = { { workspace_id{ "w" }, aMember.mUsage } },
+        .mPartCrashes = aMember.mQuarantined },
       true,
       false);
   }
@@ -232,9 +235,13 @@
     aTo.mRegistry.OnReport(mNow, from, report);
     for (crash_count const& crash : report.mCrashes)
       aTo.mReceivedCrashes.push_back(crash.mFingerprint);
+    aTo.mReceivedEvidence.insert(aTo.mReceivedEvidence.end(),
+                                 report.mPartCrashes.begin(),
+                                 report.mPartCrashes.end());
     aTo.mExchange->Add({ .mFrom = aMessage.mFrom,
                          .mIsOfBranch = report.mScope == report_scope::Branch,
-                         .mCrashes = report.mCrashes });
+                         .mCrashes = report.mCrashes,
+                         .mPartCrashes = report.mPartCrashes });
   }
 
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -61,6 +61,31 @@
       << id.Text();
 }
 
+TEST_P(TestReportExchange, EvidenceOnPartsReachesEachInstance)
+{
+  mFleet.Run(kSettled);
+  simulated_fleet::member& observer = mFleet.Member(GetParam() - 1);
+  observer.mOwnUpdates.push_back(
+    { .mPartCrashes = { { .mPart = 7, .mCrashes = 1 } } });
+  mFleet.Run(seconds{ 2 });
+  for (auto const& [id, member] : mFleet.Members())
+    EXPECT_EQ(member->mReceivedEvidence.size(),
+              member.get() == &observer ? 0U : 1U)
+      << id.Text();
+}
+
+// Guards against an instance that starts and sends servers a part of prompts
+// that the others have in quarantine.
+TEST_P(TestReportExchange, JoiningInstanceLearnsWhatIsInQuarantine)
+{
+  mFleet.Run(kSettled);
+  for (auto const& [id, member] : mFleet.Members())
+    member->mQuarantined = { { .mPart = 7, .mCrashes = 3 } };
+  mFleet.Join(GetParam());
+  mFleet.Run(seconds{ 2 });
+  EXPECT_FALSE(mFleet.Member(GetParam()).mReceivedEvidence.empty());
+}
+
 TEST_P(TestReportExchange, RelayedRecordsReachEachInstanceOnce)
 {
   mFleet.Run(kSettled);
--- a/Tests/LibGateway/TestTrafficCore.cpp
+++ b/Tests/LibGateway/TestTrafficCore.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
 
 namespace lycheeseam {
 namespace {
@@ -34,6 +35,24 @@
   traffic_core mCore{ mOptions, mView };
 };
 
+TEST_F(TestTrafficCore, OneOfTheReadyInstancesRunsTheTrialOfAPart)
+{
+  fleet_view view;
+  for (int index = 0; index < 7; ++index)
+    view.mReadyInstances.push_back(
+      { .mInstance = instance_id{ "entry-" + std::to_string(index) } });
+  mView.Publish(std::make_shared<fleet_view const>(view));
+  for (std::uint64_t part = 1; part <= 20; ++part) {
+    int trials = 0;
+    for (ready_instance const& entry : view.mReadyInstances) {
+      gateway_options const options{ .mInstance = entry.mInstance };
+      traffic_core core{ options, mView };
+      trials += core.RunsTrialOf(kNow, part) ? 1 : 0;
+    }
+    EXPECT_EQ(trials, 1) << part;
+  }
+}
+
 // Half of the slack can be saved up, less a fifth that is held back.
 TEST_F(TestTrafficCore, SingleInstanceHasFullRetryBudget)
 {
