LibFleet: Count peers' reads as answers of the store

Cause: takes 2 s without a page for an outage, but records are passed on only when there are any, so that instances that don't read themselves saw outages of a sound store. Evidence: in_use_ms is 2200 on the six instances that were told by a peer, 0 on the reader.

While a live peer reports that it is answered, the store counts as answering. A peer reports that up to 1.3 s too long, so a gap of 1 s is an outage now: entries expire in outages of 2.4 s and more.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -182,6 +182,10 @@
       mUsageWriter.Write(now, mWindowUsage);
     mLinks.Tick(now);
     mSuspects.Prune(now);
+    // Pages are passed on only when they have records, so their absence shows
+    // no outage while a peer is answered.
+    if (mLinks.Registry().IsAnyReading(now))
+      mRecords.Servers().OnStoreAnswer(now);
     bool const haveServersExpired = mRecords.Servers().Expire(now);
     std::vector<registered_server> const servers = mRecords.Servers().Servers();
     bool const haveUpdatesChanged =
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -222,6 +222,15 @@
     });
 }
 
+bool
+peer_registry::IsAnyReading(instant aNow) const
+{
+  return std::any_of(mLinks.begin(), mLinks.end(), [aNow](auto const& aEntry) {
+    peer_link const& link = aEntry.second;
+    return link.IsLive(aNow) && !link.mReport.mReader.IsEmpty();
+  });
+}
+
 std::uint32_t
 peer_registry::Rank(instant aNow) const
 {
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -87,6 +87,9 @@
   /// for the others.
   [[nodiscard]] bool HasReader(instant aNow) const;
 
+  /// True when the store answers the reads of any live peer.
+  [[nodiscard]] bool IsAnyReading(instant aNow) const;
+
   /// The number of live instances that aren't leaving and whose ids sort before
   /// this one's.
   [[nodiscard]] std::uint32_t Rank(instant aNow) const;
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -14,8 +14,9 @@
 
 // Entries expire after three missed heartbeats of 1.2 s, the last of which may
 // have been due up to one interval before the outage. After a shorter outage a
-// dropped entry is one that its server, or its operator, removed.
-constexpr duration kMinOutage = std::chrono::seconds{ 2 };
+// dropped entry is one that its server, or its operator, removed. Peers report
+// that they are answered for up to 1.3 s longer than they are.
+constexpr duration kMinOutage = std::chrono::seconds{ 1 };
 
 }
 
