--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -134,6 +134,19 @@
   EXPECT_TRUE(registry.Updating(kNow + seconds{ 2 }).empty());
 }
 
+// Guards against an instance that takes the absence of new records for an
+// outage of the store, and keeps servers whose entries are dropped then.
+TEST(TestPeerRegistry, ReadsOfAnyLivePeerShowThatTheStoreAnswers)
+{
+  peer_registry registry{ instance_id{ "m" } };
+  registry.OnUp(kNow, Hello("z"));
+  EXPECT_FALSE(registry.IsAnyReading(kNow));
+  registry.OnReport(
+    kNow, Hello("z").mIdentity, { .mReader = instance_id{ "z" } });
+  EXPECT_TRUE(registry.IsAnyReading(kNow));
+  EXPECT_FALSE(registry.IsAnyReading(kNow + seconds{ 2 }));
+}
+
 TEST(TestPeerRegistry, FirstInstanceByIdReadsForAll)
 {
   peer_registry registry{ instance_id{ "m" } };
