LibGateway: Log the limits that servers name

The users report that a server got far more requests than the limit that it had named in its answers (LIMIT). No source read that field, so logs couldn't tell whether an instance knew of a limit, or how many requests each sent then.

The answer's limit is read, and logged when it changes and once a second while there is one, with the number of requests that this instance sent to the server since the line before. Adding these up over the instances shows which of them exceeded it. No decision depends on the limit yet.

--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -29,6 +29,7 @@
 void
 tracked_server::OnStart(token_count aTokens)
 {
+  mSent += 1;
   mInFlight += 1;
   mInFlightTokens += aTokens;
   mAverageTokens +=
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmission/CircuitBreaker.h>
+#include <LibDispatch/LimitTrace.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/ReportedLoad.h>
 
@@ -43,6 +44,10 @@
     return mHasAnnouncedLeaving || mRegistered.mStage == server_stage::Leaving;
   }
 
+  /// Requests that this instance has sent to the server.
+  std::uint64_t mSent = 0;
+  limit_trace mLimitTrace;
+
   /// Counts a request of aTokens that this instance sends to the server.
   void OnStart(token_count aTokens);
 
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -21,6 +21,9 @@
   bool mIsMisdirected = false;
   /// The server takes no new requests and exits soon.
   bool mIsLeaving = false;
+  /// The rate of requests that the server takes from all instances together;
+  /// empty when it names no limit.
+  std::optional<double> mRequestsPerSecond;
   /// How long the server wants no requests from this instance.
   std::chrono::milliseconds mPause{};
   /// The server that answered, when the head states it.
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -1,6 +1,7 @@
 #include <LibDispatch/RendezvousRank.h>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/LogEvidence.h>
+#include <LibGateway/LogLimit.h>
 #include <LibGateway/TrafficCore.h>
 
 #include <xxhash.h>
@@ -206,6 +207,8 @@
   // that has taken the address.
   if (aAnswer.mIsLeaving && (!aAnswer.mIsMisdirected || isItself))
     OnLeaving(aServer);
+  if (!aAnswer.mIsMisdirected || isItself)
+    LogLimit(aNow, aServer, aAnswer.mRequestsPerSecond);
   if (aAnswer.mPause.count() > 0)
     OnPause(aNow, aServer, aAnswer.mPause);
   if (aAnswer.mLoad) {
--- a/Tests/Platform/TestRequestDialect.cpp
+++ b/Tests/Platform/TestRequestDialect.cpp
@@ -131,6 +131,22 @@
   EXPECT_EQ(pause(200, "2"), milliseconds{});
 }
 
+TEST(TestRequestDialect, AnswersMayNameARateLimit)
+{
+  auto const limit = [](char const* aText) {
+    return request_dialect::ReadAnswer(
+             { .mStatus = 200, .mFields = { { "Server-Limit", aText } } })
+      .mRequestsPerSecond;
+  };
+  EXPECT_EQ(limit("2.75"), 2.75);
+  EXPECT_EQ(limit("12"), 12.0);
+  EXPECT_EQ(limit("0"), 0.0);
+  for (char const* const text : { "", "-1", "nan", "inf", "2/s", "1e999" })
+    EXPECT_EQ(limit(text), std::nullopt) << text;
+  EXPECT_EQ(request_dialect::ReadAnswer({ .mStatus = 200 }).mRequestsPerSecond,
+            std::nullopt);
+}
+
 TEST(TestRequestDialect, ArbitraryLoadsAreReadOrIgnored)
 {
   rc::check([](std::string const& aValue) {
