LibDispatch, LibFleet, LibGateway: Keep to the rate limits that servers name

Cause: no decision read the limit.

Change: a limit is shared by a few holders, the first instances in a rendezvous order of the ready ones that is the server's own, so that no request waits for another instance. Each holder has an equal share and is paced by it; without news of the limit the next instances have their turns, so that the end of a limit is always found. Observations go to all instances with the reports. A request for which only limited servers are left waits or is refused at once, with the time of the next share.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -36,7 +36,8 @@
   return replaced && aRequest.mNow - *replaced > aRequest.mOutdatedAfter;
 }
 
-// True when the server may get the request unless it pauses.
+// True when the server may get the request as far as its pause and its limit
+// allow.
 bool
 IsUsable(tracked_server const& aServer, server_choice_request const& aRequest)
 {
@@ -60,7 +61,8 @@
 {
   std::vector<tracked_server*> eligible;
   for (tracked_server* const server : aServers) {
-    if (server->mPausedUntil <= aRequest.mNow && IsUsable(*server, aRequest))
+    if (server->NextSendAt(aRequest.mNow) <= aRequest.mNow &&
+        IsUsable(*server, aRequest))
       eligible.push_back(server);
   }
   return eligible;
@@ -186,14 +188,14 @@
 }
 
 std::optional<instant>
-FirstPauseEnd(std::span<tracked_server* const> aServers,
-              server_choice_request const& aRequest)
+FirstSendAt(std::span<tracked_server* const> aServers,
+            server_choice_request const& aRequest)
 {
   std::optional<instant> first;
   for (tracked_server const* const server : aServers) {
-    bool const isPaused = server->mPausedUntil > aRequest.mNow;
-    if (isPaused && IsUsable(*server, aRequest))
-      first = std::min(first.value_or(instant::max()), server->mPausedUntil);
+    instant const sendAt = server->NextSendAt(aRequest.mNow);
+    if (sendAt > aRequest.mNow && IsUsable(*server, aRequest))
+      first = std::min(first.value_or(instant::max()), sendAt);
   }
   return first;
 }
--- a/Libraries/LibDispatch/ChooseServer.h
+++ b/Libraries/LibDispatch/ChooseServer.h
@@ -19,11 +19,12 @@
 ChooseServer(std::span<tracked_server* const> aServers,
              server_choice_request const& aRequest);
 
-/// When the first server takes requests again of those that are only excluded
-/// because they asked this instance for a pause; nothing when there are none.
+/// When the first server takes a request of those that are only excluded
+/// because of the pause that they asked for or of their rate limit; nothing
+/// when there are none.
 std::optional<instant>
-FirstPauseEnd(std::span<tracked_server* const> aServers,
-              server_choice_request const& aRequest);
+FirstSendAt(std::span<tracked_server* const> aServers,
+            server_choice_request const& aRequest);
 
 /// Returns the server other than aChosen that most likely caches the prompt's
 /// shared part: the one with the highest rendezvous rank among those with the
--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Instant.h>
 #include <LibDispatch/DispatchConfig.h>
+#include <LibDispatch/ObservedLimit.h>
 #include <LibDispatch/ReadyInstance.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/TargetWeights.h>
@@ -23,6 +24,8 @@
   std::vector<registered_server> mServers;
   /// Servers that a rolling update loads weights on; they get no new requests.
   std::set<backend_server_id> mUpdating;
+  /// Rate limits of servers, as any instance last observed them.
+  std::vector<observed_limit> mLimits;
   /// The target weights of each model.
   std::vector<target_weights> mWeights;
   /// The instances that are ready for callers.
--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -27,8 +27,9 @@
 }
 
 void
-tracked_server::OnStart(token_count aTokens)
+tracked_server::OnStart(instant aNow, token_count aTokens)
 {
+  mLimit.OnSend(aNow);
   mSent += 1;
   mInFlight += 1;
   mInFlightTokens += aTokens;
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -4,7 +4,9 @@
 #include <LibDispatch/LimitTrace.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/ReportedLoad.h>
+#include <LibDispatch/ServerLimit.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -25,6 +27,7 @@
   bool mHasAnnouncedLeaving = false;
   /// Until when it wants no requests from this instance.
   instant mPausedUntil{};
+  server_limit mLimit;
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
   token_count mMemoryTokens = 0;
   /// This instance's requests that haven't ended.
@@ -48,8 +51,15 @@
   std::uint64_t mSent = 0;
   limit_trace mLimitTrace;
 
+  /// When it takes the next request from this instance, by its pause and its
+  /// limit; the past when it does now.
+  [[nodiscard]] instant NextSendAt(instant aNow) const
+  {
+    return std::max(mPausedUntil, mLimit.NextSendAt(aNow));
+  }
+
   /// Counts a request of aTokens that this instance sends to the server.
-  void OnStart(token_count aTokens);
+  void OnStart(instant aNow, token_count aTokens);
 
   /// Removes a request of aTokens that has ended.
   void OnEnd(token_count aTokens);
--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/ComposeReport.h>
+#include <LibFleet/LimitNotices.h>
 
 #include <algorithm>
 #include <map>
@@ -86,6 +87,7 @@
     Append(report.mCrashes, update.mCrashes);
     Append(report.mPartCrashes, update.mPartCrashes);
     Append(report.mWeights, update.mWeights);
+    Append(report.mLimits, MakeLimitNotices(aNow, update.mLimits));
     Append(report.mHolders, update.mHolders);
   }
   return report;
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -11,6 +11,7 @@
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
+#include <LibFleet/ServerLimits.h>
 #include <LibFleet/StoreFollower.h>
 #include <LibFleet/UsageWriter.h>
 #include <LibGateway/PeerUpdate.h>
@@ -111,8 +112,10 @@
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
     MergePartCrashes(aReport.mPartCrashes);
+    MergeLimits(aReport.mLimits);
     mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
                  .mPartCrashes = std::move(aReport.mPartCrashes),
+                 .mLimits = std::move(aReport.mLimits),
                  .mHolders = std::move(aReport.mHolders) });
     ReportToPeers();
     Publish();
@@ -128,6 +131,7 @@
                     .mReader = mFollower.IsReading(now) ? self : instance_id{},
                     .mSpent = mOwnUsage,
                     .mPartCrashes = mSuspects.Quarantined(),
+                    .mLimits = MakeLimitNotices(now, mLimits.List()),
                     .mUpdating = { updating.begin(), updating.end() },
                     .mUsed = mWindowUsage,
                     .mOperatorsEnd = mFollower.OperatorsEnd() },
@@ -162,6 +166,14 @@
     return news;
   }
 
+  // Keeps what the traffic thread and peers observed, for the view and for
+  // peers with a new link.
+  std::vector<observed_limit> MergeLimits(
+    std::span<observed_limit const> aObserved)
+  {
+    return mLimits.Merge(aObserved);
+  }
+
   void OnPeerRelay(topic_relay const& aRelay) { mFollower.OnRelay(aRelay); }
 
 private:
@@ -182,6 +194,7 @@
       mUsageWriter.Write(now, mWindowUsage);
     mLinks.Tick(now);
     mSuspects.Prune(now);
+    mLimits.Prune(now);
     // Pages are passed on only when they have records, so their absence shows
     // no outage while a peer is answered.
     if (mLinks.Registry().IsAnyReading(now))
@@ -249,6 +262,7 @@
     mView.mConfig = mRecords.Operators().Config();
     mView.mWeights = mRecords.Operators().Weights();
     mView.mServers = mRecords.Servers().Servers();
+    mView.mLimits = mLimits.List();
     mView.mUpdating = mOrderDriver.Updating();
     mView.mUpdating.merge(peers.Updating(now));
     mView.mReadyInstances = peers.Entries();
@@ -283,6 +297,7 @@
   order_driver<Dialect> mOrderDriver;
   fleet_view mView;
   suspect_parts mSuspects;
+  server_limits mLimits;
   /// What this instance admitted since its start.
   std::vector<workspace_usage> mOwnUsage;
   /// What all instances admitted in the last quota window.
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/SystemClock.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/LimitNotices.h>
 #include <LibFleet/PeerRegistry.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibMembership/QuietLinkSupervisor.h>
@@ -23,8 +24,9 @@
 /// Control provides ReportToPeers(), called when a link has opened;
 /// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
 /// whether the peer's lease or the servers that it is updating have changed;
-/// MergePartCrashes(std::span<part_crashes const>), which returns the evidence
-/// that is new, to be passed on; and OnPeerRelay(topic_relay const&).
+/// MergePartCrashes(std::span<part_crashes const>) and
+/// MergeLimits(std::span<observed_limit const>), which return what is new, to
+/// be passed on; and OnPeerRelay(topic_relay const&).
 template<typename Control>
 class fleet_links
 {
@@ -174,6 +176,8 @@
         .mCrashes = aReport.mCrashes,
         .mPartCrashes = mControl.MergePartCrashes(aReport.mPartCrashes),
         .mWeights = aReport.mWeights,
+        .mLimits =
+          mControl.MergeLimits(ReadLimitNotices(mClock.Now(), aReport.mLimits)),
         .mHolders = aReport.mHolders });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
   }
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -16,6 +16,8 @@
   aReport.mPartCrashes.insert(aReport.mPartCrashes.end(),
                               aOwn.mPartCrashes.begin(),
                               aOwn.mPartCrashes.end());
+  aReport.mLimits.insert(
+    aReport.mLimits.end(), aOwn.mLimits.begin(), aOwn.mLimits.end());
 }
 
 }
--- a/Libraries/LibFleet/ReportExchange.h
+++ b/Libraries/LibFleet/ReportExchange.h
@@ -53,8 +53,8 @@
   void Add(report_update aUpdate);
 
   /// Sends each peer a report, and its roster when that has changed. aOwn holds
-  /// the state of this instance alone; its usage of the window and its parts in
-  /// quarantine go over new links only.
+  /// the state of this instance alone; its usage of the window, its parts in
+  /// quarantine and its rate limits go over new links only.
   void Report(instant aNow,
               fleet_report const& aOwn,
               bool aIsReady,
@@ -70,9 +70,9 @@
   static constexpr std::chrono::milliseconds kTopologyInterval{ 500 };
   // A restarted parent is reachable again within this time.
   static constexpr std::chrono::milliseconds kParentTimeout{ 1'500 };
-  // Reports over a link contain the usage of the quota window and the parts of
-  // prompts in quarantine for this long after the link opened, so that an
-  // instance that starts learns them.
+  // Reports over a link contain the usage of the quota window, the parts of
+  // prompts in quarantine and the servers' rate limits for this long after the
+  // link opened, so that an instance that starts learns them.
   static constexpr std::chrono::seconds kEarlierStatePeriod{ 10 };
   // The topology of the other end may lag and need the link a moment later.
   static constexpr std::chrono::seconds kUnusedLinkTimeout{ 5 };
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibDispatch/ObservedLimit.h>
 #include <LibPeer/FleetReport.h>
 
 namespace lycheeseam {
 
-/// Crashes, weights and prefix holders that an instance observed, to be
-/// reported once to all others.
+/// Crashes, weights, rate limits and prefix holders that an instance observed,
+/// to be reported once to all others.
 struct report_update
 {
   /// The peer that reported it; empty for this instance's own observations.
@@ -16,12 +17,13 @@
   std::vector<crash_count> mCrashes;
   std::vector<part_crashes> mPartCrashes;
   std::vector<observed_weights> mWeights;
+  std::vector<observed_limit> mLimits;
   std::vector<prefix_holder> mHolders;
 
   [[nodiscard]] bool IsEmpty() const
   {
     return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
-           mHolders.empty();
+           mLimits.empty() && mHolders.empty();
   }
 };
 
--- a/Libraries/LibGateway/EvidenceSource.h
+++ b/Libraries/LibGateway/EvidenceSource.h
@@ -2,7 +2,7 @@
 
 namespace lycheeseam {
 
-/// Which instance observed a crash of a server.
+/// Which instance made an observation of a server.
 enum class evidence_source
 {
   Own,
--- a/Libraries/LibGateway/LogLimit.h
+++ b/Libraries/LibGateway/LogLimit.h
@@ -2,15 +2,14 @@
 
 #include <LibCore/Instant.h>
 #include <LibDispatch/TrackedServer.h>
-
-#include <optional>
+#include <LibGateway/EvidenceSource.h>
 
 namespace lycheeseam {
 
-/// Logs the rate limit that a server names, in requests per second, and how
-/// many requests this instance sent to it since the line before: when the limit
-/// has changed, and from time to time while there is one.
+/// Logs a server's rate limit, this instance's share of it, and how many
+/// requests it sent to the server since the line before: when the limit has
+/// changed, and from time to time while there is one.
 void
-LogLimit(instant aNow, tracked_server& aServer, std::optional<double> aLimit);
+LogLimit(instant aNow, tracked_server& aServer, evidence_source aSource);
 
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -184,6 +184,7 @@
     if (mTrace.mArrivals > 0 && !mCore.TrySpendRetry(now, mAdmitted.mPool))
       return GiveUp();
     mAttempt.Begin(
+      now,
       pick.mServer,
       mSender.Prepare(pick, mAdmitted, mTrace, mAnswer.Relay().LastEventId()),
       this->shared_from_this());
@@ -191,7 +192,7 @@
 
   void WaitForCapacity(instant aNow, server_pick const& aPick)
   {
-    instant const freeAt = aPick.mPauseEnd.value_or(aNow);
+    instant const freeAt = aPick.mSendAt.value_or(aNow);
     if (!MayWaitForCapacity(mAdmitted, mTrace, freeAt))
       return GiveUp(RetryAfter(aPick));
     RunAfter(mContext,
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -53,7 +53,7 @@
           ChooseServer(servers, pick.mChoiceRequest))
       pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
     else
-      pick.mPauseEnd = FirstPauseEnd(servers, pick.mChoiceRequest);
+      pick.mSendAt = FirstSendAt(servers, pick.mChoiceRequest);
     return pick;
   }
 
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -28,7 +28,8 @@
   }
 
   /// Sends the request; the previous attempt must have ended.
-  void Begin(std::shared_ptr<tracked_server> aServer,
+  void Begin(instant aNow,
+             std::shared_ptr<tracked_server> aServer,
              attempt_request aRequest,
              std::shared_ptr<Sink> aSink)
   {
@@ -38,7 +39,7 @@
     mPartCrashes = std::move(aRequest.mPartCrashes);
     mFirstPieceAt.reset();
     mOutcome = attempt_outcome::Pending;
-    mServer->OnStart(mTokens);
+    mServer->OnStart(aNow, mTokens);
     // A local copy, because the sink may begin the next attempt while this one
     // is being started.
     std::shared_ptr<server_exchange<Sink>> const started =
--- a/Libraries/LibGateway/ServerPick.h
+++ b/Libraries/LibGateway/ServerPick.h
@@ -17,9 +17,9 @@
   server_choice_request mChoiceRequest;
   /// Null when no server can take the request now.
   std::shared_ptr<tracked_server> mServer;
-  /// When the first server's pause ends, if there is no server only because all
-  /// that could take the request pause.
-  std::optional<instant> mPauseEnd;
+  /// When a server takes the request, if there is none now only because of the
+  /// pauses and rate limits of those that could take it.
+  std::optional<instant> mSendAt;
 };
 
 }
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -1,12 +1,10 @@
-#include <LibDispatch/RendezvousRank.h>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/LogEvidence.h>
 #include <LibGateway/LogLimit.h>
 #include <LibGateway/TrafficCore.h>
 
-#include <xxhash.h>
-
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace lycheeseam {
@@ -18,6 +16,9 @@
 // does.
 constexpr double kRetryBudgetFraction = 0.8;
 
+// An unchanged limit is reported again when no instance has for this long.
+constexpr std::chrono::seconds kLimitReportInterval{ 1 };
+
 }
 
 traffic_core::traffic_core(gateway_options const& aOptions,
@@ -25,6 +26,7 @@
   : mOptions(aOptions)
   , mPublished(aPublished)
   , mView(std::make_shared<fleet_view const>())
+  , mInstanceOrder(aOptions.mInstance)
   , mQuota(aOptions.mQuota)
 {
 }
@@ -42,6 +44,7 @@
       budget.second.SetOptions(RetryBudgetOptions());
   }
   mServers.Apply(*mView);
+  ApplyLimits(aNow);
   mQuota.Apply(aNow, *mView);
   return mView;
 }
@@ -126,16 +129,64 @@
 bool
 traffic_core::RunsTrialOf(instant aNow, std::uint64_t aPart)
 {
-  auto const rank = [aPart](instance_id const& aInstance) {
-    return RendezvousRank(
-      aPart, XXH3_64bits(aInstance.Text().data(), aInstance.Text().size()));
+  View(aNow);
+  return mInstanceOrder.Position(aPart) == 0;
+}
+
+void
+traffic_core::ApplyLimits(instant aNow)
+{
+  if (mInstanceOrder.Update(mView->mReadyInstances)) {
+    for (auto const& [id, server] : mServers.Servers()) {
+      if (server->mLimit.RequestsPerSecond())
+        UpdateLimitShare(aNow, *server);
+    }
+  }
+  for (observed_limit const& observed : mView->mLimits) {
+    std::shared_ptr<tracked_server> const server =
+      mServers.Find(observed.mServer.mServer);
+    bool const isSame = server && server->mRegistered.mIncarnation ==
+                                    observed.mServer.mIncarnation;
+    if (isSame && ApplyLimit(aNow, *server, observed))
+      LogLimit(aNow, *server, evidence_source::Peer);
+  }
+}
+
+bool
+traffic_core::ApplyLimit(instant aNow,
+                         tracked_server& aServer,
+                         observed_limit const& aObserved)
+{
+  if (!aServer.mLimit.RequestsPerSecond())
+    UpdateLimitShare(aNow, aServer);
+  return aServer.mLimit.Apply(
+    aNow, aObserved.mRequestsPerSecond, aObserved.mObservedAt);
+}
+
+void
+traffic_core::UpdateLimitShare(instant aNow, tracked_server& aServer)
+{
+  aServer.mLimit.SetPosition(
+    aNow, mInstanceOrder.Position(aServer.mSeed), mInstanceOrder.Count());
+}
+
+void
+traffic_core::OnLimit(instant aNow,
+                      tracked_server& aServer,
+                      std::optional<double> aRequestsPerSecond)
+{
+  if (!aRequestsPerSecond && !aServer.mLimit.RequestsPerSecond())
+    return;
+  observed_limit const observed{
+    .mServer = { .mServer = aServer.mRegistered.mId,
+                 .mIncarnation = aServer.mRegistered.mIncarnation },
+    .mRequestsPerSecond = aRequestsPerSecond,
+    .mObservedAt = aNow
   };
-  std::uint64_t const own = rank(mOptions.mInstance);
-  std::vector<ready_instance> const& ready = View(aNow)->mReadyInstances;
-  return std::none_of(
-    ready.begin(), ready.end(), [&](ready_instance const& aOther) {
-      return rank(aOther.mInstance) > own;
-    });
+  bool const isDue = aNow - aServer.mLimit.ObservedAt() >= kLimitReportInterval;
+  if (ApplyLimit(aNow, aServer, observed) || isDue)
+    mReport.mLimits.push_back(observed);
+  LogLimit(aNow, aServer, evidence_source::Own);
 }
 
 void
@@ -208,7 +259,7 @@
   if (aAnswer.mIsLeaving && (!aAnswer.mIsMisdirected || isItself))
     OnLeaving(aServer);
   if (!aAnswer.mIsMisdirected || isItself)
-    LogLimit(aNow, aServer, aAnswer.mRequestsPerSecond);
+    OnLimit(aNow, aServer, aAnswer.mRequestsPerSecond);
   if (aAnswer.mPause.count() > 0)
     OnPause(aNow, aServer, aAnswer.mPause);
   if (aAnswer.mLoad) {
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -5,6 +5,8 @@
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/CrashTracker.h>
 #include <LibDispatch/FleetView.h>
+#include <LibDispatch/InstanceOrder.h>
+#include <LibDispatch/ObservedLimit.h>
 #include <LibDispatch/PrefixIndex.h>
 #include <LibDispatch/QuotaLimiter.h>
 #include <LibDispatch/ServerTable.h>
@@ -19,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -80,6 +83,12 @@
   /// An answer of the server announced that it is leaving.
   void OnLeaving(tracked_server& aServer);
 
+  /// An answer of the server named a rate limit, in requests per second, or
+  /// none.
+  void OnLimit(instant aNow,
+               tracked_server& aServer,
+               std::optional<double> aRequestsPerSecond);
+
   /// The server wants no requests from this instance for aPause.
   void OnPause(instant aNow,
                tracked_server& aServer,
@@ -112,6 +121,14 @@
 private:
   using retry_budgets = std::map<pool_name, retry_budget>;
 
+  // Takes over the limits that other instances observed, and this instance's
+  // share of each.
+  void ApplyLimits(instant aNow);
+  // True when the limit has changed.
+  bool ApplyLimit(instant aNow,
+                  tracked_server& aServer,
+                  observed_limit const& aObserved);
+  void UpdateLimitShare(instant aNow, tracked_server& aServer);
   // Logs new evidence and collects it for the control thread.
   void Report(std::span<part_crashes const> aNews);
   retry_budget& RetryBudget(pool_name const& aPool);
@@ -120,6 +137,7 @@
   gateway_options const& mOptions;
   published<fleet_view> const& mPublished;
   std::shared_ptr<fleet_view const> mView;
+  instance_order mInstanceOrder;
   server_table mServers;
   quota_limiter mQuota;
   crash_tracker mCrashes;
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/ServerIdentity.h>
 #include <LibDispatch/CrashCount.h>
+#include <LibDispatch/ObservedLimit.h>
 #include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
@@ -27,6 +28,8 @@
   /// Versions of weights that answers showed and that are newer than those in
   /// the servers' entries.
   std::vector<observed_weights> mWeights;
+  /// Rate limits that answers showed since the last report.
+  std::vector<observed_limit> mLimits;
   /// Servers at whose address another server answered.
   std::vector<server_identity> mReplaced;
   /// Shared prompt prefixes that servers read since the last report.
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -2,6 +2,8 @@
 #include <LibPeer/DecodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
 
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace lycheeseam {
@@ -36,6 +38,31 @@
   return units;
 }
 
+limit_notice
+DecodeLimit(wire::ServerLimit const& aTable)
+{
+  limit_notice notice{
+    .mServer = { .mServer = backend_server_id{ aTable.server()->str() },
+                 .mIncarnation = incarnation{ aTable.incarnation() } },
+    .mAge = std::chrono::milliseconds{ aTable.age_ms() }
+  };
+  if (std::isfinite(aTable.requests_per_s()) && aTable.requests_per_s() >= 0)
+    notice.mRequestsPerSecond = aTable.requests_per_s();
+  return notice;
+}
+
+part_crashes
+DecodePartCrashes(wire::PartCrashes const& aTable)
+{
+  part_crashes evidence{ .mPart = aTable.part(),
+                         .mClearances = aTable.clearances(),
+                         .mCrashes = aTable.crashes() };
+  if (aTable.common_parts() != nullptr)
+    evidence.mCommonParts.assign(aTable.common_parts()->begin(),
+                                 aTable.common_parts()->end());
+  return evidence;
+}
+
 }
 
 fleet_message
@@ -64,16 +91,13 @@
         .mServer = backend_server_id{ holder->server()->str() },
         .mIsStored = holder->stored() });
   // Instances with an older schema don't send these.
-  if (aTable.part_crashes() == nullptr)
-    return report;
-  for (wire::PartCrashes const* const evidence : *aTable.part_crashes()) {
-    part_crashes decoded{ .mPart = evidence->part(),
-                          .mClearances = evidence->clearances(),
-                          .mCrashes = evidence->crashes() };
-    if (evidence->common_parts() != nullptr)
-      decoded.mCommonParts.assign(evidence->common_parts()->begin(),
-                                  evidence->common_parts()->end());
-    report.mPartCrashes.push_back(std::move(decoded));
+  if (aTable.part_crashes() != nullptr) {
+    for (wire::PartCrashes const* const evidence : *aTable.part_crashes())
+      report.mPartCrashes.push_back(DecodePartCrashes(*evidence));
+  }
+  if (aTable.limits() != nullptr) {
+    for (wire::ServerLimit const* const limit : *aTable.limits())
+      report.mLimits.push_back(DecodeLimit(*limit));
   }
   return report;
 }
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A rate that means that a server names no limit.
+constexpr double kNoLimit = -1;
+
 // Builds the table of each kind of message.
 class fleet_encoder
 {
@@ -36,6 +39,14 @@
                                                 observed.mIncarnation.Value(),
                                                 Text(observed.mModel.Text()),
                                                 observed.mVersion));
+    std::vector<flatbuffers::Offset<wire::ServerLimit>> limits;
+    for (limit_notice const& notice : aReport.mLimits)
+      limits.push_back(wire::CreateServerLimit(
+        mBuilder,
+        Text(notice.mServer.mServer.Text()),
+        notice.mServer.mIncarnation.Value(),
+        notice.mRequestsPerSecond.value_or(kNoLimit),
+        static_cast<std::uint32_t>(notice.mAge.count())));
     std::vector<flatbuffers::Offset<flatbuffers::String>> updating;
     updating.reserve(aReport.mUpdating.size());
     for (backend_server_id const& server : aReport.mUpdating)
@@ -65,7 +76,8 @@
                               mBuilder.CreateVector(holders),
                               used,
                               aReport.mOperatorsEnd,
-                              mBuilder.CreateVector(partCrashes)));
+                              mBuilder.CreateVector(partCrashes),
+                              mBuilder.CreateVector(limits)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -6,6 +6,7 @@
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/WorkspaceUsage.h>
+#include <LibPeer/LimitNotice.h>
 #include <LibPeer/ReportScope.h>
 
 #include <cstdint>
@@ -32,6 +33,8 @@
   std::vector<part_crashes> mPartCrashes;
   /// Weights observed since the last report.
   std::vector<observed_weights> mWeights;
+  /// Rate limits observed since the last report; on a new link, all known ones.
+  std::vector<limit_notice> mLimits;
   /// Servers that take no new requests because the holder of mLease updates
   /// their weights.
   std::vector<backend_server_id> mUpdating;
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -96,6 +96,9 @@
 struct PrefixHolder;
 struct PrefixHolderBuilder;
 
+struct ServerLimit;
+struct ServerLimitBuilder;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -2469,6 +2472,94 @@
       stored);
 }
 
+struct ServerLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_INCARNATION = 6,
+    VT_REQUESTS_PER_S = 8,
+    VT_AGE_MS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  double requests_per_s() const {
+    return GetField<double>(VT_REQUESTS_PER_S, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerLimitBuilder {
+  typedef ServerLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerLimit::VT_SERVER, server);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ServerLimit::VT_INCARNATION, incarnation, 0);
+  }
+  void add_requests_per_s(double requests_per_s) {
+    fbb_.AddElement<double>(ServerLimit::VT_REQUESTS_PER_S, requests_per_s, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(ServerLimit::VT_AGE_MS, age_ms, 0);
+  }
+  explicit ServerLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLimit>(end);
+    fbb_.Required(o, ServerLimit::VT_SERVER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t incarnation = 0,
+    double requests_per_s = 0.0,
+    uint32_t age_ms = 0) {
+  ServerLimitBuilder builder_(_fbb);
+  builder_.add_requests_per_s(requests_per_s);
+  builder_.add_incarnation(incarnation);
+  builder_.add_age_ms(age_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t incarnation = 0,
+    double requests_per_s = 0.0,
+    uint32_t age_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return lycheeseam::wire::CreateServerLimit(
+      _fbb,
+      server__,
+      incarnation,
+      requests_per_s,
+      age_ms);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2482,7 +2573,8 @@
     VT_HOLDERS = 18,
     VT_USED = 20,
     VT_OPERATORS_END = 22,
-    VT_PART_CRASHES = 24
+    VT_PART_CRASHES = 24,
+    VT_LIMITS = 26
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2517,6 +2609,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *>(VT_PART_CRASHES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2544,6 +2639,9 @@
            VerifyOffset(verifier, VT_PART_CRASHES) &&
            verifier.VerifyVector(part_crashes()) &&
            verifier.VerifyVectorOfTables(part_crashes()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
 };
@@ -2585,6 +2683,9 @@
   void add_part_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes) {
     fbb_.AddOffset(FleetReport::VT_PART_CRASHES, part_crashes);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits) {
+    fbb_.AddOffset(FleetReport::VT_LIMITS, limits);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2615,10 +2716,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>> holders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0,
     uint64_t operators_end = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
+  builder_.add_limits(limits);
   builder_.add_part_crashes(part_crashes);
   builder_.add_used(used);
   builder_.add_holders(holders);
@@ -2643,7 +2746,8 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>> *holders = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr,
     uint64_t operators_end = 0,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits = nullptr) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2652,6 +2756,7 @@
   auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PrefixHolder>>(*holders) : 0;
   auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
   auto part_crashes__ = part_crashes ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>(*part_crashes) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>(*limits) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
@@ -2664,7 +2769,8 @@
       holders__,
       used__,
       operators_end,
-      part_crashes__);
+      part_crashes__,
+      limits__);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibDispatch/TestChooseServer.cpp
+++ b/Tests/LibDispatch/TestChooseServer.cpp
@@ -70,12 +70,12 @@
   pool[1].mPausedUntil = kNow + seconds{ 1 };
   server_choice_request request = Request(5);
   EXPECT_EQ(ChooseServer(pool.All(), request), nullptr);
-  EXPECT_EQ(FirstPauseEnd(pool.All(), request), kNow + seconds{ 1 });
+  EXPECT_EQ(FirstSendAt(pool.All(), request), kNow + seconds{ 1 });
   pool[1].mIsUpdating = true;
-  EXPECT_EQ(FirstPauseEnd(pool.All(), request), kNow + seconds{ 2 });
+  EXPECT_EQ(FirstSendAt(pool.All(), request), kNow + seconds{ 2 });
   request.mNow = kNow + seconds{ 2 };
   EXPECT_EQ(ChooseServer(pool.All(), request), &pool[0]);
-  EXPECT_EQ(FirstPauseEnd(pool.All(), request), std::nullopt);
+  EXPECT_EQ(FirstSendAt(pool.All(), request), std::nullopt);
 }
 
 TEST(TestChooseServer, RoutesPromptToAnotherServerAboveLoadBound)
@@ -91,7 +91,7 @@
   engine_pool pool{ 2 };
   tracked_server* const first = ChooseServer(pool.All(), Request(5));
   first->mMemoryTokens = 1'000;
-  first->OnStart(900);
+  first->OnStart(kNow, 900);
   EXPECT_NE(ChooseServer(pool.All(), Request(5)), first);
   first->OnEnd(900);
   EXPECT_EQ(ChooseServer(pool.All(), Request(5)), first);
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibFleet/LimitNotices.h>
 #include <LibFleet/ReportExchange.h>
+#include <LibFleet/ServerLimits.h>
 
 #include <chrono>
 #include <map>
@@ -39,6 +41,7 @@
     std::vector<part_crashes> mQuarantined;
     std::vector<std::uint64_t> mReceivedCrashes;
     std::vector<part_crashes> mReceivedEvidence;
+    server_limits mLimits;
     std::vector<topic_relay> mRelays;
   };
 
@@ -209,7 +212,8 @@
       mNow,
       { .mLease = aMember.mLease,
         .mSpent = { { workspace_id{ "w" }, aMember.mUsage } },
-        .mPartCrashes = aMember.mQuarantined },
+        .mPartCrashes = aMember.mQuarantined,
+        .mLimits = MakeLimitNotices(mNow, aMember.mLimits.List()) },
       true,
       false);
   }
@@ -238,10 +242,12 @@
     aTo.mReceivedEvidence.insert(aTo.mReceivedEvidence.end(),
                                  report.mPartCrashes.begin(),
                                  report.mPartCrashes.end());
-    aTo.mExchange->Add({ .mFrom = aMessage.mFrom,
-                         .mIsOfBranch = report.mScope == report_scope::Branch,
-                         .mCrashes = report.mCrashes,
-                         .mPartCrashes = report.mPartCrashes });
+    aTo.mExchange->Add(
+      { .mFrom = aMessage.mFrom,
+        .mIsOfBranch = report.mScope == report_scope::Branch,
+        .mCrashes = report.mCrashes,
+        .mPartCrashes = report.mPartCrashes,
+        .mLimits = aTo.mLimits.Merge(ReadLimitNotices(mNow, report.mLimits)) });
   }
 
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -86,6 +86,30 @@
   EXPECT_FALSE(mFleet.Member(GetParam()).mReceivedEvidence.empty());
 }
 
+// Guards against an instance that sends a server more than its share of a rate
+// limit because it has got no answer of that server.
+TEST_P(TestReportExchange, RateLimitsReachEachInstance)
+{
+  mFleet.Run(kSettled);
+  simulated_fleet::member& observer = mFleet.Member(GetParam() - 1);
+  observed_limit const limit{ .mServer = { backend_server_id{ "engine" },
+                                           incarnation{ 1 } },
+                              .mRequestsPerSecond = 2.5,
+                              .mObservedAt = mFleet.Now() };
+  observer.mLimits.Merge({ &limit, 1 });
+  observer.mOwnUpdates.push_back({ .mLimits = { limit } });
+  mFleet.Run(seconds{ 2 });
+  mFleet.Join(GetParam());
+  mFleet.Run(seconds{ 2 });
+  for (auto const& [id, member] : mFleet.Members()) {
+    std::vector<observed_limit> const known = member->mLimits.List();
+    ASSERT_EQ(known.size(), 1U) << id.Text();
+    EXPECT_EQ(known[0].mRequestsPerSecond, 2.5) << id.Text();
+    EXPECT_LE(known[0].mObservedAt - limit.mObservedAt, seconds{ 1 })
+      << id.Text();
+  }
+}
+
 TEST_P(TestReportExchange, RelayedRecordsReachEachInstanceOnce)
 {
   mFleet.Run(kSettled);
--- a/Tests/LibGateway/TestLimitedServers.cpp
+++ b/Tests/LibGateway/TestLimitedServers.cpp
@@ -1,15 +1,18 @@
+#include "GatewayFixture.h"
 #include <LibDispatch/ChooseServer.h>
 #include <LibGateway/TrafficCore.h>
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lycheeseam {
@@ -121,7 +124,7 @@
     }
     std::shared_ptr<tracked_server> server =
       aCore.Servers().Find(chosen->mRegistered.mId);
-    server->OnStart(kTokens);
+    server->OnStart(mNow, kTokens);
     mArrivals[server->mRegistered.mId].push_back(mNow);
     mPending.push_back({ mNow + kRunTime, &aCore, std::move(server) });
   }
@@ -181,5 +184,73 @@
   }
 }
 
+std::string
+LimitedAnswer(std::string const& aBody, std::string const& aLimit)
+{
+  return Answer(aBody, "Server-Limit: " + aLimit + "\r\n");
+}
+
+// A request that no server takes in time is refused at once, and its caller
+// learns when to come back.
+TEST_F(TestGateway, RequestIsRefusedAtOnceWhileAllServersAreAtTheirLimit)
+{
+  scripted_server server{ { LimitedAnswer("first", "0.5"), Answer("early") } };
+  StartGateway(std::array{ &server });
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\nfirst"));
+  std::chrono::steady_clock::time_point const start =
+    std::chrono::steady_clock::now();
+  std::string const answer = Exchange(Request("/once/x"));
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds{ 500 });
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503"));
+  std::size_t const field = answer.find("Retry-After: ");
+  ASSERT_NE(field, std::string::npos);
+  double const seconds = std::stod(answer.substr(field + 13));
+  EXPECT_GT(seconds, 1.5);
+  EXPECT_LT(seconds, 2.5);
+  EXPECT_EQ(server.Requests().size(), 1U);
+}
+
+TEST_F(TestGateway, LimitedServerGetsRequestsAtItsRateUntilItNamesNone)
+{
+  scripted_server server{
+    { LimitedAnswer("1", "5"), Answer("2"), Answer("3"), Answer("4") }
+  };
+  StartGateway(std::array{ &server });
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\n1"));
+  EXPECT_TRUE(Exchange(Request("/safe/x")).starts_with("HTTP/1.1 503"));
+  std::this_thread::sleep_for(milliseconds{ 300 });
+  for (char const* const body : { "2", "3", "4" })
+    EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with(body));
+}
+
+// A restart begins a new incarnation, which has named no limit.
+TEST_F(TestGateway, RestartedServerHasNoLimit)
+{
+  scripted_server server{ { LimitedAnswer("first", "0.1"), Answer("back") } };
+  StartGateway(std::array{ &server });
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\nfirst"));
+  fleet_view view = *mView.Current();
+  view.mServers[0].mIncarnation = incarnation{ 2 };
+  mView.Publish(std::make_shared<fleet_view const>(std::move(view)));
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\nback"));
+}
+
+// Other instances learn of a limit from their peers, so that each knows it
+// before it has got an answer of the server.
+TEST_F(TestGateway, LimitThatAnotherInstanceObservedCounts)
+{
+  scripted_server limited{ { Answer("over") } };
+  scripted_server other{ { Answer("a"), Answer("b"), Answer("c") } };
+  StartGateway(std::array{ &limited, &other });
+  fleet_view view = *mView.Current();
+  view.mLimits = { { .mServer = { .mServer = backend_server_id{ "s0" } },
+                     .mRequestsPerSecond = 0.1,
+                     .mObservedAt = system_clock{}.Now() } };
+  mView.Publish(std::make_shared<fleet_view const>(std::move(view)));
+  for (char const* const body : { "a", "b", "c" })
+    EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with(body));
+  EXPECT_TRUE(limited.Requests().empty());
+}
+
 }
 }
