LibDispatch: Send servers with a rate limit the large requests

A limit counts requests, whatever they cost, but limited engines got requests of any size.

Change: a request that is larger than the mean of what the servers got of late prefers a server with a limit, a smaller one the others until they are overloaded.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -19,6 +19,10 @@
 // down, so that servers with older weights are the better choice.
 constexpr double kBusyPressure = 0.6;
 
+// Up to this pressure of the other servers, small requests leave those with a
+// rate limit to large requests.
+constexpr double kOverloadedPressure = 2;
+
 // Servers with newer weights get at most this many times the requests that
 // they would get if all servers were equal. An instance of a large fleet sees
 // too few of a server's requests to notice that its servers are overloaded.
@@ -150,6 +154,58 @@
   return groups;
 }
 
+// True when the request is larger than those that the servers got of late.
+bool
+IsLarge(std::span<tracked_server* const> aServers,
+        server_choice_request const& aRequest)
+{
+  double sum = 0;
+  for (tracked_server const* const server : aServers)
+    sum += server->mAverageTokens;
+  return static_cast<double>(aRequest.mTokens) *
+           static_cast<double>(aServers.size()) >=
+         sum;
+}
+
+tracked_server*
+PreferredEngine(std::span<tracked_server* const> aServers,
+                server_choice_request const& aRequest)
+{
+  return aRequest.mPromptKey ? PreferredForPrompt(aServers, aRequest)
+                             : LeastLoaded(aServers, aRequest);
+}
+
+// The preferred server of a group with equal weights, unless it is busy. A rate
+// limit counts requests of any size, so the servers with a limit relieve the
+// others most with large requests.
+tracked_server*
+PreferredInGroup(std::vector<tracked_server*>& aGroup,
+                 server_choice_request const& aRequest)
+{
+  auto const unlimited = std::stable_partition(
+    aGroup.begin(), aGroup.end(), [](auto const* aServer) {
+      return aServer->mLimit.RequestsPerSecond().has_value();
+    });
+  std::span<tracked_server* const> const limitedPart{ aGroup.begin(),
+                                                      unlimited };
+  std::span<tracked_server* const> const otherPart{ unlimited, aGroup.end() };
+  auto const preferred = [&aRequest](std::span<tracked_server* const> aServers,
+                                     double aPressure) {
+    tracked_server* const server = PreferredEngine(aServers, aRequest);
+    bool const isFree =
+      server != nullptr && server->Pressure(aRequest.mNow) < aPressure;
+    return isFree ? server : nullptr;
+  };
+  if (!limitedPart.empty() && IsLarge(aGroup, aRequest)) {
+    tracked_server* const first = preferred(limitedPart, kBusyPressure);
+    return first != nullptr ? first : preferred(otherPart, kBusyPressure);
+  }
+  if (limitedPart.empty())
+    return preferred(otherPart, kBusyPressure);
+  tracked_server* const first = preferred(otherPart, kOverloadedPressure);
+  return first != nullptr ? first : preferred(limitedPart, kBusyPressure);
+}
+
 // Prefers the newest weights, and goes on to older ones when the servers with
 // newer ones are busy or have had their part of the requests; the least loaded
 // server when all are busy.
@@ -158,18 +214,15 @@
              server_choice_request const& aRequest)
 {
   std::size_t remaining = aServers.size();
-  for (std::vector<tracked_server*> const& group :
+  for (std::vector<tracked_server*>& group :
        GroupByVersion(aServers, aRequest.mModel)) {
     double const part = kNewWeightsFactor * static_cast<double>(group.size()) /
                         static_cast<double>(remaining);
     remaining -= group.size();
     if (aRequest.mSample >= part)
       continue;
-    tracked_server* const first = aRequest.mPromptKey
-                                    ? PreferredForPrompt(group, aRequest)
-                                    : LeastLoaded(group, aRequest);
-    if (first != nullptr && first->Pressure(aRequest.mNow) < kBusyPressure)
-      return first;
+    if (tracked_server* const preferred = PreferredInGroup(group, aRequest))
+      return preferred;
   }
   return LeastLoaded(aServers, aRequest);
 }
--- a/Libraries/LibDispatch/ChooseServer.h
+++ b/Libraries/LibDispatch/ChooseServer.h
@@ -14,7 +14,8 @@
 /// so that instances choose the same server for a prompt without communication.
 /// Other requests go to the least loaded server; among equals, one in the
 /// instance's own failure domain is preferred. For all model requests, servers
-/// with the newest weights are preferred until they are busy.
+/// with the newest weights are preferred until they are busy. Of these, large
+/// requests prefer servers with a rate limit, and others those without.
 tracked_server*
 ChooseServer(std::span<tracked_server* const> aServers,
              server_choice_request const& aRequest);
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -18,6 +18,8 @@
   failure_domain mDomain;
   /// Hash of the prompt's shared part; nothing when the request has none.
   std::optional<std::uint64_t> mPromptKey;
+  /// Tokens of its prompt and of its longest possible answer.
+  token_count mTokens = 0;
   /// A number from 0 to 1 that is distributed evenly over requests.
   double mSample = 0;
   /// Empty for servers that run no model.
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -160,6 +160,7 @@
 {
   server_choice_request request{ .mNow = aNow,
                                  .mDomain = aOptions.mDomain,
+                                 .mTokens = RequestTokens(aProperties),
                                  .mSample = Sample(aProperties.mId),
                                  .mModel = aProperties.mModel,
                                  .mWeights =
--- a/Tests/LibDispatch/TestChooseServer.cpp
+++ b/Tests/LibDispatch/TestChooseServer.cpp
@@ -97,6 +97,32 @@
   EXPECT_EQ(ChooseServer(pool.All(), Request(5)), first);
 }
 
+// Guards against overloaded engines beside engines with a rate limit, which
+// counts requests of any size.
+TEST(TestChooseServer, LargeRequestsPreferServersWithARateLimit)
+{
+  engine_pool pool{ 6 };
+  for (std::size_t index = 0; index < 6; ++index)
+    pool[index].mAverageTokens = 3'000;
+  for (std::size_t index = 0; index < 3; ++index)
+    pool[index].mLimit.Apply(kNow, 100, kNow - seconds{ 1 });
+  server_choice_request request = Request(5);
+  request.mNow = kNow + seconds{ 1 };
+  for (std::uint64_t key = 1; key <= 60; ++key) {
+    request.mPromptKey = key * 977;
+    request.mTokens = 9'000;
+    tracked_server* const large = ChooseServer(pool.All(), request);
+    EXPECT_TRUE(large->mLimit.RequestsPerSecond());
+    request.mTokens = 900;
+    tracked_server* const small = ChooseServer(pool.All(), request);
+    EXPECT_FALSE(small->mLimit.RequestsPerSecond());
+  }
+  // Overloaded servers leave requests of any size to the others.
+  for (std::size_t index = 3; index < 6; ++index)
+    pool[index].mInFlight = 25;
+  EXPECT_TRUE(ChooseServer(pool.All(), request)->mLimit.RequestsPerSecond());
+}
+
 TEST(TestChooseServer, PrefersNewestWeightsUntilTheirServersAreBusy)
 {
   engine_pool pool{ 4 };
