LibFleet: Log when the store has been restored

The era that the store names in its answers is read, and a line says when it rises or when the topic's end is behind what this instance has read. No decision depends on it yet.

--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -11,6 +11,7 @@
 #include <LibHttp/RequestHead.h>
 #include <LibPeer/PeerHello.h>
 #include <LibStore/KeyedRecord.h>
+#include <LibStore/StoreEra.h>
 #include <LibStore/StoreTopic.h>
 #include <LibStore/TopicPage.h>
 
@@ -58,6 +59,10 @@
   {
     Dialect::ReadServer(aText, aText)
     } -> std::same_as<registered_server>;
+  // The era of the store that an answer shows; the first one when it names none.
+  {
+    Dialect::ReadEra(aResult)
+    } -> std::same_as<store_era>;
   // Appends a record; with an offset, only if the topic ends there.
   {
     Dialect::AppendRequest(aTopic, aAt)
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/InvalidInput.h>
+#include <LibEvents/EventLog.h>
 #include <LibFleet/FleetDialect.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpStatus.h>
@@ -102,6 +103,7 @@
     topic_page page;
     try {
       page = Dialect::ReadNewest(aResult.mBody);
+      LogEra(aResult, page.mEnd);
     } catch (invalid_input const&) {
       return End(store_read_status::Failed);
     }
@@ -139,6 +141,7 @@
     topic_page page;
     try {
       page = Dialect::ReadRecords(aResult.mBody, mReadFrom);
+      LogEra(aResult, page.mEnd);
     } catch (invalid_input const&) {
       mNextOffset.reset();
       return End(store_read_status::Failed);
@@ -168,6 +171,24 @@
                  std::move(aHandler));
   }
 
+  // Logs that the store has been restored, and how far its end is behind what
+  // this instance has read.
+  void LogEra(http_exchange_result const& aResult, std::uint64_t aEnd)
+  {
+    store_era const era = Dialect::ReadEra(aResult);
+    std::uint64_t const next = mNextOffset.value_or(0);
+    bool const isBehind = aEnd < next;
+    if (era == mEra && isBehind == mIsBehind)
+      return;
+    mEra = era;
+    mIsBehind = isBehind;
+    LogEvent("store_era",
+             { { "topic", static_cast<std::int64_t>(mTopic) },
+               { "era", static_cast<std::int64_t>(era.Value()) },
+               { "end", static_cast<std::int64_t>(aEnd) },
+               { "next", static_cast<std::int64_t>(next) } });
+  }
+
   void End(store_read_status aStatus)
   {
     mIsReading = false;
@@ -185,6 +206,8 @@
   std::optional<std::uint64_t> mFirstPageEnd;
   std::optional<std::uint64_t> mNextOffset;
   std::uint64_t mReadFrom = 0;
+  store_era mEra;
+  bool mIsBehind = false;
   bool mIsFullReadDue = false;
   bool mIsReading = false;
 };
