--- a/Libraries/LibDispatch/RegisteredServer.h
+++ b/Libraries/LibDispatch/RegisteredServer.h
@@ -24,6 +24,8 @@
   std::uint32_t mSlots = 1;
   server_stage mStage = server_stage::Ready;
   std::vector<loaded_model> mModels;
+  /// How many entries this incarnation had written; 0 when it doesn't say.
+  std::uint64_t mEntries = 0;
 
   bool operator==(registered_server const&) const = default;
 
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -58,6 +58,9 @@
                page_source aSource) {
           OnNewRecords(aTopic, aNewRecords, aSource);
         },
+        [this](std::optional<store_era> aBefore, store_era aEra) {
+          OnStoreEra(aBefore, aEra);
+        },
         [this](topic_relay const& aRelay) { mLinks.Relay(aRelay); })
     , mRegistration(
         mClient,
@@ -75,7 +78,7 @@
           OnObservedWeights({ aObserved });
         },
         [this](server_identity const& aIdentity) {
-          mRecords.OnAddressTaken(aIdentity);
+          mRecords.OnAddressTaken(mClock.Now(), aIdentity);
         })
     , mTimer(aContext)
   {
@@ -106,7 +109,7 @@
   void OnReport(traffic_report aReport)
   {
     for (server_identity const& server : aReport.mReplaced)
-      mRecords.OnAddressTaken(server);
+      mRecords.OnAddressTaken(mClock.Now(), server);
     OnObservedWeights(aReport.mWeights);
     mMetrics.Merge(aReport.mMetrics);
     mOwnUsage = std::move(aReport.mUsage);
@@ -220,6 +223,18 @@
            !mLinks.Registry().HasReader(aNow);
   }
 
+  void OnStoreEra(std::optional<store_era> aBefore, store_era aEra)
+  {
+    mOrderDriver.OnStoreEra(aEra);
+    if (!aBefore)
+      return;
+    LogEvent("store_restored",
+             { { "era", static_cast<std::int64_t>(aEra.Value()) } });
+    instant const now = mClock.Now();
+    mRecords.Servers().OnStoreRestored(now);
+    mRegistration.OnStoreRestored(now);
+  }
+
   void OnNewRecords(store_topic aTopic,
                     std::span<keyed_record const> aNewRecords,
                     page_source aSource)
--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -30,6 +30,8 @@
 concept fleet_dialect = requires(store_topic aTopic,
                                  std::string_view aText,
                                  std::uint64_t aOffset,
+                                 store_era aEra,
+                                 store_position aPosition,
                                  std::optional<std::uint64_t> aAt,
                                  keyed_record const& aRecord,
                                  weights_order const& aOrder,
@@ -43,14 +45,14 @@
     Dialect::NewestRequest(aTopic, aText)
     } -> std::same_as<request_head>;
   {
-    Dialect::ReadNewest(aText)
+    Dialect::ReadNewest(aText, aEra)
     } -> std::same_as<topic_page>;
   // All records from an offset on.
   {
     Dialect::RecordsRequest(aTopic, aOffset)
     } -> std::same_as<request_head>;
   {
-    Dialect::ReadRecords(aText, aOffset)
+    Dialect::ReadRecords(aText, aPosition)
     } -> std::same_as<topic_page>;
   // The content of a record, by its key and its value.
   {
@@ -59,7 +61,8 @@
   {
     Dialect::ReadServer(aText, aText)
     } -> std::same_as<registered_server>;
-  // The era of the store that an answer shows; the first one when it names none.
+  // The era of the store that an answer shows; the first one when it names
+  // none.
   {
     Dialect::ReadEra(aResult)
     } -> std::same_as<store_era>;
--- a/Libraries/LibFleet/FleetMetrics.h
+++ b/Libraries/LibFleet/FleetMetrics.h
@@ -22,7 +22,7 @@
   void Merge(metrics_delta const& aDelta) { mStore.Merge(aDelta); }
 
   /// To be called more than once a second. Once a second it sets the gauges
-  /// from aView and merges what was recorded. aLease is the offset of this
+  /// from aView and merges what was recorded. aLease is the number of this
   /// instance's lease on orders, 0 for none.
   void Tick(instant aNow, fleet_view const& aView, std::uint64_t aLease);
 
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -35,9 +35,9 @@
   }
 
   /// Another server answered at the address of aServer.
-  void OnAddressTaken(server_identity const& aServer)
+  void OnAddressTaken(instant aNow, server_identity const& aServer)
   {
-    if (mServers.OnAddressTaken(aServer))
+    if (mServers.OnAddressTaken(aNow, aServer))
       LogEvent("server_absent",
                { { "server", aServer.mServer.Text() },
                  { "reason",
@@ -74,9 +74,7 @@
       registered_server const server =
         Dialect::ReadServer(aRecord.mKey, *aRecord.mValue);
       if (mServers.OnEntry(server))
-        LogServer(aRecord,
-                  server.mStage == server_stage::Ready ? "ready" : "leaving",
-                  aSource);
+        LogServer(aRecord, server, aSource);
     } catch (invalid_input const& fault) {
       // Other programs may write to the topic; an entry that can't be read
       // names no usable server.
@@ -87,14 +85,17 @@
   }
 
   static void LogServer(keyed_record const& aRecord,
-                        std::string_view aState,
+                        registered_server const& aServer,
                         page_source aSource)
   {
-    LogEvent("server",
-             { { "server", aRecord.mKey },
-               { "state", std::string{ aState } },
-               { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
-               { "told_by", NameOf(aSource) } });
+    bool const isReady = aServer.mStage == server_stage::Ready;
+    LogEvent(
+      "server",
+      { { "server", aRecord.mKey },
+        { "state", std::string{ isReady ? "ready" : "leaving" } },
+        { "entries", static_cast<std::int64_t>(aServer.mEntries) },
+        { "position", static_cast<std::int64_t>(aRecord.mPosition.Number()) },
+        { "told_by", NameOf(aSource) } });
   }
 
   static void LogDropped(keyed_record const& aRecord,
@@ -105,7 +106,7 @@
       "server",
       { { "server", aRecord.mKey },
         { "state", std::string{ "dropped" } },
-        { "offset", static_cast<std::int64_t>(aRecord.mOffset) },
+        { "position", static_cast<std::int64_t>(aRecord.mPosition.Number()) },
         { "told_by", NameOf(aSource) },
         { "in_use_ms",
           std::int64_t{
--- a/Libraries/LibFleet/InstanceRegistration.h
+++ b/Libraries/LibFleet/InstanceRegistration.h
@@ -25,11 +25,12 @@
     : mCalls(aClient, aStore)
     , mSelf(std::move(aSelf))
     , mHandler(std::move(aHandler))
-    , mReader(
-        aClient,
-        std::move(aStore),
-        store_topic::Instances,
-        [this](std::uint64_t, topic_page const& aPage, bool) { OnPage(aPage); })
+    , mReader(aClient,
+              std::move(aStore),
+              store_topic::Instances,
+              [this](store_position, topic_page const& aPage, bool) {
+                OnPage(aPage);
+              })
   {
   }
 
@@ -47,6 +48,14 @@
     mReader.Read([](store_read_status) {});
   }
 
+  /// The store has come back from an older copy of itself, which may lack this
+  /// instance and others.
+  void OnStoreRestored(instant aNow)
+  {
+    mRegisterAt = aNow;
+    mReader.Refresh();
+  }
+
 private:
   // Instances register once, so the topic is read again only to find those that
   // registered after the last read, or that a failed read missed.
--- a/Libraries/LibFleet/LeaseRecord.h
+++ b/Libraries/LibFleet/LeaseRecord.h
@@ -6,11 +6,12 @@
 
 namespace lycheeseam {
 
-/// A lease on orders as the store holds it: the offset of its record, and the
-/// instance that the record names.
+/// A lease on orders as the store holds it.
 struct lease_record
 {
-  std::uint64_t mOffset = 0;
+  /// The number of its record's position; a later lease has a higher number.
+  std::uint64_t mNumber = 0;
+  /// The instance that the record names.
   instance_id mHolder;
 };
 
--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -61,7 +61,7 @@
     bool const hadUpdates = !mPlan.IsIdle();
     if (mVacantSince == instant{})
       mVacantSince = now + kStartDelay;
-    if (aPeerLease > mLease.HeldOffset()) {
+    if (aPeerLease > mLease.HeldNumber()) {
       mLease.OnPeerLease(now, aPeerLease);
       mPlan.Clear();
       mVacantSince = now;
@@ -76,7 +76,7 @@
     if (mLease.IsLost(now)) {
       LogEvent(
         "lease_lost",
-        { { "offset", static_cast<std::int64_t>(mLease.HeldOffset()) } });
+        { { "number", static_cast<std::int64_t>(mLease.HeldNumber()) } });
       mLease.Invalidate();
       mPlan.Clear();
       mVacantSince = now + kRefusedDelay;
@@ -89,12 +89,15 @@
     return mPlan.Updating() != before;
   }
 
+  /// The store is in that era.
+  void OnStoreEra(store_era aEra) { mLease.OnStoreEra(mClock.Now(), aEra); }
+
   [[nodiscard]] std::set<backend_server_id> Updating() const
   {
     return mPlan.Updating();
   }
 
-  [[nodiscard]] std::uint64_t Lease() const { return mLease.HeldOffset(); }
+  [[nodiscard]] std::uint64_t Lease() const { return mLease.HeldNumber(); }
 
 private:
   // From mVacantSince to acquiring the lease; by then the link of a failed
@@ -131,7 +134,7 @@
   {
     if (mClock.Now() < mNextCallAt || std::exchange(mIsStoreBusy, true))
       return;
-    if (mLease.AppendOffset())
+    if (mLease.AppendPosition())
       return Append();
     mCalls.ReadNewest(store_topic::Leases,
                       [this](std::optional<topic_page> const& aPage) {
@@ -147,7 +150,7 @@
     std::optional<lease_record> newest;
     for (keyed_record const& record : aPage.mRecords) {
       if (record.mValue)
-        newest = { .mOffset = record.mOffset,
+        newest = { .mNumber = record.mPosition.Number(),
                    .mHolder = instance_id{ *record.mValue } };
     }
     mLease.OnRead(mClock.Now(), newest, aPage.mEnd);
@@ -159,14 +162,15 @@
     mLease.OnSend(mClock.Now());
     mCalls.Append(
       store_topic::Leases,
-      mLease.AppendOffset(),
+      mLease.AppendPosition()->Offset(),
       { .mKey = "orders", .mValue = mSelf.Text() },
       [this](store_append_result aResult, http_exchange_result const& aAnswer) {
         mIsStoreBusy = false;
-        LogEvent("lease_appended",
-                 { { "status", std::int64_t{ aAnswer.mHead.mStatus } },
-                   { "offset", static_cast<std::int64_t>(aResult.mOffset) },
-                   { "fault", aAnswer.mFault } });
+        LogEvent(
+          "lease_appended",
+          { { "status", std::int64_t{ aAnswer.mHead.mStatus } },
+            { "number", static_cast<std::int64_t>(aResult.mPosition.Number()) },
+            { "fault", aAnswer.mFault } });
         OnAppendResult(aResult);
       });
   }
@@ -174,7 +178,7 @@
   void OnAppendResult(store_append_result const& aResult)
   {
     if (aResult.mStatus == store_append_status::Done)
-      return mLease.OnAppended(aResult.mOffset);
+      return mLease.OnAppended(aResult.mPosition);
     if (aResult.mStatus != store_append_status::Refused)
       return OnLeaseLost();
     instant const now = mClock.Now();
--- a/Libraries/LibFleet/OrderLease.cpp
+++ b/Libraries/LibFleet/OrderLease.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/OrderLease.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeseam {
@@ -24,35 +25,50 @@
 void
 order_lease::OnRead(instant aNow,
                     std::optional<lease_record> const& aNewest,
-                    std::uint64_t aEnd)
+                    store_position aEnd)
 {
+  OnStoreEra(aNow, aEnd.Era());
   mTopicEnd = aEnd;
   mIsOtherNewest = aNewest && aNewest->mHolder != mSelf;
   if (mIsOtherNewest)
-    RecordOther(aNow, aNewest->mOffset);
+    RecordOther(aNow, aNewest->mNumber);
   // A record of this instance whose answer was lost, or that an earlier
   // incarnation wrote, isn't used: a new one is appended after it.
-  mHeldOffset.reset();
+  mHeldNumber.reset();
   mNotBefore = aNow;
 }
 
 void
-order_lease::OnAppended(std::uint64_t aOffset)
+order_lease::OnAppended(store_position aPosition)
 {
-  bool const isTakeover = !mHeldOffset && mIsOtherNewest;
-  mHeldOffset = aOffset;
+  // Records that the read before showed may be gone since.
+  if (mTopicEnd && aPosition.Era() != mTopicEnd->Era())
+    return Invalidate();
+  bool const isTakeover = !mHeldNumber && mIsOtherNewest;
+  mHeldNumber = aPosition.Number();
   mRefusedSince.reset();
-  mTopicEnd = aOffset + 1;
+  mTopicEnd = aPosition.Plus(1);
   mHeldSince = mSentAt;
   if (isTakeover)
     mNotBefore = mOtherSince + mTerm;
   mIsOtherNewest = false;
 }
 
+void
+order_lease::OnStoreEra(instant aNow, store_era aEra)
+{
+  bool const isRestored = mEra && aEra > *mEra;
+  mEra = std::max(mEra.value_or(aEra), aEra);
+  if (!isRestored)
+    return;
+  Invalidate();
+  mRestoredTermEnd = aNow + mTerm;
+}
+
 void
 order_lease::Invalidate()
 {
-  mHeldOffset.reset();
+  mHeldNumber.reset();
   mRefusedSince.reset();
   mTopicEnd.reset();
 }
@@ -60,40 +76,40 @@
 bool
 order_lease::IsLost(instant aNow) const
 {
-  return mHeldOffset && mRefusedSince && aNow - *mRefusedSince > kRefusedTime &&
+  return mHeldNumber && mRefusedSince && aNow - *mRefusedSince > kRefusedTime &&
          !FencingNumber(aNow);
 }
 
 void
-order_lease::RecordOther(instant aNow, std::uint64_t aOffset)
+order_lease::RecordOther(instant aNow, std::uint64_t aNumber)
 {
-  if (mOtherOffset && *mOtherOffset >= aOffset)
+  if (mOtherNumber && *mOtherNumber >= aNumber)
     return;
-  mOtherOffset = aOffset;
+  mOtherNumber = aNumber;
   mOtherSince = aNow;
 }
 
 void
-order_lease::OnPeerLease(instant aNow, std::uint64_t aOffset)
+order_lease::OnPeerLease(instant aNow, std::uint64_t aNumber)
 {
-  RecordOther(aNow, aOffset);
-  if (aOffset > mHeldOffset.value_or(0))
+  RecordOther(aNow, aNumber);
+  if (aNumber > mHeldNumber.value_or(0))
     Invalidate();
 }
 
 bool
 order_lease::IsRenewalDue(instant aNow) const
 {
-  return mHeldOffset && aNow - mHeldSince > mTerm / 2;
+  return mHeldNumber && aNow - mHeldSince > mTerm / 2;
 }
 
 std::optional<std::uint64_t>
 order_lease::FencingNumber(instant aNow) const
 {
   bool const isInTerm = aNow - mHeldSince < mTerm - kDeliveryMargin;
-  if (!mHeldOffset || !isInTerm || aNow < mNotBefore)
+  if (!mHeldNumber || !isInTerm || aNow < mNotBefore || aNow < mRestoredTermEnd)
     return std::nullopt;
-  return mHeldOffset;
+  return mHeldNumber;
 }
 
 }
--- a/Libraries/LibFleet/OrderLease.h
+++ b/Libraries/LibFleet/OrderLease.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
 #include <LibFleet/LeaseRecord.h>
+#include <LibStore/StorePosition.h>
 
 #include <cstdint>
 #include <optional>
@@ -12,29 +13,35 @@
 /// Decides whether this instance may give orders to engines.
 ///
 /// A lease is a record that its holder appends to the store on the condition
-/// that it directly follows the newest record; its offset is the fencing
-/// number. Its term starts for the holder when the holder sends the record, and
-/// for a successor when the successor first learns of it. The condition ensures
-/// that a successor whose append succeeds has missed no later record of the
-/// holder. So two instances never give orders at the same time, and an idle
-/// holder, whose term is long over, is succeeded at once.
+/// that it directly follows the newest record; the number of its position is
+/// the fencing number. Its term starts for the holder when the holder sends the
+/// record, and for a successor when the successor first learns of it. The
+/// condition ensures that a successor whose append succeeds has missed no later
+/// record of the holder. So two instances never give orders at the same time,
+/// and an idle holder, whose term is long over, is succeeded at once. A store
+/// that comes back from an older copy may lack the newest record; no orders are
+/// given then until the term of a lease that was granted before is over.
 class order_lease
 {
 public:
   order_lease(instance_id aSelf, duration aTerm);
 
-  /// The newest record of the topic and the offset after it have been read.
+  /// The newest record of the topic and the position after it have been read.
   void OnRead(instant aNow,
               std::optional<lease_record> const& aNewest,
-              std::uint64_t aEnd);
+              store_position aEnd);
 
   /// A record of this instance is being sent.
   void OnSend(instant aNow) { mSentAt = aNow; }
 
-  /// The record that was sent last has been appended at an offset.
-  void OnAppended(std::uint64_t aOffset);
+  /// The record that was sent last has been appended.
+  void OnAppended(store_position aPosition);
 
-  /// Another record is at the offset of this instance's, or it isn't known
+  /// The store is in that era. A later one than before means that it has come
+  /// back from an older copy of itself.
+  void OnStoreEra(instant aNow, store_era aEra);
+
+  /// Another record is at the position of this instance's, or it isn't known
   /// whether the append succeeded: the topic must be read again.
   void Invalidate();
 
@@ -49,18 +56,18 @@
   /// another instance should hold it.
   [[nodiscard]] bool IsLost(instant aNow) const;
 
-  /// A peer holds the lease at an offset.
-  void OnPeerLease(instant aNow, std::uint64_t aOffset);
+  /// A peer holds the lease with that number.
+  void OnPeerLease(instant aNow, std::uint64_t aNumber);
 
-  /// The offset at which to append this instance's next record; empty when the
-  /// topic must be read first.
-  [[nodiscard]] std::optional<std::uint64_t> AppendOffset() const
+  /// The position at which to append this instance's next record; empty when
+  /// the topic must be read first.
+  [[nodiscard]] std::optional<store_position> AppendPosition() const
   {
     return mTopicEnd;
   }
 
   /// True when this instance holds the lease, even if its term is over.
-  [[nodiscard]] bool IsHeld() const noexcept { return mHeldOffset.has_value(); }
+  [[nodiscard]] bool IsHeld() const noexcept { return mHeldNumber.has_value(); }
 
   /// True when the lease must be renewed so that orders can go on.
   [[nodiscard]] bool IsRenewalDue(instant aNow) const;
@@ -69,30 +76,35 @@
   /// sent.
   [[nodiscard]] std::optional<std::uint64_t> FencingNumber(instant aNow) const;
 
-  /// The offset of the held lease; 0 without one.
-  [[nodiscard]] std::uint64_t HeldOffset() const
+  /// The number of the held lease; 0 without one.
+  [[nodiscard]] std::uint64_t HeldNumber() const
   {
-    return mHeldOffset.value_or(0);
+    return mHeldNumber.value_or(0);
   }
 
 private:
-  void RecordOther(instant aNow, std::uint64_t aOffset);
+  void RecordOther(instant aNow, std::uint64_t aNumber);
 
   instance_id mSelf;
   duration mTerm;
   instant mSentAt{};
   /// The earliest time at which orders may be given.
   instant mNotBefore{};
+  /// The newest known era of the store; empty before the first one is known.
+  std::optional<store_era> mEra;
+  /// When the term of any lease is over that was granted before the store was
+  /// restored.
+  instant mRestoredTermEnd{};
   /// When the record of the held lease was sent.
   instant mHeldSince{};
-  std::optional<std::uint64_t> mHeldOffset;
+  std::optional<std::uint64_t> mHeldNumber;
   /// Since when the store has refused all appends; empty after a success.
   std::optional<instant> mRefusedSince;
-  /// The offset after the newest record; empty when the topic must be read.
-  std::optional<std::uint64_t> mTopicEnd;
-  /// The offset of the newest record of another instance, and when this
+  /// The position after the newest record; empty when the topic must be read.
+  std::optional<store_position> mTopicEnd;
+  /// The number of the newest record of another instance, and when this
   /// instance first learned of it.
-  std::optional<std::uint64_t> mOtherOffset;
+  std::optional<std::uint64_t> mOtherNumber;
   instant mOtherSince{};
   /// True while the newest record is another instance's.
   bool mIsOtherNewest = false;
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -80,7 +80,7 @@
   /// The servers that the holder of the newest lease is updating.
   [[nodiscard]] std::set<backend_server_id> Updating(instant aNow) const;
 
-  /// The offset of the newest lease that a live peer reports; 0 for none.
+  /// The number of the newest lease that a live peer reports; 0 for none.
   [[nodiscard]] std::uint64_t NewestLease(instant aNow) const;
 
   /// True when a live instance whose id sorts before this one's reads the store
--- a/Libraries/LibFleet/ReaderElection.cpp
+++ b/Libraries/LibFleet/ReaderElection.cpp
@@ -13,8 +13,8 @@
 
 void
 reader_election::OnPeerEnd(instant aNow,
-                           std::uint64_t aOwnEnd,
-                           std::uint64_t aPeerEnd)
+                           store_position aOwnEnd,
+                           store_position aPeerEnd)
 {
   // A peer that lags as well says nothing about the records that another has.
   mHighestPeerEnd = std::max(mHighestPeerEnd, aPeerEnd);
--- a/Libraries/LibFleet/ReaderElection.h
+++ b/Libraries/LibFleet/ReaderElection.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <LibCore/Instant.h>
+#include <LibStore/StorePosition.h>
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 
 namespace lycheeseam {
@@ -23,10 +23,10 @@
   /// the relayed records.
   void RequestRead() { mIsReadRequested = true; }
 
-  /// A peer reports the offset after its last record; this instance has the
+  /// A peer reports the position after its last record; this instance has the
   /// records before aOwnEnd. When this instance has been lagging for too long,
   /// a read is due at once.
-  void OnPeerEnd(instant aNow, std::uint64_t aOwnEnd, std::uint64_t aPeerEnd);
+  void OnPeerEnd(instant aNow, store_position aOwnEnd, store_position aPeerEnd);
 
   void OnReadStart(instant aNow)
   {
@@ -53,8 +53,8 @@
 
   instant mNextReadAt{};
   instant mAnsweredAt{};
-  /// The highest offset that a peer has reported as its end.
-  std::uint64_t mHighestPeerEnd = 0;
+  /// The last position that a peer has reported as its end.
+  store_position mHighestPeerEnd;
   std::optional<instant> mLaggingSince;
   bool mIsReadRequested = false;
 };
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -18,12 +18,28 @@
 // that they are answered for up to 1.3 s longer than they are.
 constexpr duration kMinOutage = std::chrono::seconds{ 1 };
 
+// Longer than a copy from which the store is restored is old.
+constexpr duration kRemovedKeptFor = std::chrono::minutes{ 2 };
+
+// True when aServer is the earlier one of two entries of one incarnation.
+bool
+IsEarlier(registered_server const& aServer, registered_server const& aKnown)
+{
+  return aServer.mIncarnation == aKnown.mIncarnation &&
+         aServer.mEntries < aKnown.mEntries;
+}
+
 }
 
 bool
 server_registry::OnEntry(registered_server aServer)
 {
+  if (IsOfRemoved(aServer))
+    return false;
+  mRemoved.erase(aServer.mId);
   entry& known = mEntries[aServer.mId];
+  if (IsEarlier(aServer, known.mServer))
+    return false;
   // A late entry of an earlier incarnation says nothing about the current one.
   if (aServer.mIncarnation < known.mServer.mIncarnation)
     return false;
@@ -43,7 +59,7 @@
   if (found == mEntries.end())
     return {};
   if (!mOutageEnd || aNow - *mOutageEnd >= kGracePeriod) {
-    mEntries.erase(found);
+    Remove(aNow, found);
     return {};
   }
   found->second.mGracePeriodEnd = *mOutageEnd + kGracePeriod;
@@ -51,16 +67,47 @@
 }
 
 bool
-server_registry::OnAddressTaken(server_identity const& aServer)
+server_registry::OnAddressTaken(instant aNow, server_identity const& aServer)
 {
   auto const found = mEntries.find(aServer.mServer);
   if (found == mEntries.end() ||
       found->second.mServer.mIncarnation != aServer.mIncarnation)
     return false;
-  mEntries.erase(found);
+  Remove(aNow, found);
   return true;
 }
 
+bool
+server_registry::IsOfRemoved(registered_server const& aServer) const
+{
+  auto const found = mRemoved.find(aServer.mId);
+  if (found == mRemoved.end())
+    return false;
+  removed_server const& removed = found->second;
+  if (aServer.mIncarnation != removed.mIncarnation)
+    return aServer.mIncarnation < removed.mIncarnation;
+  return removed.mMayReappear && aServer.mEntries > 0 &&
+         aServer.mEntries <= removed.mEntries;
+}
+
+void
+server_registry::OnStoreRestored(instant aNow)
+{
+  mOutageEnd = aNow;
+  for (auto& [id, removed] : mRemoved)
+    removed.mMayReappear = true;
+}
+
+void
+server_registry::Remove(instant aNow, entries::iterator aEntry)
+{
+  registered_server const& server = aEntry->second.mServer;
+  mRemoved[server.mId] = { .mIncarnation = server.mIncarnation,
+                           .mEntries = server.mEntries,
+                           .mRemovedAt = aNow };
+  mEntries.erase(aEntry);
+}
+
 void
 server_registry::OnStoreAnswer(instant aNow)
 {
@@ -84,10 +131,19 @@
 bool
 server_registry::Expire(instant aNow)
 {
-  return std::erase_if(mEntries, [aNow](auto const& aEntry) {
-           return aEntry.second.mGracePeriodEnd &&
-                  aNow >= *aEntry.second.mGracePeriodEnd;
-         }) > 0;
+  std::erase_if(mRemoved, [aNow](auto const& aEntry) {
+    return aNow - aEntry.second.mRemovedAt > kRemovedKeptFor;
+  });
+  bool isAnyExpired = false;
+  for (entries::iterator entry = mEntries.begin(); entry != mEntries.end();) {
+    entries::iterator const current = entry++;
+    std::optional<instant> const end = current->second.mGracePeriodEnd;
+    if (!end || aNow < *end)
+      continue;
+    Remove(aNow, current);
+    isAnyExpired = true;
+  }
+  return isAnyExpired;
 }
 
 std::vector<registered_server>
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -16,6 +16,11 @@
 /// Such a server gets a grace period after the outage to register again before
 /// it is removed. A page that any instance reads shows that there is no outage,
 /// whether or not the store answers this one.
+///
+/// A store that comes back from an older copy of itself shows earlier entries
+/// again, of servers that have announced since that they are leaving or have
+/// been dropped, and lacks those of servers that have registered since. Entries
+/// are therefore ordered by what their servers counted, not by the store.
 class server_registry
 {
 public:
@@ -29,7 +34,10 @@
 
   /// Another server answered at the address of aServer, which stays removed
   /// until it writes its next entry. True when that incarnation was registered.
-  bool OnAddressTaken(server_identity const& aServer);
+  bool OnAddressTaken(instant aNow, server_identity const& aServer);
+
+  /// The store has come back from an older copy of itself.
+  void OnStoreRestored(instant aNow);
 
   /// The store answered this instance or a peer that passed the answer on.
   void OnStoreAnswer(instant aNow);
@@ -41,7 +49,8 @@
                          model_name const& aModel,
                          std::uint64_t aVersion);
 
-  /// Removes servers whose grace period is over; true when there were any.
+  /// Removes servers whose grace period is over; true when there were any. Also
+  /// forgets servers that were removed long ago.
   bool Expire(instant aNow);
 
   [[nodiscard]] std::vector<registered_server> Servers() const;
@@ -54,7 +63,24 @@
     std::optional<instant> mGracePeriodEnd;
   };
 
-  std::map<backend_server_id, entry> mEntries;
+  /// A server that was removed.
+  struct removed_server
+  {
+    incarnation mIncarnation;
+    /// How many entries it had written.
+    std::uint64_t mEntries = 0;
+    instant mRemovedAt{};
+    /// True when the store has been restored since.
+    bool mMayReappear = false;
+  };
+  using entries = std::map<backend_server_id, entry>;
+
+  // True for an entry that a removed server had written before.
+  [[nodiscard]] bool IsOfRemoved(registered_server const& aServer) const;
+  void Remove(instant aNow, entries::iterator aEntry);
+
+  entries mEntries;
+  std::map<backend_server_id, removed_server> mRemoved;
   /// When the store last answered; empty before it first did.
   std::optional<instant> mAnsweredAt;
   /// When the last outage of the store ended; empty before the first one.
--- a/Libraries/LibFleet/StoreCalls.h
+++ b/Libraries/LibFleet/StoreCalls.h
@@ -72,7 +72,7 @@
     if (aResult.mHead.mStatus != kHttpOk)
       return std::nullopt;
     try {
-      return Dialect::ReadNewest(aResult.mBody);
+      return Dialect::ReadNewest(aResult.mBody, Dialect::ReadEra(aResult));
     } catch (invalid_input const& fault) {
       LogEvent("store_answer_ignored",
                { { "fault", std::string{ fault.what() } } });
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -27,14 +28,20 @@
   /// the store answers.
   using new_records_handler = std::function<
     void(store_topic, std::span<keyed_record const>, page_source)>;
+  /// Called before the first records of an era; the first argument is the era
+  /// before, from an older copy of which the store has come back, or empty for
+  /// the first one that is known.
+  using era_handler = std::function<void(std::optional<store_era>, store_era)>;
   /// Receives records that this instance read, to be passed on to peers.
   using relay_handler = std::function<void(topic_relay const&)>;
 
   store_follower(http_client& aClient,
                  endpoint const& aStore,
                  new_records_handler aNewRecordsHandler,
+                 era_handler aEraHandler,
                  relay_handler aRelayHandler)
     : mNewRecordsHandler(std::move(aNewRecordsHandler))
+    , mEraHandler(std::move(aEraHandler))
     , mRelayHandler(std::move(aRelayHandler))
     , mOperators(MakeFollowedTopic(aClient, aStore, store_topic::Operators))
     , mServers(MakeFollowedTopic(aClient, aStore, store_topic::Servers))
@@ -69,16 +76,16 @@
       ApplyRelay(aRelay, mServers);
   }
 
-  /// The offset after the last record of the operators that is known; 0 for
-  /// none.
-  [[nodiscard]] std::uint64_t OperatorsEnd() const
+  /// The position after the last record of the operators that is known; the
+  /// first one for none.
+  [[nodiscard]] store_position OperatorsEnd() const
   {
-    return mOperators.mReader.NextOffset().value_or(0);
+    return mOperators.mReader.NextPosition().value_or(store_position{});
   }
 
-  /// A peer reports the offset after its last record of the operators. Records
-  /// that it passed on may have been lost when a link closed.
-  void OnPeerEnd(instant aNow, std::uint64_t aEnd)
+  /// A peer reports the position after its last record of the operators.
+  /// Records that it passed on may have been lost when a link closed.
+  void OnPeerEnd(instant aNow, store_position aEnd)
   {
     mOperators.mElection.OnPeerEnd(aNow, OperatorsEnd(), aEnd);
   }
@@ -115,7 +122,7 @@
              .mReader = { aClient,
                           aStore,
                           aTopic,
-                          [this, aTopic](std::uint64_t aFrom,
+                          [this, aTopic](store_position aFrom,
                                          topic_page const& aPage,
                                          bool aIsFull) {
                             OnPage(aTopic, aFrom, aPage, aIsFull);
@@ -143,7 +150,7 @@
   }
 
   void OnPage(store_topic aTopic,
-              std::uint64_t aFrom,
+              store_position aFrom,
               topic_page const& aPage,
               bool aIsFull)
   {
@@ -153,11 +160,19 @@
                       .mFrom = aFrom,
                       .mEnd = aPage.mEnd,
                       .mRecords = aPage.mRecords });
+    UpdateEra(aPage.mEnd.Era());
     topic_state& state =
       aTopic == store_topic::Operators ? mOperators.mState : mServers.mState;
     mNewRecordsHandler(aTopic, state.Apply(aPage, aIsFull), mSource);
   }
 
+  void UpdateEra(store_era aEra)
+  {
+    if (mEra && aEra <= *mEra)
+      return;
+    mEraHandler(std::exchange(mEra, aEra), aEra);
+  }
+
   void ApplyRelay(topic_relay const& aRelay, followed_topic& aTopic)
   {
     topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
@@ -170,12 +185,15 @@
   }
 
   new_records_handler mNewRecordsHandler;
+  era_handler mEraHandler;
   relay_handler mRelayHandler;
   system_clock mClock;
   /// The source of the page that is being applied.
   page_source mSource = page_source::Store;
   followed_topic mOperators;
   followed_topic mServers;
+  /// The newest era of any page; empty before the first page.
+  std::optional<store_era> mEra;
   instant mNextRefreshAt{};
   bool mIsStoreAnswering = true;
 };
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -25,7 +25,7 @@
   /// aIsFull is true when the records are all that the topic holds now, so that
   /// keys that are missing among them have been dropped.
   using record_handler = std::function<
-    void(std::uint64_t aFrom, topic_page const& aPage, bool aIsFull)>;
+    void(store_position aFrom, topic_page const& aPage, bool aIsFull)>;
   using end_handler = std::function<void(store_read_status)>;
 
   topic_reader(http_client& aClient,
@@ -42,7 +42,7 @@
   /// Makes the next read return the newest record of each key.
   void Refresh() { mIsFullReadDue = true; }
 
-  /// Reads the records from NextOffset() on; while that is empty, and after
+  /// Reads the records from NextPosition() on; while that is empty, and after
   /// Refresh(), the newest record of each key instead. aDone receives how the
   /// read ended. Does nothing while a read runs.
   void Read(end_handler aDone)
@@ -50,7 +50,7 @@
     if (std::exchange(mIsReading, true))
       return;
     mDone = std::move(aDone);
-    if (mNextOffset && !std::exchange(mIsFullReadDue, false))
+    if (mNext && !std::exchange(mIsFullReadDue, false))
       return ReadRecords();
     mFullPage = {};
     ReadNewest({});
@@ -58,29 +58,32 @@
 
   [[nodiscard]] bool IsReading() const noexcept { return mIsReading; }
 
-  /// The offset of the next record to read; empty when the newest record of
+  /// The position of the next record to read; empty when the newest record of
   /// each key must be read first.
-  [[nodiscard]] std::optional<std::uint64_t> NextOffset() const noexcept
+  [[nodiscard]] std::optional<store_position> NextPosition() const noexcept
   {
-    return mNextOffset;
+    return mNext;
   }
 
   /// Applies the newest record of each key, which another instance read.
   void ApplyFullPage(topic_page const& aPage)
   {
-    mNextOffset = std::max(mNextOffset.value_or(0), aPage.mEnd);
-    mHandler(0, aPage, true);
+    if (aPage.mEnd.Era() < mEra)
+      return;
+    mEra = aPage.mEnd.Era();
+    mNext = std::max(mNext.value_or(store_position{}), aPage.mEnd);
+    mHandler({}, aPage, true);
   }
 
   /// Applies a page that another instance read; false when records are missing
   /// before it.
-  bool ApplyPage(std::uint64_t aFrom, topic_page const& aPage)
+  bool ApplyPage(store_position aFrom, topic_page const& aPage)
   {
-    if (!mNextOffset || aFrom > *mNextOffset)
+    if (!mNext || aFrom > *mNext)
       return false;
-    if (aPage.mEnd <= *mNextOffset)
+    if (aPage.mEnd <= *mNext)
       return true;
-    mNextOffset = aPage.mEnd;
+    mNext = aPage.mEnd;
     mHandler(aFrom, aPage, false);
     return true;
   }
@@ -102,8 +105,7 @@
       return End(store_read_status::Failed);
     topic_page page;
     try {
-      page = Dialect::ReadNewest(aResult.mBody);
-      LogEra(aResult, page.mEnd);
+      page = Dialect::ReadNewest(aResult.mBody, Dialect::ReadEra(aResult));
     } catch (invalid_input const&) {
       return End(store_read_status::Failed);
     }
@@ -111,52 +113,57 @@
     // meanwhile are read again from the end of the first page on.
     if (!mFirstPageEnd)
       mFirstPageEnd = page.mEnd;
+    // The store was restored meanwhile, or this is a late answer from before.
+    store_era const era = page.mEnd.Era();
+    if (era != mFirstPageEnd->Era() || era < mEra)
+      return Restart(era);
+    mEra = era;
     for (keyed_record& record : page.mRecords)
       mFullPage.mRecords.push_back(std::move(record));
     if (page.mHasMore && !mFullPage.mRecords.empty())
       return ReadNewest(mFullPage.mRecords.back().mKey);
     // Records that other instances passed on meanwhile aren't read again.
     mFullPage.mEnd = *mFirstPageEnd;
-    mNextOffset = std::max(mNextOffset.value_or(0), *mFirstPageEnd);
+    mNext = std::max(mNext.value_or(store_position{}), *mFirstPageEnd);
     mFirstPageEnd.reset();
-    mHandler(0, mFullPage, true);
+    mHandler({}, mFullPage, true);
     End(store_read_status::Done);
   }
 
   void ReadRecords()
   {
-    mReadFrom = *mNextOffset;
-    Call(Dialect::RecordsRequest(mTopic, *mNextOffset),
+    mReadFrom = *mNext;
+    Call(Dialect::RecordsRequest(mTopic, mReadFrom.Offset()),
          [this](http_exchange_result const& aResult) { OnRecords(aResult); });
   }
 
   void OnRecords(http_exchange_result const& aResult)
   {
-    if (aResult.mHead.mStatus == kHttpGone) {
-      mNextOffset.reset();
-      return End(store_read_status::Expired);
-    }
+    if (aResult.mHead.mStatus == kHttpGone)
+      return Restart(mEra);
     if (aResult.mHead.mStatus != kHttpOk)
       return End(store_read_status::Failed);
     topic_page page;
     try {
-      page = Dialect::ReadRecords(aResult.mBody, mReadFrom);
-      LogEra(aResult, page.mEnd);
+      page = Dialect::ReadRecords(
+        aResult.mBody, { Dialect::ReadEra(aResult), mReadFrom.Offset() });
     } catch (invalid_input const&) {
-      mNextOffset.reset();
+      mNext.reset();
       return End(store_read_status::Failed);
     }
+    // The records at these offsets aren't those that follow the known ones.
+    if (page.mEnd.Era() != mReadFrom.Era())
+      return Restart(page.mEnd.Era());
     // When another instance passed on all of these records while this read ran,
     // they aren't handed on again. An empty page is, as it shows that the store
     // answers.
-    std::uint64_t const from = mReadFrom;
-    std::uint64_t const next = from + page.mRecords.size();
+    store_position const next = mReadFrom.Plus(page.mRecords.size());
     page.mEnd = next;
-    if (next > *mNextOffset) {
-      mNextOffset = next;
-      mHandler(from, page, false);
+    if (!mNext || next > *mNext) {
+      mNext = next;
+      mHandler(mReadFrom, page, false);
     } else if (page.mRecords.empty()) {
-      mHandler(from, page, false);
+      mHandler(mReadFrom, page, false);
     }
     End(store_read_status::Done);
   }
@@ -171,22 +178,18 @@
                  std::move(aHandler));
   }
 
-  // Logs that the store has been restored, and how far its end is behind what
-  // this instance has read.
-  void LogEra(http_exchange_result const& aResult, std::uint64_t aEnd)
+  // Makes the next read return the newest record of each key.
+  void Restart(store_era aEra)
   {
-    store_era const era = Dialect::ReadEra(aResult);
-    std::uint64_t const next = mNextOffset.value_or(0);
-    bool const isBehind = aEnd < next;
-    if (era == mEra && isBehind == mIsBehind)
-      return;
-    mEra = era;
-    mIsBehind = isBehind;
-    LogEvent("store_era",
+    LogEvent("topic_reread",
              { { "topic", static_cast<std::int64_t>(mTopic) },
-               { "era", static_cast<std::int64_t>(era.Value()) },
-               { "end", static_cast<std::int64_t>(aEnd) },
-               { "next", static_cast<std::int64_t>(next) } });
+               { "era", static_cast<std::int64_t>(aEra.Value()) },
+               { "next",
+                 static_cast<std::int64_t>(
+                   mNext.value_or(store_position{}).Number()) } });
+    mEra = std::max(mEra, aEra);
+    mNext.reset();
+    End(store_read_status::Expired);
   }
 
   void End(store_read_status aStatus)
@@ -203,11 +206,11 @@
   record_handler mHandler;
   end_handler mDone;
   topic_page mFullPage;
-  std::optional<std::uint64_t> mFirstPageEnd;
-  std::optional<std::uint64_t> mNextOffset;
-  std::uint64_t mReadFrom = 0;
+  std::optional<store_position> mFirstPageEnd;
+  std::optional<store_position> mNext;
+  /// The newest era of any page.
   store_era mEra;
-  bool mIsBehind = false;
+  store_position mReadFrom;
   bool mIsFullReadDue = false;
   bool mIsReading = false;
 };
--- a/Libraries/LibFleet/WeightsOrder.h
+++ b/Libraries/LibFleet/WeightsOrder.h
@@ -17,7 +17,7 @@
   std::uint64_t mVersion = 0;
   /// The instance that gives the order as holder of the lease on orders.
   instance_id mHolder;
-  /// The fencing number: the offset of that lease.
+  /// The fencing number, which is that lease's.
   std::uint64_t mFence = 0;
   /// The number of orders that the engine must have accepted so far, so that a
   /// late order can't undo a newer one.
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -71,7 +71,8 @@
   fleet_report report{ .mScope = DecodeScope(aTable.scope()),
                        .mLease = aTable.lease(),
                        .mReader = instance_id{ aTable.reader()->str() },
-                       .mOperatorsEnd = aTable.operators_end() };
+                       .mOperatorsEnd =
+                         store_position::FromNumber(aTable.operators_end()) };
   report.mSpent = DecodeUnits(*aTable.spent());
   report.mUsed = DecodeUnits(*aTable.used());
   for (wire::CrashCount const* const crash : *aTable.crashes())
@@ -107,10 +108,11 @@
 {
   topic_relay relay{ .mTopic = DecodeTopic(aTable.topic()),
                      .mIsSnapshot = aTable.whole(),
-                     .mFrom = aTable.from(),
-                     .mEnd = aTable.end() };
+                     .mFrom = store_position::FromNumber(aTable.from()),
+                     .mEnd = store_position::FromNumber(aTable.end()) };
   for (wire::KeyedRecord const* const record : *aTable.records()) {
-    keyed_record decoded{ .mOffset = record->offset(),
+    keyed_record decoded{ .mPosition =
+                            store_position::FromNumber(record->offset()),
                           .mKey = record->key()->str() };
     if (record->value() != nullptr)
       decoded.mValue.emplace(record->value()->begin(), record->value()->end());
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -75,7 +75,7 @@
                               mBuilder.CreateVector(updating),
                               mBuilder.CreateVector(holders),
                               used,
-                              aReport.mOperatorsEnd,
+                              aReport.mOperatorsEnd.Number(),
                               mBuilder.CreateVector(partCrashes),
                               mBuilder.CreateVector(limits)));
   }
@@ -90,8 +90,8 @@
       wire::CreateTopicRelay(mBuilder,
                              static_cast<std::uint8_t>(aRelay.mTopic),
                              aRelay.mIsSnapshot,
-                             aRelay.mFrom,
-                             aRelay.mEnd,
+                             aRelay.mFrom.Number(),
+                             aRelay.mEnd.Number(),
                              mBuilder.CreateVector(records)));
   }
 
@@ -134,7 +134,8 @@
       value = mBuilder.CreateVector(
         reinterpret_cast<std::uint8_t const*>(aRecord.mValue->data()),
         aRecord.mValue->size());
-    return wire::CreateKeyedRecord(mBuilder, aRecord.mOffset, key, value);
+    return wire::CreateKeyedRecord(
+      mBuilder, aRecord.mPosition.Number(), key, value);
   }
 
   flatbuffers::FlatBufferBuilder& mBuilder;
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibPeer/LimitNotice.h>
 #include <LibPeer/ReportScope.h>
+#include <LibStore/StorePosition.h>
 
 #include <cstdint>
 #include <vector>
@@ -19,7 +20,7 @@
 struct fleet_report
 {
   report_scope mScope = report_scope::Root;
-  /// The offset of the newest order lease that one of them holds; 0 if none.
+  /// The number of the newest order lease that one of them holds; 0 if none.
   std::uint64_t mLease = 0;
   /// The first of them by name that reads the store for all; empty if none.
   instance_id mReader;
@@ -44,8 +45,8 @@
   /// links only, once the sender has counted for a full window, and empty
   /// otherwise: other receivers can count it themselves.
   std::vector<workspace_usage> mUsed;
-  /// The offset after the last of the operators' records that the sender has.
-  std::uint64_t mOperatorsEnd = 0;
+  /// The position after the last of the operators' records that the sender has.
+  store_position mOperatorsEnd;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/TopicRelay.h
+++ b/Libraries/LibPeer/TopicRelay.h
@@ -3,7 +3,6 @@
 #include <LibStore/KeyedRecord.h>
 #include <LibStore/StoreTopic.h>
 
-#include <cstdint>
 #include <vector>
 
 namespace lycheeseam {
@@ -16,10 +15,10 @@
   /// The records are the newest of each key, rather than all that were
   /// appended.
   bool mIsSnapshot = false;
-  /// The offset from which on no record is left out.
-  std::uint64_t mFrom = 0;
-  /// The offset after the last of them.
-  std::uint64_t mEnd = 0;
+  /// The position from which on no record is left out.
+  store_position mFrom;
+  /// The position after the last of them.
+  store_position mEnd;
   std::vector<keyed_record> mRecords;
 
   bool operator==(topic_relay const&) const = default;
--- a/Libraries/LibStore/KeyedRecord.h
+++ b/Libraries/LibStore/KeyedRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include <LibStore/StorePosition.h>
+
 #include <optional>
 #include <string>
 
@@ -9,7 +10,7 @@
 /// A record of a keyed topic, which sets or deletes the value of its key.
 struct keyed_record
 {
-  std::uint64_t mOffset = 0;
+  store_position mPosition;
   std::string mKey;
   /// Nothing when the record deletes the key.
   std::optional<std::string> mValue;
--- a/Libraries/LibStore/TopicPage.h
+++ b/Libraries/LibStore/TopicPage.h
@@ -2,7 +2,6 @@
 
 #include <LibStore/KeyedRecord.h>
 
-#include <cstdint>
 #include <vector>
 
 namespace lycheeseam {
@@ -11,8 +10,8 @@
 struct topic_page
 {
   std::vector<keyed_record> mRecords;
-  /// The offset after the topic's last record.
-  std::uint64_t mEnd = 0;
+  /// The position after the topic's last record.
+  store_position mEnd;
   /// True when the page is full and more keys follow.
   bool mHasMore = false;
 };
--- a/Libraries/LibStore/TopicState.cpp
+++ b/Libraries/LibStore/TopicState.cpp
@@ -11,9 +11,10 @@
   std::vector<keyed_record> newRecords;
   for (keyed_record const& record : aPage.mRecords) {
     auto const [entry, isNew] = mKeys.try_emplace(record.mKey);
-    if (!isNew && record.mOffset <= entry->second.mOffset)
+    if (!isNew && record.mPosition <= entry->second.mPosition)
       continue;
-    entry->second = { .mOffset = record.mOffset, .mIsDeleted = !record.mValue };
+    entry->second = { .mPosition = record.mPosition,
+                      .mIsDeleted = !record.mValue };
     newRecords.push_back(record);
   }
   if (aIsComplete)
@@ -31,11 +32,11 @@
   for (known_keys::value_type& entry : mKeys) {
     std::string const& key = entry.first;
     known_key& known = entry.second;
-    bool const isCovered = known.mOffset < aPage.mEnd;
+    bool const isCovered = known.mPosition < aPage.mEnd;
     if (known.mIsDeleted || !isCovered || listed.contains(key))
       continue;
     known.mIsDeleted = true;
-    aNewRecords.push_back({ .mOffset = known.mOffset, .mKey = key });
+    aNewRecords.push_back({ .mPosition = known.mPosition, .mKey = key });
   }
 }
 
--- a/Libraries/LibStore/TopicState.h
+++ b/Libraries/LibStore/TopicState.h
@@ -2,7 +2,6 @@
 
 #include <LibStore/TopicPage.h>
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,7 +24,7 @@
 private:
   struct known_key
   {
-    std::uint64_t mOffset = 0;
+    store_position mPosition;
     bool mIsDeleted = false;
   };
   using known_keys = std::map<std::string, known_key>;
--- a/Tests/LibFleet/TestOrderLease.cpp
+++ b/Tests/LibFleet/TestOrderLease.cpp
@@ -14,26 +14,32 @@
 instance_id const kSelf{ "a" };
 instance_id const kOther{ "b" };
 
+store_position
+At(std::uint64_t aOffset)
+{
+  return { store_era{}, aOffset };
+}
+
 // A lease that was acquired at kNow on an empty topic.
 order_lease
 HeldLease()
 {
   order_lease lease{ kSelf, kTerm };
-  lease.OnRead(kNow, std::nullopt, 0);
+  lease.OnRead(kNow, std::nullopt, At(0));
   lease.OnSend(kNow);
-  lease.OnAppended(0);
+  lease.OnAppended(At(0));
   return lease;
 }
 
 TEST(TestOrderLease, FirstHolderMayOrderAtOnce)
 {
   order_lease lease{ kSelf, kTerm };
-  EXPECT_FALSE(lease.AppendOffset());
-  lease.OnRead(kNow, std::nullopt, 0);
-  EXPECT_EQ(lease.AppendOffset(), 0U);
+  EXPECT_FALSE(lease.AppendPosition());
+  lease.OnRead(kNow, std::nullopt, At(0));
+  EXPECT_EQ(lease.AppendPosition(), At(0));
   lease.OnSend(kNow);
   EXPECT_FALSE(lease.FencingNumber(kNow));
-  lease.OnAppended(0);
+  lease.OnAppended(At(0));
   EXPECT_EQ(lease.FencingNumber(kNow), 0U);
 }
 
@@ -52,7 +58,7 @@
   lease.OnRefused(kNow + seconds{ 20 });
   EXPECT_FALSE(lease.IsLost(kNow + milliseconds{ 20'900 }));
   EXPECT_TRUE(lease.IsLost(kNow + milliseconds{ 21'100 }));
-  lease.OnAppended(1);
+  lease.OnAppended(At(1));
   EXPECT_FALSE(lease.IsLost(kNow + milliseconds{ 21'100 }));
 }
 
@@ -67,12 +73,12 @@
 TEST(TestOrderLease, SuccessorWaitsForTheTermOfTheOldLease)
 {
   order_lease lease{ kSelf, kTerm };
-  lease.OnRead(kNow, lease_record{ .mOffset = 4, .mHolder = kOther }, 5);
+  lease.OnRead(kNow, lease_record{ .mNumber = 4, .mHolder = kOther }, At(5));
   lease.OnSend(kNow);
-  lease.OnAppended(5);
+  lease.OnAppended(At(5));
   EXPECT_FALSE(lease.FencingNumber(kNow + seconds{ 2 }));
   lease.OnSend(kNow + seconds{ 2 });
-  lease.OnAppended(6);
+  lease.OnAppended(At(6));
   EXPECT_EQ(lease.FencingNumber(kNow + kTerm), 6U);
 }
 
@@ -83,9 +89,9 @@
   order_lease lease{ kSelf, kTerm };
   lease.OnPeerLease(kNow, 4);
   instant const later = kNow + seconds{ 20 };
-  lease.OnRead(later, lease_record{ .mOffset = 4, .mHolder = kOther }, 5);
+  lease.OnRead(later, lease_record{ .mNumber = 4, .mHolder = kOther }, At(5));
   lease.OnSend(later);
-  lease.OnAppended(5);
+  lease.OnAppended(At(5));
   EXPECT_EQ(lease.FencingNumber(later), 5U);
 }
 
@@ -94,23 +100,69 @@
   order_lease lease = HeldLease();
   lease.OnPeerLease(kNow, 3);
   EXPECT_FALSE(lease.IsHeld());
-  EXPECT_FALSE(lease.AppendOffset());
+  EXPECT_FALSE(lease.AppendPosition());
 }
 
 TEST(TestOrderLease, AppendOfUnknownOutcomeRequiresARead)
 {
   order_lease lease{ kSelf, kTerm };
-  lease.OnRead(kNow, std::nullopt, 0);
+  lease.OnRead(kNow, std::nullopt, At(0));
   lease.OnSend(kNow);
   lease.Invalidate();
   EXPECT_FALSE(lease.IsHeld());
   // The record had been appended after all.
-  lease.OnRead(kNow, lease_record{ .mOffset = 0, .mHolder = kSelf }, 1);
+  lease.OnRead(kNow, lease_record{ .mNumber = 0, .mHolder = kSelf }, At(1));
   lease.OnSend(kNow);
-  lease.OnAppended(1);
+  lease.OnAppended(At(1));
   EXPECT_EQ(lease.FencingNumber(kNow), 1U);
 }
 
+// Guards against orders of two holders: the log that came back from a copy
+// lacks the record of the one that still gives orders.
+TEST(TestOrderLease, NobodyOrdersUntilTheTermOfALostLeaseIsOver)
+{
+  store_era const restored{ 1 };
+  order_lease lease{ kSelf, kTerm };
+  lease.OnStoreEra(kNow, store_era{});
+  lease.OnRead(kNow, std::nullopt, { restored, 0 });
+  lease.OnSend(kNow);
+  lease.OnAppended({ restored, 0 });
+  EXPECT_TRUE(lease.IsHeld());
+  EXPECT_FALSE(lease.FencingNumber(kNow + milliseconds{ 2'500 }));
+  lease.OnSend(kNow + seconds{ 2 });
+  lease.OnAppended({ restored, 1 });
+  EXPECT_TRUE(lease.FencingNumber(kNow + kTerm));
+}
+
+// Guards against fencing numbers that fall back together with the offsets.
+TEST(TestOrderLease, FencingNumbersGoOnRisingAfterARestore)
+{
+  order_lease lease{ kSelf, kTerm };
+  lease.OnRead(kNow, std::nullopt, At(900));
+  lease.OnSend(kNow);
+  lease.OnAppended(At(900));
+  std::uint64_t const before = lease.FencingNumber(kNow).value();
+  store_era const restored{ 1 };
+  lease.OnStoreEra(kNow, restored);
+  EXPECT_FALSE(lease.IsHeld());
+  instant const later = kNow + kTerm;
+  lease.OnRead(later, std::nullopt, { restored, 3 });
+  lease.OnSend(later);
+  lease.OnAppended({ restored, 3 });
+  EXPECT_GT(lease.FencingNumber(later).value(), before);
+}
+
+// What was read before shows no records that others have appended since.
+TEST(TestOrderLease, RecordInALaterEraThanTheReadGrantsNothing)
+{
+  order_lease lease{ kSelf, kTerm };
+  lease.OnRead(kNow, std::nullopt, At(4));
+  lease.OnSend(kNow);
+  lease.OnAppended({ store_era{ 1 }, 4 });
+  EXPECT_FALSE(lease.IsHeld());
+  EXPECT_FALSE(lease.AppendPosition());
+}
+
 }
 
 }
--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -249,18 +249,24 @@
   EXPECT_FALSE(election.IsDue(kNow, true));
 }
 
+store_position
+At(std::uint64_t aOffset)
+{
+  return { store_era{}, aOffset };
+}
+
 // A configuration that was relayed while a link changed was missed until the
 // next one.
 TEST(TestPeerRegistry, ReadIsDueAfterLaggingForTooLong)
 {
   reader_election election;
   election.OnReadStart(kNow);
-  election.OnPeerEnd(kNow, 5, 6);
+  election.OnPeerEnd(kNow, At(5), At(6));
   EXPECT_FALSE(election.IsDue(kNow, true));
-  election.OnPeerEnd(kNow + milliseconds{ 150 }, 6, 6);
-  election.OnPeerEnd(kNow + milliseconds{ 300 }, 6, 7);
+  election.OnPeerEnd(kNow + milliseconds{ 150 }, At(6), At(6));
+  election.OnPeerEnd(kNow + milliseconds{ 300 }, At(6), At(7));
   EXPECT_FALSE(election.IsDue(kNow + milliseconds{ 300 }, true));
-  election.OnPeerEnd(kNow + milliseconds{ 600 }, 6, 7);
+  election.OnPeerEnd(kNow + milliseconds{ 600 }, At(6), At(7));
   EXPECT_TRUE(election.IsDue(kNow + milliseconds{ 600 }, true));
 }
 
--- a/Tests/LibFleet/TestReaderElection.cpp
+++ b/Tests/LibFleet/TestReaderElection.cpp
@@ -10,13 +10,13 @@
 using std::chrono::seconds;
 
 instant const kNow = instant{} + seconds{ 100 };
-constexpr std::uint64_t kOwnEnd = 5;
-constexpr std::uint64_t kPeerEnd = 6;
+constexpr store_position kOwnEnd{ store_era{}, 5 };
+constexpr store_position kPeerEnd{ store_era{}, 6 };
 
 // True when a read is due within a time in which a peer that is ahead and one
 // that lags too report in turn.
 bool
-IsReadDueWithin(milliseconds aTime, std::uint64_t aOwnEnd)
+IsReadDueWithin(milliseconds aTime, store_position aOwnEnd)
 {
   reader_election election;
   for (milliseconds at{}; at <= aTime; at += milliseconds{ 150 }) {
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -114,7 +114,8 @@
 {
   mFleet.Run(kSettled);
   simulated_fleet::member& reader = mFleet.Member(GetParam() - 1);
-  reader.mExchange->Relay(mFleet.Now(), { .mEnd = 3 }, std::nullopt);
+  reader.mExchange->Relay(
+    mFleet.Now(), { .mEnd = { store_era{}, 3 } }, std::nullopt);
   mFleet.Run(seconds{ 1 });
   for (auto const& [id, member] : mFleet.Members())
     EXPECT_EQ(member->mRelays.size(), member.get() == &reader ? 0u : 1u)
--- a/Tests/LibFleet/TestServerRegistry.cpp
+++ b/Tests/LibFleet/TestServerRegistry.cpp
@@ -93,13 +93,44 @@
 {
   server_registry known;
   known.OnEntry(Entry(2));
-  EXPECT_FALSE(known.OnAddressTaken({ kServer, incarnation{ 1 } }));
-  EXPECT_TRUE(known.OnAddressTaken({ kServer, incarnation{ 2 } }));
+  EXPECT_FALSE(known.OnAddressTaken(kNow, { kServer, incarnation{ 1 } }));
+  EXPECT_TRUE(known.OnAddressTaken(kNow, { kServer, incarnation{ 2 } }));
   EXPECT_TRUE(known.Servers().empty());
   known.OnEntry(Entry(3));
   EXPECT_EQ(known.Servers().size(), 1U);
 }
 
+registered_server
+EntryWithCount(std::uint64_t aCount, server_stage aStage)
+{
+  registered_server server = Entry(1);
+  server.mStage = aStage;
+  server.mEntries = aCount;
+  return server;
+}
+
+TEST(TestServerRegistry, EarlierEntryDoesNotMakeALeavingServerReady)
+{
+  server_registry known;
+  known.OnEntry(EntryWithCount(5, server_stage::Leaving));
+  EXPECT_FALSE(known.OnEntry(EntryWithCount(4, server_stage::Ready)));
+  EXPECT_EQ(known.Servers()[0].mStage, server_stage::Leaving);
+}
+
+// Only a store that was restored shows an entry again that it had dropped.
+TEST(TestServerRegistry, DroppedServerMayRegisterAgainWithAnUnchangedEntry)
+{
+  server_registry known;
+  known.OnEntry(EntryWithCount(5, server_stage::Ready));
+  known.OnDropped(kNow, kServer);
+  EXPECT_TRUE(known.OnEntry(EntryWithCount(5, server_stage::Ready)));
+  known.OnDropped(kNow, kServer);
+  known.OnStoreRestored(kNow + seconds{ 1 });
+  EXPECT_FALSE(known.OnEntry(EntryWithCount(5, server_stage::Ready)));
+  EXPECT_FALSE(known.Expire(kNow + seconds{ 130 }));
+  EXPECT_TRUE(known.OnEntry(EntryWithCount(5, server_stage::Ready)));
+}
+
 }
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -136,15 +136,17 @@
     .mUpdating = { server },
     .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
     .mUsed = { { workspace_id{ "w" }, 2.5 } },
-    .mOperatorsEnd = 12
+    .mOperatorsEnd = { store_era{ 2 }, 12 }
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
-                           .mFrom = 3,
-                           .mEnd = 5,
-                           .mRecords = {
-                             { .mOffset = 3, .mKey = "a", .mValue = "bytes" },
-                             { .mOffset = 4, .mKey = "b" } } };
+                           .mFrom = { store_era{ 2 }, 3 },
+                           .mEnd = { store_era{ 2 }, 5 },
+                           .mRecords = { { .mPosition = { store_era{ 2 }, 3 },
+                                           .mKey = "a",
+                                           .mValue = "bytes" },
+                                         { .mPosition = { store_era{ 2 }, 4 },
+                                           .mKey = "b" } } };
   peer_hello const hello{ .mIdentity = { .mInstance = instance_id{ "entry-2" },
                                          .mIncarnation = incarnation{ 8 } },
                           .mFailureDomain = failure_domain{ "riga-2" },
--- a/Tests/Platform/TestMutatedInput.cpp
+++ b/Tests/Platform/TestMutatedInput.cpp
@@ -114,13 +114,13 @@
 {
   ExpectValueOrInvalidInput(
     R"({"items":[{"key":"a","value":"YQ==","offset":3}],"more":false,"end":4})",
-    [](std::string const& aText) { store_dialect::ReadNewest(aText); });
+    [](std::string const& aText) { store_dialect::ReadNewest(aText, {}); });
   std::string records(16, '\0');
   records[7] = 5;
   records[15] = 3;
   records += std::string("\0\0\0\4\1kvv\0\0\0\2\1k", 14);
   ExpectValueOrInvalidInput(records, [](std::string const& aText) {
-    store_dialect::ReadRecords(aText, 3);
+    store_dialect::ReadRecords(aText, { store_era{ 2 }, 3 });
   });
   ExpectValueOrInvalidInput(
     R"({"stage":"unified","models":[{"name":"m","version":1}],"busy":false,)"
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -130,8 +130,8 @@
       } catch (invalid_input const&) {
       }
     };
-    read([](std::string_view aText) { store_dialect::ReadNewest(aText); });
-    read([](std::string_view aText) { store_dialect::ReadRecords(aText, 0); });
+    read([](std::string_view aText) { store_dialect::ReadNewest(aText, {}); });
+    read([](std::string_view aText) { store_dialect::ReadRecords(aText, {}); });
     read([](std::string_view aText) { store_dialect::ReadServer("s", aText); });
     read([](std::string_view aText) { store_dialect::ReadReport(aText); });
     read([](std::string_view aText) {
@@ -167,13 +167,14 @@
   bytes[7] = 5;
   bytes += store_dialect::FormatRecord({ .mKey = "a", .mValue = "value" });
   bytes += store_dialect::FormatRecord({ .mKey = "b" });
-  topic_page const page = store_dialect::ReadRecords(bytes, 3);
-  EXPECT_EQ(page.mEnd, 5U);
+  topic_page const page =
+    store_dialect::ReadRecords(bytes, { store_era{ 2 }, 3 });
+  EXPECT_EQ(page.mEnd, store_position(store_era{ 2 }, 5));
   ASSERT_EQ(page.mRecords.size(), 2U);
-  EXPECT_EQ(page.mRecords[0].mOffset, 3U);
+  EXPECT_EQ(page.mRecords[0].mPosition, store_position(store_era{ 2 }, 3));
   EXPECT_EQ(page.mRecords[0].mValue, "value");
   EXPECT_FALSE(page.mRecords[1].mValue);
-  EXPECT_THROW(store_dialect::ReadRecords(bytes.substr(0, 20), 3),
+  EXPECT_THROW(store_dialect::ReadRecords(bytes.substr(0, 20), {}),
                invalid_input);
 }
 
@@ -190,7 +191,18 @@
             store_append_status::Conflict);
   result.mHead.mStatus = 200;
   result.mBody = R"({"offset": 840, "end": 842})";
-  EXPECT_EQ(store_dialect::ReadAppend(result).mOffset, 840U);
+  EXPECT_EQ(store_dialect::ReadAppend(result).mPosition,
+            store_position(store_era{}, 840));
+  result.mHead.mFields = { { "store-era", "3" } };
+  EXPECT_EQ(store_dialect::ReadAppend(result).mPosition,
+            store_position(store_era{ 3 }, 840));
+  // A number that can't be an era says nothing about where the record is.
+  for (char const* const era : { "", "x", "-1", "8192" }) {
+    result.mHead.mFields = { { "Store-Era", era } };
+    EXPECT_EQ(store_dialect::ReadAppend(result).mStatus,
+              store_append_status::Unknown)
+      << era;
+  }
 }
 
 TEST(TestStoreDialect, FormattedUsageIsReadBackUnchanged)
