platform: Refuse entries with numbers or names out of range

Tried with entries that are nested 100,000 deep, have numbers too large, ports out of range or bytes that are no text: no process ended, and all instances went on following the list, from the store and from peers. Four kinds were taken for servers, though: slots of 2^32 (0 after the conversion), a start time and a count of 1e300 (a conversion without a defined result), and a name with a line break, which would have ended the header field that it is sent in.

--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -119,6 +119,24 @@
          WithReplacement(kServerEntry, "\"version\": 3", "\"version\": -3"),
          std::string{ "\x01\x02" } })
     EXPECT_THROW(store_dialect::ReadServer("i-1", text), invalid_input);
+  for (char const* const id : { "", "i 1", "i\r\n1", "i\xff" })
+    EXPECT_THROW(store_dialect::ReadServer(id, kServerEntry), invalid_input);
+}
+
+TEST(TestStoreDialect, NumbersOutOfRangeAreRefused)
+{
+  for (std::string const& text :
+       { WithReplacement(
+           kServerEntry, "\"slots\": 64", "\"slots\": 4294967296"),
+         WithReplacement(kServerEntry, "\"seq\": 4", "\"seq\": 1e300"),
+         WithReplacement(kServerEntry, "1777431616036", "1e16"),
+         WithReplacement(kServerEntry, "1777431616036", "-1.0") })
+    EXPECT_THROW(store_dialect::ReadServer("i-1", text), invalid_input);
+  EXPECT_EQ(
+    store_dialect::ReadServer(
+      "i-1", WithReplacement(kServerEntry, "\"seq\": 4", "\"seq\": 4.0"))
+      .mEntries,
+    4U);
 }
 
 TEST(TestStoreDialect, ArbitraryBytesAreReadOrRefused)
