LibGateway, lycheeseamd: Refuse requests that arrive late in a planned stop

Other operators report that requests which came late in a planned stop were passed on and cut off with no answer at its end, among them ones that may not be repeated.

Here connections without a request are closed 2.5 s after the signal, and what runs at the end gets 503 or 504, so that could not happen with whole requests. But a connection whose request had arrived in part, its head and some of the body, counted as idle: it was closed without an answer, and had it been kept, a request could have been passed on at any time up to the end.

A connection is busy while the body of a request arrives, and a request that is complete only 3 s after the signal is refused as not run, with the time to come back. RequestThatArrivesLateInAStopIsRefusedAsNotRun failed before: the connection was closed.

--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -102,6 +102,8 @@
              std::string_view aBody,
              admitted_request& aAdmitted)
 {
+  if (aCore.IsRefusing())
+    return request_refusal{ .mRetryAfter = kRetryAfter };
   aAdmitted.mConfig = aCore.View(aNow)->mConfig;
   if (!aAdmitted.mConfig)
     return request_refusal{ .mRetryAfter = kConfigRetryAfter };
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -88,7 +88,8 @@
   /// not been read yet.
   [[nodiscard]] bool IsBusy()
   {
-    if (mRun != nullptr || mOut.IsWriting() || mBuffer.size() > 0)
+    if (mRun != nullptr || mIsReadingBody || mOut.IsWriting() ||
+        mBuffer.size() > 0)
       return true;
     if (mIsClosed || !mSocket.is_open())
       return false;
@@ -184,6 +185,7 @@
     });
     if (ExpectsContinue(mParser->get()))
       Write("HTTP/1.1 100 Continue\r\n\r\n");
+    mIsReadingBody = true;
     boost::beast::http::async_read(
       mSocket,
       mBuffer,
@@ -209,6 +211,7 @@
 
   void OnRequest(error_code aFault)
   {
+    mIsReadingBody = false;
     if (mIsClosed)
       return;
     if (aFault)
@@ -291,6 +294,7 @@
   close_watch<caller_session> mCloseWatch;
   write_queue<caller_session> mOut;
   answer_format mFormat;
+  bool mIsReadingBody = false;
   bool mIsAnswered = false;
   bool mMustClose = false;
   bool mIsClosed = false;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -55,6 +55,9 @@
     CloseIdle();
   }
 
+  /// Refuses requests that arrive from now on; running requests continue.
+  void RefuseRequests() { mCore.SetRefusing(); }
+
   /// Gives all running requests their final answers now.
   void EndRequests()
   {
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -118,6 +118,10 @@
   [[nodiscard]] bool IsDraining() const noexcept { return mIsDraining; }
   void SetDraining() noexcept { mIsDraining = true; }
 
+  /// True when new requests would be cut off by the end of a planned stop.
+  [[nodiscard]] bool IsRefusing() const noexcept { return mIsRefusing; }
+  void SetRefusing() noexcept { mIsRefusing = true; }
+
 private:
   using retry_budgets = std::map<pool_name, retry_budget>;
 
@@ -148,6 +152,7 @@
   traffic_meter mMeter;
   traffic_report mReport;
   bool mIsDraining = false;
+  bool mIsRefusing = false;
 };
 
 }
--- a/Services/lycheeseamd/PlannedStop.h
+++ b/Services/lycheeseamd/PlannedStop.h
@@ -11,8 +11,8 @@
 
 namespace lycheeseam {
 
-/// Stops a gateway as planned: drains it, closes it to new connections, and
-/// waits until it is idle or the stop time ends. Runs on the thread of its
+/// Stops a gateway as planned: drains it, closes it to new connections, refuses
+/// late requests, and waits until it is idle or the stop time ends. Runs on the thread of its
 /// io_context.
 template<typename Gateway>
 class planned_stop
@@ -41,7 +41,8 @@
   // Callers that cache an earlier list of addresses still connect for this
   // long.
   static constexpr std::chrono::milliseconds kAcceptTime{ 2'500 };
-  // An idle gateway stops no earlier than this. It exceeds kAcceptTime, so the
+  // An idle gateway stops no earlier than this, and requests that arrive later
+  // are refused: the stop might cut them off. It exceeds kAcceptTime, so the
   // gateway is closed to new connections by then.
   static constexpr std::chrono::milliseconds kMinStopTime{ 3'000 };
   // Requests that still run get their final answers this long before the
@@ -61,6 +62,8 @@
       return EndRequests();
     if (elapsed >= kAcceptTime)
       mGateway.Close();
+    if (elapsed >= kMinStopTime)
+      mGateway.RefuseRequests();
     mTimer.expires_after(kCheckInterval);
     mTimer.async_wait([this](boost::system::error_code aFault) {
       if (!aFault)
--- a/Tests/LibGateway/TestPlannedStop.cpp
+++ b/Tests/LibGateway/TestPlannedStop.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <Services/lycheeseamd/PlannedStop.h>
+
 #include <array>
 #include <chrono>
 #include <future>
@@ -60,6 +62,37 @@
   EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 504"));
 }
 
+// Guards against requests that arrive late in a stop, are passed on and get no
+// answer of their server because the stop ends: the body of this one comes
+// after callers have been told for long to use other instances.
+TEST_F(TestGateway, RequestThatArrivesLateInAStopIsRefusedAsNotRun)
+{
+  scripted_server server{ { "hang" } };
+  StartGateway(std::array{ &server });
+  boost::asio::io_context context;
+  tcp::socket caller{ context };
+  caller.connect(
+    { boost::asio::ip::make_address(mCallers.mAddress), mCallers.mPort });
+  std::string const request = Request("/once/x");
+  std::size_t const most = request.size() - 1;
+  boost::asio::write(caller, boost::asio::buffer(request.substr(0, most)));
+  planned_stop<test_gateway> stop{ mTraffic.Context(),
+                                   *mGateway,
+                                   milliseconds{ 5'000 } };
+  std::future<void> const stopped =
+    mTraffic.Invoke([&stop]() { return stop.Begin(); });
+  std::this_thread::sleep_for(milliseconds{ 3'500 });
+  boost::asio::write(caller, boost::asio::buffer(request.substr(most)));
+  std::string answer;
+  boost::system::error_code fault;
+  boost::asio::read(caller, boost::asio::dynamic_buffer(answer), fault);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_TRUE(Contains(answer, "Retry-After: "));
+  EXPECT_TRUE(Contains(answer, "Connection: close"));
+  EXPECT_TRUE(server.Requests().empty());
+  stopped.wait();
+}
+
 // Guards against one unexpected error that ends the thread, and with it the
 // process.
 TEST_F(TestGateway, ErrorInOneHandlerLeavesTheGatewayRunning)
