--- a/Services/lycheeseamd/PlannedStop.h
+++ b/Services/lycheeseamd/PlannedStop.h
@@ -12,8 +12,8 @@
 namespace lycheeseam {
 
 /// Stops a gateway as planned: drains it, closes it to new connections, refuses
-/// late requests, and waits until it is idle or the stop time ends. Runs on the thread of its
-/// io_context.
+/// late requests, and waits until it is idle or the stop time ends. Runs on the
+/// thread of its io_context.
 template<typename Gateway>
 class planned_stop
 {
