--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -40,8 +40,8 @@
   return replaced && aRequest.mNow - *replaced > aRequest.mOutdatedAfter;
 }
 
-// True when the server may get the request as far as its pause and its limit
-// allow.
+// True when nothing but its pause or its rate limit keeps the request from the
+// server.
 bool
 IsUsable(tracked_server const& aServer, server_choice_request const& aRequest)
 {
@@ -183,7 +183,7 @@
                  server_choice_request const& aRequest)
 {
   auto const unlimited = std::stable_partition(
-    aGroup.begin(), aGroup.end(), [](auto const* aServer) {
+    aGroup.begin(), aGroup.end(), [](tracked_server const* aServer) {
       return aServer->mLimit.RequestsPerSecond().has_value();
     });
   std::span<tracked_server* const> const limitedPart{ aGroup.begin(),
--- a/Libraries/LibDispatch/InstanceOrder.cpp
+++ b/Libraries/LibDispatch/InstanceOrder.cpp
@@ -42,8 +42,8 @@
 instance_order::Position(std::uint64_t aKey) const
 {
   std::uint64_t const own = RendezvousRank(aKey, mOwnSeed);
-  return static_cast<std::size_t>(
-    std::count_if(mOtherSeeds.begin(), mOtherSeeds.end(), [&](auto aSeed) {
+  return static_cast<std::size_t>(std::count_if(
+    mOtherSeeds.begin(), mOtherSeeds.end(), [&](std::uint64_t aSeed) {
       return RendezvousRank(aKey, aSeed) > own;
     }));
 }
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -27,7 +27,11 @@
   bool mHasAnnouncedLeaving = false;
   /// Until when it wants no requests from this instance.
   instant mPausedUntil{};
+  /// Its rate limit and this instance's share of it.
   server_limit mLimit;
+  limit_trace mLimitTrace;
+  /// Requests that this instance has sent to it.
+  std::uint64_t mSent = 0;
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
   token_count mMemoryTokens = 0;
   /// This instance's requests that haven't ended.
@@ -47,10 +51,6 @@
     return mHasAnnouncedLeaving || mRegistered.mStage == server_stage::Leaving;
   }
 
-  /// Requests that this instance has sent to the server.
-  std::uint64_t mSent = 0;
-  limit_trace mLimitTrace;
-
   /// When it takes the next request from this instance, by its pause and its
   /// limit; the past when it does now.
   [[nodiscard]] instant NextSendAt(instant aNow) const
