--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -1,5 +1,5 @@
-#include "../common/Config.h"
-#include "../common/KeptChannels.h"
+#include "../Config.h"
+#include "../KeptChannels.h"
 
 // Four workers of one service answer lookups with an empty chunked body. Two of
 // them break off one in fifty of these answers: the last line of the body comes
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,5 +1,5 @@
-#include "../common/Config.h"
-#include "../common/KeptChannels.h"
+#include "../Config.h"
+#include "../KeptChannels.h"
 
 // One of four workers of a service is in trouble: in the body of a chunked
 // answer it sends bytes that are no answer, without end, until the caller
--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -1,5 +1,5 @@
-#include "../common/Config.h"
-#include "../common/Deployment.h"
+#include "../Config.h"
+#include "../Deployment.h"
 
 // Two workers answer streams of events in chunks. One of them ends one in forty
 // of its streams in the middle of an event: its last chunk follows at once.
