--- a/Bench/Decisions/PolicyKind.cpp
+++ b/Bench/Decisions/PolicyKind.cpp
@@ -1,6 +1,6 @@
-#include <Bench/Decisions/PolicyKind.h>
+#include <LibCore/Verify.h>
 
-#include <cassert>
+#include <Bench/Decisions/PolicyKind.h>
 
 namespace lycheeseam::bench {
 
@@ -21,7 +21,7 @@
     case policy_kind::Oracle:
       return "oracle";
   }
-  assert(false);
+  VERIFY(false);
   return "";
 }
 
--- a/Bench/Decisions/RouterInstance.cpp
+++ b/Bench/Decisions/RouterInstance.cpp
@@ -1,7 +1,8 @@
+#include <LibCore/Verify.h>
+
 #include <Bench/Decisions/RouterInstance.h>
 
 #include <algorithm>
-#include <cassert>
 #include <cmath>
 #include <string>
 
@@ -86,7 +87,7 @@
 {
   server_view& view = mServers[aServer];
   [[maybe_unused]] bool const acquired = view.mWindow.TryAcquire();
-  assert(acquired);
+  VERIFY(acquired);
   view.mLoad.OnSent(aUncached, aNow);
 }
 
--- a/Bench/Slopes/BlockMapSlope.cpp
+++ b/Bench/Slopes/BlockMapSlope.cpp
@@ -1,10 +1,10 @@
+#include <LibCore/Verify.h>
 #include <LibPlacement/BlockShard.h>
 
 #include <Bench/Slopes/ProcessorTimer.h>
 #include <Bench/Slopes/Slopes.h>
 
 #include <array>
-#include <cassert>
 #include <chrono>
 #include <string>
 
@@ -96,7 +96,7 @@
             std::size_t aPrompts,
             std::vector<placement_candidate> const& aServers)
 {
-  assert(aPrompts > 0);
+  VERIFY(aPrompts > 0);
   std::vector<block_lookup> lookups;
   lookups.reserve(kOperations / 10);
   for (std::size_t index = 0; index < kOperations / 10; ++index)
--- a/Libraries/LibAdmission/EnginePriority.cpp
+++ b/Libraries/LibAdmission/EnginePriority.cpp
@@ -1,6 +1,5 @@
 #include <LibAdmission/EnginePriority.h>
-
-#include <cassert>
+#include <LibCore/Verify.h>
 
 namespace lycheeseam {
 
@@ -16,7 +15,7 @@
     case priority_class::Batch:
       return priority_class::Batch;
   }
-  assert(false);
+  VERIFY(false);
   return aRoute;
 }
 
--- a/Libraries/LibAdmission/FairQueue.cpp
+++ b/Libraries/LibAdmission/FairQueue.cpp
@@ -1,6 +1,5 @@
 #include <LibAdmission/FairQueue.h>
-
-#include <cassert>
+#include <LibCore/Verify.h>
 
 namespace lycheeseam {
 
@@ -21,7 +20,7 @@
 enqueue_result
 fair_queue::Enqueue(admission_request aRequest)
 {
-  assert(!mRequests.contains(aRequest.mTicket));
+  VERIFY(!mRequests.contains(aRequest.mTicket));
   if (mRequests.size() >= mOptions.mMaxWaiting)
     return enqueue_result::QueueFull;
   std::size_t& waiting = mWaitingByWorkspace[aRequest.mWorkspace];
@@ -90,7 +89,7 @@
   if (waiting == nullptr)
     return std::nullopt;
   std::optional<admission_request> const taken = waiting->Pop(mWeights);
-  assert(taken);
+  VERIFY(taken);
   Erase(taken->mTicket);
   return taken->mTicket;
 }
@@ -127,7 +126,7 @@
 fair_queue::Erase(ticket aTicket)
 {
   auto const found = mRequests.find(aTicket);
-  assert(found != mRequests.end());
+  VERIFY(found != mRequests.end());
   auto const waiting = mWaitingByWorkspace.find(found->second.mWorkspace);
   if (--waiting->second == 0)
     mWaitingByWorkspace.erase(waiting);
--- a/Libraries/LibAdmission/ServerWindow.h
+++ b/Libraries/LibAdmission/ServerWindow.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cassert>
+#include <LibCore/Verify.h>
+
 #include <cstdint>
 
 namespace lycheeseam {
@@ -28,7 +29,7 @@
   /// Releases the capacity of a request that has ended, successful or not.
   void Release()
   {
-    assert(mOutstanding > 0);
+    VERIFY(mOutstanding > 0);
     --mOutstanding;
   }
 
--- a/Libraries/LibCodec/EnumSerializer.h
+++ b/Libraries/LibCodec/EnumSerializer.h
@@ -2,9 +2,9 @@
 
 #include <LibCodec/JsonFault.h>
 #include <LibCodec/JsonSerializer.h>
+#include <LibCore/Verify.h>
 
 #include <array>
-#include <cassert>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -50,7 +50,7 @@
       if (entry.mValue == aValue)
         return entry.mName;
     }
-    assert(false && "every enumerator has a name");
+    VERIFY(false && "every enumerator has a name");
     return nullptr;
   }
 };
--- a/Libraries/LibCodec/FoldSet.h
+++ b/Libraries/LibCodec/FoldSet.h
@@ -2,11 +2,11 @@
 
 #include <LibCodec/CheckpointCodec.h>
 #include <LibCodec/CodecError.h>
+#include <LibCore/Verify.h>
 #include <LibRecords/CheckpointedFold.h>
 #include <LibRecords/ReplicatedState.h>
 
 #include <algorithm>
-#include <cassert>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,7 +24,7 @@
   /// Applies an entry to every fold; its offset must exceed the last one.
   void Apply(log_entry const& aEntry)
   {
-    assert(aEntry.mOffset > mOffset);
+    VERIFY(aEntry.mOffset > mOffset);
     (Get<Folds>().Apply(aEntry), ...);
     mOffset = aEntry.mOffset;
   }
--- a/Libraries/LibConfigLog/ConfigFold.cpp
+++ b/Libraries/LibConfigLog/ConfigFold.cpp
@@ -1,9 +1,9 @@
 #include <LibConfigLog/ConfigFold.h>
 #include <LibConfigLog/ProposalCheck.h>
 #include <LibConfigLog/RowChanges.h>
+#include <LibCore/Verify.h>
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 #include <variant>
 
@@ -12,7 +12,7 @@
 void
 config_fold::Apply(log_entry const& aEntry)
 {
-  assert(aEntry.mOffset > mState.mTables.mOffset);
+  VERIFY(aEntry.mOffset > mState.mTables.mOffset);
   DiscardOldOutcomes(aEntry.mOffset);
   if (config_proposal const* proposal =
         std::get_if<config_proposal>(&aEntry.mRecord))
--- a/Libraries/LibControl/CallTable.h
+++ b/Libraries/LibControl/CallTable.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibControl/CallState.h>
+#include <LibCore/Verify.h>
 
-#include <cassert>
 #include <unordered_map>
 
 namespace lycheeseam {
@@ -17,7 +17,7 @@
     call_number const number = aCall.mRequest.mCall;
     mNumbers.emplace(aCall.mRequest.mId, number);
     auto const [position, isNew] = mCalls.emplace(number, std::move(aCall));
-    assert(isNew);
+    VERIFY(isNew);
     return position->second;
   }
 
--- a/Libraries/LibControl/RequestDirector.h
+++ b/Libraries/LibControl/RequestDirector.h
@@ -16,7 +16,6 @@
 #include <LibOpenAi/AnswerText.h>
 #include <LibRequest/DecideRoute.h>
 
-#include <cassert>
 #include <memory>
 #include <optional>
 #include <utility>
--- a/Libraries/LibControl/RequestDirectorAttempts.h
+++ b/Libraries/LibControl/RequestDirectorAttempts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/RequestDirector.h>
+#include <LibCore/Verify.h>
 
 /// \file The members of request_director that send and end calls.
 
@@ -54,7 +55,7 @@
 {
   pool_runtime<Policy>& pool = mPools.Of(aCall);
   backend_server const* const server = pool.Find(aChoice.mServer);
-  assert(server);
+  VERIFY(server);
   aCall.mServer = *server;
   aCall.mAttempt = aCall.mAttempt.Next();
   aCall.mPhase = call_phase::Running;
--- a/Libraries/LibControl/RequestDirectorStages.h
+++ b/Libraries/LibControl/RequestDirectorStages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibControl/RequestDirector.h>
+#include <LibCore/Verify.h>
 
 /// \file The members of request_director for the stages up to admission.
 
@@ -130,12 +131,12 @@
   admission_batch const batch = aPool.Next(aNow);
   for (ticket const expired : batch.mExpired) {
     call_state* const call = mCalls.Find(call_number{ expired.Value() });
-    assert(call);
+    VERIFY(call);
     Refuse(*call, QueueDeadlineRefusal(), aNow);
   }
   for (ticket const admitted : batch.mAdmitted) {
     call_state* const call = mCalls.Find(call_number{ admitted.Value() });
-    assert(call);
+    VERIFY(call);
     Dispatch(*call, aNow);
   }
 }
--- a/Libraries/LibControl/StageRefusals.cpp
+++ b/Libraries/LibControl/StageRefusals.cpp
@@ -1,6 +1,5 @@
 #include <LibControl/StageRefusals.h>
-
-#include <cassert>
+#include <LibCore/Verify.h>
 
 namespace lycheeseam {
 
@@ -29,7 +28,7 @@
     case charge_result::Admitted:
       break;
   }
-  assert(false && "an admitted charge is no refusal");
+  VERIFY(false && "an admitted charge is no refusal");
   return {};
 }
 
@@ -59,7 +58,7 @@
     case once_action::Replay:
       break;
   }
-  assert(false && "a request that runs or is replayed is not refused");
+  VERIFY(false && "a request that runs or is replayed is not refused");
   return {};
 }
 
--- a/Libraries/LibLimits/LoanBalance.cpp
+++ b/Libraries/LibLimits/LoanBalance.cpp
@@ -1,7 +1,7 @@
+#include <LibCore/Verify.h>
 #include <LibLimits/LoanBalance.h>
 
 #include <algorithm>
-#include <cassert>
 
 namespace lycheeseam {
 
@@ -32,7 +32,7 @@
 std::vector<charge_part>
 loan_balance::Take(token_count aTokens)
 {
-  assert(aTokens <= mAvailable);
+  VERIFY(aTokens <= mAvailable);
   mAvailable -= aTokens;
   std::vector<charge_part> parts;
   while (aTokens > 0) {
--- a/Libraries/LibLimits/SlotAccount.cpp
+++ b/Libraries/LibLimits/SlotAccount.cpp
@@ -1,7 +1,7 @@
+#include <LibCore/Verify.h>
 #include <LibLimits/SlotAccount.h>
 
 #include <algorithm>
-#include <cassert>
 
 namespace lycheeseam {
 
@@ -50,7 +50,7 @@
 slot_account::Lend(instant aNow, token_count aTokens)
 {
   Advance(aNow);
-  assert(aTokens > 0 && aTokens <= mBalance);
+  VERIFY(aTokens > 0 && aTokens <= mBalance);
   mBalance -= aTokens;
   mOutstanding += aTokens;
   mLastLoan = mLastLoan.Next();
--- a/Libraries/LibOnce/FingerprintOwner.cpp
+++ b/Libraries/LibOnce/FingerprintOwner.cpp
@@ -1,9 +1,9 @@
+#include <LibCore/Verify.h>
 #include <LibOnce/FingerprintOwner.h>
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cassert>
 #include <cstdint>
 #include <string>
 
@@ -16,7 +16,7 @@
 Name
 HighestScore(std::uint64_t aKey, std::span<Name const> aNames)
 {
-  assert(!aNames.empty());
+  VERIFY(!aNames.empty());
   auto const score = [aKey](Name const& aName) {
     std::string const& text = aName.Text();
     return XXH3_64bits_withSeed(text.data(), text.size(), aKey);
--- a/Libraries/LibOpenAi/AddBodyFields.cpp
+++ b/Libraries/LibOpenAi/AddBodyFields.cpp
@@ -1,9 +1,8 @@
+#include <LibCore/Verify.h>
 #include <LibOpenAi/AddBodyFields.h>
 
 #include <nlohmann/json.hpp>
 
-#include <cassert>
-
 namespace lycheeseam {
 
 namespace {
@@ -16,7 +15,7 @@
 AddField(std::string_view aBody, std::string_view aField)
 {
   std::size_t const brace = aBody.rfind('}');
-  assert(brace != std::string_view::npos);
+  VERIFY(brace != std::string_view::npos);
   std::string body;
   body.reserve(aBody.size() + aField.size() + 1);
   body += aBody.substr(0, brace);
--- a/Libraries/LibPlacement/PlacementReason.cpp
+++ b/Libraries/LibPlacement/PlacementReason.cpp
@@ -1,7 +1,6 @@
+#include <LibCore/Verify.h>
 #include <LibPlacement/PlacementReason.h>
 
-#include <cassert>
-
 namespace lycheeseam {
 
 std::string_view
@@ -23,7 +22,7 @@
     case placement_reason::Recompute:
       return "recompute";
   }
-  assert(false);
+  VERIFY(false);
   return "";
 }
 
--- a/Libraries/LibRequest/RefusalCode.cpp
+++ b/Libraries/LibRequest/RefusalCode.cpp
@@ -1,7 +1,7 @@
+#include <LibCore/Verify.h>
 #include <LibRequest/RefusalCode.h>
 
 #include <array>
-#include <cassert>
 
 namespace lycheeseam {
 
@@ -44,7 +44,7 @@
     if (entry.mCode == aCode)
       return entry;
   }
-  assert(false && "every refusal code has an entry");
+  VERIFY(false && "every refusal code has an entry");
   return kRefusals.front();
 }
 
--- a/Libraries/LibStore/StorePosition.h
+++ b/Libraries/LibStore/StorePosition.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibCore/Verify.h>
 #include <LibStore/StoreEra.h>
 
-#include <cassert>
 #include <compare>
 #include <cstdint>
 
@@ -17,7 +17,7 @@
   constexpr store_position(store_era aEra, std::uint64_t aOffset)
     : mNumber((aEra.Value() << kOffsetBits) | aOffset)
   {
-    assert(aEra.Value() <= kMaxEra && aOffset <= kMaxOffset);
+    VERIFY(aEra.Value() <= kMaxEra && aOffset <= kMaxOffset);
   }
 
   /// The position that Number() returns that number for.
--- a/StandIns/EngineModel/EngineBatch.cpp
+++ b/StandIns/EngineModel/EngineBatch.cpp
@@ -1,7 +1,8 @@
+#include <LibCore/Verify.h>
+
 #include <StandIns/EngineModel/EngineBatch.h>
 
 #include <algorithm>
-#include <cassert>
 #include <chrono>
 #include <utility>
 
@@ -30,7 +31,7 @@
 void
 engine_batch::Add(sequence aSequence)
 {
-  assert(aSequence.mNextToken < aSequence.mEndToken);
+  VERIFY(aSequence.mNextToken < aSequence.mEndToken);
   mWaiting.push_back(std::move(aSequence));
 }
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -168,6 +168,24 @@
     return answer;
   }
 
+  /// The same for bytes that arrive in several reads.
+  std::string ExchangeInSegments(std::span<std::string const> aSegments)
+  {
+    boost::asio::io_context context;
+    tcp::socket socket{ context };
+    socket.connect(
+      { boost::asio::ip::make_address(mCallers.mAddress), mCallers.mPort });
+    socket.set_option(tcp::no_delay{ true });
+    boost::system::error_code fault;
+    for (std::string const& segment : aSegments) {
+      boost::asio::write(socket, boost::asio::buffer(segment), fault);
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+    }
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), fault);
+    return answer;
+  }
+
   double mRetryRatio = 0.2;
   double mRetrySlack = 50;
   endpoint mCallers;
--- a/Tests/LibGateway/ScriptedServer.h
+++ b/Tests/LibGateway/ScriptedServer.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -28,8 +29,10 @@
 /// answer closes the connection, "hang" waits until the gateway closes it.
 /// After an answer that ends with "\a" the connection is closed as well. An
 /// answer that ends with "\f" is followed by bytes without end, one that ends
-/// with "\v" by a byte each 20 ms, until the gateway closes the connection; the
-/// bytes repeat what follows the last "\b" of the answer.
+/// with "\v" by a byte each 20 ms, until the gateway closes the connection or
+/// has taken kMaxFloodBytes; the
+/// bytes repeat what follows the last "\b" of the answer. At each "\x1e" the
+/// answer pauses, so that it arrives in several reads.
 class scripted_server
 {
 public:
@@ -86,10 +89,17 @@
   /// How many connections the gateway closed while an answer was due.
   [[nodiscard]] int Abandoned() const { return mAbandoned; }
 
+  /// The bytes of answers without end that were taken so far, by the gateway
+  /// or by the buffers of the system.
+  [[nodiscard]] std::size_t FloodBytes() const { return mFloodBytes; }
+
   /// How many connections were opened.
   [[nodiscard]] int Accepted() const { return mAccepted; }
 
 private:
+  // Keeps a test that fails from using up the memory of its machine.
+  static constexpr std::size_t kMaxFloodBytes = 268'435'456;
+
   void Serve()
   {
     for (;;) {
@@ -128,13 +138,28 @@
       bool const closes = answer.ends_with('\a');
       if (closes)
         answer.pop_back();
-      boost::system::error_code fault;
-      boost::asio::write(aSocket, boost::asio::buffer(answer), fault);
-      if (closes || fault)
+      if (!SendInSegments(aSocket, answer) || closes)
         return;
     }
   }
 
+  // False when the gateway has closed the connection.
+  static bool SendInSegments(tcp::socket& aSocket, std::string_view aAnswer)
+  {
+    constexpr char kPause = '\x1e';
+    boost::system::error_code fault;
+    aSocket.set_option(tcp::no_delay{ true }, fault);
+    for (;;) {
+      std::size_t const end = aAnswer.find(kPause);
+      boost::asio::write(
+        aSocket, boost::asio::buffer(aAnswer.substr(0, end)), fault);
+      if (fault || end == std::string_view::npos)
+        return !fault;
+      aAnswer.remove_prefix(end + 1);
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+    }
+  }
+
   void SendWithoutEnd(tcp::socket& aSocket, std::string const& aAnswer)
   {
     bool const isSlow = aAnswer.ends_with('\v');
@@ -147,8 +172,9 @@
     boost::system::error_code fault;
     boost::asio::write(
       aSocket, boost::asio::buffer(aAnswer.substr(0, mark)), fault);
-    while (!fault && !mIsStopped) {
-      boost::asio::write(aSocket, boost::asio::buffer(block), fault);
+    while (!fault && !mIsStopped && mFloodBytes < kMaxFloodBytes) {
+      mFloodBytes +=
+        boost::asio::write(aSocket, boost::asio::buffer(block), fault);
       if (isSlow)
         std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
     }
@@ -189,6 +215,7 @@
   std::atomic<bool> mIsStopped{ false };
   std::atomic<int> mAbandoned{ 0 };
   std::atomic<int> mAccepted{ 0 };
+  std::atomic<std::size_t> mFloodBytes{ 0 };
   std::vector<std::thread> mConnections;
   std::thread mThread;
 };
--- a/Tests/Scenarios/ChildProcess.cpp
+++ b/Tests/Scenarios/ChildProcess.cpp
@@ -9,7 +9,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cassert>
 #include <csignal>
 #include <utility>
 #include <vector>
