LibHttp, LibGateway: Limit input between and after chunks

Cause: the HTTP parser limits heads and bodies, and the rest only by the size of the input buffer, which was unlimited in all four places that read HTTP. Control calls also allowed 8 MiB for each answer, of engines too.

Each input buffer has a size now, so the parser ends with a fault that the sessions handle already. Answers to control calls may have 256 KiB, pages of the store 2 MiB.

--- a/Libraries/LibFleet/StoreCalls.h
+++ b/Libraries/LibFleet/StoreCalls.h
@@ -40,7 +40,8 @@
       { .mPurpose = "store_read",
         .mTo = mStore,
         .mHead = Dialect::NewestRequest(aTopic, {}),
-        .mTimeout = kTimeout },
+        .mTimeout = kTimeout,
+        .mMaxAnswerBytes = kMaxPageBytes },
       [handler = std::move(aHandler)](http_exchange_result const& aResult) {
         handler(ReadPage(aResult));
       });
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -174,7 +174,8 @@
     mClient.Call({ .mPurpose = "store_follow",
                    .mTo = mStore,
                    .mHead = std::move(aHead),
-                   .mTimeout = kReadTimeout },
+                   .mTimeout = kReadTimeout,
+                   .mMaxAnswerBytes = kMaxPageBytes },
                  std::move(aHandler));
   }
 
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -6,10 +6,13 @@
 #include <LibGateway/RequestFault.h>
 #include <LibGateway/RequestRun.h>
 #include <LibGateway/WriteQueue.h>
+#include <LibHttp/InputLimits.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
+
 namespace lycheeseam {
 
 /// One caller's connection: reads one request after another and writes their
@@ -42,6 +45,8 @@
     mParser.emplace();
     mParser->header_limit(limits.mHeaderBytes);
     mParser->body_limit(limits.mBodyBytes);
+    mBuffer.max_size(
+      std::max(limits.mHeaderBytes + kInputMarginBytes, mBuffer.size()));
     mIdleSince = mClock.Now();
     WatchIdle(limits);
     boost::beast::http::async_read_header(
--- a/Libraries/LibGateway/CloseWatch.h
+++ b/Libraries/LibGateway/CloseWatch.h
@@ -54,6 +54,7 @@
       return mOwner.Close();
     if (mBuffer.size() + waiting > kPipelinedBytes)
       return;
+    mBuffer.max_size(kPipelinedBytes);
     std::size_t const size = mSocket.read_some(mBuffer.prepare(waiting), fault);
     if (fault)
       return mOwner.Close();
--- a/Libraries/LibGateway/DiscardUntilEnd.h
+++ b/Libraries/LibGateway/DiscardUntilEnd.h
@@ -17,6 +17,7 @@
 {
   constexpr std::size_t kDiscardBytes = 4'096;
   aBuffer.clear();
+  aBuffer.max_size(kDiscardBytes);
   aSocket.async_read_some(aBuffer.prepare(kDiscardBytes),
                           [&aSocket, &aBuffer, aOnEnd](
                             boost::system::error_code aFault, std::size_t) {
--- a/Libraries/LibGateway/QuerySession.h
+++ b/Libraries/LibGateway/QuerySession.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/LocalAnswer.h>
 #include <LibHttp/FormatHead.h>
+#include <LibHttp/InputLimits.h>
 #include <LibHttp/TakeHead.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -88,7 +89,7 @@
   Handler& mHandler;
   tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
   std::optional<
     boost::beast::http::request_parser<boost::beast::http::empty_body>>
     mParser;
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -8,6 +8,7 @@
 #include <LibGateway/IdleTimeout.h>
 #include <LibGateway/UnusedInput.h>
 #include <LibHttp/HttpStatus.h>
+#include <LibHttp/InputLimits.h>
 #include <LibHttp/TakeHead.h>
 #include <LibHttp/WatchLiveness.h>
 
@@ -279,7 +280,7 @@
   std::shared_ptr<tcp::socket> mSocket;
   std::string mHead;
   std::shared_ptr<std::string const> mBody;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
   std::optional<
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     mParser;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibHttp/FormatHead.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/InputLimits.h>
 #include <LibHttp/IsConnectionIdle.h>
 #include <LibHttp/TakeHead.h>
 
@@ -16,13 +17,6 @@
 
 namespace lycheeseam {
 
-namespace {
-
-// An answer of the store holds up to 1 MB of records, raw or in base64.
-constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
-
-}
-
 // One running call: its connection, time limit and answer.
 class http_client::transfer
   : public std::enable_shared_from_this<http_client::transfer>
@@ -34,7 +28,7 @@
     , mHandler(std::move(aHandler))
     , mTimer(aClient.mContext)
   {
-    mParser.body_limit(kMaxAnswerBytes);
+    mParser.body_limit(mCall.mMaxAnswerBytes);
   }
 
   void Start()
@@ -131,7 +125,7 @@
   instant mStartedAt{};
   std::shared_ptr<tcp::socket> mSocket;
   std::string mHeadBytes;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
   boost::beast::http::response_parser<boost::beast::http::string_body> mParser;
   verdict mVerdict = verdict::NotRun;
   bool mIsDone = false;
--- a/Libraries/LibHttp/HttpExchangeCall.h
+++ b/Libraries/LibHttp/HttpExchangeCall.h
@@ -4,6 +4,7 @@
 #include <LibCore/Instant.h>
 #include <LibHttp/RequestHead.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,8 @@
   std::string mBody;
   /// From the start of the call to the end of the answer.
   duration mTimeout{};
+  /// A longer body ends the call with a fault.
+  std::uint64_t mMaxAnswerBytes = 262'144;
 };
 
 }
--- a/Tests/LibGateway/TestUntrustedServers.cpp
+++ b/Tests/LibGateway/TestUntrustedServers.cpp
@@ -75,6 +75,10 @@
     Exchange(WithId(Request("/once/x"), "r2")).ends_with("\r\n\r\nsecond"));
 }
 
+// More than the system buffers of a connection, and far less than the memory of
+// an instance.
+constexpr std::size_t kMaxTakenBytes = 33'554'432;
+
 /// Answers without end that no caller may get.
 class TestEndlessAnswer
   : public TestGateway
@@ -93,6 +97,7 @@
   steady_clock::time_point const start = steady_clock::now();
   EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\nwhole"));
   EXPECT_LT(steady_clock::now() - start, milliseconds{ 1'000 });
+  EXPECT_LT(first.FloodBytes() + second.FloodBytes(), kMaxTakenBytes);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -108,7 +113,16 @@
                   "Server-Stamp: s\r\n\r\n\bx\f",
                   NotRunHead() + "\r\n\bx\f",
                   NotRunHead() + "\r\n\bx\v",
-                  WithId(StreamHead(), "r0") + "\b1\r\nx\r\n\f"));
+                  WithId(StreamHead(), "r0") + "\b1\r\nx\r\n\f",
+                  // What the parser reads between and after the chunks of a
+                  // body, and doesn't limit.
+                  StreamHead() + "\b5\f",
+                  StreamHead() + "5;\bx\f",
+                  StreamHead() + "5;a=\"\bx\f",
+                  StreamHead() + "1\r\nx\r\n5;\bx\f",
+                  StreamHead() + "0;\bx\f",
+                  StreamHead() + "0\r\n\bA: b\r\n\f",
+                  StreamHead() + "0\r\nA: \bx\f"));
 
 /// Streams without end.
 class TestEndlessStream
