LibGateway: Take no stream that ends within an event as complete

Cause: only a stream that ended with its connection was checked for a partial event. Now each stream is, and goes on at another server or is broken off. Related: events were found by "\n\n" alone, so that a stream with CR LF was held back to its end, and would now have counted as broken off; event_boundary knows all three line ends. An answer with another Content-Type isn't read as events.

The test ReturnsPartialEventOnRequest tested TakePartial, which nothing uses any more; KeepsBytesThatAreNoEvent checks the same bytes for what is left: that they are kept and are no event.

--- a/Libraries/LibGateway/AnswerRelay.h
+++ b/Libraries/LibGateway/AnswerRelay.h
@@ -62,18 +62,17 @@
   {
     if (mIsBuffering)
       return aCaller.SendCompleteAnswer(mHead, mBuffered);
-    if (!mEvents.IsAtEventEnd())
-      aCaller.SendPiece(mEvents.TakePartial());
     aCaller.SendEnd();
   }
 
-  /// True when an answer that ended so is complete. A stream is whose server
-  /// closed the connection after an event, and not within one.
+  /// True when an answer that ended so is complete. A stream that ends within
+  /// an event has broken off, also when its framing is whole: its server may
+  /// have failed while it wrote.
   [[nodiscard]] bool IsComplete(exchange_end aEnd) const noexcept
   {
-    if (aEnd == exchange_end::Closed)
-      return !mIsEventStream || mEvents.IsAtEventEnd();
-    return aEnd == exchange_end::Complete;
+    bool const isFramingWhole =
+      aEnd == exchange_end::Complete || aEnd == exchange_end::Closed;
+    return isFramingWhole && (!mIsEventStream || mEvents.IsAtEventEnd());
   }
 
   /// Discards what the caller has not been sent, because the answer broke off.
--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -2,35 +2,49 @@
 #include <LibHttp/FieldLookup.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheeseam {
 
 namespace {
 
-// Only streams whose lines end in LF alone are split.
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdLine = "id:";
 
+bool
+IsAtLineStart(std::string_view aText, std::size_t aAt)
+{
+  return aAt == 0 || aText[aAt - 1] == '\n' || aText[aAt - 1] == '\r';
+}
+
 }
 
 std::string
 event_splitter::Split(std::string_view aBytes)
 {
-  mPartial += aBytes;
-  std::size_t const end = mPartial.rfind(kEventEnd);
-  if (end == std::string::npos)
+  std::size_t const end = mBoundary.Scan(aBytes);
+  if (end == 0) {
+    mPartial += aBytes;
     return {};
-  std::string complete = mPartial.substr(0, end + kEventEnd.size());
-  mPartial.erase(0, complete.size());
+  }
+  std::string complete = std::exchange(mPartial, {});
+  complete += aBytes.substr(0, end);
+  mPartial = aBytes.substr(end);
   NoteIds(complete);
   return complete;
 }
 
+void
+event_splitter::DropPartial()
+{
+  mPartial.clear();
+  mBoundary = {};
+}
+
 void
 event_splitter::NoteIds(std::string_view aEvents)
 {
   std::size_t at = aEvents.rfind(kIdLine);
-  while (at != std::string_view::npos && at > 0 && aEvents[at - 1] != '\n')
+  while (at != std::string_view::npos && !IsAtLineStart(aEvents, at))
     at = aEvents.rfind(kIdLine, at - 1);
   if (at == std::string_view::npos)
     return;
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <LibHttp/EventBoundary.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace lycheeseam {
 
@@ -17,13 +18,7 @@
   [[nodiscard]] std::string Split(std::string_view aBytes);
 
   /// Drops a partial event that will never be completed.
-  void DropPartial() { mPartial.clear(); }
-
-  /// Takes the bytes after the last complete event.
-  [[nodiscard]] std::string TakePartial()
-  {
-    return std::exchange(mPartial, {});
-  }
+  void DropPartial();
 
   /// True when no partial event is kept.
   [[nodiscard]] bool IsAtEventEnd() const noexcept { return mPartial.empty(); }
@@ -43,6 +38,7 @@
 private:
   void NoteIds(std::string_view aEvents);
 
+  event_boundary mBoundary;
   std::string mPartial;
   std::optional<std::uint64_t> mLastId;
 };
--- /dev/null
+++ b/Libraries/LibGateway/IsEventStream.cpp
@@ -0,0 +1,20 @@
+#include <LibGateway/IsEventStream.h>
+#include <LibHttp/FieldLookup.h>
+
+#include <optional>
+#include <string_view>
+
+namespace lycheeseam {
+
+bool
+IsEventStream(answer_head const& aHead)
+{
+  constexpr std::string_view kMediaType = "text/event-stream";
+  std::optional<std::string_view> const type =
+    FindField(aHead.mFields, "Content-Type");
+  // Parameters may follow the media type.
+  return !type ||
+         IsSameFieldName(type->substr(0, kMediaType.size()), kMediaType);
+}
+
+}
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -3,6 +3,7 @@
 #include <LibCore/InvalidInput.h>
 #include <LibGateway/AdmitRequest.h>
 #include <LibGateway/CallerAnswer.h>
+#include <LibGateway/IsEventStream.h>
 #include <LibGateway/JudgeAnswer.h>
 #include <LibGateway/RequestSender.h>
 #include <LibGateway/RetryAfter.h>
@@ -115,7 +116,7 @@
     if (mAttempt.Outcome() == attempt_outcome::Accepted)
       mAnswer.Begin(aHead,
                     mAdmitted.mRoute->mKind == request_kind::Stream &&
-                      aHead.IsSuccess());
+                      aHead.IsSuccess() && IsEventStream(aHead));
     return UseOfAnswer(mAttempt.Outcome());
   }
 
--- a/Tests/LibGateway/TestBrokenAnswers.cpp
+++ b/Tests/LibGateway/TestBrokenAnswers.cpp
@@ -1,7 +1,9 @@
 #include "GatewayFixture.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -150,6 +152,77 @@
                          TestBrokenHead,
                          testing::Range(std::size_t{ 1 }, kHead.size()));
 
+/// A stream that its server ends as complete, with chunks or with a length.
+std::string
+Framed(std::string const& aBody, bool aIsChunked)
+{
+  return aIsChunked ? StreamHead() + Chunk(aBody) + std::string{ kLastChunk }
+                    : Answer(aBody, "Content-Type: text/event-stream\r\n");
+}
+
+/// True for chunks, false for a length.
+class TestFramedStreams
+  : public TestGateway
+  , public testing::WithParamInterface<bool>
+{};
+
+// Guards against a stream that ends within an event and is passed on as
+// complete, because its server's framing is whole.
+TEST_P(TestFramedStreams, ThatEndInsideAnEventAreBroken)
+{
+  scripted_server server{ { Framed("id: 1\ndata: a\n\nid: 2\nda",
+                                   GetParam()) } };
+  StartGateway(std::array{ &server });
+  std::string const answer = Exchange(Request("/single/x"));
+  EXPECT_TRUE(answer.ends_with(Chunk("id: 1\ndata: a\n\n"))) << answer;
+}
+
+TEST_P(TestFramedStreams, ThatEndInsideAnEventContinueOnAnotherServer)
+{
+  std::shared_ptr<answer_script> const script = std::make_shared<answer_script>(
+    std::vector<std::string>{ Framed("id: 1\ndata: a\n\nid: 2\nda", GetParam()),
+                              Framed("id: 2\ndata: b\n\n", GetParam()) });
+  scripted_server first{ script };
+  scripted_server second{ script };
+  StartGateway(std::array{ &first, &second });
+  std::string const answer = Exchange(Request("/stream/x"));
+  EXPECT_TRUE(Contains(answer, Chunk("id: 1\ndata: a\n\n"))) << answer;
+  EXPECT_TRUE(
+    answer.ends_with(Chunk("id: 2\ndata: b\n\n") + std::string{ kLastChunk }))
+    << answer;
+  std::vector<std::string> sent = first.Requests();
+  for (std::string const& request : second.Requests())
+    sent.push_back(request);
+  EXPECT_EQ(sent.size(), 2U);
+  EXPECT_TRUE(
+    std::any_of(sent.begin(), sent.end(), [](std::string const& aRequest) {
+      return Contains(aRequest, "Last-Event-Id: 1\r\n");
+    }));
+}
+
+// A stream whose lines end in CR LF is complete after an event as well, and its
+// events are passed on as they arrive.
+TEST_P(TestFramedStreams, WithLinesThatEndInCrLfAreComplete)
+{
+  std::string const events = "id: 1\r\ndata: a\r\n\r\n";
+  scripted_server server{ { Framed(events, GetParam()) } };
+  StartGateway(std::array{ &server });
+  std::string const answer = Exchange(Request("/single/x"));
+  EXPECT_TRUE(answer.ends_with(Chunk(events) + std::string{ kLastChunk }))
+    << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(Framings, TestFramedStreams, testing::Bool());
+
+// An answer of another type has no events within which it could break off.
+TEST_F(TestGateway, AnswerOfAStreamsRouteMayBeNoStreamOfEvents)
+{
+  scripted_server server{ { Answer("{}",
+                                   "Content-Type: application/json\r\n") } };
+  StartGateway(std::array{ &server });
+  EXPECT_TRUE(Exchange(Request("/single/x")).ends_with("\r\n\r\n{}"));
+}
+
 TEST_F(TestGateway, StreamThatEndsWithItsConnectionAfterAnEventIsComplete)
 {
   scripted_server server{ { Unframed("id: 1\ndata: a\n\n") } };
--- a/Tests/LibGateway/TestEventSplitter.cpp
+++ b/Tests/LibGateway/TestEventSplitter.cpp
@@ -30,14 +30,34 @@
   EXPECT_EQ(splitter.Split("id: 2\n\n"), "id: 2\n\n");
 }
 
-TEST(TestEventSplitter, ReturnsPartialEventOnRequest)
+TEST(TestEventSplitter, KeepsBytesThatAreNoEvent)
 {
   event_splitter splitter;
   EXPECT_EQ(splitter.Split("plain bytes"), "");
-  EXPECT_EQ(splitter.TakePartial(), "plain bytes");
+  EXPECT_EQ(splitter.PartialBytes(), 11U);
+  EXPECT_FALSE(splitter.IsAtEventEnd());
   EXPECT_FALSE(splitter.LastId());
 }
 
+// Guards against a stream that is held back until its end, and then counts as
+// broken off, because its lines don't end in LF alone.
+TEST(TestEventSplitter, SplitsAtEventsWhoseLinesEndInAnyWay)
+{
+  for (std::string const& end : { "\n", "\r\n", "\r" }) {
+    std::string const first = "id: 1" + end + "data: a" + end + end;
+    std::string const stream = first + "id: 2" + end + "data: b" + end + end;
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+      event_splitter splitter;
+      std::string out = splitter.Split(stream.substr(0, cut));
+      EXPECT_EQ(out.empty(), cut < first.size() - (end == "\r\n" ? 1 : 0));
+      out += splitter.Split(stream.substr(cut));
+      EXPECT_EQ(out, stream);
+      EXPECT_EQ(splitter.LastId(), 2U);
+      EXPECT_TRUE(splitter.IsAtEventEnd());
+    }
+  }
+}
+
 }
 
 }
