LibDispatch, LibGateway: Share no parts from before an isolation

The shared scope is named after the set of isolated workspaces now. What lies in the scope of a set was made by workspaces outside of it, so this holds for each order of changes, and an instance needs the newest configuration alone to find the name. That configuration decides at each send; a request may have been admitted by an older one.

Price: the parts of all others are read again when the set changes.

--- a/Libraries/LibDispatch/DispatchConfig.cpp
+++ b/Libraries/LibDispatch/DispatchConfig.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -24,6 +25,25 @@
            .mSeed = XXH3_64bits(text.data(), text.size()) };
 }
 
+// Empty when no workspace is isolated. It depends on nothing but the names of
+// the isolated ones: each instance finds the same text, also one that starts
+// later and knows the newest configuration alone.
+std::string
+MakeSharedScope(std::span<dispatch_workspace const> aWorkspaces)
+{
+  std::set<std::string> isolated;
+  for (dispatch_workspace const& workspace : aWorkspaces) {
+    if (workspace.mIsIsolated)
+      isolated.insert(workspace.mName.Text());
+  }
+  if (isolated.empty())
+    return {};
+  std::uint64_t hash = 0;
+  for (std::string const& name : isolated)
+    hash = XXH3_64bits_withSeed(name.data(), name.size(), hash);
+  return std::to_string(hash);
+}
+
 }
 
 dispatch_config::dispatch_config(std::uint64_t aVersion,
@@ -34,6 +54,7 @@
   : mVersion(aVersion)
   , mPools(std::move(aPools))
   , mWorkspaces(std::move(aWorkspaces))
+  , mSharedScope(MakeSharedScope(mWorkspaces))
   , mLimits(aLimits)
 {
   for (dispatch_route& route : aRoutes)
@@ -70,6 +91,16 @@
   return found == mWorkspaceByKey.end() ? nullptr : &mWorkspaces[found->second];
 }
 
+dispatch_workspace const*
+dispatch_config::FindWorkspace(workspace_id const& aName) const
+{
+  for (dispatch_workspace const& workspace : mWorkspaces) {
+    if (workspace.mName == aName)
+      return &workspace;
+  }
+  return nullptr;
+}
+
 dispatch_pool const*
 dispatch_config::FindPool(pool_name const& aName) const
 {
--- a/Libraries/LibDispatch/DispatchConfig.h
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -36,6 +36,18 @@
   [[nodiscard]] dispatch_workspace const* FindWorkspace(
     std::string_view aKey) const;
 
+  /// A workspace by its name, or null.
+  [[nodiscard]] dispatch_workspace const* FindWorkspace(
+    workspace_id const& aName) const;
+
+  /// Names the cache scope of all workspaces that aren't isolated. Each set of
+  /// isolated workspaces has another name, so that what a workspace caches
+  /// before it is isolated is in no scope that others use afterwards.
+  [[nodiscard]] std::string_view SharedScope() const noexcept
+  {
+    return mSharedScope;
+  }
+
   /// A pool by its name, or null.
   [[nodiscard]] dispatch_pool const* FindPool(pool_name const& aName) const;
 
@@ -67,6 +79,7 @@
   std::vector<dispatch_pool> mPools;
   std::vector<cache_store> mCacheStores;
   std::vector<dispatch_workspace> mWorkspaces;
+  std::string mSharedScope;
   std::unordered_map<std::string, std::size_t> mWorkspaceByKey;
   caller_limits mLimits;
 };
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -32,6 +32,30 @@
   return static_cast<double>(Hash(aRequest.Text(), kSeed)) / kHighest;
 }
 
+// Parts computed with other weights, and those of isolated workspaces, have a
+// cache scope of their own. The newest configuration decides: the one that
+// admitted the request may have been replaced since.
+std::string
+CacheScope(traffic_core& aCore,
+           instant aNow,
+           dispatch_workspace const* aWorkspace,
+           std::uint64_t aVersion)
+{
+  std::string scope = "v" + std::to_string(aVersion);
+  std::shared_ptr<fleet_view const> const& view = aCore.View(aNow);
+  if (!view->mConfig)
+    return scope;
+  if (aWorkspace != nullptr) {
+    dispatch_workspace const* const current =
+      view->mConfig->FindWorkspace(aWorkspace->mName);
+    if (current == nullptr || current->mIsIsolated)
+      return scope + "/" + aWorkspace->mName.Text();
+  }
+  if (!view->mConfig->SharedScope().empty())
+    scope.append("-").append(view->mConfig->SharedScope());
+  return scope;
+}
+
 // The KV cache store that keeps the prefix with this key, if there is one.
 std::optional<endpoint>
 CacheStoreOf(traffic_core& aCore, instant aNow, std::uint64_t aKey)
@@ -196,11 +220,8 @@
     aServer.mRegistered.VersionOf(aProperties.mModel);
   if (version > 0)
     parameters.mVersion = version;
-  // Parts computed with other weights, and those of isolated workspaces, have a
-  // cache scope of their own.
-  parameters.mCacheScope = "v" + std::to_string(version);
-  if (workspace != nullptr && workspace->mIsIsolated)
-    parameters.mCacheScope += "/" + workspace->mName.Text();
+  parameters.mCacheScope =
+    CacheScope(aCore, aChoiceRequest.mNow, workspace, version);
   parameters.mPrefixKeys =
     PrefixKeys(aProperties.mParts, parameters.mCacheScope);
   if (parameters.mPrefixKeys.empty())
--- a/Tests/LibGateway/TestPlanSend.cpp
+++ b/Tests/LibGateway/TestPlanSend.cpp
@@ -4,7 +4,10 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace lycheeseam {
 namespace {
@@ -43,6 +46,7 @@
         { .mName = pool_name{ "store" }, .mCacheStore = kStore } },
       std::vector<dispatch_workspace>{},
       caller_limits{});
+    mFirstView = view;
     for (int index = 0; index < 3; ++index)
       view->mServers.push_back(
         { .mId = ServerId(index),
@@ -84,6 +88,36 @@
       mCore.OnPrefixRead(kNow, held);
   }
 
+  // A configuration with these workspaces comes into force.
+  void Configure(std::vector<dispatch_workspace> aWorkspaces)
+  {
+    std::shared_ptr<fleet_view> view =
+      std::make_shared<fleet_view>(*mFirstView);
+    view->mConfig =
+      std::make_shared<dispatch_config const>(2,
+                                              std::vector<dispatch_route>{},
+                                              std::vector<dispatch_pool>{},
+                                              std::move(aWorkspaces),
+                                              caller_limits{});
+    mView.Publish(view);
+    mCore.View(kNow);
+  }
+
+  // The cache scope of a request that aWorkspace's row admitted.
+  std::string Scope(dispatch_workspace const& aWorkspace)
+  {
+    std::shared_ptr<tracked_server> const server =
+      mCore.Servers().Find(ServerId(0));
+    return PlanSend(mCore,
+                    { .mNow = kNow, .mModel = kModel },
+                    *server,
+                    { .mRoute = &mRoute, .mWorkspace = &aWorkspace },
+                    Properties("b"),
+                    std::nullopt)
+      .mCacheScope;
+  }
+
+  std::shared_ptr<fleet_view const> mFirstView;
   gateway_options mOptions;
   dispatch_route mRoute;
   published<fleet_view> mView{ std::make_shared<fleet_view const>() };
@@ -119,6 +153,52 @@
   EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, kStore);
 }
 
+dispatch_workspace const kShop{ .mName = workspace_id{ "shop" } };
+dispatch_workspace const kBank{ .mName = workspace_id{ "bank" } };
+dispatch_workspace const kIsolatedShop{ .mName = workspace_id{ "shop" },
+                                        .mIsIsolated = true };
+dispatch_workspace const kIsolatedBank{ .mName = workspace_id{ "bank" },
+                                        .mIsIsolated = true };
+
+// Guards against parts that a workspace cached before it was isolated, and that
+// others go on to use.
+TEST_F(TestPlanSend, PartsOfAWorkspaceAreNotSharedAfterItIsIsolated)
+{
+  Configure({ kShop, kBank });
+  std::string const before = Scope(kShop);
+  EXPECT_EQ(Scope(kBank), before);
+  Configure({ kIsolatedShop, kBank });
+  EXPECT_NE(Scope(kBank), before);
+  EXPECT_NE(Scope(kIsolatedShop), before);
+  EXPECT_NE(Scope(kIsolatedShop), Scope(kBank));
+}
+
+// The same for a request that an older configuration admitted and that is sent
+// again later.
+TEST_F(TestPlanSend, ScopeFollowsTheNewestConfiguration)
+{
+  Configure({ kIsolatedShop, kBank });
+  EXPECT_EQ(Scope(kShop), Scope(kIsolatedShop));
+  // A workspace that was removed may have been isolated.
+  Configure({ kBank });
+  EXPECT_NE(Scope(kShop), Scope(kBank));
+}
+
+TEST_F(TestPlanSend, ScopesOfAllSetsOfIsolatedWorkspacesDiffer)
+{
+  std::set<std::string> shared;
+  dispatch_workspace const other{ .mName = workspace_id{ "other" } };
+  for (auto const& shop : { kShop, kIsolatedShop }) {
+    for (auto const& bank : { kBank, kIsolatedBank }) {
+      Configure({ shop, bank, other });
+      shared.insert(Scope(other));
+    }
+  }
+  EXPECT_EQ(shared.size(), 4U);
+  Configure({ other, kIsolatedBank, kIsolatedShop });
+  EXPECT_TRUE(shared.contains(Scope(other)));
+}
+
 TEST_F(TestPlanSend, HolderOfAPartInUseIsReportedOnce)
 {
   Read(0, Properties("b"));
