LibUpstream, LibPlatform: Limit answers without end

Other operators report that a server's bytes without end used up the memory of the machine that had called it. Behind the own interface a stream's bytes were kept until an event ended, and libcurl limits the length of a field but not their number.

Events end as in event_boundary.

The limits of the log's replies have no test.

--- a/Libraries/LibOpenAi/EventStreamScan.cpp
+++ b/Libraries/LibOpenAi/EventStreamScan.cpp
@@ -7,7 +7,8 @@
 event_stream_scan::Consume(std::string_view aBytes)
 {
   while (!aBytes.empty()) {
-    std::size_t const end = aBytes.find('\n');
+    // The empty line within CR LF is skipped like any other.
+    std::size_t const end = aBytes.find_first_of("\r\n");
     if (end == std::string_view::npos) {
       mLine += aBytes;
       return;
--- a/Libraries/LibPlatform/HttpTransfer.cpp
+++ b/Libraries/LibPlatform/HttpTransfer.cpp
@@ -3,6 +3,15 @@
 
 namespace lycheeseam {
 
+namespace {
+
+// Limits of a reply, which ends with a fault beyond them. A read of the log
+// asks for far less.
+constexpr std::size_t kMaxBodyBytes = 33'554'432;
+constexpr std::size_t kMaxHeadBytes = 65'536;
+
+}
+
 http_transfer::http_transfer(http_call aCall, completion aDone)
   : mCall(std::move(aCall))
   , mDone(std::move(aDone))
@@ -21,6 +30,8 @@
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, mHeaders.get());
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &http_transfer::OnBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &http_transfer::OnHeadLine);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, this);
   SetMethod();
 }
 
@@ -62,15 +73,30 @@
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, "PUT");
 }
 
+std::size_t
+http_transfer::OnHeadLine(char const* /*aData*/,
+                          std::size_t aSize,
+                          std::size_t aCount,
+                          void* aSelf)
+{
+  http_transfer& self = *static_cast<http_transfer*>(aSelf);
+  self.mHeadBytes += aSize * aCount;
+  // libcurl ends a transfer whose callback takes less than it was given.
+  return self.mHeadBytes > kMaxHeadBytes ? 0 : aSize * aCount;
+}
+
 std::size_t
 http_transfer::OnBody(char const* aData,
                       std::size_t aSize,
                       std::size_t aCount,
                       void* aSelf)
 {
-  static_cast<http_transfer*>(aSelf)->mReply.mBody.append(aData,
-                                                          aSize * aCount);
-  return aSize * aCount;
+  std::size_t const bytes = aSize * aCount;
+  std::string& body = static_cast<http_transfer*>(aSelf)->mReply.mBody;
+  if (body.size() + bytes > kMaxBodyBytes)
+    return 0;
+  body.append(aData, bytes);
+  return bytes;
 }
 
 }
--- a/Libraries/LibPlatform/HttpTransfer.h
+++ b/Libraries/LibPlatform/HttpTransfer.h
@@ -35,6 +35,10 @@
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
   void SetMethod();
+  static std::size_t OnHeadLine(char const* aData,
+                                std::size_t aSize,
+                                std::size_t aCount,
+                                void* aSelf);
   static std::size_t OnBody(char const* aData,
                             std::size_t aSize,
                             std::size_t aCount,
@@ -42,6 +46,8 @@
 
   http_call mCall;
   http_reply mReply;
+  /// The bytes of all heads so far.
+  std::size_t mHeadBytes = 0;
   completion mDone;
   /// Removes the Expect header that libcurl would add to large bodies.
   header_list mHeaders;
--- a/Libraries/LibUpstream/Transfer.cpp
+++ b/Libraries/LibUpstream/Transfer.cpp
@@ -22,8 +22,14 @@
 // Answers with a lower status are interim ones.
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
-// The empty line that ends an event of an event stream.
-constexpr std::string_view kEventEnd = "\n\n";
+// Limits of what a backend server can make an instance keep: the heads of an
+// answer together, with the fields after its body, and one event of a stream.
+constexpr std::size_t kMaxHeadBytes = 65'536;
+constexpr std::size_t kMaxEventBytes = 262'144;
+
+// The result of a callback that makes libcurl end the transfer: less than what
+// it was given.
+constexpr std::size_t kEndTransfer = 0;
 
 }
 
@@ -118,8 +124,9 @@
                   void* aTransfer)
 {
   std::size_t const bytes = aSize * aCount;
-  static_cast<transfer*>(aTransfer)->Receive({ aData, bytes });
-  return bytes;
+  transfer& self = *static_cast<transfer*>(aTransfer);
+  self.Receive({ aData, bytes });
+  return self.IsTooLarge() ? kEndTransfer : bytes;
 }
 
 std::size_t
@@ -135,7 +142,8 @@
     self.mIsHeadComplete = false;
   else if (line == "\r\n" || line == "\n")
     self.mIsHeadComplete = true;
-  return line.size();
+  self.mHeadBytes += line.size();
+  return self.mHeadBytes > kMaxHeadBytes ? kEndTransfer : line.size();
 }
 
 void
@@ -145,8 +153,11 @@
     mFirstByte = system_clock{}.Now();
     DecideForwarding();
   }
-  if (mIsEventStream)
+  if (mIsEventStream) {
     mScan.Consume(aBytes);
+    if (std::size_t const end = mBoundary.Scan(aBytes))
+      mEventEnd = mBytes.size() + end;
+  }
   mBytes += aBytes;
   if (!mIsInReceived)
     mReceived.push_back(this);
@@ -182,10 +193,16 @@
 std::size_t
 transfer::ForwardableBytes() const
 {
-  if (!mIsEventStream)
-    return mBytes.size();
-  std::size_t const end = mBytes.rfind(kEventEnd);
-  return end == std::string::npos ? 0 : end + kEventEnd.size();
+  return mIsEventStream ? mEventEnd : mBytes.size();
+}
+
+bool
+transfer::IsTooLarge() const
+{
+  bool const isEventTooLarge = mIsEventStream &&
+                               mForwarding == forwarding::Forwarded &&
+                               mBytes.size() - mEventEnd > kMaxEventBytes;
+  return isEventTooLarge || mRecorded.size() > kMaxBufferedBytes;
 }
 
 std::optional<upstream_piece>
@@ -203,6 +220,7 @@
     piece.mBytes = mBytes.substr(0, forwardable);
     mBytes.erase(0, forwardable);
   }
+  mEventEnd = 0;
   mForwardedBytes += forwardable;
   if (mRequest.mRecording == event_recording::On)
     mRecorded += piece.mBytes;
--- a/Libraries/LibUpstream/Transfer.h
+++ b/Libraries/LibUpstream/Transfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Instant.h>
+#include <LibHttp/EventBoundary.h>
 #include <LibOpenAi/EventStreamScan.h>
 #include <LibUpstream/UpstreamCommand.h>
 #include <LibUpstream/UpstreamEnd.h>
@@ -92,6 +93,8 @@
   void Receive(std::string_view aBytes);
   void DecideForwarding();
   [[nodiscard]] std::size_t ForwardableBytes() const;
+  // True when the answer takes more memory than any answer may.
+  [[nodiscard]] bool IsTooLarge() const;
   void SetMethod();
   void SetHeaders();
   void SetConnection();
@@ -112,8 +115,13 @@
   bool mIsHeadComplete = false;
   bool mIsHeadTaken = false;
   bool mIsEventStream = false;
+  /// The bytes of all heads so far.
+  std::size_t mHeadBytes = 0;
   event_stream_scan mScan;
+  event_boundary mBoundary;
   std::string mBytes;
+  /// The length of the complete events in mBytes.
+  std::size_t mEventEnd = 0;
   std::string mRecorded;
   std::uint64_t mForwardedBytes = 0;
 };
--- a/Tests/LibUpstream/TestUpstreamAnswers.cpp
+++ b/Tests/LibUpstream/TestUpstreamAnswers.cpp
@@ -3,6 +3,7 @@
 #include <Tests/LibGateway/ScriptedServer.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <future>
 #include <string>
 
@@ -81,6 +82,42 @@
   EXPECT_EQ(end.mBody, "{}");
 }
 
+/// Answers without end, from a server that goes on until its connection closes.
+class TestEndlessUpstream
+  : public TestUpstreamAnswers
+  , public testing::WithParamInterface<std::string>
+{};
+
+// Guards against a server whose bytes use up the memory: they end the attempt.
+TEST_P(TestEndlessUpstream, EndsTheAttempt)
+{
+  scripted_server server{ { GetParam() } };
+  std::chrono::steady_clock::time_point const start =
+    std::chrono::steady_clock::now();
+  upstream_end const end = RunAttempt(server, "POST");
+  EXPECT_LT(std::chrono::steady_clock::now() - start,
+            std::chrono::seconds{ 5 });
+  EXPECT_EQ(end.mFailure, transfer_failure::ConnectionLost);
+  EXPECT_EQ(end.mVerdict, verdict::MayHaveRun);
+}
+
+std::string const kStreamHead =
+  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Floods,
+  TestEndlessUpstream,
+  testing::Values("HTTP/1.1 200 \bx\f",
+                  "HTTP/1.1 200 OK\r\nField: \bx\f",
+                  "HTTP/1.1 200 OK\r\n\bA: b\r\n\f",
+                  "\bHTTP/1.1 100 Continue\r\n\r\n\f",
+                  kStreamHead + "\r\n\bx\f",
+                  kStreamHead + "\r\n\bdata: x\n\f",
+                  kStreamHead +
+                    "Transfer-Encoding: chunked\r\n\r\n\b1\r\nx\r\n\f",
+                  kStreamHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+                                "\bA: b\r\n\f"));
+
 // Guards against a late copy of an earlier answer, or refusal, that the next
 // caller gets: answers of these servers don't name their requests.
 TEST_F(TestUpstreamAnswers, EachAttemptHasAConnectionOfItsOwn)
