lycheeseamd: Start under conditions that ended the process

Users saw processes that didn't start or ended by themselves. Started as real processes on, lycheeseamd ended when a listen address was still taken, when a signal came before its settings were read, when nobody read its standard output, and when only LYCHEESEAM_SETTINGS named its settings. With its output closed, log lines would have gone to one of its own descriptors. Which of these the users met isn't known.

--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -1,43 +1,40 @@
 #include "RunFleet.h"
 
+#include "AwaitAddresses.h"
 #include "FleetInstance.h"
-#include "StopSignals.h"
 #include <LibEvents/EventLog.h>
 #include <LibSettings/ParseFleetSettings.h>
 
-#include <array>
-#include <csignal>
 #include <cstdlib>
+#include <vector>
 
 namespace lycheeseam {
 
 namespace {
 
-// Returns on a stop signal. SIGHUP is logged only.
-void
-AwaitStop(sigset_t const& aSignals)
+std::vector<endpoint>
+ListenAddresses(fleet_settings const& aSettings)
 {
-  for (;;) {
-    int signal = 0;
-    sigwait(&aSignals, &signal);
-    LogEvent("signal", { { "number", std::int64_t{ signal } } });
-    if (signal != SIGHUP)
-      return;
-  }
+  std::vector<endpoint> addresses{ aSettings.mCallers,
+                                   aSettings.mReadiness,
+                                   aSettings.mAddresses,
+                                   aSettings.mPeers };
+  if (aSettings.mMetrics)
+    addresses.push_back(*aSettings.mMetrics);
+  return addresses;
 }
 
 }
 
 void
-RunFleet(std::string const& aSettingsPath)
+RunFleet(std::string const& aSettingsPath, stop_signals const& aSignals)
 {
   fleet_settings const settings = LoadFleetSettings(aSettingsPath);
   OpenEventLog(settings.mInstance.Text());
   LogEvent("started", { { "settings", aSettingsPath } });
-  sigset_t const signals = BlockSignals(std::array{ SIGTERM, SIGINT, SIGHUP });
-  {
+  if (AwaitAddresses(aSignals, ListenAddresses(settings))) {
     fleet_instance instance{ settings };
-    AwaitStop(signals);
+    aSignals.Await();
     instance.Stop();
   }
   LogEvent("stopped", {});
