LibFleet: Don't take an own pause for an outage of the store

Users saw requests reach backend servers that had said they were leaving, on 80 real processes.

Cause: a gap of a second between two answers of the store counts as its outage, and dropped entries then get a grace period. An instance that was paused, or got no processor, sees the same gap. Time in which the control thread didn't tick doesn't count any more.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -191,6 +191,7 @@
         Tick();
     });
     instant const now = mClock.Now();
+    mRecords.Servers().OnRunning(now);
     mRegistration.Tick(now);
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
     if (IsReader(now))
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -108,9 +108,21 @@
   mEntries.erase(aEntry);
 }
 
+void
+server_registry::OnRunning(instant aNow)
+{
+  duration const pause = aNow - mRunningAt.value_or(aNow);
+  mRunningAt = aNow;
+  if (pause >= kMinPause && mAnsweredAt)
+    mAnsweredAt = std::min(aNow, *mAnsweredAt + pause);
+}
+
 void
 server_registry::OnStoreAnswer(instant aNow)
 {
+  // The answer may be handled before the next tick after a pause.
+  if (mRunningAt)
+    OnRunning(aNow);
   if (mAnsweredAt && aNow - *mAnsweredAt >= kMinOutage)
     mOutageEnd = aNow;
   mAnsweredAt = aNow;
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -4,6 +4,7 @@
 #include <LibCore/ServerIdentity.h>
 #include <LibDispatch/RegisteredServer.h>
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <vector>
@@ -15,7 +16,8 @@
 /// Entries expire during an outage of the store, even those of running servers.
 /// Such a server gets a grace period after the outage to register again before
 /// it is removed. A page that any instance reads shows that there is no outage,
-/// whether or not the store answers this one.
+/// whether or not the store answers this one. Nor does a time show one in which
+/// this instance itself didn't run.
 ///
 /// A store that comes back from an older copy of itself shows earlier entries
 /// again, of servers that have announced since that they are leaving or have
@@ -42,6 +44,9 @@
   /// The store answered this instance or a peer that passed the answer on.
   void OnStoreAnswer(instant aNow);
 
+  /// This instance runs; to be called several times in kMinPause.
+  void OnRunning(instant aNow);
+
   /// Weights of an engine were observed; true when they are newer than the
   /// known ones.
   bool OnObservedWeights(backend_server_id const& aServer,
@@ -56,6 +61,9 @@
   [[nodiscard]] std::vector<registered_server> Servers() const;
 
 private:
+  // An instance that hasn't run for so long was paused or got no processor.
+  static constexpr std::chrono::milliseconds kMinPause{ 300 };
+
   struct entry
   {
     registered_server mServer;
@@ -81,7 +89,10 @@
 
   entries mEntries;
   std::map<backend_server_id, removed_server> mRemoved;
-  /// When the store last answered; empty before it first did.
+  /// When this instance was last known to run; empty before.
+  std::optional<instant> mRunningAt;
+  /// When the store last answered, moved on by the time in which this instance
+  /// didn't run since; empty before it first did.
   std::optional<instant> mAnsweredAt;
   /// When the last outage of the store ended; empty before the first one.
   std::optional<instant> mOutageEnd;
--- a/Tests/Daemon/DaemonProcess.cpp
+++ b/Tests/Daemon/DaemonProcess.cpp
@@ -22,6 +22,7 @@
 Pointers(std::vector<std::string>& aTexts)
 {
   std::vector<char*> pointers;
+  pointers.reserve(aTexts.size() + 1);
   for (std::string& text : aTexts)
     pointers.push_back(text.data());
   pointers.push_back(nullptr);
--- a/Tests/LibFleet/TestServerRegistry.cpp
+++ b/Tests/LibFleet/TestServerRegistry.cpp
@@ -55,6 +55,43 @@
   EXPECT_TRUE(known.Servers().empty());
 }
 
+// Guards against requests to a server whose entry was dropped while this
+// instance was paused or got no processor: it took its own pause for an outage.
+TEST(TestServerRegistry, OwnPauseIsNoOutageOfTheStore)
+{
+  server_registry known;
+  known.OnRunning(kNow);
+  known.OnStoreAnswer(kNow);
+  known.OnEntry(Entry(1));
+  known.OnStoreAnswer(kNow + seconds{ 4 });
+  EXPECT_EQ(known.OnDropped(kNow + seconds{ 4 }, kServer), duration{});
+  EXPECT_TRUE(known.Servers().empty());
+}
+
+// The same when a tick comes before the first answer after the pause.
+TEST(TestServerRegistry, TickAfterAnOwnPauseShowsNoOutage)
+{
+  server_registry known;
+  known.OnRunning(kNow);
+  known.OnStoreAnswer(kNow);
+  known.OnEntry(Entry(1));
+  known.OnRunning(kNow + seconds{ 4 });
+  known.OnStoreAnswer(kNow + seconds{ 4 } + milliseconds{ 20 });
+  EXPECT_EQ(known.OnDropped(kNow + seconds{ 5 }, kServer), duration{});
+}
+
+TEST(TestServerRegistry, OutageThatARunningInstanceSeesCounts)
+{
+  server_registry known;
+  known.OnStoreAnswer(kNow);
+  known.OnEntry(Entry(1));
+  instant now = kNow;
+  for (; now < kNow + seconds{ 4 }; now += milliseconds{ 50 })
+    known.OnRunning(now);
+  known.OnStoreAnswer(now);
+  EXPECT_GT(known.OnDropped(now, kServer), duration{});
+}
+
 // Guards against requests to a server whose entry was dropped, by an instance
 // that the store refuses while its peers are answered.
 TEST(TestServerRegistry, DropThatAPeerReadIsFinalWhileOwnReadsFail)
--- a/Tests/LibGateway/TestEventSplitter.cpp
+++ b/Tests/LibGateway/TestEventSplitter.cpp
@@ -44,12 +44,16 @@
 TEST(TestEventSplitter, SplitsAtEventsWhoseLinesEndInAnyWay)
 {
   for (std::string const& end : { "\n", "\r\n", "\r" }) {
-    std::string const first = "id: 1" + end + "data: a" + end + end;
-    std::string const stream = first + "id: 2" + end + "data: b" + end + end;
+    std::string stream;
+    for (char const* const line : { "id: 1", "data: a", "" })
+      stream.append(line).append(end);
+    std::size_t const firstEnd = stream.size();
+    for (char const* const line : { "id: 2", "data: b", "" })
+      stream.append(line).append(end);
     for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
       event_splitter splitter;
       std::string out = splitter.Split(stream.substr(0, cut));
-      EXPECT_EQ(out.empty(), cut < first.size() - (end == "\r\n" ? 1 : 0));
+      EXPECT_EQ(out.empty(), cut < firstEnd - (end == "\r\n" ? 1 : 0));
       out += splitter.Split(stream.substr(cut));
       EXPECT_EQ(out, stream);
       EXPECT_EQ(splitter.LastId(), 2U);
