LibFleet: Count what the other side of a cut admitted

During the cut each side sets the share of the other aside; the first report after it gave that share back, but was only taken as a base: what the other side had admitted meanwhile was counted by no one on this side, while it still lay in the window.

The usage that a root reported last is kept when its link closes. The first report of the same incarnation after a gap counts beyond it: all of it for a gap up to the window, of a longer one the part that an even rate puts into the window. Sums that parents report aren't counted over a gap: they cover other instances than before.

Four new tests of TestPeerRegistry; the first three fail without the change.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -68,7 +68,7 @@
         mOptions.mSelf,
         [this](peer_hello const& aInstance) { mLinks.OnRegistered(aInstance); })
     , mUsageWriter(mClient, mOptions.mStore)
-    , mLinks(aContext, mOptions.mSelf, *this)
+    , mLinks(aContext, mOptions.mSelf, mOptions.mQuotaWindow, *this)
     , mOrderDriver(
         mClient,
         mOptions.mStore,
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -33,10 +33,11 @@
 public:
   fleet_links(boost::asio::io_context& aContext,
               peer_hello aSelf,
+              duration aQuotaWindow,
               Control& aControl)
     : mSelf(std::move(aSelf))
     , mControl(aControl)
-    , mRegistry(mSelf.mIdentity.mInstance)
+    , mRegistry(mSelf.mIdentity.mInstance, aQuotaWindow)
     , mExchange(
         mSelf,
         mRegistry,
--- a/Libraries/LibFleet/FleetOptions.h
+++ b/Libraries/LibFleet/FleetOptions.h
@@ -16,6 +16,8 @@
   endpoint mStore;
   /// Where metrics are served; without it they aren't served.
   std::optional<endpoint> mMetrics;
+  /// The quota window.
+  duration mQuotaWindow{};
   /// The term of the lease on orders, from when the lease is sent.
   duration mLease{};
 };
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -22,9 +22,11 @@
 public:
   using links = std::map<instance_id, peer_link>;
 
-  explicit peer_registry(instance_id aSelf)
+  /// aQuotaWindow is what peer_usage describes.
+  explicit peer_registry(instance_id aSelf, duration aQuotaWindow = {})
     : mSelf(aSelf)
     , mKnown(std::move(aSelf))
+    , mUsage(aQuotaWindow)
   {
   }
 
@@ -68,8 +70,8 @@
   /// The number of other instances that no live link reports.
   [[nodiscard]] std::uint32_t Unresponsive(instant aNow) const;
 
-  /// What the other instances admitted, as reported while they were responsive.
-  /// An unresponsive instance is assumed to use its whole share instead.
+  /// What the other instances admitted, as they reported. While an instance is
+  /// unresponsive it is assumed to use its whole share instead.
   [[nodiscard]] peer_usage const& Usage() const noexcept { return mUsage; }
 
   /// What all instances admitted in the last quota window: for each workspace
@@ -103,6 +105,8 @@
     instant aNow) const;
   // The link to that incarnation of a peer, or null.
   [[nodiscard]] peer_link* FindLink(instance_identity const& aPeer);
+  // Keeps what the peer reported, for when it has a link again.
+  void KeepUsage(peer_link& aClosed);
   // True when the roster of any link contains the instance.
   [[nodiscard]] bool IsInRosters(instance_id const& aInstance) const;
   // Marks as unreachable the instances of an earlier roster that no roster
@@ -113,6 +117,7 @@
   known_instances mKnown;
   links mLinks;
   peer_usage mUsage;
+  std::map<instance_id, earlier_usage> mEarlierUsage;
   /// The roster of the last parent whose link closed, and until when it is
   /// used.
   fleet_roster mFormerParentRoster;
--- a/Libraries/LibFleet/PeerUsage.h
+++ b/Libraries/LibFleet/PeerUsage.h
@@ -11,9 +11,19 @@
 class peer_usage
 {
 public:
+  /// aWindow is the quota window; without one, nothing that was admitted over a
+  /// gap between reports is counted.
+  explicit peer_usage(duration aWindow)
+    : mWindow(aWindow)
+  {
+  }
+
   /// Adds what a report over aLink shows beyond the report before it. When that
-  /// one is too old, or had another scope, the report's figures are only
-  /// recorded as the new base and nothing is counted.
+  /// one had another scope, the report's figures are only recorded as the new
+  /// base and nothing is counted. After a gap, as when a cut has healed, what a
+  /// root admitted meanwhile counts as far as it may still lie in the window;
+  /// what others admitted isn't counted, since their sums cover other instances
+  /// than before.
   void OnReport(instant aNow, peer_link& aLink, fleet_report const& aReport);
 
   /// All usage that was counted, by workspace.
@@ -32,6 +42,12 @@
   [[nodiscard]] usage_totals Excluding(peer_link const& aLink) const;
 
 private:
+  // The part of the usage since the report before that is counted, from 0 to 1.
+  [[nodiscard]] double CountedShare(instant aNow,
+                                    peer_link const& aLink,
+                                    report_scope aScope) const;
+
+  duration mWindow;
   usage_totals mTotals;
   usage_totals mChildTotals;
 };
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -59,6 +59,7 @@
                         aSettings.mCores * kThousandthsPerCore) },
            .mStore = aSettings.mStore,
            .mMetrics = aSettings.mMetrics,
+           .mQuotaWindow = aSettings.mQuotaWindow,
            .mLease = aSettings.mLease };
 }
 
--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -115,6 +115,60 @@
   EXPECT_EQ(TotalUsage(registry), 15);
 }
 
+constexpr seconds kWindow{ 8 };
+
+// Guards against a limit that is exceeded after a cut has healed: the share of
+// the other side is no longer set aside, while what it admitted during the cut
+// still lies in the window.
+TEST(TestPeerRegistry, UsageDuringACutIsCountedWhenItHasHealed)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  instance_identity const peer = Hello("a").mIdentity;
+  registry.OnUp(kNow, Hello("a"));
+  registry.OnReport(kNow, peer, UsageReport(100));
+  registry.OnDown(kNow + seconds{ 1 }, peer);
+  registry.OnUp(kNow + seconds{ 6 }, Hello("a"));
+  registry.OnReport(kNow + seconds{ 6 }, peer, UsageReport(180));
+  EXPECT_EQ(TotalUsage(registry), 80);
+  registry.OnReport(
+    kNow + seconds{ 6 } + milliseconds{ 200 }, peer, UsageReport(185));
+  EXPECT_EQ(TotalUsage(registry), 85);
+}
+
+TEST(TestPeerRegistry, UsageDuringASilenceIsCountedAfterIt)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  instance_identity const peer = Hello("a").mIdentity;
+  registry.OnUp(kNow, Hello("a"));
+  registry.OnReport(kNow, peer, UsageReport(100));
+  registry.OnReport(kNow + seconds{ 5 }, peer, UsageReport(180));
+  EXPECT_EQ(TotalUsage(registry), 80);
+}
+
+TEST(TestPeerRegistry, UsageDuringALongCutCountsAsFarAsItMayLieInTheWindow)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  instance_identity const peer = Hello("a").mIdentity;
+  registry.OnUp(kNow, Hello("a"));
+  registry.OnReport(kNow, peer, UsageReport(100));
+  registry.OnDown(kNow + seconds{ 1 }, peer);
+  registry.OnUp(kNow + seconds{ 16 }, Hello("a"));
+  registry.OnReport(kNow + seconds{ 16 }, peer, UsageReport(180));
+  EXPECT_EQ(TotalUsage(registry), 40);
+}
+
+TEST(TestPeerRegistry, UsageOfARestartedPeerBeginsAnew)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  registry.OnUp(kNow, Hello("a", 1));
+  registry.OnReport(kNow, Hello("a", 1).mIdentity, UsageReport(100));
+  registry.OnDown(kNow + seconds{ 1 }, Hello("a", 1).mIdentity);
+  registry.OnUp(kNow + seconds{ 6 }, Hello("a", 2));
+  registry.OnReport(
+    kNow + seconds{ 6 }, Hello("a", 2).mIdentity, UsageReport(180));
+  EXPECT_EQ(TotalUsage(registry), 0);
+}
+
 TEST(TestPeerRegistry, NewestLeaseDecidesWhichServersAreUpdating)
 {
   peer_registry registry{ instance_id{ "m" } };
