--- a/Libraries/LibCore/Verify.h
+++ b/Libraries/LibCore/Verify.h
@@ -8,7 +8,7 @@
 
 }
 
-/// Checks an invariant of this program in every build type. VERIFY() is left to
+/// Checks an invariant of this program in every build type. assert() is left to
 /// the libraries, whose assertions release builds leave out: some of them fail
 /// on bytes from the network that are valid.
 #define VERIFY(condition)                                                      \
--- a/Libraries/LibFleet/PeerUsage.cpp
+++ b/Libraries/LibFleet/PeerUsage.cpp
@@ -12,8 +12,7 @@
                          peer_link const& aLink,
                          report_scope aScope) const
 {
-  bool const isSameScope = aLink.mReportedAt && aLink.mReport.mScope == aScope;
-  if (aLink.mReportedAt && !isSameScope)
+  if (aLink.mReportedAt && aLink.mReport.mScope != aScope)
     return 0;
   if (aLink.IsLive(aNow))
     return 1;
