LibFleet: Keep reported usage in one place

The usage that a peer reported last was kept in its link, handed to the registry when the link closed and back when another opened. peer_usage, which needs it, keeps it now for each peer, with the link and the scope that it came with. The quota window is no longer optional.

No change of behaviour: the tests of TestPeerRegistry have the checks that they had, those over a cut share their set-up, and one is new (UsageOfABranchOverACutIsNotCounted).

--- a/Libraries/LibFleet/PeerLink.h
+++ b/Libraries/LibFleet/PeerLink.h
@@ -3,13 +3,11 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
 #include <LibDispatch/UsageTotals.h>
-#include <LibFleet/EarlierUsage.h>
 #include <LibPeer/FleetReport.h>
 #include <LibPeer/FleetRoster.h>
 #include <LibPeer/PeerHello.h>
 
 #include <chrono>
-#include <map>
 #include <optional>
 
 namespace lycheeseam {
@@ -28,11 +26,6 @@
   std::optional<instant> mReportedAt;
   fleet_report mReport;
   fleet_roster mRoster;
-  /// What the peer reported over an earlier link; empty once it reports over
-  /// this one.
-  std::optional<earlier_usage> mEarlier;
-  /// The usage of each workspace by the last report.
-  std::map<workspace_id, workspace_usage> mReportedUsage;
   /// The part of the reported usage that this instance has counted.
   usage_totals mCountedUsage;
 
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -13,10 +13,6 @@
 // child whose parent failed has another one by then.
 constexpr duration kFormerParentRosterUse = std::chrono::seconds{ 3 };
 
-// An instance that is away for longer is no longer known, and its share is used
-// by the others.
-constexpr duration kEarlierUsageKept = std::chrono::seconds{ 30 };
-
 }
 
 void
@@ -25,30 +21,9 @@
   if (aHello.mIdentity.mInstance == mSelf)
     return;
   mKnown.OnObserved(aNow, aHello);
-  peer_link& link = mLinks[aHello.mIdentity.mInstance];
-  // The end of a link that is replaced isn't reported.
-  KeepUsage(link);
-  link = { .mHello = aHello,
-           .mUpAt = aNow,
-           .mRoster = { { { .mHello = aHello } } } };
-  auto const earlier = mEarlierUsage.find(aHello.mIdentity.mInstance);
-  if (earlier == mEarlierUsage.end())
-    return;
-  if (earlier->second.mPeer == aHello.mIdentity)
-    link.mEarlier = std::move(earlier->second);
-  mEarlierUsage.erase(earlier);
-}
-
-void
-peer_registry::KeepUsage(peer_link& aClosed)
-{
-  instance_id const& peer = aClosed.mHello.mIdentity.mInstance;
-  if (aClosed.mEarlier)
-    mEarlierUsage[peer] = std::move(*aClosed.mEarlier);
-  else if (aClosed.mReportedAt && aClosed.mReport.mScope == report_scope::Root)
-    mEarlierUsage[peer] = { .mPeer = aClosed.mHello.mIdentity,
-                            .mReportedAt = *aClosed.mReportedAt,
-                            .mUsage = std::move(aClosed.mReportedUsage) };
+  mLinks[aHello.mIdentity.mInstance] = peer_link{
+    .mHello = aHello, .mUpAt = aNow, .mRoster = { { { .mHello = aHello } } }
+  };
 }
 
 peer_link*
@@ -74,7 +49,6 @@
     });
     mFormerParentRosterUntil = aNow + kFormerParentRosterUse;
   }
-  KeepUsage(closed);
   mLinks.erase(aPeer.mInstance);
   if (!IsInRosters(aPeer.mInstance))
     mKnown.OnUnreachable(aNow, aPeer.mInstance);
@@ -148,9 +122,7 @@
       mKnown.OnStillReported(aNow, entry.mHello.mIdentity.mInstance);
   }
   mKnown.Prune(aNow);
-  std::erase_if(mEarlierUsage, [aNow](auto const& aEntry) {
-    return aNow - aEntry.second.mReportedAt > kEarlierUsageKept;
-  });
+  mUsage.Prune(aNow);
 }
 
 std::vector<ready_instance>
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -22,8 +22,7 @@
 public:
   using links = std::map<instance_id, peer_link>;
 
-  /// aQuotaWindow is what peer_usage describes.
-  explicit peer_registry(instance_id aSelf, duration aQuotaWindow = {})
+  peer_registry(instance_id aSelf, duration aQuotaWindow)
     : mSelf(aSelf)
     , mKnown(std::move(aSelf))
     , mUsage(aQuotaWindow)
@@ -105,8 +104,6 @@
     instant aNow) const;
   // The link to that incarnation of a peer, or null.
   [[nodiscard]] peer_link* FindLink(instance_identity const& aPeer);
-  // Keeps what the peer reported, for when it has a link again.
-  void KeepUsage(peer_link& aClosed);
   // True when the roster of any link contains the instance.
   [[nodiscard]] bool IsInRosters(instance_id const& aInstance) const;
   // Marks as unreachable the instances of an earlier roster that no roster
@@ -117,7 +114,6 @@
   known_instances mKnown;
   links mLinks;
   peer_usage mUsage;
-  std::map<instance_id, earlier_usage> mEarlierUsage;
   /// The roster of the last parent whose link closed, and until when it is
   /// used.
   fleet_roster mFormerParentRoster;
--- a/Libraries/LibFleet/PeerUsage.h
+++ b/Libraries/LibFleet/PeerUsage.h
@@ -2,7 +2,9 @@
 
 #include <LibDispatch/UsageTotals.h>
 #include <LibFleet/PeerLink.h>
+#include <LibFleet/ReportedUsage.h>
 
+#include <map>
 #include <vector>
 
 namespace lycheeseam {
@@ -11,8 +13,7 @@
 class peer_usage
 {
 public:
-  /// aWindow is the quota window; without one, nothing that was admitted over a
-  /// gap between reports is counted.
+  /// aWindow is the quota window.
   explicit peer_usage(duration aWindow)
     : mWindow(aWindow)
   {
@@ -26,6 +27,9 @@
   /// than before.
   void OnReport(instant aNow, peer_link& aLink, fleet_report const& aReport);
 
+  /// Forgets the reports of peers that have been away for long.
+  void Prune(instant aNow);
+
   /// All usage that was counted, by workspace.
   [[nodiscard]] std::vector<workspace_usage> Total() const
   {
@@ -45,9 +49,11 @@
   // The part of the usage since the report before that is counted, from 0 to 1.
   [[nodiscard]] double CountedShare(instant aNow,
                                     peer_link const& aLink,
+                                    reported_usage const& aBefore,
                                     report_scope aScope) const;
 
   duration mWindow;
+  std::map<instance_id, reported_usage> mReported;
   usage_totals mTotals;
   usage_totals mChildTotals;
 };
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -22,12 +22,13 @@
 public:
   static constexpr std::chrono::milliseconds kStep{ 50 };
   static constexpr int kStepsPerReport = 3;
+  static constexpr std::chrono::seconds kQuotaWindow{ 8 };
 
   struct member
   {
     explicit member(peer_hello aHello)
       : mHello(std::move(aHello))
-      , mRegistry(mHello.mIdentity.mInstance)
+      , mRegistry(mHello.mIdentity.mInstance, kQuotaWindow)
     {
     }
 
--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -12,6 +12,7 @@
 
 instant const kNow = instant{} + seconds{ 100 };
 workspace_id const kWorkspace{ "w" };
+constexpr seconds kWindow{ 8 };
 
 peer_hello
 Hello(char const* aName, std::uint64_t aIncarnation = 1)
@@ -43,7 +44,7 @@
 
 TEST(TestPeerRegistry, ReadyPeersAreEntriesUntilTheyLeave)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a"));
   EXPECT_TRUE(registry.Entries().empty());
   registry.OnRoster(kNow,
@@ -59,7 +60,7 @@
 
 TEST(TestPeerRegistry, UnresponsivePeersKeepTheirShareUntilTheyArePruned)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a"));
   registry.OnReport(kNow, Hello("a").mIdentity, UsageReport(0));
   EXPECT_EQ(registry.Unresponsive(kNow), 0U);
@@ -73,7 +74,7 @@
 
 TEST(TestPeerRegistry, UsageAddsUpOverIncarnations)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a", 1));
   registry.OnReport(kNow, Hello("a", 1).mIdentity, UsageReport(0));
   registry.OnReport(
@@ -91,7 +92,7 @@
 // now, and refused requests for a whole quota window.
 TEST(TestPeerRegistry, UsageBeforeTheFirstReportIsNotCounted)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a"));
   registry.OnReport(kNow, Hello("a").mIdentity, UsageReport(1'000'000));
   EXPECT_EQ(TotalUsage(registry), 0);
@@ -102,7 +103,8 @@
 
 TEST(TestPeerRegistry, UsageOfAnUnresponsivePeerIsNotCounted)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  // A window without length holds nothing of what was admitted meanwhile.
+  peer_registry registry{ instance_id{ "m" }, duration{} };
   registry.OnUp(kNow, Hello("a"));
   registry.OnReport(kNow, Hello("a").mIdentity, UsageReport(0));
   registry.OnReport(
@@ -115,7 +117,20 @@
   EXPECT_EQ(TotalUsage(registry), 15);
 }
 
-constexpr seconds kWindow{ 8 };
+// A peer reports 100 units, is cut off a second later, and reports 180 units
+// aGap after the first report, as aAfter.
+void
+ReportOverACut(peer_registry& aRegistry,
+               duration aGap,
+               peer_hello const& aAfter)
+{
+  peer_hello const before = Hello("a");
+  aRegistry.OnUp(kNow, before);
+  aRegistry.OnReport(kNow, before.mIdentity, UsageReport(100));
+  aRegistry.OnDown(kNow + seconds{ 1 }, before.mIdentity);
+  aRegistry.OnUp(kNow + aGap, aAfter);
+  aRegistry.OnReport(kNow + aGap, aAfter.mIdentity, UsageReport(180));
+}
 
 // Guards against a limit that is exceeded after a cut has healed: the share of
 // the other side is no longer set aside, while what it admitted during the cut
@@ -123,15 +138,11 @@
 TEST(TestPeerRegistry, UsageDuringACutIsCountedWhenItHasHealed)
 {
   peer_registry registry{ instance_id{ "m" }, kWindow };
-  instance_identity const peer = Hello("a").mIdentity;
-  registry.OnUp(kNow, Hello("a"));
-  registry.OnReport(kNow, peer, UsageReport(100));
-  registry.OnDown(kNow + seconds{ 1 }, peer);
-  registry.OnUp(kNow + seconds{ 6 }, Hello("a"));
-  registry.OnReport(kNow + seconds{ 6 }, peer, UsageReport(180));
+  ReportOverACut(registry, seconds{ 6 }, Hello("a"));
   EXPECT_EQ(TotalUsage(registry), 80);
-  registry.OnReport(
-    kNow + seconds{ 6 } + milliseconds{ 200 }, peer, UsageReport(185));
+  registry.OnReport(kNow + seconds{ 6 } + milliseconds{ 200 },
+                    Hello("a").mIdentity,
+                    UsageReport(185));
   EXPECT_EQ(TotalUsage(registry), 85);
 }
 
@@ -148,30 +159,36 @@
 TEST(TestPeerRegistry, UsageDuringALongCutCountsAsFarAsItMayLieInTheWindow)
 {
   peer_registry registry{ instance_id{ "m" }, kWindow };
-  instance_identity const peer = Hello("a").mIdentity;
-  registry.OnUp(kNow, Hello("a"));
-  registry.OnReport(kNow, peer, UsageReport(100));
-  registry.OnDown(kNow + seconds{ 1 }, peer);
-  registry.OnUp(kNow + seconds{ 16 }, Hello("a"));
-  registry.OnReport(kNow + seconds{ 16 }, peer, UsageReport(180));
+  ReportOverACut(registry, seconds{ 16 }, Hello("a"));
   EXPECT_EQ(TotalUsage(registry), 40);
 }
 
 TEST(TestPeerRegistry, UsageOfARestartedPeerBeginsAnew)
 {
   peer_registry registry{ instance_id{ "m" }, kWindow };
-  registry.OnUp(kNow, Hello("a", 1));
-  registry.OnReport(kNow, Hello("a", 1).mIdentity, UsageReport(100));
-  registry.OnDown(kNow + seconds{ 1 }, Hello("a", 1).mIdentity);
-  registry.OnUp(kNow + seconds{ 6 }, Hello("a", 2));
-  registry.OnReport(
-    kNow + seconds{ 6 }, Hello("a", 2).mIdentity, UsageReport(180));
+  ReportOverACut(registry, seconds{ 6 }, Hello("a", 2));
+  EXPECT_EQ(TotalUsage(registry), 0);
+}
+
+// The sums of a parent or a child cover other instances over another link.
+TEST(TestPeerRegistry, UsageOfABranchOverACutIsNotCounted)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  instance_identity const peer = Hello("a").mIdentity;
+  fleet_report report = UsageReport(100);
+  report.mScope = report_scope::Branch;
+  registry.OnUp(kNow, Hello("a"));
+  registry.OnReport(kNow, peer, report);
+  registry.OnDown(kNow + seconds{ 1 }, peer);
+  registry.OnUp(kNow + seconds{ 6 }, Hello("a"));
+  report.mSpent.front().mUnits = 180;
+  registry.OnReport(kNow + seconds{ 6 }, peer, report);
   EXPECT_EQ(TotalUsage(registry), 0);
 }
 
 TEST(TestPeerRegistry, NewestLeaseDecidesWhichServersAreUpdating)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   for (char const* const name : { "a", "b" })
     registry.OnUp(kNow, Hello(name));
   registry.OnReport(
@@ -192,7 +209,7 @@
 // outage of the store, and keeps servers whose entries are dropped then.
 TEST(TestPeerRegistry, ReadsOfAnyLivePeerShowThatTheStoreAnswers)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("z"));
   EXPECT_FALSE(registry.IsAnyReading(kNow));
   registry.OnReport(
@@ -203,7 +220,7 @@
 
 TEST(TestPeerRegistry, FirstInstanceByIdReadsForAll)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   for (char const* const name : { "a", "z" })
     registry.OnUp(kNow, Hello(name));
   registry.OnReport(
@@ -219,7 +236,7 @@
 
 TEST(TestPeerRegistry, InstancesInTheRosterOfALinkAreResponsive)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnRegistered(kNow, Hello("b"));
   registry.OnRegistered(kNow, Hello("gone"));
   registry.OnUp(kNow, Hello("a"));
@@ -239,7 +256,7 @@
 
 TEST(TestPeerRegistry, EntriesStayWhileAParentIsReplaced)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a"));
   registry.OnRoster(kNow,
                     Hello("a").mIdentity,
@@ -258,7 +275,7 @@
 // report before isn't usage.
 TEST(TestPeerRegistry, ReportOfAnotherScopeCountsNoUsage)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   registry.OnUp(kNow, Hello("a"));
   registry.OnReport(kNow, Hello("a").mIdentity, UsageReport(5));
   fleet_report rest = UsageReport(500);
@@ -272,7 +289,7 @@
 
 TEST(TestPeerRegistry, InstanceInARosterIsNotUnreachable)
 {
-  peer_registry registry{ instance_id{ "m" } };
+  peer_registry registry{ instance_id{ "m" }, kWindow };
   for (char const* const name : { "a", "b" })
     registry.OnUp(kNow, Hello(name));
   registry.OnRoster(
