LibFleet, LibDispatch: Shorten the control state of an instance

Evidence on parts was merged by the same loop in two places, which is a function of suspect_parts now, as are observed weights one of server_registry. DescribePeers says what a view has of the peers. No change of behaviour.

--- a/Libraries/LibDispatch/SuspectParts.cpp
+++ b/Libraries/LibDispatch/SuspectParts.cpp
@@ -128,6 +128,17 @@
   return true;
 }
 
+std::vector<part_crashes>
+suspect_parts::Merge(instant aNow, std::span<part_crashes const> aEvidence)
+{
+  std::vector<part_crashes> news;
+  for (part_crashes const& evidence : aEvidence) {
+    if (Merge(aNow, evidence))
+      news.push_back(evidence);
+  }
+  return news;
+}
+
 bool
 suspect_parts::IsCleared(std::uint64_t aPart) const
 {
--- a/Libraries/LibDispatch/SuspectParts.h
+++ b/Libraries/LibDispatch/SuspectParts.h
@@ -42,6 +42,10 @@
   /// Applies evidence; true when it is new.
   bool Merge(instant aNow, part_crashes const& aEvidence);
 
+  /// Applies evidence on several parts; returns what is new.
+  std::vector<part_crashes> Merge(instant aNow,
+                                  std::span<part_crashes const> aEvidence);
+
   /// Of the parts of a prompt the one whose quarantine lasts longest; nothing
   /// when the prompt isn't in quarantine. A quarantine goes on after the moment
   /// of its trial until the part is cleared.
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -5,6 +5,7 @@
 #include <LibDispatch/FleetView.h>
 #include <LibDispatch/SuspectParts.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/DescribePeers.h>
 #include <LibFleet/FleetLinks.h>
 #include <LibFleet/FleetMetrics.h>
 #include <LibFleet/FleetOptions.h>
@@ -22,7 +23,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -151,8 +151,8 @@
       mUpdateHandler({ .mCrashes = aReport.mCrashes,
                        .mPartCrashes = aReport.mPartCrashes,
                        .mHolders = aReport.mHolders });
-    bool const areWeightsNew = ApplyObservedWeights(aReport.mWeights);
-    if (aHaveUpdatesChanged || areWeightsNew)
+    if (mRecords.Servers().OnObservedWeights(aReport.mWeights) ||
+        aHaveUpdatesChanged)
       Publish();
   }
 
@@ -160,13 +160,7 @@
   std::vector<part_crashes> MergePartCrashes(
     std::span<part_crashes const> aEvidence)
   {
-    instant const now = mClock.Now();
-    std::vector<part_crashes> news;
-    for (part_crashes const& evidence : aEvidence) {
-      if (mSuspects.Merge(now, evidence))
-        news.push_back(evidence);
-    }
-    return news;
+    return mSuspects.Merge(mClock.Now(), aEvidence);
   }
 
   // Keeps what the traffic thread and peers observed, for the view and for
@@ -204,9 +198,8 @@
     if (mLinks.Registry().IsAnyReading(now))
       mRecords.Servers().OnStoreAnswer(now);
     bool const haveServersExpired = mRecords.Servers().Expire(now);
-    std::vector<registered_server> const servers = mRecords.Servers().Servers();
     bool const haveUpdatesChanged =
-      mOrderDriver.Tick(servers,
+      mOrderDriver.Tick(mRecords.Servers().Servers(),
                         mRecords.Operators().Weights(),
                         mLinks.Registry().Rank(now),
                         mLinks.Registry().NewestLease(now));
@@ -245,21 +238,9 @@
       Publish();
   }
 
-  // True when any of them are newer than the known ones.
-  bool ApplyObservedWeights(std::vector<observed_weights> const& aObserved)
-  {
-    bool areNew = false;
-    for (observed_weights const& observed : aObserved)
-      areNew |= mRecords.Servers().OnObservedWeights(observed.mServer,
-                                                     observed.mIncarnation,
-                                                     observed.mModel,
-                                                     observed.mVersion);
-    return areNew;
-  }
-
   void OnObservedWeights(std::vector<observed_weights> const& aObserved)
   {
-    if (!ApplyObservedWeights(aObserved))
+    if (!mRecords.Servers().OnObservedWeights(aObserved))
       return;
     mLinks.Add({ .mWeights = aObserved });
     ReportToPeers();
@@ -274,24 +255,18 @@
   void Publish()
   {
     instant const now = mClock.Now();
-    peer_registry const& peers = mLinks.Registry();
     mView.mConfig = mRecords.Operators().Config();
     mView.mWeights = mRecords.Operators().Weights();
     mView.mServers = mRecords.Servers().Servers();
     mView.mLimits = mLimits.List();
     mView.mUpdating = mOrderDriver.Updating();
-    mView.mUpdating.merge(peers.Updating(now));
-    mView.mReadyInstances = peers.Entries();
+    DescribePeers(now, mLinks.Registry(), mView);
     if (IsReady())
       mView.mReadyInstances.push_back(
         { .mInstance = mOptions.mSelf.mIdentity.mInstance,
           .mDomain = mOptions.mSelf.mFailureDomain,
           .mAddress = mOptions.mSelf.mCallers });
-    mView.mInstances = peers.Known().Count() + 1;
-    mView.mUnresponsiveInstances = peers.Unresponsive(now);
     mView.mReportDelay = mLinks.ReportDelay();
-    mView.mPeerUsage = peers.Usage().Total();
-    mView.mWindowUsage = peers.WindowUsage(now);
     if (mView.mConfig)
       mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
     mPublished.Publish(std::make_shared<fleet_view const>(mView));
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -120,7 +120,8 @@
 void
 server_registry::OnStoreAnswer(instant aNow)
 {
-  // The answer may be handled before the next tick after a pause.
+  // After a pause, an answer may be handled before the next tick. Without any
+  // tick so far, a gap can't be told from a pause.
   if (mRunningAt)
     OnRunning(aNow);
   if (mAnsweredAt && aNow - *mAnsweredAt >= kMinOutage)
@@ -140,6 +141,18 @@
          found->second.mServer.RaiseVersion(aModel, aVersion);
 }
 
+bool
+server_registry::OnObservedWeights(std::span<observed_weights const> aObserved)
+{
+  bool areNew = false;
+  for (observed_weights const& observed : aObserved)
+    areNew |= OnObservedWeights(observed.mServer,
+                                observed.mIncarnation,
+                                observed.mModel,
+                                observed.mVersion);
+  return areNew;
+}
+
 bool
 server_registry::Expire(instant aNow)
 {
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -2,11 +2,13 @@
 
 #include <LibCore/Instant.h>
 #include <LibCore/ServerIdentity.h>
+#include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/RegisteredServer.h>
 
 #include <chrono>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace lycheeseam {
@@ -54,6 +56,9 @@
                          model_name const& aModel,
                          std::uint64_t aVersion);
 
+  /// The same for several engines; true when any of the weights are newer.
+  bool OnObservedWeights(std::span<observed_weights const> aObserved);
+
   /// Removes servers whose grace period is over; true when there were any. Also
   /// forgets servers that were removed long ago.
   bool Expire(instant aNow);
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -175,10 +175,9 @@
 {
   for (crash_count const& crash : aUpdate.mCrashes)
     mCrashes.OnCrash(aNow, crash.mFingerprint, crash.mCount);
-  for (part_crashes const& evidence : aUpdate.mPartCrashes) {
-    if (mSuspects.Merge(aNow, evidence))
-      LogEvidence(evidence, evidence_source::Peer);
-  }
+  for (part_crashes const& evidence :
+       mSuspects.Merge(aNow, std::span{ aUpdate.mPartCrashes }))
+    LogEvidence(evidence, evidence_source::Peer);
   for (prefix_holder const& holder : aUpdate.mHolders)
     mPrefixes.OnServed(aNow, holder);
 }
