LibHttp, LibGateway, LibUpstream: Share limits, split long files

The limits of heads and of an event stood twice each; both stand in InputLimits.h now. Names in AwaitAddresses say what they return. No change of behaviour.

--- a/Libraries/LibGateway/AnswerRelay.h
+++ b/Libraries/LibGateway/AnswerRelay.h
@@ -4,6 +4,7 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ExchangeEnd.h>
 #include <LibHttp/AnswerHead.h>
+#include <LibHttp/InputLimits.h>
 
 #include <cstdint>
 #include <optional>
@@ -111,9 +112,6 @@
 private:
   // Small enough to buffer for every request that runs at once.
   static constexpr std::uint64_t kMaxBufferedBytes = 65'536;
-  // An event holds some tokens; without a limit, a server that never ends one
-  // would use up the memory.
-  static constexpr std::size_t kMaxEventBytes = 262'144;
 
   template<typename Caller>
   void SendHead(Caller& aCaller)
--- a/Libraries/LibGateway/CallerSession.h
+++ b/Libraries/LibGateway/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/AnswerFormat.h>
+#include <LibGateway/CallerSessionLimits.h>
 #include <LibGateway/CloseWatch.h>
 #include <LibGateway/DiscardUntilEnd.h>
 #include <LibGateway/RequestFault.h>
@@ -86,7 +87,7 @@
 
   [[nodiscard]] bool IsCongested() const
   {
-    return mOut.Pending() > kCongestedBytes;
+    return mOut.Pending() > caller_session_limits::kCongestedBytes;
   }
 
   /// True while a request is being read or answered, or may have been sent and
@@ -99,7 +100,8 @@
     if (mIsClosed || !mSocket.is_open())
       return false;
     bool const isNew =
-      mRequests == 0 && mClock.Now() - mOpenedAt < kFirstRequestTime;
+      mRequests == 0 &&
+      mClock.Now() - mOpenedAt < caller_session_limits::kFirstRequestTime;
     error_code fault;
     return isNew || mSocket.available(fault) > 0;
   }
@@ -126,19 +128,6 @@
   friend class write_queue<caller_session>;
   using run = request_run<Dialect, caller_session>;
 
-  // An answer pauses while more bytes than this wait to be written: about as
-  // much as a connection with a small TCP window takes at once.
-  static constexpr std::size_t kCongestedBytes = 65'536;
-  // Longer than any request's time limit: a body that takes this long to arrive
-  // is abandoned.
-  static constexpr std::chrono::seconds kBodyTimeout{ 15 };
-  // How long a caller may take to read the rest of a complete answer.
-  static constexpr std::chrono::seconds kWriteTimeout{ 15 };
-  // A caller that opens a connection sends its request at once.
-  static constexpr std::chrono::milliseconds kFirstRequestTime{ 500 };
-  // How long a closing connection waits for the caller to close its end.
-  static constexpr std::chrono::seconds kLingerTime{ 1 };
-
   // Closes the connection after a time, unless the timer is used for another
   // purpose before or the condition doesn't hold then.
   template<typename Condition>
@@ -156,7 +145,7 @@
   void MarkAnswered()
   {
     mIsAnswered = true;
-    CloseAfter(kWriteTimeout,
+    CloseAfter(caller_session_limits::kWriteTimeout,
                [](caller_session const& aSelf) { return aSelf.mIsAnswered; });
   }
 
@@ -185,9 +174,9 @@
       return OnReadFault(aFault);
     if (HasUnsupportedCoding(mParser->get()))
       return RefuseInvalidBytes(refusal_status::BadRequest);
-    CloseAfter(kBodyTimeout, [](caller_session const& aSelf) {
-      return aSelf.mRun == nullptr;
-    });
+    CloseAfter(
+      caller_session_limits::kBodyTimeout,
+      [](caller_session const& aSelf) { return aSelf.mRun == nullptr; });
     if (ExpectsContinue(mParser->get()))
       Write("HTTP/1.1 100 Continue\r\n\r\n");
     mIsReadingBody = true;
@@ -278,7 +267,8 @@
   {
     error_code ignored;
     mSocket.shutdown(tcp::socket::shutdown_send, ignored);
-    CloseAfter(kLingerTime, [](caller_session const&) { return true; });
+    CloseAfter(caller_session_limits::kLingerTime,
+               [](caller_session const&) { return true; });
     DiscardUntilEnd(
       mSocket, mBuffer, [self = this->shared_from_this()]() { self->Close(); });
   }
--- a/Libraries/LibGateway/IsEventStream.cpp
+++ b/Libraries/LibGateway/IsEventStream.cpp
@@ -7,8 +7,10 @@
 namespace lycheeseam {
 
 bool
-IsEventStream(answer_head const& aHead)
+IsEventStream(dispatch_route const& aRoute, answer_head const& aHead)
 {
+  if (aRoute.mKind != request_kind::Stream || !aHead.IsSuccess())
+    return false;
   constexpr std::string_view kMediaType = "text/event-stream";
   std::optional<std::string_view> const type =
     FindField(aHead.mFields, "Content-Type");
--- a/Libraries/LibGateway/IsEventStream.h
+++ b/Libraries/LibGateway/IsEventStream.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include <LibDispatch/DispatchRoute.h>
 #include <LibHttp/AnswerHead.h>
 
 namespace lycheeseam {
 
-/// True when an answer of a stream's route is a stream of server-sent events,
-/// as one without a Content-Type is assumed to be.
+/// True when a server's answer to a request of the route is a stream of
+/// server-sent events, as a success without a Content-Type is assumed to be.
 bool
-IsEventStream(answer_head const& aHead);
+IsEventStream(dispatch_route const& aRoute, answer_head const& aHead);
 
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -114,9 +114,7 @@
        MayRetry(mAdmitted, mTrace.mRuns + 1, mClock.Now()));
     mAttempt.SetOutcome(JudgeAnswer(aHead, answer, isReplaceable));
     if (mAttempt.Outcome() == attempt_outcome::Accepted)
-      mAnswer.Begin(aHead,
-                    mAdmitted.mRoute->mKind == request_kind::Stream &&
-                      aHead.IsSuccess() && IsEventStream(aHead));
+      mAnswer.Begin(aHead, IsEventStream(*mAdmitted.mRoute, aHead));
     return UseOfAnswer(mAttempt.Outcome());
   }
 
--- a/Libraries/LibPlatform/HttpTransfer.cpp
+++ b/Libraries/LibPlatform/HttpTransfer.cpp
@@ -1,14 +1,13 @@
 #include <LibCore/Error.h>
+#include <LibHttp/InputLimits.h>
 #include <LibPlatform/HttpTransfer.h>
 
 namespace lycheeseam {
 
 namespace {
 
-// Limits of a reply, which ends with a fault beyond them. A read of the log
-// asks for far less.
+// A longer reply ends with a fault. A read of the log asks for far less.
 constexpr std::size_t kMaxBodyBytes = 33'554'432;
-constexpr std::size_t kMaxHeadBytes = 65'536;
 
 }
 
--- a/Services/lycheeseamd/AwaitAddresses.cpp
+++ b/Services/lycheeseamd/AwaitAddresses.cpp
@@ -22,10 +22,10 @@
 constexpr std::chrono::seconds kMaxWait{ 15 };
 constexpr std::chrono::milliseconds kRetryInterval{ 50 };
 
-// Why this process can't listen at the address; empty when it can, or when the
-// fault isn't one that passes.
+// Why this process can't listen at the address yet. Empty when it can, and for
+// faults that don't pass, which the listener itself reports.
 boost::system::error_code
-TryBind(boost::asio::io_context& aContext, endpoint const& aAddress)
+PassingFault(boost::asio::io_context& aContext, endpoint const& aAddress)
 {
   using tcp = boost::asio::ip::tcp;
   boost::system::error_code fault;
@@ -44,6 +44,7 @@
   return mayPass ? fault : boost::system::error_code{};
 }
 
+/// An address that is in use, and the fault that shows it.
 struct busy_address
 {
   endpoint mAddress;
@@ -55,7 +56,7 @@
 {
   boost::asio::io_context context;
   for (endpoint const& address : aAddresses) {
-    if (boost::system::error_code const fault = TryBind(context, address))
+    if (boost::system::error_code const fault = PassingFault(context, address))
       return busy_address{ .mAddress = address, .mFault = fault };
   }
   return std::nullopt;
--- a/Services/lycheeseamd/StopSignals.h
+++ b/Services/lycheeseamd/StopSignals.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <optional>
 
 namespace lycheeseam {
 
