Tests: Share what stood twice, and check partial bytes as before

KeepsBytesThatAreNoEvent replaced ReturnsPartialEventOnRequest, which checked the bytes themselves, with their number. It checks the bytes again: they come with the end of the event. The two tests of streams that continue share their checks, daemon and scenario processes the list of arguments, and messages are cut without generic lambdas.

--- a/Tests/Daemon/DaemonProcess.cpp
+++ b/Tests/Daemon/DaemonProcess.cpp
@@ -1,5 +1,6 @@
 #include "DaemonProcess.h"
 
+#include <Tests/Support/ArgumentPointers.h>
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/syscall.h>
@@ -18,17 +19,6 @@
 
 constexpr int kNotRunExitCode = 127;
 
-std::vector<char*>
-Pointers(std::vector<std::string>& aTexts)
-{
-  std::vector<char*> pointers;
-  pointers.reserve(aTexts.size() + 1);
-  for (std::string& text : aTexts)
-    pointers.push_back(text.data());
-  pointers.push_back(nullptr);
-  return pointers;
-}
-
 // The descriptor that becomes the standard output.
 int
 OpenOutput(standard_output aOutput)
@@ -50,8 +40,8 @@
   arguments.insert(
     arguments.end(), aOptions.mArguments.begin(), aOptions.mArguments.end());
   std::vector<std::string> environment = aOptions.mEnvironment;
-  std::vector<char*> const argumentPointers = Pointers(arguments);
-  std::vector<char*> const environmentPointers = Pointers(environment);
+  std::vector<char*> const argumentPointers = ArgumentPointers(arguments);
+  std::vector<char*> const environmentPointers = ArgumentPointers(environment);
   int const output = OpenOutput(aOptions.mOutput);
   mPid = fork();
   if (mPid == 0) {
--- a/Tests/LibGateway/TestBrokenAnswers.cpp
+++ b/Tests/LibGateway/TestBrokenAnswers.cpp
@@ -152,6 +152,17 @@
                          TestBrokenHead,
                          testing::Range(std::size_t{ 1 }, kHead.size()));
 
+// Checks that the caller got an event of each of two servers, and a complete
+// end.
+void
+ExpectBothEvents(std::string const& aAnswer)
+{
+  EXPECT_TRUE(Contains(aAnswer, Chunk("id: 1\ndata: a\n\n"))) << aAnswer;
+  EXPECT_TRUE(
+    aAnswer.ends_with(Chunk("id: 2\ndata: b\n\n") + std::string{ kLastChunk }))
+    << aAnswer;
+}
+
 /// A stream that its server ends as complete, with chunks or with a length.
 std::string
 Framed(std::string const& aBody, bool aIsChunked)
@@ -186,10 +197,7 @@
   scripted_server second{ script };
   StartGateway(std::array{ &first, &second });
   std::string const answer = Exchange(Request("/stream/x"));
-  EXPECT_TRUE(Contains(answer, Chunk("id: 1\ndata: a\n\n"))) << answer;
-  EXPECT_TRUE(
-    answer.ends_with(Chunk("id: 2\ndata: b\n\n") + std::string{ kLastChunk }))
-    << answer;
+  ExpectBothEvents(answer);
   std::vector<std::string> sent = first.Requests();
   for (std::string const& request : second.Requests())
     sent.push_back(request);
@@ -251,10 +259,7 @@
   scripted_server second{ script };
   StartGateway(std::array{ &first, &second });
   std::string const answer = Exchange(Request("/stream/x"));
-  EXPECT_TRUE(Contains(answer, Chunk("id: 1\ndata: a\n\n"))) << answer;
-  EXPECT_TRUE(
-    answer.ends_with(Chunk("id: 2\ndata: b\n\n") + std::string{ kLastChunk }))
-    << answer;
+  ExpectBothEvents(answer);
 }
 
 }
--- a/Tests/LibGateway/TestEventSplitter.cpp
+++ b/Tests/LibGateway/TestEventSplitter.cpp
@@ -37,6 +37,7 @@
   EXPECT_EQ(splitter.PartialBytes(), 11U);
   EXPECT_FALSE(splitter.IsAtEventEnd());
   EXPECT_FALSE(splitter.LastId());
+  EXPECT_EQ(splitter.Split("\n\n"), "plain bytes\n\n");
 }
 
 // Guards against a stream that is held back until its end, and then counts as
--- a/Tests/LibHttp/TestSegmentedMessages.cpp
+++ b/Tests/LibHttp/TestSegmentedMessages.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
-#include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -20,7 +20,7 @@
 // complete.
 template<typename Parser>
 bool
-ParseSegments(Parser& aParser, std::initializer_list<std::string_view> aParts)
+ParseSegments(Parser& aParser, std::span<std::string_view const> aParts)
 {
   std::string unread;
   for (std::string_view const part : aParts) {
@@ -39,7 +39,7 @@
 }
 
 bool
-IsRequestRead(std::initializer_list<std::string_view> aParts)
+IsRequestRead(std::span<std::string_view const> aParts)
 {
   http::request_parser<http::string_body> parser;
   parser.eager(true);
@@ -47,7 +47,7 @@
 }
 
 bool
-IsAnswerRead(std::initializer_list<std::string_view> aParts)
+IsAnswerRead(std::span<std::string_view const> aParts)
 {
   std::array<char, 256> piece{};
   http::response_parser<http::buffer_body> parser;
@@ -69,9 +69,9 @@
     std::string_view const message = text;
     for (std::size_t first = 0; first <= message.size(); ++first) {
       for (std::size_t second = first; second <= message.size(); ++second)
-        ASSERT_TRUE(aCheck(message.substr(0, first),
-                           message.substr(first, second - first),
-                           message.substr(second)))
+        ASSERT_TRUE(aCheck(std::array{ message.substr(0, first),
+                                       message.substr(first, second - first),
+                                       message.substr(second) }))
           << "cut at " << first << " and " << second;
     }
   }
@@ -81,15 +81,12 @@
 // depending on where the network cuts them.
 TEST_P(TestSegmentedMessages, AreReadAsRequests)
 {
-  ForEachPairOfCuts("POST / HTTP/1.1\r\n", [](auto... aParts) {
-    return IsRequestRead({ aParts... });
-  });
+  ForEachPairOfCuts("POST / HTTP/1.1\r\n", IsRequestRead);
 }
 
 TEST_P(TestSegmentedMessages, AreReadAsAnswers)
 {
-  ForEachPairOfCuts("HTTP/1.1 200 OK\r\n",
-                    [](auto... aParts) { return IsAnswerRead({ aParts... }); });
+  ForEachPairOfCuts("HTTP/1.1 200 OK\r\n", IsAnswerRead);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/Tests/Scenarios/ChildProcess.cpp
+++ b/Tests/Scenarios/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "ScenarioFailure.h"
 
+#include <Tests/Support/ArgumentPointers.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/prctl.h>
@@ -21,17 +22,6 @@
 constexpr int kNotRunExitCode = 127;
 constexpr mode_t kOutputMode = 0644;
 
-std::vector<char*>
-ArgumentPointers(std::vector<std::string>& aArguments)
-{
-  std::vector<char*> pointers;
-  pointers.reserve(aArguments.size() + 1);
-  for (std::string& argument : aArguments)
-    pointers.push_back(argument.data());
-  pointers.push_back(nullptr);
-  return pointers;
-}
-
 [[noreturn]] void
 BecomeProgram(int aOutput, std::span<char* const> aArguments)
 {
