LibFleet: Log repeated relays, silent parents and who told of a configuration

- relays_repeated, once a second: messages and records from peers that told nothing new.
- parent_silent: which parent is taken for lost, and since when.
- config_in_force also has the record's position and its source.

No decision changes. Tests of LibFleet and LibPeer: 161 passed.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -171,7 +171,10 @@
     return mLimits.Merge(aObserved);
   }
 
-  void OnPeerRelay(topic_relay const& aRelay) { mFollower.OnRelay(aRelay); }
+  bool OnPeerRelay(topic_relay const& aRelay)
+  {
+    return mFollower.OnRelay(aRelay);
+  }
 
 private:
   static constexpr std::chrono::milliseconds kTickInterval{ 50 };
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -4,6 +4,7 @@
 #include <LibEvents/EventLog.h>
 #include <LibFleet/LimitNotices.h>
 #include <LibFleet/PeerRegistry.h>
+#include <LibFleet/RelayLog.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
@@ -26,7 +27,8 @@
 /// whether the peer's lease or the servers that it is updating have changed;
 /// MergePartCrashes(std::span<part_crashes const>) and
 /// MergeLimits(std::span<observed_limit const>), which return what is new, to
-/// be passed on; and OnPeerRelay(topic_relay const&).
+/// be passed on; and OnPeerRelay(topic_relay const&), which returns whether any
+/// of the records was new.
 template<typename Control>
 class fleet_links
 {
@@ -141,8 +143,9 @@
     if (fleet_roster* const roster = std::get_if<fleet_roster>(message))
       return OnRoster(aPeer, *roster);
     topic_relay const& relay = std::get<topic_relay>(*message);
-    mExchange.Relay(mClock.Now(), relay, aPeer.mInstance);
-    mControl.OnPeerRelay(relay);
+    instant const now = mClock.Now();
+    mExchange.Relay(now, relay, aPeer.mInstance);
+    mRelayLog.OnRelay(now, relay, mControl.OnPeerRelay(relay));
   }
 
 private:
@@ -197,6 +200,7 @@
   peer_registry mRegistry;
   report_exchange mExchange;
   peer_hub<fleet_links, quiet_link_supervisor, system_clock> mHub;
+  relay_log mRelayLog;
   bool mIsLeaving = false;
 };
 
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -8,9 +8,11 @@
 #include <LibFleet/ServerRegistry.h>
 
 #include <chrono>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace lycheeseam {
 
@@ -30,7 +32,7 @@
       return ApplyServers(aNow, aNewRecords, aSource);
     for (keyed_record const& record : aNewRecords) {
       if (record.mValue)
-        ApplyOperatorRecord(aNow, record);
+        ApplyOperatorRecord(aNow, record, aSource);
     }
   }
 
@@ -119,7 +121,9 @@
     return aSource == page_source::Peer ? "peer" : "store";
   }
 
-  void ApplyOperatorRecord(instant aNow, keyed_record const& aRecord)
+  void ApplyOperatorRecord(instant aNow,
+                           keyed_record const& aRecord,
+                           page_source aSource)
   {
     operator_record read;
     try {
@@ -130,24 +134,27 @@
         { { "key", aRecord.mKey }, { "fault", std::string{ fault.what() } } });
       return;
     }
-    std::visit(
-      [this, aNow](auto const& aContent) { ApplyContent(aNow, aContent); },
-      read);
+    if (auto const* const config =
+          std::get_if<std::shared_ptr<dispatch_config const>>(&read))
+      return ApplyConfig(aRecord, *config, aSource);
+    if (auto const* const target = std::get_if<loaded_model>(&read))
+      return ApplyWeights(aNow, *target);
+    // Records under keys that this version doesn't know are ignored.
   }
 
-  // Records under keys that this version doesn't know are ignored.
-  void ApplyContent(instant, std::monostate) {}
-
-  void ApplyContent(instant,
-                    std::shared_ptr<dispatch_config const> const& aConfig)
+  void ApplyConfig(keyed_record const& aRecord,
+                   std::shared_ptr<dispatch_config const> const& aConfig,
+                   page_source aSource)
   {
     if (mOperators.Apply(aConfig))
       LogEvent(
         "config_in_force",
-        { { "version", static_cast<std::int64_t>(aConfig->Version()) } });
+        { { "version", static_cast<std::int64_t>(aConfig->Version()) },
+          { "position", static_cast<std::int64_t>(aRecord.mPosition.Number()) },
+          { "told_by", NameOf(aSource) } });
   }
 
-  void ApplyContent(instant aNow, loaded_model const& aTarget)
+  void ApplyWeights(instant aNow, loaded_model const& aTarget)
   {
     if (mOperators.Apply(aNow, aTarget))
       LogEvent("weights_named",
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -20,6 +20,22 @@
     aReport.mLimits.end(), aOwn.mLimits.begin(), aOwn.mLimits.end());
 }
 
+// aReportedAt is when the parent last reported over its link; empty without a
+// link or a report.
+void
+LogSilentParent(instant aNow,
+                instance_id const& aParent,
+                std::optional<instant> aReportedAt)
+{
+  std::int64_t const silence =
+    aReportedAt ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                    aNow - *aReportedAt)
+                    .count()
+                : -1;
+  LogEvent("parent_silent",
+           { { "parent", aParent.Text() }, { "silent_ms", silence } });
+}
+
 }
 
 report_exchange::report_exchange(peer_hello aSelf,
@@ -53,8 +69,14 @@
 {
   if (mTopology.mParent && aNow - mParentSince > kParentTimeout) {
     auto const link = mRegistry.Links().find(*mTopology.mParent);
-    if (link == mRegistry.Links().end() || !link->second.IsLive(aNow))
+    if (link == mRegistry.Links().end() || !link->second.IsLive(aNow)) {
+      LogSilentParent(aNow,
+                      *mTopology.mParent,
+                      link == mRegistry.Links().end()
+                        ? std::nullopt
+                        : link->second.mReportedAt);
       mRegistry.OnUnreachable(aNow, *mTopology.mParent);
+    }
   }
   report_topology topology = ComputeReportTopology(
     mSelf, mRegistry.Known().Reachable(), mTopology.mParent);
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -67,13 +67,15 @@
     mOperators.mReader.Refresh();
   }
 
-  /// Applies records that another instance read.
-  void OnRelay(topic_relay const& aRelay)
+  /// Applies records that another instance read; true when any of them is newer
+  /// than what was known.
+  bool OnRelay(topic_relay const& aRelay)
   {
     if (aRelay.mTopic == store_topic::Operators)
-      ApplyRelay(aRelay, mOperators);
+      return ApplyRelay(aRelay, mOperators);
     if (aRelay.mTopic == store_topic::Servers)
-      ApplyRelay(aRelay, mServers);
+      return ApplyRelay(aRelay, mServers);
+    return false;
   }
 
   /// The position after the last record of the operators that is known; the
@@ -163,7 +165,9 @@
     UpdateEra(aPage.mEnd.Era());
     topic_state& state =
       aTopic == store_topic::Operators ? mOperators.mState : mServers.mState;
-    mNewRecordsHandler(aTopic, state.Apply(aPage, aIsFull), mSource);
+    std::vector<keyed_record> const newRecords = state.Apply(aPage, aIsFull);
+    mHasNewRecords = !newRecords.empty();
+    mNewRecordsHandler(aTopic, newRecords, mSource);
   }
 
   void UpdateEra(store_era aEra)
@@ -173,15 +177,17 @@
     mEraHandler(std::exchange(mEra, aEra), aEra);
   }
 
-  void ApplyRelay(topic_relay const& aRelay, followed_topic& aTopic)
+  bool ApplyRelay(topic_relay const& aRelay, followed_topic& aTopic)
   {
     topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
     mSource = page_source::Peer;
+    mHasNewRecords = false;
     if (aRelay.mIsSnapshot)
       aTopic.mReader.ApplyFullPage(page);
     else if (!aTopic.mReader.ApplyPage(aRelay.mFrom, page))
       aTopic.mElection.RequestRead();
     mSource = page_source::Store;
+    return mHasNewRecords;
   }
 
   new_records_handler mNewRecordsHandler;
@@ -190,6 +196,8 @@
   system_clock mClock;
   /// The source of the page that is being applied.
   page_source mSource = page_source::Store;
+  /// True when the last page had records that were newer than the known ones.
+  bool mHasNewRecords = false;
   followed_topic mOperators;
   followed_topic mServers;
   /// The newest era of any page; empty before the first page.
