LibFleet: Pass on only records that were not known

Callers were answered 404 by instances that lacked a configuration 3 to 6 s after its acknowledgement.

Cause: during an outage of the store each instance reads for itself, and when the store is back each passed on all that it read; each root passed that on to its children and each child's to all other roots. 80 instances got 49 to 84 copies of the same records within a second (relays_repeated). Roots were busy for over 0.9 s and were taken for lost; children chose parents among the weakest instances. Any root without a store of its own to read, or one that passes records on, is subject to this: it is not about restores.

Change: records that a peer passed on, and those that this instance read, go on only if any of them was new here. Whoever knew them has passed them on already, or got them from a peer that does.

Test: RecordsThatAllInstancesReadArePassedOnOnceALink failed with 13, 40 and 90 instances (12, 39 and 89 copies, 1 allowed for a child), passes now.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -61,7 +61,9 @@
         [this](std::optional<store_era> aBefore, store_era aEra) {
           OnStoreEra(aBefore, aEra);
         },
-        [this](topic_relay const& aRelay) { mLinks.Relay(aRelay); })
+        [this](topic_relay const& aRelay, bool aIsNew) {
+          mLinks.OnRead(aRelay, aIsNew);
+        })
     , mRegistration(
         mClient,
         mOptions.mStore,
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -4,7 +4,7 @@
 #include <LibEvents/EventLog.h>
 #include <LibFleet/LimitNotices.h>
 #include <LibFleet/PeerRegistry.h>
-#include <LibFleet/RelayLog.h>
+#include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
@@ -27,8 +27,8 @@
 /// whether the peer's lease or the servers that it is updating have changed;
 /// MergePartCrashes(std::span<part_crashes const>) and
 /// MergeLimits(std::span<observed_limit const>), which return what is new, to
-/// be passed on; and OnPeerRelay(topic_relay const&), which returns whether any
-/// of the records was new.
+/// be passed on; and OnPeerRelay(topic_relay const&), which returns whether the
+/// records are new, or can't be told to be known.
 template<typename Control>
 class fleet_links
 {
@@ -95,10 +95,13 @@
     mExchange.Report(mClock.Now(), aOwn, aIsReady, mIsLeaving);
   }
 
-  /// Passes on records of the store that this instance read.
-  void Relay(topic_relay const& aRelay)
+  /// This instance read records of the store; aIsNew is true when any of them
+  /// was newer than what it knew.
+  void OnRead(topic_relay const& aRelay, bool aIsNew)
   {
-    mExchange.Relay(mClock.Now(), aRelay, std::nullopt);
+    instant const now = mClock.Now();
+    if (mRelayFilter.PassesOnRead(now, aRelay, aIsNew))
+      mExchange.Relay(now, aRelay, std::nullopt);
   }
 
   /// What is known of the other instances.
@@ -144,8 +147,8 @@
       return OnRoster(aPeer, *roster);
     topic_relay const& relay = std::get<topic_relay>(*message);
     instant const now = mClock.Now();
-    mExchange.Relay(now, relay, aPeer.mInstance);
-    mRelayLog.OnRelay(now, relay, mControl.OnPeerRelay(relay));
+    if (mRelayFilter.PassesOnRelayed(now, relay, mControl.OnPeerRelay(relay)))
+      mExchange.Relay(now, relay, aPeer.mInstance);
   }
 
 private:
@@ -200,7 +203,7 @@
   peer_registry mRegistry;
   report_exchange mExchange;
   peer_hub<fleet_links, quiet_link_supervisor, system_clock> mHub;
-  relay_log mRelayLog;
+  relay_filter mRelayFilter;
   bool mIsLeaving = false;
 };
 
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -32,8 +32,9 @@
   /// before, from an older copy of which the store has come back, or empty for
   /// the first one that is known.
   using era_handler = std::function<void(std::optional<store_era>, store_era)>;
-  /// Receives records that this instance read, to be passed on to peers.
-  using relay_handler = std::function<void(topic_relay const&)>;
+  /// Receives records that this instance read, and whether any of them was
+  /// newer than what was known.
+  using relay_handler = std::function<void(topic_relay const&, bool)>;
 
   store_follower(http_client& aClient,
                  endpoint const& aStore,
@@ -67,8 +68,8 @@
     mOperators.mReader.Refresh();
   }
 
-  /// Applies records that another instance read; true when any of them is newer
-  /// than what was known.
+  /// Applies records that another instance read. True when any of them is newer
+  /// than what was known, also when records before them are missing.
   bool OnRelay(topic_relay const& aRelay)
   {
     if (aRelay.mTopic == store_topic::Operators)
@@ -156,18 +157,19 @@
               topic_page const& aPage,
               bool aIsFull)
   {
-    if (mSource == page_source::Store && !aPage.mRecords.empty())
-      mRelayHandler({ .mTopic = aTopic,
-                      .mIsSnapshot = aIsFull,
-                      .mFrom = aFrom,
-                      .mEnd = aPage.mEnd,
-                      .mRecords = aPage.mRecords });
     UpdateEra(aPage.mEnd.Era());
     topic_state& state =
       aTopic == store_topic::Operators ? mOperators.mState : mServers.mState;
     std::vector<keyed_record> const newRecords = state.Apply(aPage, aIsFull);
     mHasNewRecords = !newRecords.empty();
     mNewRecordsHandler(aTopic, newRecords, mSource);
+    if (mSource == page_source::Store && !aPage.mRecords.empty())
+      mRelayHandler({ .mTopic = aTopic,
+                      .mIsSnapshot = aIsFull,
+                      .mFrom = aFrom,
+                      .mEnd = aPage.mEnd,
+                      .mRecords = aPage.mRecords },
+                    mHasNewRecords);
   }
 
   void UpdateEra(store_era aEra)
@@ -182,12 +184,15 @@
     topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
     mSource = page_source::Peer;
     mHasNewRecords = false;
+    bool hasGap = false;
     if (aRelay.mIsSnapshot)
       aTopic.mReader.ApplyFullPage(page);
-    else if (!aTopic.mReader.ApplyPage(aRelay.mFrom, page))
-      aTopic.mElection.RequestRead();
+    else
+      hasGap = !aTopic.mReader.ApplyPage(aRelay.mFrom, page);
     mSource = page_source::Store;
-    return mHasNewRecords;
+    if (hasGap)
+      aTopic.mElection.RequestRead();
+    return hasGap || mHasNewRecords;
   }
 
   new_records_handler mNewRecordsHandler;
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFleet/LimitNotices.h>
+#include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibFleet/ServerLimits.h>
 
@@ -44,6 +45,9 @@
     std::vector<part_crashes> mReceivedEvidence;
     server_limits mLimits;
     std::vector<topic_relay> mRelays;
+    relay_filter mRelayFilter;
+    /// The position after the last record that it knows.
+    store_position mEnd;
   };
 
   explicit simulated_fleet(int aCount)
@@ -74,6 +78,14 @@
     mMembers.erase(aId);
   }
 
+  /// A member reads records of the store.
+  void Read(member& aMember, topic_relay const& aRead)
+  {
+    bool const isNew = Learn(aMember, aRead);
+    if (aMember.mRelayFilter.PassesOnRead(mNow, aRead, isNew))
+      aMember.mExchange->Relay(mNow, aRead, std::nullopt);
+  }
+
   void Run(std::chrono::milliseconds aTime)
   {
     for (instant const end = mNow + aTime; mNow < end; mNow += kStep)
@@ -103,6 +115,19 @@
     return peers;
   }
 
+  /// How many parents there are above each member.
+  [[nodiscard]] std::map<instance_id, std::size_t> Depths() const
+  {
+    std::map<instance_id, std::size_t> depths;
+    for (auto const& [id, any] : mMembers) {
+      std::size_t& depth = depths[id];
+      for (member const* above = ParentOf(id); above != nullptr;
+           above = ParentOf(above->mHello.mIdentity.mInstance))
+        ++depth;
+    }
+    return depths;
+  }
+
   static instance_id Name(int aIndex)
   {
     return instance_id{ "entry-" + std::to_string(aIndex) };
@@ -122,6 +147,27 @@
     return std::minmax(aFirst, aSecond);
   }
 
+  // The member that has aId as a child, or null.
+  [[nodiscard]] member const* ParentOf(instance_id const& aId) const
+  {
+    for (auto const& [id, other] : mMembers) {
+      auto const link = other->mRegistry.Links().find(aId);
+      if (link != other->mRegistry.Links().end() && link->second.IsChild() &&
+          link->second.IsLive(mNow))
+        return other.get();
+    }
+    return nullptr;
+  }
+
+  // True when any of the records is new.
+  static bool Learn(member& aMember, topic_relay const& aRelay)
+  {
+    if (aRelay.mEnd <= aMember.mEnd)
+      return false;
+    aMember.mEnd = aRelay.mEnd;
+    return true;
+  }
+
   member& Add(int aIndex)
   {
     constexpr int kDomains = 3;
@@ -232,7 +278,10 @@
     if (auto const* const relay =
           std::get_if<topic_relay>(&aMessage.mContent)) {
       aTo.mRelays.push_back(*relay);
-      return aTo.mExchange->Relay(mNow, *relay, aMessage.mFrom);
+      bool const isNew = Learn(aTo, *relay);
+      if (aTo.mRelayFilter.PassesOnRelayed(mNow, *relay, isNew))
+        aTo.mExchange->Relay(mNow, *relay, aMessage.mFrom);
+      return;
     }
     fleet_report const& report = std::get<fleet_report>(aMessage.mContent);
     if (!aTo.mExchange->IsAccepted(aMessage.mFrom, report.mScope))
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -114,14 +114,45 @@
 {
   mFleet.Run(kSettled);
   simulated_fleet::member& reader = mFleet.Member(GetParam() - 1);
-  reader.mExchange->Relay(
-    mFleet.Now(), { .mEnd = { store_era{}, 3 } }, std::nullopt);
+  mFleet.Read(reader, { .mEnd = { store_era{}, 3 } });
   mFleet.Run(seconds{ 1 });
   for (auto const& [id, member] : mFleet.Members())
     EXPECT_EQ(member->mRelays.size(), member.get() == &reader ? 0u : 1u)
       << id.Text();
 }
 
+// Guards against roots that are busy with records that everyone has read, after
+// an outage of the store, and are taken for lost.
+TEST_P(TestReportExchange, RecordsThatAllInstancesReadArePassedOnOnceALink)
+{
+  mFleet.Run(kSettled);
+  topic_relay const read{ .mIsSnapshot = true, .mEnd = { store_era{ 2 }, 3 } };
+  for (auto const& [id, member] : mFleet.Members())
+    mFleet.Read(*member, read);
+  mFleet.Run(seconds{ 1 });
+  for (auto const& [id, member] : mFleet.Members())
+    EXPECT_LE(member->mRelays.size(), mFleet.Peers(id).size()) << id.Text();
+}
+
+// Guards against an instance that missed a record for good because those that
+// could pass it on know it already.
+TEST_P(TestReportExchange, LaterSnapshotsReachInstancesThatMissedARecord)
+{
+  mFleet.Run(kSettled);
+  simulated_fleet::member& reader = mFleet.Member(GetParam() - 1);
+  topic_relay const read{ .mIsSnapshot = true, .mEnd = { store_era{}, 3 } };
+  mFleet.Read(reader, read);
+  mFleet.Run(seconds{ 3 });
+  for (auto const& [id, depth] : mFleet.Depths()) {
+    if (depth > 0)
+      mFleet.Members().at(id)->mEnd = {};
+  }
+  mFleet.Read(reader, read);
+  mFleet.Run(seconds{ 1 });
+  for (auto const& [id, member] : mFleet.Members())
+    EXPECT_EQ(member->mEnd, read.mEnd) << id.Text();
+}
+
 TEST_P(TestReportExchange, TheNewestLeaseIsKnownWithinASecond)
 {
   mFleet.Run(kSettled);
