LibFleet: Leave a parent that reports to a parent itself

Cause: a child kept its parent while that one was alive. An instance that couldn't reach the roots of its failure domain for a moment took itself for a root, got children, found the roots again and reported to one of them; its children stayed. They were third in line behind an instance with 0.12 cores and a link of 10 Mbit/s, and got reports and records 4 to 6 s late, without a pause that would have shown it.

Change: an instance says in its reports whether it has a parent; a child whose parent has one chooses again among the roots. The field is at the end of the table, so that instances with an older schema read the rest.

Test: ChildrenLeaveAParentThatHasAParent failed with 40 and 90 instances (two and three parents above a member), passes now.

--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -78,8 +78,8 @@
       mRegistry.OnUnreachable(aNow, *mTopology.mParent);
     }
   }
-  report_topology topology = ComputeReportTopology(
-    mSelf, mRegistry.Known().Reachable(), mTopology.mParent);
+  report_topology topology =
+    ComputeReportTopology(mSelf, mRegistry.Known().Reachable(), ParentToKeep());
   if (topology.mParent != mTopology.mParent) {
     mParentSince = aNow;
     LogEvent(
@@ -99,6 +99,20 @@
   mContactsHandler(contacts);
 }
 
+// A parent that reports to another instance took itself for a root while it
+// couldn't reach those that are. It may be far weaker than they are, so that
+// all that passes through it is late.
+std::optional<instance_id>
+report_exchange::ParentToKeep() const
+{
+  if (!mTopology.mParent)
+    return std::nullopt;
+  auto const link = mRegistry.Links().find(*mTopology.mParent);
+  bool const hasParent =
+    link != mRegistry.Links().end() && link->second.mReport.mHasParent;
+  return hasParent ? std::nullopt : mTopology.mParent;
+}
+
 void
 report_exchange::ReleaseUnused(instant aNow)
 {
@@ -204,6 +218,7 @@
     }
     fleet_report report =
       ComposeReport(aNow, mRegistry, aOwn, updates, *scope, id);
+    report.mHasParent = mTopology.mParent.has_value();
     if (isNewLink)
       AddEarlierState(report, aOwn);
     mSend(std::span{ &id, 1 }, std::move(report));
--- a/Libraries/LibFleet/ReportExchange.h
+++ b/Libraries/LibFleet/ReportExchange.h
@@ -85,6 +85,8 @@
   };
 
   void UpdateTopology(instant aNow);
+  // The parent so far, unless it has a parent itself; empty for a root.
+  [[nodiscard]] std::optional<instance_id> ParentToKeep() const;
   void ReleaseUnused(instant aNow);
   // The scope of the reports to send over a link; empty when none are sent.
   [[nodiscard]] std::optional<report_scope> ScopeTo(
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -72,7 +72,8 @@
                        .mLease = aTable.lease(),
                        .mReader = instance_id{ aTable.reader()->str() },
                        .mOperatorsEnd =
-                         store_position::FromNumber(aTable.operators_end()) };
+                         store_position::FromNumber(aTable.operators_end()),
+                       .mHasParent = aTable.has_parent() };
   report.mSpent = DecodeUnits(*aTable.spent());
   report.mUsed = DecodeUnits(*aTable.used());
   for (wire::CrashCount const* const crash : *aTable.crashes())
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -77,7 +77,8 @@
                               used,
                               aReport.mOperatorsEnd.Number(),
                               mBuilder.CreateVector(partCrashes),
-                              mBuilder.CreateVector(limits)));
+                              mBuilder.CreateVector(limits),
+                              aReport.mHasParent));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -47,6 +47,8 @@
   std::vector<workspace_usage> mUsed;
   /// The position after the last of the operators' records that the sender has.
   store_position mOperatorsEnd;
+  /// True when the sender itself reports to a parent.
+  bool mHasParent = false;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2574,7 +2574,8 @@
     VT_USED = 20,
     VT_OPERATORS_END = 22,
     VT_PART_CRASHES = 24,
-    VT_LIMITS = 26
+    VT_LIMITS = 26,
+    VT_HAS_PARENT = 28
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2612,6 +2613,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *>(VT_LIMITS);
   }
+  bool has_parent() const {
+    return GetField<uint8_t>(VT_HAS_PARENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2642,6 +2646,7 @@
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_PARENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -2686,6 +2691,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits) {
     fbb_.AddOffset(FleetReport::VT_LIMITS, limits);
   }
+  void add_has_parent(bool has_parent) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_HAS_PARENT, static_cast<uint8_t>(has_parent), 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2717,7 +2725,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>> used = 0,
     uint64_t operators_end = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits = 0,
+    bool has_parent = false) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
@@ -2730,6 +2739,7 @@
   builder_.add_crashes(crashes);
   builder_.add_spent(spent);
   builder_.add_reader(reader);
+  builder_.add_has_parent(has_parent);
   builder_.add_scope(scope);
   return builder_.Finish();
 }
@@ -2747,7 +2757,8 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>> *used = nullptr,
     uint64_t operators_end = 0,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes = nullptr,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits = nullptr,
+    bool has_parent = false) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2770,7 +2781,8 @@
       used__,
       operators_end,
       part_crashes__,
-      limits__);
+      limits__,
+      has_parent);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -86,6 +86,15 @@
       aMember.mExchange->Relay(mNow, aRead, std::nullopt);
   }
 
+  /// Closes a link, and keeps it closed until Reconnect().
+  void Disconnect(instance_id const& aFirst, instance_id const& aSecond)
+  {
+    mCut.insert(Link(aFirst, aSecond));
+    Close(aFirst, aSecond);
+  }
+
+  void Reconnect() { mCut.clear(); }
+
   void Run(std::chrono::milliseconds aTime)
   {
     for (instant const end = mNow + aTime; mNow < end; mNow += kStep)
@@ -221,7 +230,8 @@
   {
     for (auto& [id, dialler] : mMembers) {
       for (instance_id const& peer : dialler->mWanted) {
-        if (!mMembers.contains(peer) || !mLinks.insert(Link(id, peer)).second)
+        if (!mMembers.contains(peer) || mCut.contains(Link(id, peer)) ||
+            !mLinks.insert(Link(id, peer)).second)
           continue;
         dialler->mRegistry.OnUp(mNow, mMembers.at(peer)->mHello);
         mMembers.at(peer)->mRegistry.OnUp(mNow, dialler->mHello);
@@ -304,6 +314,8 @@
   int mSteps = 0;
   std::map<instance_id, std::unique_ptr<member>> mMembers;
   std::set<link> mLinks;
+  /// Links that can't be opened.
+  std::set<link> mCut;
   std::vector<message> mSent;
 };
 
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -153,6 +153,31 @@
     EXPECT_EQ(member->mEnd, read.mEnd) << id.Text();
 }
 
+// Guards against reports and records that are late because they pass through an
+// instance that was a root for a moment only.
+TEST_P(TestReportExchange, ChildrenLeaveAParentThatHasAParent)
+{
+  mFleet.Run(kSettled);
+  std::map<instance_id, std::size_t> const depths = mFleet.Depths();
+  // Each root's links break for long enough that its children choose others.
+  std::vector<instance_id> roots;
+  for (auto const& [id, depth] : depths) {
+    if (depth == 0)
+      roots.push_back(id);
+  }
+  for (instance_id const& root : roots) {
+    for (auto const& [id, member] : mFleet.Members()) {
+      if (id != root)
+        mFleet.Disconnect(root, id);
+    }
+  }
+  mFleet.Run(seconds{ 4 });
+  mFleet.Reconnect();
+  mFleet.Run(seconds{ 8 });
+  for (auto const& [id, depth] : mFleet.Depths())
+    EXPECT_LE(depth, 1U) << id.Text();
+}
+
 TEST_P(TestReportExchange, TheNewestLeaseIsKnownWithinASecond)
 {
   mFleet.Run(kSettled);
