--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -35,6 +35,10 @@
 /// with another.
 using weights_version = identifier<struct weights_version_tag>;
 
+/// The version of a backend server's software. Versions have no order, and one
+/// can't continue a stream that another began.
+using software_version = identifier<struct software_version_tag>;
+
 /// A request's id on all hops; unique in the fleet.
 using request_id = identifier<struct request_tag>;
 
--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -49,6 +49,9 @@
     return false;
   if (IsOutdated(aServer, aRequest))
     return false;
+  if (aRequest.mSoftware &&
+      aServer.mRegistered.mSoftware != *aRequest.mSoftware)
+    return false;
   breaker_state const breaker = aServer.mBreaker.State(aRequest.mNow);
   bool const isProbed =
     breaker == breaker_state::HalfOpen && aServer.mInFlight > 0;
--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -3,13 +3,16 @@
 #include <LibCore/Instant.h>
 #include <LibDispatch/DispatchConfig.h>
 #include <LibDispatch/ObservedLimit.h>
+#include <LibDispatch/PoolSoftware.h>
 #include <LibDispatch/ReadyInstance.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/TargetWeights.h>
 #include <LibDispatch/WorkspaceUsage.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,6 +31,11 @@
   std::vector<observed_limit> mLimits;
   /// The target weights of each model.
   std::vector<target_weights> mWeights;
+  /// The software that each pool's servers run, or ran so recently that callers
+  /// may resume a stream that it began.
+  std::vector<pool_software> mSoftware;
+  /// True while no other software can have begun a stream.
+  bool mIsSoftwareComplete = false;
   /// The instances that are ready for callers.
   std::vector<ready_instance> mReadyInstances;
   /// Instances that share limits, this one included; at least 1.
@@ -45,6 +53,34 @@
   /// without such instances.
   std::vector<workspace_usage> mStoredUsage;
 
+  /// The software that began all streams of a pool; empty when that is several,
+  /// or unknown.
+  [[nodiscard]] std::optional<software_version> OnlySoftware(
+    pool_name const& aPool) const
+  {
+    if (!mIsSoftwareComplete)
+      return std::nullopt;
+    std::optional<software_version> only;
+    for (pool_software const& used : mSoftware) {
+      if (used.mPool != aPool)
+        continue;
+      if (only)
+        return std::nullopt;
+      only = used.mSoftware;
+    }
+    return only;
+  }
+
+  /// True when the streams of any pool may be of several versions of software.
+  [[nodiscard]] bool HasMixedSoftware() const
+  {
+    std::set<pool_name> pools;
+    return std::any_of(
+      mSoftware.begin(), mSoftware.end(), [&pools](pool_software const& aUsed) {
+        return !pools.insert(aUsed.mPool).second;
+      });
+  }
+
   /// The target weights of a model, or null.
   [[nodiscard]] target_weights const* FindWeights(
     model_name const& aModel) const
--- a/Libraries/LibDispatch/RegisteredServer.h
+++ b/Libraries/LibDispatch/RegisteredServer.h
@@ -23,6 +23,8 @@
   /// Requests that it runs concurrently.
   std::uint32_t mSlots = 1;
   server_stage mStage = server_stage::Ready;
+  /// Empty when the server doesn't say.
+  software_version mSoftware;
   std::vector<loaded_model> mModels;
   /// How many entries this incarnation had written; 0 when it doesn't say.
   std::uint64_t mEntries = 0;
--- a/Libraries/LibDispatch/RequestProperties.h
+++ b/Libraries/LibDispatch/RequestProperties.h
@@ -31,6 +31,21 @@
   std::vector<prompt_part> mParts;
   /// Id of the last event that the caller received of a stream to be resumed.
   std::optional<std::uint64_t> mLastEvent;
+  /// The request that brought the first event of that stream; empty when the
+  /// caller doesn't say.
+  request_id mResumes;
+
+  /// True when the request continues a stream that another request began.
+  [[nodiscard]] bool IsResumption() const
+  {
+    return mLastEvent.has_value() || !mResumes.IsEmpty();
+  }
+
+  /// The request that began the stream.
+  [[nodiscard]] request_id const& StreamId() const
+  {
+    return IsResumption() ? mResumes : mId;
+  }
 
   /// Tokens of the parts that other requests may share.
   [[nodiscard]] token_count SharedTokens() const
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -29,6 +29,8 @@
   /// How long older weights may be used after this instance learned of newer
   /// target weights.
   duration mOutdatedAfter{ duration::max() };
+  /// The only software that may run the request; empty when any may.
+  std::optional<software_version> mSoftware;
   /// Servers that the request was already sent to.
   std::vector<backend_server_id> mTried;
 };
--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -89,6 +89,7 @@
     Append(report.mWeights, update.mWeights);
     Append(report.mLimits, MakeLimitNotices(aNow, update.mLimits));
     Append(report.mHolders, update.mHolders);
+    Append(report.mOrigins, update.mOrigins);
   }
   return report;
 }
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -14,6 +14,7 @@
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/ServerLimits.h>
 #include <LibFleet/StoreFollower.h>
+#include <LibFleet/StreamSoftware.h>
 #include <LibFleet/UsageWriter.h>
 #include <LibGateway/PeerUpdate.h>
 #include <LibGateway/QuerySession.h>
@@ -70,6 +71,11 @@
         mOptions.mSelf,
         [this](peer_hello const& aInstance) { mLinks.OnRegistered(aInstance); })
     , mUsageWriter(mClient, mOptions.mStore)
+    , mSoftware(mClient,
+                mOptions.mStore,
+                [this](std::vector<stream_origin> aOrigins) {
+                  mUpdateHandler({ .mOrigins = std::move(aOrigins) });
+                })
     , mLinks(aContext, mOptions.mSelf, mOptions.mQuotaWindow, *this)
     , mOrderDriver(
         mClient,
@@ -118,10 +124,12 @@
     mWindowUsage = std::move(aReport.mWindowUsage);
     MergePartCrashes(aReport.mPartCrashes);
     MergeLimits(aReport.mLimits);
+    mSoftware.Add(mClock.Now(), aReport.mOrigins);
     mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
                  .mPartCrashes = std::move(aReport.mPartCrashes),
                  .mLimits = std::move(aReport.mLimits),
-                 .mHolders = std::move(aReport.mHolders) });
+                 .mHolders = std::move(aReport.mHolders),
+                 .mOrigins = std::move(aReport.mOrigins) });
     ReportToPeers();
     Publish();
   }
@@ -132,15 +140,19 @@
     instant const now = mClock.Now();
     std::set<backend_server_id> const updating = mOrderDriver.Updating();
     instance_id const& self = mOptions.mSelf.mIdentity.mInstance;
-    mLinks.Report({ .mLease = mOrderDriver.Lease(),
-                    .mReader = mFollower.IsReading(now) ? self : instance_id{},
-                    .mSpent = mOwnUsage,
-                    .mPartCrashes = mSuspects.Quarantined(),
-                    .mLimits = MakeLimitNotices(now, mLimits.List()),
-                    .mUpdating = { updating.begin(), updating.end() },
-                    .mUsed = mWindowUsage,
-                    .mOperatorsEnd = mFollower.OperatorsEnd() },
-                  IsReady());
+    mLinks.Report(
+      { .mLease = mOrderDriver.Lease(),
+        .mReader = mFollower.IsReading(now) ? self : instance_id{},
+        .mSpent = mOwnUsage,
+        .mPartCrashes = mSuspects.Quarantined(),
+        .mLimits = MakeLimitNotices(now, mLimits.List()),
+        .mUpdating = { updating.begin(), updating.end() },
+        .mUsed = mWindowUsage,
+        .mOperatorsEnd = mFollower.OperatorsEnd(),
+        .mOrigins = mSoftware.Origins().List(now),
+        .mSoftware = mSoftware.History().Notices(now),
+        .mIsSoftwareComplete = mSoftware.History().IsComplete(now) },
+      IsReady());
   }
 
   void OnPeersChanged() { Publish(); }
@@ -149,10 +161,11 @@
   {
     mFollower.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
     if (!aReport.mCrashes.empty() || !aReport.mPartCrashes.empty() ||
-        !aReport.mHolders.empty())
+        !aReport.mHolders.empty() || !aReport.mOrigins.empty())
       mUpdateHandler({ .mCrashes = aReport.mCrashes,
                        .mPartCrashes = aReport.mPartCrashes,
-                       .mHolders = aReport.mHolders });
+                       .mHolders = aReport.mHolders,
+                       .mOrigins = aReport.mOrigins });
     if (mRecords.Servers().OnObservedWeights(aReport.mWeights) ||
         aHaveUpdatesChanged)
       Publish();
@@ -173,6 +186,12 @@
     return mLimits.Merge(aObserved);
   }
 
+  // Keeps what peers know of the software that began streams.
+  std::vector<stream_origin> MergeSoftware(fleet_report const& aReport)
+  {
+    return mSoftware.Merge(mClock.Now(), aReport);
+  }
+
   bool OnPeerRelay(topic_relay const& aRelay)
   {
     return mFollower.OnRelay(aRelay);
@@ -195,6 +214,7 @@
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
     if (IsReader(now))
       mUsageWriter.Write(now, mWindowUsage);
+    mSoftware.Tick(now, IsReader(now));
     mLinks.Tick(now);
     mSuspects.Prune(now);
     mLimits.Prune(now);
@@ -232,6 +252,7 @@
     instant const now = mClock.Now();
     mRecords.Servers().OnStoreRestored(now);
     mRegistration.OnStoreRestored(now);
+    mSoftware.OnStoreRestored();
   }
 
   void OnNewRecords(store_topic aTopic,
@@ -257,6 +278,15 @@
     return mRecords.Operators().Config() != nullptr && !mIsLeaving;
   }
 
+  // False while neither the store nor any other instance tells which software
+  // is in use.
+  [[nodiscard]] bool IsInTouch(instant aNow) const
+  {
+    std::uint32_t const others = mView.mInstances - 1;
+    return mFollower.IsReadingServers(aNow) || others == 0 ||
+           mView.mUnresponsiveInstances < others;
+  }
+
   void Publish()
   {
     instant const now = mClock.Now();
@@ -271,6 +301,10 @@
         { .mInstance = mOptions.mSelf.mIdentity.mInstance,
           .mDomain = mOptions.mSelf.mFailureDomain,
           .mAddress = mOptions.mSelf.mCallers });
+    mSoftware.OnServers(now, mView.mServers);
+    mView.mSoftware = mSoftware.History().List(now);
+    mView.mIsSoftwareComplete =
+      mSoftware.History().IsComplete(now) && IsInTouch(now);
     mView.mReportDelay = mLinks.ReportDelay();
     if (mView.mConfig)
       mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
@@ -289,6 +323,7 @@
   store_follower<Dialect> mFollower;
   instance_registration<Dialect> mRegistration;
   usage_writer<Dialect> mUsageWriter;
+  stream_software<Dialect> mSoftware;
   fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrderDriver;
   fleet_view mView;
--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibDispatch/PoolSoftware.h>
 #include <LibDispatch/RegisteredServer.h>
+#include <LibDispatch/StreamOrigin.h>
 #include <LibFleet/EngineReport.h>
 #include <LibFleet/OperatorRecord.h>
 #include <LibFleet/OrderAnswer.h>
@@ -18,8 +20,10 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -38,6 +42,8 @@
                                  backend_server_id const& aServer,
                                  peer_hello const& aInstance,
                                  quota_usage const& aUsage,
+                                 std::span<pool_software const> aSoftware,
+                                 std::span<stream_origin const> aOrigins,
                                  http_exchange_result const& aResult)
 {
   // The newest record of each key that sorts after a given key.
@@ -90,6 +96,20 @@
   {
     Dialect::ReadUsage(aText)
     } -> std::same_as<quota_usage>;
+  // The software that the servers of each pool have run lately.
+  {
+    Dialect::FormatSoftware(aSoftware)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadSoftware(aText)
+    } -> std::same_as<std::vector<pool_software>>;
+  // The software that began streams.
+  {
+    Dialect::FormatOrigins(aOrigins)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadOrigins(aText)
+    } -> std::same_as<std::vector<stream_origin>>;
   // Orders to engines, and the engines' reports of their state.
   {
     Dialect::OrderRequest(aOrder)
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -26,7 +26,8 @@
 /// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
 /// whether the peer's lease or the servers that it is updating have changed;
 /// MergePartCrashes(std::span<part_crashes const>) and
-/// MergeLimits(std::span<observed_limit const>), which return what is new, to
+/// MergeLimits(std::span<observed_limit const>) and
+/// MergeSoftware(fleet_report const&), which return what is new, to
 /// be passed on; and OnPeerRelay(topic_relay const&), which returns whether the
 /// records are new, or can't be told to be known.
 template<typename Control>
@@ -185,7 +186,8 @@
         .mWeights = aReport.mWeights,
         .mLimits =
           mControl.MergeLimits(ReadLimitNotices(mClock.Now(), aReport.mLimits)),
-        .mHolders = aReport.mHolders });
+        .mHolders = aReport.mHolders,
+        .mOrigins = mControl.MergeSoftware(aReport) });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
   }
 
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -18,6 +18,15 @@
                               aOwn.mPartCrashes.end());
   aReport.mLimits.insert(
     aReport.mLimits.end(), aOwn.mLimits.begin(), aOwn.mLimits.end());
+  aReport.mSoftware = aOwn.mSoftware;
+  aReport.mIsSoftwareComplete = aOwn.mIsSoftwareComplete;
+}
+
+void
+AddOrigins(fleet_report& aReport, fleet_report const& aOwn)
+{
+  aReport.mOrigins.insert(
+    aReport.mOrigins.end(), aOwn.mOrigins.begin(), aOwn.mOrigins.end());
 }
 
 // aReportedAt is when the parent last reported over its link; empty without a
@@ -59,9 +68,11 @@
   mNextTopologyAt = aNow + kTopologyInterval;
   UpdateTopology(aNow);
   ReleaseUnused(aNow);
-  std::erase_if(mSentRosters, [this](auto const& aEntry) {
+  auto const hasNoLink = [this](auto const& aEntry) {
     return !mRegistry.Links().contains(aEntry.first);
-  });
+  };
+  std::erase_if(mSentRosters, hasNoLink);
+  std::erase_if(mReported, hasNoLink);
 }
 
 void
@@ -206,14 +217,17 @@
   std::vector<report_update> const updates = std::exchange(mUpdates, {});
   std::vector<instance_id> roots;
   std::vector<instance_id> newRoots;
+  std::vector<instance_id> firstRoots;
   for (auto const& [id, link] : mRegistry.Links()) {
     std::optional<report_scope> const scope = ScopeTo(aNow, link);
     if (!scope)
       continue;
     SendRoster(aNow, self, *scope, id);
     bool const isNewLink = aNow - link.mUpAt < kEarlierStatePeriod;
+    link_use const use{ .mUpAt = link.mUpAt, .mScope = *scope };
+    bool const isFirst = std::exchange(mReported[id], use) != use;
     if (*scope == report_scope::Root) {
-      (isNewLink ? newRoots : roots).push_back(id);
+      (isFirst ? firstRoots : isNewLink ? newRoots : roots).push_back(id);
       continue;
     }
     fleet_report report =
@@ -221,19 +235,24 @@
     report.mHasParent = mTopology.mParent.has_value();
     if (isNewLink)
       AddEarlierState(report, aOwn);
+    if (isFirst)
+      AddOrigins(report, aOwn);
     mSend(std::span{ &id, 1 }, std::move(report));
   }
-  if (roots.empty() && newRoots.empty())
+  if (roots.empty() && newRoots.empty() && firstRoots.empty())
     return;
   // All roots get the same report, except that roots with a new link also get
-  // the earlier state.
+  // the earlier state, and once all known origins of streams.
   fleet_report report =
     ComposeReport(aNow, mRegistry, aOwn, updates, report_scope::Root, {});
   if (!roots.empty())
     mSend(roots, report);
   AddEarlierState(report, aOwn);
   if (!newRoots.empty())
-    mSend(newRoots, std::move(report));
+    mSend(newRoots, report);
+  AddOrigins(report, aOwn);
+  if (!firstRoots.empty())
+    mSend(firstRoots, std::move(report));
 }
 
 void
--- a/Libraries/LibFleet/ReportExchange.h
+++ b/Libraries/LibFleet/ReportExchange.h
@@ -54,7 +54,8 @@
 
   /// Sends each peer a report, and its roster when that has changed. aOwn holds
   /// the state of this instance alone; its usage of the window, its parts in
-  /// quarantine and its rate limits go over new links only.
+  /// quarantine, its rate limits and its software go over new links only, its
+  /// origins of streams once over each link.
   void Report(instant aNow,
               fleet_report const& aOwn,
               bool aIsReady,
@@ -77,6 +78,16 @@
   // The topology of the other end may lag and need the link a moment later.
   static constexpr std::chrono::seconds kUnusedLinkTimeout{ 5 };
 
+  /// What the reports over the link that opened at mUpAt cover. The peer may
+  /// have ignored those of another scope.
+  struct link_use
+  {
+    instant mUpAt{};
+    report_scope mScope = report_scope::Root;
+
+    bool operator==(link_use const&) const = default;
+  };
+
   /// The roster that was sent last over the link that opened at mUpAt.
   struct sent_roster
   {
@@ -108,6 +119,7 @@
   instant mNextTopologyAt{};
   std::vector<report_update> mUpdates;
   std::map<instance_id, sent_roster> mSentRosters;
+  std::map<instance_id, link_use> mReported;
 };
 
 }
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -6,8 +6,8 @@
 
 namespace lycheeseam {
 
-/// Crashes, weights, rate limits and prefix holders that an instance observed,
-/// to be reported once to all others.
+/// Crashes, weights, rate limits, prefix holders and origins of streams that an
+/// instance observed, to be reported once to all others.
 struct report_update
 {
   /// The peer that reported it; empty for this instance's own observations.
@@ -19,11 +19,12 @@
   std::vector<observed_weights> mWeights;
   std::vector<observed_limit> mLimits;
   std::vector<prefix_holder> mHolders;
+  std::vector<stream_origin> mOrigins;
 
   [[nodiscard]] bool IsEmpty() const
   {
     return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
-           mLimits.empty() && mHolders.empty();
+           mLimits.empty() && mHolders.empty() && mOrigins.empty();
   }
 };
 
--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/RetryAfter.h>
 
 #include <algorithm>
+#include <span>
 
 namespace lycheeseam {
 
@@ -63,6 +64,57 @@
   };
 }
 
+// True while a server of the pool that runs the software takes requests.
+bool
+IsSoftwareInUse(traffic_core& aCore,
+                pool_name const& aPool,
+                software_version const& aSoftware)
+{
+  std::span<tracked_server* const> const servers = aCore.Servers().Pool(aPool);
+  return std::any_of(servers.begin(), servers.end(), [&](auto const* aServer) {
+    return !aServer->IsLeaving() && aServer->mRegistered.mSoftware == aSoftware;
+  });
+}
+
+void
+LogStreamRefused(std::string_view aCause,
+                 request_properties const& aProperties,
+                 fleet_view const& aView)
+{
+  LogEvent(
+    "resumption_refused",
+    { { "request", aProperties.mId.Text() },
+      { "resumes", aProperties.mResumes.Text() },
+      { "cause", std::string{ aCause } },
+      { "is_software_complete", std::int64_t{ aView.mIsSoftwareComplete } } });
+}
+
+// Finds the software that may continue the stream that a request resumes. What
+// another one writes doesn't fit to what the caller has.
+std::optional<request_refusal>
+FindSoftware(traffic_core& aCore,
+             instant aNow,
+             request_properties const& aProperties,
+             admitted_request& aAdmitted)
+{
+  if (!aAdmitted.mRoute->mIsResumable || !aProperties.IsResumption())
+    return std::nullopt;
+  fleet_view const& view = *aCore.View(aNow);
+  aAdmitted.mSoftware =
+    aCore.Origins().Find(aNow, stream_origins::Key(aProperties.mResumes));
+  if (!aAdmitted.mSoftware)
+    aAdmitted.mSoftware = view.OnlySoftware(aAdmitted.mPool);
+  if (!aAdmitted.mSoftware) {
+    LogStreamRefused("origin_unknown", aProperties, view);
+    return request_refusal{ .mRetryAfter = kRetryAfter };
+  }
+  if (!IsSoftwareInUse(aCore, aAdmitted.mPool, *aAdmitted.mSoftware)) {
+    LogStreamRefused("software_gone", aProperties, view);
+    return request_refusal{ .mRetryAfter = kSoftwareGoneRetryAfter };
+  }
+  return std::nullopt;
+}
+
 std::optional<request_refusal>
 Charge(traffic_core& aCore,
        instant aNow,
@@ -116,6 +168,11 @@
   if (std::optional<request_refusal> const refusal =
         CheckParts(aCore, aNow, aProperties, aAdmitted))
     return refusal;
+  // A stream goes on in the pool in which it began.
+  aAdmitted.mPool = ChoosePool(*aAdmitted.mRoute, aProperties.StreamId());
+  if (std::optional<request_refusal> const refusal =
+        FindSoftware(aCore, aNow, aProperties, aAdmitted))
+    return refusal;
   if (std::optional<request_refusal> const refusal =
         Charge(aCore, aNow, aProperties, aAdmitted))
     return refusal;
@@ -123,7 +180,6 @@
   if (aProperties.mMaxWait)
     aAdmitted.mDeadline =
       std::min(aAdmitted.mDeadline, aNow + *aProperties.mMaxWait);
-  aAdmitted.mPool = ChoosePool(*aAdmitted.mRoute, aProperties.mId);
   return std::nullopt;
 }
 
--- a/Libraries/LibGateway/AdmittedRequest.h
+++ b/Libraries/LibGateway/AdmittedRequest.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lycheeseam {
@@ -21,6 +22,9 @@
   /// configured.
   dispatch_workspace const* mWorkspace = nullptr;
   pool_name mPool;
+  /// The software that began the stream that the request resumes; empty for
+  /// other requests.
+  std::optional<software_version> mSoftware;
   /// The charge, in the workspace's quota unit.
   double mUnits = 0;
   /// The result of RequestFingerprint, by which a request that crashes servers
--- a/Libraries/LibGateway/PeerUpdate.h
+++ b/Libraries/LibGateway/PeerUpdate.h
@@ -3,6 +3,7 @@
 #include <LibDispatch/CrashCount.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
+#include <LibDispatch/StreamOrigin.h>
 
 #include <vector>
 
@@ -15,6 +16,7 @@
   /// New evidence on parts of prompts that crash servers.
   std::vector<part_crashes> mPartCrashes;
   std::vector<prefix_holder> mHolders;
+  std::vector<stream_origin> mOrigins;
 };
 
 }
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -176,7 +176,8 @@
       return EndNow();
     if (!mAdmitted.mIsTrial && IsPoison(mCore, now, mAdmitted))
       return GiveUp(kPoisonRetryAfter);
-    server_pick const pick = mSender.Pick(now, mAdmitted.mPool);
+    server_pick const pick =
+      mSender.Pick(now, mAdmitted, mAnswer.Relay().IsHeadSent());
     if (!pick.mServer)
       return WaitForCapacity(now, pick);
     // Until the request has reached a server, nothing is retried.
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -41,19 +41,17 @@
   }
   [[nodiscard]] std::string const& Body() const noexcept { return *mBody; }
 
-  /// Chooses the best server of a pool now; mServer is null when there is none.
-  [[nodiscard]] server_pick Pick(instant aNow, pool_name const& aPool)
+  /// Chooses the best server now; mServer is null when there is none.
+  /// aHasBegun is true when the caller has been sent a part of an answer.
+  [[nodiscard]] server_pick Pick(instant aNow,
+                                 admitted_request const& aAdmitted,
+                                 bool aHasBegun)
   {
-    server_pick pick{ .mView = mCore.View(aNow) };
-    pick.mChoiceRequest = MakeChoiceRequest(
-      aNow, mCore.Options(), *pick.mView, mProperties, mTried);
-    std::span<tracked_server* const> const servers =
-      mCore.Servers().Pool(aPool);
-    if (tracked_server const* const chosen =
-          ChooseServer(servers, pick.mChoiceRequest))
-      pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
-    else
-      pick.mSendAt = FirstSendAt(servers, pick.mChoiceRequest);
+    server_pick pick = PickOf(aNow, aAdmitted.mPool, Software(aAdmitted));
+    // A stream of which the caller has nothing yet may begin elsewhere.
+    bool const isBound = aHasBegun || aAdmitted.mSoftware;
+    if (!pick.mServer && !pick.mSendAt && !isBound && mSoftware)
+      return PickOf(aNow, aAdmitted.mPool, std::nullopt);
     return pick;
   }
 
@@ -66,6 +64,8 @@
   {
     tracked_server const& server = *aPick.mServer;
     mTried.push_back(server.mRegistered.mId);
+    if (aAdmitted.mRoute->mIsResumable)
+      OnStreamSent(aPick.mChoiceRequest.mNow, server);
     mCore.Meter().OnSend(aAdmitted, aTrace.mSends > 0);
     ++aTrace.mSends;
     send_parameters const parameters = PlanSend(mCore,
@@ -89,11 +89,49 @@
   }
 
 private:
+  server_pick PickOf(instant aNow,
+                     pool_name const& aPool,
+                     std::optional<software_version> const& aSoftware)
+  {
+    server_pick pick{ .mView = mCore.View(aNow) };
+    pick.mChoiceRequest = MakeChoiceRequest(
+      aNow, mCore.Options(), *pick.mView, mProperties, mTried);
+    pick.mChoiceRequest.mSoftware = aSoftware;
+    std::span<tracked_server* const> const servers =
+      mCore.Servers().Pool(aPool);
+    if (tracked_server const* const chosen =
+          ChooseServer(servers, pick.mChoiceRequest))
+      pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
+    else
+      pick.mSendAt = FirstSendAt(servers, pick.mChoiceRequest);
+    return pick;
+  }
+
+  // The only software that may run the request; empty when any may.
+  [[nodiscard]] std::optional<software_version> const& Software(
+    admitted_request const& aAdmitted) const
+  {
+    return aAdmitted.mSoftware ? aAdmitted.mSoftware : mSoftware;
+  }
+
+  // Later servers, and those of callers that resume the stream, must run the
+  // same software.
+  void OnStreamSent(instant aNow, tracked_server const& aServer)
+  {
+    mSoftware = aServer.mRegistered.mSoftware;
+    mCore.Origins().OnSent(
+      aNow,
+      { .mStream = stream_origins::Key(mProperties.StreamId()),
+        .mSoftware = *mSoftware });
+  }
+
   traffic_core& mCore;
   request_head mHead;
   std::shared_ptr<std::string const> mBody;
   request_properties mProperties;
   std::vector<backend_server_id> mTried;
+  /// The software of the latest server of a resumable stream.
+  std::optional<software_version> mSoftware;
 };
 
 }
--- a/Libraries/LibGateway/RetryAfter.h
+++ b/Libraries/LibGateway/RetryAfter.h
@@ -15,6 +15,10 @@
 /// least for one with a part that has.
 constexpr std::chrono::milliseconds kPoisonRetryAfter{ 2'000 };
 
+/// For a request that continues a stream whose software no server runs any
+/// more.
+constexpr std::chrono::milliseconds kSoftwareGoneRetryAfter{ 2'000 };
+
 /// When no server could be picked.
 std::chrono::milliseconds
 RetryAfter(server_pick const& aPick);
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -180,6 +180,7 @@
     LogEvidence(evidence, evidence_source::Peer);
   for (prefix_holder const& holder : aUpdate.mHolders)
     mPrefixes.OnServed(aNow, holder);
+  mOrigins.Merge(aNow, aUpdate.mOrigins);
 }
 
 void
@@ -228,6 +229,9 @@
   traffic_report report = std::exchange(mReport, {});
   report.mUsage = mQuota.Usage();
   report.mWindowUsage = mQuota.WindowUsage(aNow);
+  // With one version, all streams are of that one.
+  if (View(aNow)->HasMixedSoftware())
+    report.mOrigins = mOrigins.TakeUnreported(aNow);
   report.mMetrics = mMeter.TakeDelta();
   return report;
 }
@@ -237,6 +241,7 @@
 {
   mCrashes.Prune(aNow);
   mSuspects.Prune(aNow);
+  mOrigins.Prune(aNow);
   mPrefixes.Prune(aNow);
   mConnections.Prune(aNow);
 }
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -10,6 +10,7 @@
 #include <LibDispatch/PrefixIndex.h>
 #include <LibDispatch/QuotaLimiter.h>
 #include <LibDispatch/ServerTable.h>
+#include <LibDispatch/StreamOrigins.h>
 #include <LibDispatch/SuspectParts.h>
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/GatewayOptions.h>
@@ -112,6 +113,7 @@
   [[nodiscard]] quota_limiter& Quota() noexcept { return mQuota; }
   [[nodiscard]] crash_tracker& Crashes() noexcept { return mCrashes; }
   [[nodiscard]] suspect_parts& Suspects() noexcept { return mSuspects; }
+  [[nodiscard]] stream_origins& Origins() noexcept { return mOrigins; }
   [[nodiscard]] prefix_index& Prefixes() noexcept { return mPrefixes; }
   [[nodiscard]] traffic_meter& Meter() noexcept { return mMeter; }
   [[nodiscard]] connection_pool& Connections() noexcept { return mConnections; }
@@ -146,6 +148,7 @@
   quota_limiter mQuota;
   crash_tracker mCrashes;
   suspect_parts mSuspects;
+  stream_origins mOrigins;
   prefix_index mPrefixes;
   connection_pool mConnections;
   retry_budgets mRetryBudgets;
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -6,6 +6,7 @@
 #include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
+#include <LibDispatch/StreamOrigin.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibMetrics/MetricsDelta.h>
 
@@ -34,6 +35,9 @@
   std::vector<server_identity> mReplaced;
   /// Shared prompt prefixes that servers read since the last report.
   std::vector<prefix_holder> mHolders;
+  /// Streams of this instance that callers may resume, which haven't been
+  /// reported before; empty while all servers of each pool run one software.
+  std::vector<stream_origin> mOrigins;
   /// What the traffic thread counted and timed since the last report.
   metrics_delta mMetrics;
 };
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -13,7 +13,7 @@
 store_topic
 DecodeTopic(std::uint8_t aValue)
 {
-  if (aValue > static_cast<std::uint8_t>(store_topic::Usage))
+  if (aValue > static_cast<std::uint8_t>(store_topic::Software))
     throw invalid_input("topic relay: topic is not a known store topic");
   return static_cast<store_topic>(aValue);
 }
@@ -51,6 +51,29 @@
   return notice;
 }
 
+// Instances with an older schema don't send these.
+void
+DecodeSoftware(wire::FleetReport const& aTable, fleet_report& aReport)
+{
+  aReport.mIsSoftwareComplete = aTable.software_complete();
+  if (aTable.origins() != nullptr) {
+    for (wire::StreamOrigins const* const table : *aTable.origins()) {
+      software_version const software{ table->software()->str() };
+      for (std::uint64_t const stream : *table->streams())
+        aReport.mOrigins.push_back(
+          { .mStream = stream, .mSoftware = software });
+    }
+  }
+  if (aTable.software() != nullptr) {
+    for (wire::PoolSoftware const* const table : *aTable.software())
+      aReport.mSoftware.push_back(
+        { .mSoftware = { .mPool = pool_name{ table->pool()->str() },
+                         .mSoftware =
+                           software_version{ table->software()->str() } },
+          .mAge = std::chrono::milliseconds{ table->age_ms() } });
+  }
+}
+
 part_crashes
 DecodePartCrashes(wire::PartCrashes const& aTable)
 {
@@ -101,6 +124,7 @@
     for (wire::ServerLimit const* const limit : *aTable.limits())
       report.mLimits.push_back(DecodeLimit(*limit));
   }
+  DecodeSoftware(aTable, report);
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -1,6 +1,7 @@
 #include <LibPeer/EncodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -78,7 +79,10 @@
                               aReport.mOperatorsEnd.Number(),
                               mBuilder.CreateVector(partCrashes),
                               mBuilder.CreateVector(limits),
-                              aReport.mHasParent));
+                              aReport.mHasParent,
+                              Origins(aReport.mOrigins),
+                              Software(aReport.mSoftware),
+                              aReport.mIsSoftwareComplete));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
@@ -127,6 +131,34 @@
     return mBuilder.CreateVector(tables);
   }
 
+  flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<wire::StreamOrigins>>>
+  Origins(std::vector<stream_origin> const& aOrigins)
+  {
+    std::map<software_version, std::vector<std::uint64_t>> streams;
+    for (stream_origin const& origin : aOrigins)
+      streams[origin.mSoftware].push_back(origin.mStream);
+    std::vector<flatbuffers::Offset<wire::StreamOrigins>> tables;
+    for (auto const& [software, keys] : streams)
+      tables.push_back(wire::CreateStreamOrigins(
+        mBuilder, Text(software.Text()), mBuilder.CreateVector(keys)));
+    return mBuilder.CreateVector(tables);
+  }
+
+  flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<wire::PoolSoftware>>>
+  Software(std::vector<software_notice> const& aNotices)
+  {
+    std::vector<flatbuffers::Offset<wire::PoolSoftware>> tables;
+    for (software_notice const& notice : aNotices)
+      tables.push_back(wire::CreatePoolSoftware(
+        mBuilder,
+        Text(notice.mSoftware.mPool.Text()),
+        Text(notice.mSoftware.mSoftware.Text()),
+        static_cast<std::uint32_t>(notice.mAge.count())));
+    return mBuilder.CreateVector(tables);
+  }
+
   flatbuffers::Offset<wire::KeyedRecord> Record(keyed_record const& aRecord)
   {
     flatbuffers::Offset<flatbuffers::String> const key = Text(aRecord.mKey);
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -5,9 +5,11 @@
 #include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
+#include <LibDispatch/StreamOrigin.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibPeer/LimitNotice.h>
 #include <LibPeer/ReportScope.h>
+#include <LibPeer/SoftwareNotice.h>
 #include <LibStore/StorePosition.h>
 
 #include <cstdint>
@@ -49,6 +51,14 @@
   store_position mOperatorsEnd;
   /// True when the sender itself reports to a parent.
   bool mHasParent = false;
+  /// Streams that callers may resume, begun since the last report; in the first
+  /// report over a link, all known ones. Empty while the servers of each pool
+  /// run one software.
+  std::vector<stream_origin> mOrigins;
+  /// Software that was in use lately, on new links only.
+  std::vector<software_notice> mSoftware;
+  /// True when no other software was; on new links only.
+  bool mIsSoftwareComplete = false;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -99,6 +99,12 @@
 struct ServerLimit;
 struct ServerLimitBuilder;
 
+struct StreamOrigins;
+struct StreamOriginsBuilder;
+
+struct PoolSoftware;
+struct PoolSoftwareBuilder;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -2560,6 +2566,152 @@
       age_ms);
 }
 
+struct StreamOrigins FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SOFTWARE = 4,
+    VT_STREAMS = 6
+  };
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  const flatbuffers::Vector<uint64_t> *streams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_STREAMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           VerifyOffsetRequired(verifier, VT_STREAMS) &&
+           verifier.VerifyVector(streams()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamOriginsBuilder {
+  typedef StreamOrigins Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(StreamOrigins::VT_SOFTWARE, software);
+  }
+  void add_streams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams) {
+    fbb_.AddOffset(StreamOrigins::VT_STREAMS, streams);
+  }
+  explicit StreamOriginsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOrigins> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOrigins>(end);
+    fbb_.Required(o, StreamOrigins::VT_SOFTWARE);
+    fbb_.Required(o, StreamOrigins::VT_STREAMS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOrigins> CreateStreamOrigins(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams = 0) {
+  StreamOriginsBuilder builder_(_fbb);
+  builder_.add_streams(streams);
+  builder_.add_software(software);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StreamOrigins> CreateStreamOriginsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *software = nullptr,
+    const std::vector<uint64_t> *streams = nullptr) {
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  auto streams__ = streams ? _fbb.CreateVector<uint64_t>(*streams) : 0;
+  return lycheeseam::wire::CreateStreamOrigins(
+      _fbb,
+      software__,
+      streams__);
+}
+
+struct PoolSoftware FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoolSoftwareBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_SOFTWARE = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *software() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffsetRequired(verifier, VT_SOFTWARE) &&
+           verifier.VerifyString(software()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PoolSoftwareBuilder {
+  typedef PoolSoftware Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(PoolSoftware::VT_POOL, pool);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::String> software) {
+    fbb_.AddOffset(PoolSoftware::VT_SOFTWARE, software);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(PoolSoftware::VT_AGE_MS, age_ms, 0);
+  }
+  explicit PoolSoftwareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoolSoftware> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoolSoftware>(end);
+    fbb_.Required(o, PoolSoftware::VT_POOL);
+    fbb_.Required(o, PoolSoftware::VT_SOFTWARE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoolSoftware> CreatePoolSoftware(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> software = 0,
+    uint32_t age_ms = 0) {
+  PoolSoftwareBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_software(software);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PoolSoftware> CreatePoolSoftwareDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const char *software = nullptr,
+    uint32_t age_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto software__ = software ? _fbb.CreateString(software) : 0;
+  return lycheeseam::wire::CreatePoolSoftware(
+      _fbb,
+      pool__,
+      software__,
+      age_ms);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2575,7 +2727,10 @@
     VT_OPERATORS_END = 22,
     VT_PART_CRASHES = 24,
     VT_LIMITS = 26,
-    VT_HAS_PARENT = 28
+    VT_HAS_PARENT = 28,
+    VT_ORIGINS = 30,
+    VT_SOFTWARE = 32,
+    VT_SOFTWARE_COMPLETE = 34
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2616,6 +2771,15 @@
   bool has_parent() const {
     return GetField<uint8_t>(VT_HAS_PARENT, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *>(VT_ORIGINS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *>(VT_SOFTWARE);
+  }
+  bool software_complete() const {
+    return GetField<uint8_t>(VT_SOFTWARE_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2647,6 +2811,13 @@
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
            VerifyField<uint8_t>(verifier, VT_HAS_PARENT, 1) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
+           verifier.VerifyVectorOfTables(origins()) &&
+           VerifyOffset(verifier, VT_SOFTWARE) &&
+           verifier.VerifyVector(software()) &&
+           verifier.VerifyVectorOfTables(software()) &&
+           VerifyField<uint8_t>(verifier, VT_SOFTWARE_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2694,6 +2865,15 @@
   void add_has_parent(bool has_parent) {
     fbb_.AddElement<uint8_t>(FleetReport::VT_HAS_PARENT, static_cast<uint8_t>(has_parent), 0);
   }
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins) {
+    fbb_.AddOffset(FleetReport::VT_ORIGINS, origins);
+  }
+  void add_software(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software) {
+    fbb_.AddOffset(FleetReport::VT_SOFTWARE, software);
+  }
+  void add_software_complete(bool software_complete) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_SOFTWARE_COMPLETE, static_cast<uint8_t>(software_complete), 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2726,10 +2906,15 @@
     uint64_t operators_end = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>> part_crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>> limits = 0,
-    bool has_parent = false) {
+    bool has_parent = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software = 0,
+    bool software_complete = false) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
+  builder_.add_software(software);
+  builder_.add_origins(origins);
   builder_.add_limits(limits);
   builder_.add_part_crashes(part_crashes);
   builder_.add_used(used);
@@ -2739,6 +2924,7 @@
   builder_.add_crashes(crashes);
   builder_.add_spent(spent);
   builder_.add_reader(reader);
+  builder_.add_software_complete(software_complete);
   builder_.add_has_parent(has_parent);
   builder_.add_scope(scope);
   return builder_.Finish();
@@ -2758,7 +2944,10 @@
     uint64_t operators_end = 0,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>> *part_crashes = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>> *limits = nullptr,
-    bool has_parent = false) {
+    bool has_parent = false,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software = nullptr,
+    bool software_complete = false) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2768,6 +2957,8 @@
   auto used__ = used ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*used) : 0;
   auto part_crashes__ = part_crashes ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PartCrashes>>(*part_crashes) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>(*limits) : 0;
+  auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>(*origins) : 0;
+  auto software__ = software ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>(*software) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
@@ -2782,7 +2973,10 @@
       operators_end,
       part_crashes__,
       limits__,
-      has_parent);
+      has_parent,
+      origins__,
+      software__,
+      software_complete);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibStore/StoreTopic.h
+++ b/Libraries/LibStore/StoreTopic.h
@@ -15,6 +15,8 @@
   Leases,
   /// Recent usage of the workspaces' quotas, for instances that start.
   Usage,
+  /// The software that servers have run lately, for instances that start.
+  Software,
 };
 
 }
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDispatch/StreamOrigins.h>
 #include <LibFleet/LimitNotices.h>
 #include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
@@ -44,6 +45,7 @@
     std::vector<std::uint64_t> mReceivedCrashes;
     std::vector<part_crashes> mReceivedEvidence;
     server_limits mLimits;
+    stream_origins mOrigins;
     std::vector<topic_relay> mRelays;
     relay_filter mRelayFilter;
     /// The position after the last record that it knows.
@@ -270,7 +272,8 @@
       { .mLease = aMember.mLease,
         .mSpent = { { workspace_id{ "w" }, aMember.mUsage } },
         .mPartCrashes = aMember.mQuarantined,
-        .mLimits = MakeLimitNotices(mNow, aMember.mLimits.List()) },
+        .mLimits = MakeLimitNotices(mNow, aMember.mLimits.List()),
+        .mOrigins = aMember.mOrigins.List(mNow) },
       true,
       false);
   }
@@ -307,7 +310,8 @@
         .mIsOfBranch = report.mScope == report_scope::Branch,
         .mCrashes = report.mCrashes,
         .mPartCrashes = report.mPartCrashes,
-        .mLimits = aTo.mLimits.Merge(ReadLimitNotices(mNow, report.mLimits)) });
+        .mLimits = aTo.mLimits.Merge(ReadLimitNotices(mNow, report.mLimits)),
+        .mOrigins = aTo.mOrigins.Merge(mNow, report.mOrigins) });
   }
 
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/Tests/LibFleet/StoreFixture.h
+++ b/Tests/LibFleet/StoreFixture.h
@@ -7,9 +7,11 @@
 #include <gtest/gtest.h>
 #include <platform/StoreDialect.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -62,7 +64,7 @@
                  .mStore = aStore,
                  .mLease = std::chrono::seconds{ 3 } },
                mView,
-               [](peer_update const&) {})
+               [this](peer_update const& aUpdate) { OnUpdate(aUpdate); })
   {
     mThread.Invoke([this]() { mControl.Start(); });
   }
@@ -76,6 +78,30 @@
     return view->mConfig ? view->mConfig->Version() : 0;
   }
 
+  /// Reports a stream that the instance began.
+  void Begin(stream_origin const& aOrigin)
+  {
+    mThread.Invoke(
+      [this, aOrigin]() { mControl.OnReport({ .mOrigins = { aOrigin } }); });
+  }
+
+  /// True when it has learned of the stream's origin.
+  [[nodiscard]] bool Knows(stream_origin const& aOrigin) const
+  {
+    std::lock_guard const lock{ mMutex };
+    return std::find(mOrigins.begin(), mOrigins.end(), aOrigin) !=
+           mOrigins.end();
+  }
+
+  /// The software that the pool p has used lately; empty while others may have
+  /// been in use.
+  [[nodiscard]] std::vector<pool_software> Software() const
+  {
+    std::shared_ptr<fleet_view const> const view = mView.Current();
+    return view->mIsSoftwareComplete ? view->mSoftware
+                                     : std::vector<pool_software>{};
+  }
+
   /// The number of peers that are ready for callers.
   [[nodiscard]] std::size_t PeerCount() const
   {
@@ -99,6 +125,15 @@
   }
 
 private:
+  void OnUpdate(peer_update const& aUpdate)
+  {
+    std::lock_guard const lock{ mMutex };
+    mOrigins.insert(
+      mOrigins.end(), aUpdate.mOrigins.begin(), aUpdate.mOrigins.end());
+  }
+
+  mutable std::mutex mMutex;
+  std::vector<stream_origin> mOrigins;
   published<fleet_view> mView{ std::make_shared<fleet_view const>() };
   control_thread mThread;
   fleet_control<platform::store_dialect> mControl;
--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -110,6 +110,22 @@
   }
 }
 
+// Guards against an instance that lets other software continue a stream because
+// it doesn't know who began it.
+TEST_P(TestReportExchange, OriginsOfStreamsReachEachInstance)
+{
+  mFleet.Run(kSettled);
+  simulated_fleet::member& first = mFleet.Member(GetParam() - 1);
+  std::vector<stream_origin> const origins{ { 7, software_version{ "v1" } } };
+  first.mOrigins.Merge(mFleet.Now(), origins);
+  first.mOwnUpdates.push_back({ .mOrigins = origins });
+  mFleet.Run(seconds{ 1 });
+  mFleet.Join(GetParam());
+  mFleet.Run(seconds{ 2 });
+  for (auto const& [id, member] : mFleet.Members())
+    EXPECT_EQ(member->mOrigins.List(mFleet.Now()), origins) << id.Text();
+}
+
 TEST_P(TestReportExchange, RelayedRecordsReachEachInstanceOnce)
 {
   mFleet.Run(kSettled);
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -136,7 +136,14 @@
     .mUpdating = { server },
     .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
     .mUsed = { { workspace_id{ "w" }, 2.5 } },
-    .mOperatorsEnd = { store_era{ 2 }, 12 }
+    .mOperatorsEnd = { store_era{ 2 }, 12 },
+    .mHasParent = true,
+    .mOrigins = { { 4, software_version{ "v1" } },
+                  { 6, software_version{ "v2" } } },
+    .mSoftware = { { .mSoftware = { pool_name{ "p" },
+                                    software_version{ "v1" } },
+                     .mAge = milliseconds{ 50 } } },
+    .mIsSoftwareComplete = true
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
--- a/Tests/Platform/TestMutatedInput.cpp
+++ b/Tests/Platform/TestMutatedInput.cpp
@@ -96,7 +96,7 @@
 TEST(TestMutatedInput, StoreRecords)
 {
   ExpectValueOrInvalidInput(
-    R"({"service":"a","addr":"10.0.0.1:80","zone":"z","version":1,"slots":8,)"
+    R"({"service":"a","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":8,)"
     R"("state":"ready","cold_left_ms":0,"seq":4,"born":1767443006038,)"
     R"("models":[{"name":"m","version":2}]})",
     [](std::string const& aText) { store_dialect::ReadServer("i-1", aText); });
--- a/Tests/Platform/TestRequestDialect.cpp
+++ b/Tests/Platform/TestRequestDialect.cpp
@@ -26,6 +26,7 @@
            { "Token-Counts", "1460,80" },
            { "Prompt-Prefix", "5c:800,91:410,e4:250" },
            { "Last-Event-Id", "12" },
+           { "Resumes", "q" },
            { "Authorization", "Bearer k" } }));
   EXPECT_EQ(properties.mHost, "h");
   EXPECT_EQ(properties.mPath, "/a/b");
@@ -33,6 +34,8 @@
   EXPECT_EQ(properties.mPromptTokens, 1460);
   EXPECT_EQ(properties.mMaxOutputTokens, 80);
   EXPECT_EQ(properties.mLastEvent, 12U);
+  EXPECT_EQ(properties.mResumes, request_id{ "q" });
+  EXPECT_EQ(properties.StreamId(), request_id{ "q" });
   EXPECT_EQ(properties.mKey, "k");
   ASSERT_NE(properties.SharedPart(), nullptr);
   EXPECT_EQ(properties.SharedPart()->mId, "91");
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -223,6 +223,26 @@
   }
 }
 
+TEST(TestStoreDialect, FormattedSoftwareIsReadBackUnchanged)
+{
+  std::vector<pool_software> const used{
+    { pool_name{ "p" }, software_version{ "v1" } },
+    { pool_name{ "p" }, software_version{ "v2" } }
+  };
+  EXPECT_EQ(store_dialect::ReadSoftware(store_dialect::FormatSoftware(used)),
+            used);
+  std::vector<stream_origin> const origins{ { 7, software_version{ "v1" } },
+                                            { 0xFFFF'FFFF'FFFF'FFFF,
+                                              software_version{ "v2" } } };
+  EXPECT_EQ(store_dialect::ReadOrigins(store_dialect::FormatOrigins(origins)),
+            origins);
+  for (char const* const text :
+       { "", "{}", R"({"used": [{}]})", R"({"streams": {"v": [-1]}})" }) {
+    EXPECT_THROW(store_dialect::ReadSoftware(text), invalid_input) << text;
+    EXPECT_THROW(store_dialect::ReadOrigins(text), invalid_input) << text;
+  }
+}
+
 TEST(TestStoreDialect, FormattedUsageIsReadBackUnchanged)
 {
   quota_usage const usage = store_dialect::ReadUsage(
