LibDispatch: Let resumptions use what is kept for small requests

Change: a resumption may use all that is left, as a small request may; where reports are late, it is sampled by the demand of resumptions. The limit is the same.

Test: ResumptionsMayUseWhatIsKeptForSmallRequests.

--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -159,15 +159,32 @@
 quota_limiter::UsableHeadroom(instant aNow,
                               account& aAccount,
                               double aLimit,
-                              double aUnits) const
+                              double aUnits,
+                              charge_kind aKind) const
 {
   double const headroom = aLimit - aAccount.mWindow.Sum(aNow);
-  if (IsSmall(aUnits, aLimit) || headroom > kNearLimit * aLimit)
+  // The caller of a resumption loses what it already has of the answer.
+  if (aKind == charge_kind::Resumption || IsSmall(aUnits, aLimit) ||
+      headroom > kNearLimit * aLimit)
     return headroom;
   return headroom -
          std::min(kSmallRequestShare * aLimit, ReserveForSmall(aNow, aAccount));
 }
 
+double
+quota_limiter::CompetingDemand(instant aNow,
+                               account& aAccount,
+                               double aLimit,
+                               double aUnits,
+                               charge_kind aKind) const
+{
+  if (IsSmall(aUnits, aLimit))
+    return aAccount.mSmallDemand.Sum(aNow) * mInstances;
+  if (aKind == charge_kind::Resumption)
+    return aAccount.mResumptionDemand.Sum(aNow) * mInstances;
+  return aAccount.mRecentDemand.Sum(aNow);
+}
+
 void
 quota_limiter::KeepToOwnShareIfStale(instant aNow)
 {
@@ -178,7 +195,8 @@
 bool
 quota_limiter::TryCharge(instant aNow,
                          dispatch_workspace const& aWorkspace,
-                         double aUnits)
+                         double aUnits,
+                         charge_kind aKind)
 {
   KeepToOwnShareIfStale(aNow);
   account& found = FindInitialized(aNow, aWorkspace);
@@ -188,10 +206,11 @@
   found.mRecentDemand.Add(aNow, aUnits);
   if (isSmall)
     found.mSmallDemand.Add(aNow, aUnits);
+  else if (aKind == charge_kind::Resumption)
+    found.mResumptionDemand.Add(aNow, aUnits);
   bool const isLimited = aWorkspace.mRate > 0;
-  double const headroom = UsableHeadroom(aNow, found, limit, aUnits);
-  double const demand = isSmall ? found.mSmallDemand.Sum(aNow) * mInstances
-                                : found.mRecentDemand.Sum(aNow);
+  double const headroom = UsableHeadroom(aNow, found, limit, aUnits, aKind);
+  double const demand = CompetingDemand(aNow, found, limit, aUnits, aKind);
   if (isLimited && (aUnits > headroom || !IsSampled(demand, headroom)))
     return false;
   found.mWindow.Add(aNow, aUnits);
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Instant.h>
+#include <LibDispatch/ChargeKind.h>
 #include <LibDispatch/FleetView.h>
 #include <LibDispatch/QuotaParameters.h>
 #include <LibDispatch/QuotaWindow.h>
@@ -32,6 +33,7 @@
 ///
 /// Near the limit, part of the headroom is kept for small requests as far as
 /// the workspace sends any: a large prompt takes the units of many of them.
+/// Resumptions of streams may use that part too.
 class quota_limiter
 {
 public:
@@ -48,7 +50,8 @@
   /// or the random sample leaves the request out.
   [[nodiscard]] bool TryCharge(instant aNow,
                                dispatch_workspace const& aWorkspace,
-                               double aUnits);
+                               double aUnits,
+                               charge_kind aKind = charge_kind::NewRequest);
 
   /// Refunds the charge of a request that didn't run.
   void Refund(instant aNow, workspace_id const& aWorkspace, double aUnits);
@@ -82,6 +85,8 @@
     quota_window mRecentDemand{ kDemandTime };
     /// The part of it that small requests asked this instance for.
     quota_window mSmallDemand{ kDemandTime };
+    /// The part of it that resumptions asked this instance for.
+    quota_window mResumptionDemand{ kDemandTime };
     /// What this instance admitted of small requests.
     quota_window mSmallAdmitted;
     /// Admitted by this instance since its start, in units.
@@ -120,7 +125,15 @@
   [[nodiscard]] double UsableHeadroom(instant aNow,
                                       account& aAccount,
                                       double aLimit,
-                                      double aUnits) const;
+                                      double aUnits,
+                                      charge_kind aKind) const;
+  /// The demand of all instances for units that a request of aUnits competes
+  /// with, in kDemandTime.
+  [[nodiscard]] double CompetingDemand(instant aNow,
+                                       account& aAccount,
+                                       double aLimit,
+                                       double aUnits,
+                                       charge_kind aKind) const;
   /// Decides at random whether to admit a request; true when the headroom
   /// covers the demand that reports don't show yet.
   [[nodiscard]] bool IsSampled(double aRecentDemand, double aHeadroom);
--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -125,7 +125,9 @@
     return std::nullopt;
   dispatch_workspace const& workspace = *aAdmitted.mWorkspace;
   aAdmitted.mUnits = RequestUnits(workspace, aProperties);
-  if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits))
+  charge_kind const kind =
+    aAdmitted.mSoftware ? charge_kind::Resumption : charge_kind::NewRequest;
+  if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits, kind))
     return std::nullopt;
   fleet_view const& view = *aCore.View(aNow);
   LogEvent("over_quota",
--- a/Tests/LibDispatch/TestQuotaLimiter.cpp
+++ b/Tests/LibDispatch/TestQuotaLimiter.cpp
@@ -190,6 +190,25 @@
   EXPECT_EQ(charged, kLimit);
 }
 
+// Guards against streams that broke midway and are never finished because large
+// new requests leave no room for them.
+TEST(TestQuotaLimiter, ResumptionsMayUseWhatIsKeptForSmallRequests)
+{
+  constexpr double kLarge = 30;
+  quota_limiter limiter = SettledLimiter(View(1, 0));
+  int resumed = 0;
+  for (duration at{}; at < 2 * kWindow; at += milliseconds{ 10 }) {
+    static_cast<void>(limiter.TryCharge(At(at), kWorkspace, 0.2));
+    double const left = kLimit - limiter.Used(At(at), kWorkspace.mName);
+    if (limiter.TryCharge(At(at), kWorkspace, kLarge) || left < kLarge)
+      continue;
+    EXPECT_TRUE(
+      limiter.TryCharge(At(at), kWorkspace, kLarge, charge_kind::Resumption));
+    ++resumed;
+  }
+  EXPECT_GT(resumed, 0);
+}
+
 // Simulates 40 instances for 20 s that exchange their usage every 0.4 s.
 class quota_fleet
 {
