LibFleet: Count a peer as responsive for a while after its link closed

Cause: a peer whose link closed was unresponsive at once, one whose link was silent only after 0.9 s.

Change: what a link reported counts for as long after its last report as if the link had stayed open without one, which limits allow for already.

Test: PeerIsResponsiveForAWhileAfterItsLinkClosed failed before (1 instead of 0).

--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -42,6 +42,12 @@
   if (found == nullptr)
     return;
   peer_link& closed = *found;
+  if (closed.IsLive(aNow)) {
+    closed_link& known = mClosedLinks.emplace_back(
+      closed_link{ .mReportedAt = *closed.mReportedAt });
+    for (roster_entry const& entry : closed.mRoster.mEntries)
+      known.mInstances.insert(entry.mHello.mIdentity.mInstance);
+  }
   if (closed.mReportedAt && closed.mReport.mScope == report_scope::Rest) {
     mFormerParentRoster = std::move(closed.mRoster);
     std::erase_if(mFormerParentRoster.mEntries, [&aPeer](auto const& aEntry) {
@@ -121,6 +127,9 @@
     for (roster_entry const& entry : link.mRoster.mEntries)
       mKnown.OnStillReported(aNow, entry.mHello.mIdentity.mInstance);
   }
+  std::erase_if(mClosedLinks, [aNow](closed_link const& aClosed) {
+    return aNow - aClosed.mReportedAt > peer_link::kUnresponsiveAfter;
+  });
   mKnown.Prune(aNow);
   mUsage.Prune(aNow);
 }
@@ -168,6 +177,10 @@
   std::set<instance_id> responsive;
   for (roster_entry const* const entry : LiveEntries(aNow))
     responsive.insert(entry->mHello.mIdentity.mInstance);
+  for (closed_link const& closed : mClosedLinks) {
+    if (aNow - closed.mReportedAt <= peer_link::kUnresponsiveAfter)
+      responsive.insert(closed.mInstances.begin(), closed.mInstances.end());
+  }
   return mKnown.CountExcluding(responsive);
 }
 
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -66,7 +66,8 @@
   /// The other instances that are ready for callers and aren't leaving.
   [[nodiscard]] std::vector<ready_instance> Entries() const;
 
-  /// The number of other instances that no live link reports.
+  /// The number of other instances that no live link reports, nor one that has
+  /// closed since its last report, which may be open again in a moment.
   [[nodiscard]] std::uint32_t Unresponsive(instant aNow) const;
 
   /// What the other instances admitted, as they reported. While an instance is
@@ -110,9 +111,19 @@
   // contains any more.
   void MarkUnreported(instant aNow, fleet_roster const& aBefore);
 
+  /// The instances that a closed link reported.
+  struct closed_link
+  {
+    instant mReportedAt{};
+    std::set<instance_id> mInstances;
+  };
+
   instance_id mSelf;
   known_instances mKnown;
   links mLinks;
+  /// Links that closed while they were live, as long as they would be without a
+  /// report.
+  std::vector<closed_link> mClosedLinks;
   peer_usage mUsage;
   /// The roster of the last parent whose link closed, and until when it is
   /// used.
--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -42,6 +42,20 @@
   return sum;
 }
 
+// Guards against refusing callers because all links were reset at once: the
+// limits then shrink to this instance's own share.
+TEST(TestPeerRegistry, PeerIsResponsiveForAWhileAfterItsLinkClosed)
+{
+  peer_registry registry{ instance_id{ "m" }, kWindow };
+  registry.OnUp(kNow, Hello("a"));
+  registry.OnReport(kNow, Hello("a").mIdentity, UsageReport(0));
+  registry.OnDown(kNow + milliseconds{ 100 }, Hello("a").mIdentity);
+  EXPECT_EQ(registry.Unresponsive(kNow + milliseconds{ 800 }), 0U);
+  EXPECT_EQ(registry.Unresponsive(kNow + peer_link::kUnresponsiveAfter +
+                                  milliseconds{ 1 }),
+            1U);
+}
+
 TEST(TestPeerRegistry, ReadyPeersAreEntriesUntilTheyLeave)
 {
   peer_registry registry{ instance_id{ "m" }, kWindow };
