LibFleet: Repeat a failed read of the instances soon

Cause: an instance reads who else is registered once after its own registration and then every 20 s, also when the read failed. Two instances that start while the store refuses a read don't find each other for so long.

Test: RefusedReadOfTheInstancesIsRepeatedSoon failed before (no peer within 10 s), passes now.

--- a/Libraries/LibFleet/InstanceRegistration.h
+++ b/Libraries/LibFleet/InstanceRegistration.h
@@ -45,7 +45,10 @@
     if (aNow < mReadAt || mReader.IsReading())
       return;
     mReadAt = aNow + kReadInterval;
-    mReader.Read([](store_read_status) {});
+    mReader.Read([this](store_read_status aStatus) {
+      if (aStatus != store_read_status::Done)
+        mReadAt = mClock.Now() + kRetryDelay;
+    });
   }
 
   /// The store has come back from an older copy of itself, which may lack this
@@ -58,9 +61,9 @@
 
 private:
   // Instances register once, so the topic is read again only to find those that
-  // registered after the last read, or that a failed read missed.
+  // registered after the last read.
   static constexpr std::chrono::seconds kReadInterval{ 20 };
-  static constexpr std::chrono::milliseconds kRegisterRetryDelay{ 700 };
+  static constexpr std::chrono::milliseconds kRetryDelay{ 700 };
 
   void Register()
   {
@@ -73,7 +76,7 @@
       [this](store_append_result aResult, http_exchange_result const&) {
         mReadAt = mClock.Now();
         if (aResult.mStatus != store_append_status::Done)
-          mRegisterAt = mClock.Now() + kRegisterRetryDelay;
+          mRegisterAt = mClock.Now() + kRetryDelay;
       });
   }
 
--- a/Tests/LibFleet/RestorableStore.cpp
+++ b/Tests/LibFleet/RestorableStore.cpp
@@ -68,6 +68,13 @@
   return newest;
 }
 
+void
+restorable_store::RefuseReads(std::string const& aTopic, int aCount)
+{
+  std::lock_guard const lock{ mMutex };
+  mReadsToRefuse[aTopic] = aCount;
+}
+
 std::string
 restorable_store::AnswerTo(std::string const& aRequest)
 {
@@ -75,7 +82,12 @@
   std::size_t const start = aRequest.find(' ') + 1;
   std::string const target =
     aRequest.substr(start, aRequest.find(' ', start) - start);
-  std::vector<record>& records = mTopics[Parameter(target, "topic")];
+  std::string const topic = Parameter(target, "topic");
+  std::vector<record>& records = mTopics[topic];
+  if (!target.starts_with("/api/log-append") && mReadsToRefuse[topic] > 0) {
+    --mReadsToRefuse[topic];
+    return Format("503 Service Unavailable", "{}");
+  }
   if (target.starts_with("/api/log-newest"))
     return AnswerToNewest(records);
   if (target.starts_with("/api/log-read"))
--- a/Tests/LibFleet/RestorableStore.h
+++ b/Tests/LibFleet/RestorableStore.h
@@ -33,6 +33,9 @@
   [[nodiscard]] std::map<std::string, std::string> Newest(
     std::string const& aTopic);
 
+  /// Refuses the next reads of a topic.
+  void RefuseReads(std::string const& aTopic, int aCount);
+
 private:
   struct record
   {
@@ -55,6 +58,7 @@
   topics mTopics;
   topics mCopy;
   std::uint64_t mEra = 1;
+  std::map<std::string, int> mReadsToRefuse;
   scripted_server mServer{ [this](std::string const& aRequest) {
     return AnswerTo(aRequest);
   } };
