--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -139,6 +139,7 @@
     for (stream_origin const& origin : aOrigins)
       streams[origin.mSoftware].push_back(origin.mStream);
     std::vector<flatbuffers::Offset<wire::StreamOrigins>> tables;
+    tables.reserve(streams.size());
     for (auto const& [software, keys] : streams)
       tables.push_back(wire::CreateStreamOrigins(
         mBuilder, Text(software.Text()), mBuilder.CreateVector(keys)));
@@ -150,6 +151,7 @@
   Software(std::vector<software_notice> const& aNotices)
   {
     std::vector<flatbuffers::Offset<wire::PoolSoftware>> tables;
+    tables.reserve(aNotices.size());
     for (software_notice const& notice : aNotices)
       tables.push_back(wire::CreatePoolSoftware(
         mBuilder,
