LibDispatch: Keep no origin for resumptions that name no request

A caller's resumption that doesn't say which request began its stream was recorded under the empty id, so that the next such one, of any stream, would have gone on at its software. It is recorded under its own id now, and goes on only while a single version can have begun it.

Test: ResumptionThatNamesNoRequestHasNoKnownOrigin.

--- a/Libraries/LibDispatch/RequestProperties.h
+++ b/Libraries/LibDispatch/RequestProperties.h
@@ -41,10 +41,10 @@
     return mLastEvent.has_value() || !mResumes.IsEmpty();
   }
 
-  /// The request that began the stream.
+  /// The request that began the stream, as far as the caller says.
   [[nodiscard]] request_id const& StreamId() const
   {
-    return IsResumption() ? mResumes : mId;
+    return mResumes.IsEmpty() ? mId : mResumes;
   }
 
   /// Tokens of the parts that other requests may share.
--- a/Tests/LibGateway/TestResumedStreams.cpp
+++ b/Tests/LibGateway/TestResumedStreams.cpp
@@ -156,6 +156,19 @@
   EXPECT_EQ(old.Requests().size() + newer.Requests().size(), 0U);
 }
 
+// Guards against taking all resumptions that name no request for one stream.
+TEST_F(TestResumedStreams, ResumptionThatNamesNoRequestHasNoKnownOrigin)
+{
+  scripted_server old{ { Stream(2, 2, true), Stream(2, 2, true) } };
+  scripted_server newer{ { Stream(2, 2, true), Stream(2, 2, true) } };
+  StartGateway(std::array{ &old, &newer });
+  std::string const request = Request("/stream/x", "Last-Event-Id: 1\r\n");
+  SetSoftware({ kOld, kOld });
+  EXPECT_TRUE(Exchange(request).ends_with("0\r\n\r\n"));
+  SetSoftware({ kOld, kNew });
+  EXPECT_TRUE(IsRefusedAsNotRun(Exchange(request)));
+}
+
 TEST_F(TestResumedStreams, ResumptionOfUnknownOriginGoesOnAtTheOnlySoftware)
 {
   scripted_server server{ { Stream(2, 2, true) } };
