--- a/Libraries/LibDispatch/StreamOrigins.cpp
+++ b/Libraries/LibDispatch/StreamOrigins.cpp
@@ -53,12 +53,13 @@
 stream_origins::TakeUnreported(instant aNow)
 {
   std::vector<stream_origin> taken;
-  for (auto& [stream, known] : mRecords) {
+  for (records::value_type& entry : mRecords) {
+    record& known = entry.second;
     if (!known.mIsUnreported)
       continue;
     known.mIsUnreported = false;
     if (aNow - known.mSentAt <= kLifetime)
-      taken.push_back({ .mStream = stream, .mSoftware = known.mSoftware });
+      taken.push_back({ .mStream = entry.first, .mSoftware = known.mSoftware });
   }
   return taken;
 }
--- a/Libraries/LibDispatch/StreamOrigins.h
+++ b/Libraries/LibDispatch/StreamOrigins.h
@@ -56,7 +56,9 @@
 
   static bool IsUsable(instant aNow, record const& aRecord);
 
-  std::unordered_map<std::uint64_t, record> mRecords;
+  using records = std::unordered_map<std::uint64_t, record>;
+
+  records mRecords;
 };
 
 }
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -3,18 +3,16 @@
 #include <LibCore/Published.h>
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/FleetView.h>
-#include <LibDispatch/SuspectParts.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/DescribePeers.h>
 #include <LibFleet/FleetLinks.h>
 #include <LibFleet/FleetMetrics.h>
+#include <LibFleet/FleetObservations.h>
 #include <LibFleet/FleetOptions.h>
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
-#include <LibFleet/ServerLimits.h>
 #include <LibFleet/StoreFollower.h>
-#include <LibFleet/StreamSoftware.h>
 #include <LibFleet/UsageWriter.h>
 #include <LibGateway/PeerUpdate.h>
 #include <LibGateway/QuerySession.h>
@@ -71,11 +69,11 @@
         mOptions.mSelf,
         [this](peer_hello const& aInstance) { mLinks.OnRegistered(aInstance); })
     , mUsageWriter(mClient, mOptions.mStore)
-    , mSoftware(mClient,
-                mOptions.mStore,
-                [this](std::vector<stream_origin> aOrigins) {
-                  mUpdateHandler({ .mOrigins = std::move(aOrigins) });
-                })
+    , mObservations(mClient,
+                    mOptions.mStore,
+                    [this](std::vector<stream_origin> aOrigins) {
+                      mUpdateHandler({ .mOrigins = std::move(aOrigins) });
+                    })
     , mLinks(aContext, mOptions.mSelf, mOptions.mQuotaWindow, *this)
     , mOrderDriver(
         mClient,
@@ -122,9 +120,7 @@
     mMetrics.Merge(aReport.mMetrics);
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
-    MergePartCrashes(aReport.mPartCrashes);
-    MergeLimits(aReport.mLimits);
-    mSoftware.Add(mClock.Now(), aReport.mOrigins);
+    mObservations.Add(mClock.Now(), aReport);
     mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
                  .mPartCrashes = std::move(aReport.mPartCrashes),
                  .mLimits = std::move(aReport.mLimits),
@@ -140,19 +136,15 @@
     instant const now = mClock.Now();
     std::set<backend_server_id> const updating = mOrderDriver.Updating();
     instance_id const& self = mOptions.mSelf.mIdentity.mInstance;
-    mLinks.Report(
-      { .mLease = mOrderDriver.Lease(),
-        .mReader = mFollower.IsReading(now) ? self : instance_id{},
-        .mSpent = mOwnUsage,
-        .mPartCrashes = mSuspects.Quarantined(),
-        .mLimits = MakeLimitNotices(now, mLimits.List()),
-        .mUpdating = { updating.begin(), updating.end() },
-        .mUsed = mWindowUsage,
-        .mOperatorsEnd = mFollower.OperatorsEnd(),
-        .mOrigins = mSoftware.Origins().List(now),
-        .mSoftware = mSoftware.History().Notices(now),
-        .mIsSoftwareComplete = mSoftware.History().IsComplete(now) },
-      IsReady());
+    fleet_report own{ .mLease = mOrderDriver.Lease(),
+                      .mReader =
+                        mFollower.IsReading(now) ? self : instance_id{},
+                      .mSpent = mOwnUsage,
+                      .mUpdating = { updating.begin(), updating.end() },
+                      .mUsed = mWindowUsage,
+                      .mOperatorsEnd = mFollower.OperatorsEnd() };
+    mObservations.AddTo(now, own);
+    mLinks.Report(own, IsReady());
   }
 
   void OnPeersChanged() { Publish(); }
@@ -171,26 +163,7 @@
       Publish();
   }
 
-  // Keeps a copy of what the traffic thread knows, for peers with a new link.
-  std::vector<part_crashes> MergePartCrashes(
-    std::span<part_crashes const> aEvidence)
-  {
-    return mSuspects.Merge(mClock.Now(), aEvidence);
-  }
-
-  // Keeps what the traffic thread and peers observed, for the view and for
-  // peers with a new link.
-  std::vector<observed_limit> MergeLimits(
-    std::span<observed_limit const> aObserved)
-  {
-    return mLimits.Merge(aObserved);
-  }
-
-  // Keeps what peers know of the software that began streams.
-  std::vector<stream_origin> MergeSoftware(fleet_report const& aReport)
-  {
-    return mSoftware.Merge(mClock.Now(), aReport);
-  }
+  fleet_observations<Dialect>& Observations() { return mObservations; }
 
   bool OnPeerRelay(topic_relay const& aRelay)
   {
@@ -214,10 +187,8 @@
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
     if (IsReader(now))
       mUsageWriter.Write(now, mWindowUsage);
-    mSoftware.Tick(now, IsReader(now));
+    mObservations.Tick(now, IsReader(now));
     mLinks.Tick(now);
-    mSuspects.Prune(now);
-    mLimits.Prune(now);
     // Pages are passed on only when they have records, so their absence shows
     // no outage while a peer is answered.
     if (mLinks.Registry().IsAnyReading(now))
@@ -252,7 +223,7 @@
     instant const now = mClock.Now();
     mRecords.Servers().OnStoreRestored(now);
     mRegistration.OnStoreRestored(now);
-    mSoftware.OnStoreRestored();
+    mObservations.OnStoreRestored();
   }
 
   void OnNewRecords(store_topic aTopic,
@@ -278,22 +249,12 @@
     return mRecords.Operators().Config() != nullptr && !mIsLeaving;
   }
 
-  // False while neither the store nor any other instance tells which software
-  // is in use.
-  [[nodiscard]] bool IsInTouch(instant aNow) const
-  {
-    std::uint32_t const others = mView.mInstances - 1;
-    return mFollower.IsReadingServers(aNow) || others == 0 ||
-           mView.mUnresponsiveInstances < others;
-  }
-
   void Publish()
   {
     instant const now = mClock.Now();
     mView.mConfig = mRecords.Operators().Config();
     mView.mWeights = mRecords.Operators().Weights();
     mView.mServers = mRecords.Servers().Servers();
-    mView.mLimits = mLimits.List();
     mView.mUpdating = mOrderDriver.Updating();
     DescribePeers(now, mLinks.Registry(), mView);
     if (IsReady())
@@ -301,10 +262,7 @@
         { .mInstance = mOptions.mSelf.mIdentity.mInstance,
           .mDomain = mOptions.mSelf.mFailureDomain,
           .mAddress = mOptions.mSelf.mCallers });
-    mSoftware.OnServers(now, mView.mServers);
-    mView.mSoftware = mSoftware.History().List(now);
-    mView.mIsSoftwareComplete =
-      mSoftware.History().IsComplete(now) && IsInTouch(now);
+    mObservations.Describe(now, mFollower.IsReadingServers(now), mView);
     mView.mReportDelay = mLinks.ReportDelay();
     if (mView.mConfig)
       mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
@@ -323,12 +281,10 @@
   store_follower<Dialect> mFollower;
   instance_registration<Dialect> mRegistration;
   usage_writer<Dialect> mUsageWriter;
-  stream_software<Dialect> mSoftware;
+  fleet_observations<Dialect> mObservations;
   fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrderDriver;
   fleet_view mView;
-  suspect_parts mSuspects;
-  server_limits mLimits;
   /// What this instance admitted since its start.
   std::vector<workspace_usage> mOwnUsage;
   /// What all instances admitted in the last quota window.
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -2,7 +2,6 @@
 
 #include <LibCore/SystemClock.h>
 #include <LibEvents/EventLog.h>
-#include <LibFleet/LimitNotices.h>
 #include <LibFleet/PeerRegistry.h>
 #include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
@@ -25,11 +24,8 @@
 /// Control provides ReportToPeers(), called when a link has opened;
 /// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
 /// whether the peer's lease or the servers that it is updating have changed;
-/// MergePartCrashes(std::span<part_crashes const>) and
-/// MergeLimits(std::span<observed_limit const>) and
-/// MergeSoftware(fleet_report const&), which return what is new, to
-/// be passed on; and OnPeerRelay(topic_relay const&), which returns whether the
-/// records are new, or can't be told to be known.
+/// Observations(), a fleet_observations; and OnPeerRelay(topic_relay const&),
+/// which returns whether the records are new, or can't be told to be known.
 template<typename Control>
 class fleet_links
 {
@@ -178,16 +174,16 @@
       return;
     bool const haveUpdatesChanged =
       mRegistry.OnReport(mClock.Now(), aPeer, aReport);
+    instant const now = mClock.Now();
     mExchange.Add(
       { .mFrom = aPeer.mInstance,
         .mIsOfBranch = aReport.mScope == report_scope::Branch,
         .mCrashes = aReport.mCrashes,
-        .mPartCrashes = mControl.MergePartCrashes(aReport.mPartCrashes),
+        .mPartCrashes = mControl.Observations().MergePartCrashes(now, aReport),
         .mWeights = aReport.mWeights,
-        .mLimits =
-          mControl.MergeLimits(ReadLimitNotices(mClock.Now(), aReport.mLimits)),
+        .mLimits = mControl.Observations().MergeLimits(now, aReport),
         .mHolders = aReport.mHolders,
-        .mOrigins = mControl.MergeSoftware(aReport) });
+        .mOrigins = mControl.Observations().MergeSoftware(now, aReport) });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
   }
 
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -176,8 +176,7 @@
       return EndNow();
     if (!mAdmitted.mIsTrial && IsPoison(mCore, now, mAdmitted))
       return GiveUp(kPoisonRetryAfter);
-    server_pick const pick =
-      mSender.Pick(now, mAdmitted, mAnswer.Relay().IsHeadSent());
+    server_pick const pick = mSender.Pick(now, mAdmitted, mAnswer.Relay());
     if (!pick.mServer)
       return WaitForCapacity(now, pick);
     // Until the request has reached a server, nothing is retried.
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/ChooseServer.h>
+#include <LibGateway/AnswerRelay.h>
 #include <LibGateway/AttemptRequest.h>
 #include <LibGateway/GatewayDialect.h>
 #include <LibGateway/PlanSend.h>
@@ -42,14 +43,14 @@
   [[nodiscard]] std::string const& Body() const noexcept { return *mBody; }
 
   /// Chooses the best server now; mServer is null when there is none.
-  /// aHasBegun is true when the caller has been sent a part of an answer.
+  /// aAnswer is what the caller has been sent so far.
   [[nodiscard]] server_pick Pick(instant aNow,
                                  admitted_request const& aAdmitted,
-                                 bool aHasBegun)
+                                 answer_relay const& aAnswer)
   {
     server_pick pick = PickOf(aNow, aAdmitted.mPool, Software(aAdmitted));
     // A stream of which the caller has nothing yet may begin elsewhere.
-    bool const isBound = aHasBegun || aAdmitted.mSoftware;
+    bool const isBound = aAnswer.IsHeadSent() || aAdmitted.mSoftware;
     if (!pick.mServer && !pick.mSendAt && !isBound && mSoftware)
       return PickOf(aNow, aAdmitted.mPool, std::nullopt);
     return pick;
