LibHttp, LibFleet: Log unanswered calls, late ticks and traffic with peers

The logs could not tell a silent connection that was reused from a slow store, nor a busy control thread from a busy link. reports_to has the numbers of known and reachable instances.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -13,6 +13,7 @@
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/StoreFollower.h>
+#include <LibFleet/TickMonitor.h>
 #include <LibFleet/UsageWriter.h>
 #include <LibGateway/PeerUpdate.h>
 #include <LibGateway/QuerySession.h>
@@ -182,6 +183,7 @@
         Tick();
     });
     instant const now = mClock.Now();
+    mTickMonitor.OnTick(now);
     mRecords.Servers().OnRunning(now);
     mRegistration.Tick(now);
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
@@ -290,6 +292,7 @@
   /// What all instances admitted in the last quota window.
   std::vector<workspace_usage> mWindowUsage;
   boost::asio::steady_timer mTimer;
+  tick_monitor mTickMonitor{ kTickInterval };
   bool mIsLeaving = false;
 };
 
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -3,6 +3,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibEvents/EventLog.h>
 #include <LibFleet/PeerRegistry.h>
+#include <LibFleet/PeerTrafficMonitor.h>
 #include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibMembership/QuietLinkSupervisor.h>
@@ -74,6 +75,7 @@
   {
     mRegistry.Prune(aNow);
     mExchange.Tick(aNow);
+    mTrafficMonitor.OnTick(aNow, mHub.Counters());
   }
 
   /// An instance is registered in the store.
@@ -202,6 +204,7 @@
   report_exchange mExchange;
   peer_hub<fleet_links, quiet_link_supervisor, system_clock> mHub;
   relay_filter mRelayFilter;
+  peer_traffic_monitor mTrafficMonitor;
   bool mIsLeaving = false;
 };
 
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -96,7 +96,10 @@
     LogEvent(
       "reports_to",
       { { "parent",
-          topology.mParent ? topology.mParent->Text() : std::string{} } });
+          topology.mParent ? topology.mParent->Text() : std::string{} },
+        { "known", std::int64_t{ mRegistry.Known().Count() } },
+        { "reachable",
+          static_cast<std::int64_t>(mRegistry.Known().CountReachable()) } });
   }
   mTopology = std::move(topology);
   std::vector<peer_contact> contacts = mTopology.mContacts;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/SystemClock.h>
+#include <LibEvents/EventLog.h>
 #include <LibHttp/FormatHead.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/InputLimits.h>
@@ -40,9 +41,11 @@
         if (!aFault)
           self->End("timeout");
       });
-    mSocket = mClient.TakeIdle(mCall.mTo);
-    if (!mSocket)
+    std::optional<idle_socket> idle = mClient.TakeIdle(mCall.mTo);
+    if (!idle)
       return Connect();
+    mSocket = std::move(idle->mSocket);
+    mIdleTime = mStartedAt - idle->mIdleSince;
     Write();
   }
 
@@ -107,7 +110,10 @@
       result.mHead = TakeAnswerHead(mParser);
       result.mBody = std::move(mParser.get().body());
       if (mParser.get().keep_alive() && mBuffer.size() == 0)
-        mClient.mIdle[mCall.mTo].push_back(std::move(mSocket));
+        mClient.mIdle[mCall.mTo].push_back(
+          { .mSocket = std::move(mSocket), .mIdleSince = mClock.Now() });
+    } else {
+      LogUnanswered(result.mFault);
     }
     if (mSocket) {
       boost::system::error_code ignored;
@@ -117,6 +123,28 @@
     mHandler(std::move(result));
   }
 
+  [[nodiscard]] std::string ConnectionState() const
+  {
+    if (mVerdict == verdict::NotRun)
+      return "connecting";
+    return mIdleTime ? "reused" : "new";
+  }
+
+  void LogUnanswered(std::string const& aFault) const
+  {
+    auto const inMilliseconds = [](duration aTime) {
+      return std::int64_t{
+        std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count()
+      };
+    };
+    LogEvent("call_unanswered",
+             { { "purpose", std::string{ mCall.mPurpose } },
+               { "fault", aFault },
+               { "connection", ConnectionState() },
+               { "idle_ms", inMilliseconds(mIdleTime.value_or(duration{})) },
+               { "elapsed_ms", inMilliseconds(mClock.Now() - mStartedAt) } });
+  }
+
   http_client& mClient;
   http_exchange_call mCall;
   handler mHandler;
@@ -124,6 +152,8 @@
   system_clock mClock;
   instant mStartedAt{};
   std::shared_ptr<tcp::socket> mSocket;
+  /// How long the connection was idle before the call; empty for a new one.
+  std::optional<duration> mIdleTime;
   std::string mHeadBytes;
   boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
   boost::beast::http::response_parser<boost::beast::http::string_body> mParser;
@@ -138,18 +168,18 @@
 {
 }
 
-std::shared_ptr<http_client::tcp::socket>
+std::optional<idle_socket>
 http_client::TakeIdle(endpoint const& aTo)
 {
-  std::vector<std::shared_ptr<tcp::socket>>& idle = mIdle[aTo];
+  std::vector<idle_socket>& idle = mIdle[aTo];
   while (!idle.empty()) {
-    std::shared_ptr<tcp::socket> socket = std::move(idle.back());
+    idle_socket taken = std::move(idle.back());
     idle.pop_back();
     // A late copy of an earlier answer would be taken for the next one.
-    if (IsConnectionIdle(*socket))
-      return socket;
+    if (IsConnectionIdle(*taken.mSocket))
+      return taken;
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/HttpExchangeCall.h>
 #include <LibHttp/HttpExchangeResult.h>
+#include <LibHttp/IdleSocket.h>
 #include <LibMetrics/MetricsRecorder.h>
 
 #include <boost/asio/io_context.hpp>
@@ -9,7 +10,7 @@
 
 #include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -33,8 +34,8 @@
   class transfer;
   friend class transfer;
 
-  // Takes an idle connection that is still usable; null when there is none.
-  std::shared_ptr<tcp::socket> TakeIdle(endpoint const& aTo);
+  // Takes an idle connection that is still usable, if there is one.
+  std::optional<idle_socket> TakeIdle(endpoint const& aTo);
 
   void Record(std::string_view aPurpose,
               duration aTime,
@@ -42,7 +43,7 @@
 
   boost::asio::io_context& mContext;
   metrics_recorder& mRecorder;
-  std::map<endpoint, std::vector<std::shared_ptr<tcp::socket>>> mIdle;
+  std::map<endpoint, std::vector<idle_socket>> mIdle;
 };
 
 }
