--- a/Tests/LibFleet/TestReportExchange.cpp
+++ b/Tests/LibFleet/TestReportExchange.cpp
@@ -194,6 +194,35 @@
     EXPECT_LE(depth, 1U) << id.Text();
 }
 
+// Guards against an instance that fills its network link with state for all
+// others, and can't reach the store for seconds, because roots have lost each
+// other for a moment.
+TEST_P(TestReportExchange, LinksThatFailTogetherAreReplacedByAsFew)
+{
+  mFleet.Run(kSettled);
+  std::size_t const count = mFleet.Members().size();
+  std::map<instance_id, std::size_t> const depths = mFleet.Depths();
+  int links = 0;
+  for (auto const& [id, depth] : depths) {
+    for (instance_id const& peer : mFleet.Peers(id)) {
+      bool const areRoots = depth == 0 && depths.at(peer) == 0;
+      if (id < peer && (areRoots || ++links % 2 == 0))
+        mFleet.Disconnect(id, peer);
+    }
+  }
+  std::size_t most = 0;
+  for (milliseconds elapsed{}; elapsed < seconds{ 5 };
+       elapsed += simulated_fleet::kStep) {
+    if (elapsed == seconds{ 1 })
+      mFleet.Reconnect();
+    mFleet.Run(simulated_fleet::kStep);
+    for (auto const& [id, depth] : depths)
+      most = std::max(most, mFleet.Peers(id).size());
+  }
+  bool const areAllRoots = count <= report_topology::kMaxInstancesAllRoots;
+  EXPECT_LE(most * most, areAllRoots ? (count - 1) * (count - 1) : 14 * count);
+}
+
 TEST_P(TestReportExchange, TheNewestLeaseIsKnownWithinASecond)
 {
   mFleet.Run(kSettled);
