LibFleet: Keep the tree of reports while roots lose each other for a moment

Cause: when roots lost the links between them, their rosters shrank to their own branches, and every child took all that were missing for unreachable. With 12 or fewer reachable peers an instance takes itself for one of a small fleet, without a parent, and dials all that it can't reach as well.

Change: an instance that is no longer reported counts as unreachable after 3 s without a report. A root dials those that would be roots among the unreachable ones, rather than all.

LinksThatFailTogetherAreReplacedByAsFew failed before with 39 of 39 and 89 of 89 links; it passes.

--- a/Libraries/LibFleet/KnownInstances.cpp
+++ b/Libraries/LibFleet/KnownInstances.cpp
@@ -15,6 +15,11 @@
 // this time it counts as reachable again, so that it is tried again.
 constexpr duration kReportedRetryDelay = std::chrono::seconds{ 10 };
 
+// The peer that reported an instance may have lost its own link for a moment,
+// and with it all that it reports. By then that link is open again, or the
+// instances behind it report elsewhere.
+constexpr duration kUnreportedTolerance = std::chrono::seconds{ 3 };
+
 }
 
 void
@@ -44,6 +49,7 @@
     return;
   std::optional<instant>& unreachable = known->second.mUnreachableSince;
   known->second.mObservedAt = aNow;
+  known->second.mUnreportedSince.reset();
   if (unreachable && aNow - *unreachable > kReportedRetryDelay)
     unreachable.reset();
 }
@@ -56,9 +62,22 @@
     known->second.mUnreachableSince = aNow;
 }
 
+void
+known_instances::OnUnreported(instant aNow, instance_id const& aInstance)
+{
+  auto const known = mKnown.find(aInstance);
+  if (known != mKnown.end() && !known->second.mUnreportedSince)
+    known->second.mUnreportedSince = aNow;
+}
+
 void
 known_instances::Prune(instant aNow)
 {
+  for (auto& [id, known] : mKnown) {
+    if (!known.mUnreachableSince && known.mUnreportedSince &&
+        aNow - *known.mUnreportedSince > kUnreportedTolerance)
+      known.mUnreachableSince = aNow;
+  }
   std::erase_if(mKnown, [aNow](auto const& aEntry) {
     return aNow - aEntry.second.mObservedAt > kRetention;
   });
--- a/Libraries/LibFleet/KnownInstances.h
+++ b/Libraries/LibFleet/KnownInstances.h
@@ -33,10 +33,15 @@
   /// here counts as reachable again after a while.
   void OnStillReported(instant aNow, instance_id const& aInstance);
 
-  /// The instance can't be reached, or no linked peer reports it any more.
+  /// The instance can't be reached.
   void OnUnreachable(instant aNow, instance_id const& aInstance);
 
-  /// Removes instances that haven't been observed for the retention time.
+  /// No linked peer reports the instance any more. It counts as unreachable
+  /// unless it is observed again soon.
+  void OnUnreported(instant aNow, instance_id const& aInstance);
+
+  /// Removes instances that haven't been observed for the retention time, and
+  /// takes those that haven't been reported for long as unreachable.
   void Prune(instant aNow);
 
   /// The instances that aren't known to be unreachable.
@@ -61,6 +66,8 @@
     instant mObservedAt{};
     /// Since when the instance is unreachable; empty while it is reachable.
     std::optional<instant> mUnreachableSince;
+    /// Since when no linked peer reports it; empty while one does.
+    std::optional<instant> mUnreportedSince;
   };
 
   instance_id mSelf;
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -114,7 +114,7 @@
   for (roster_entry const& entry : aBefore.mEntries) {
     instance_id const& id = entry.mHello.mIdentity.mInstance;
     if (!IsInRosters(id))
-      mKnown.OnUnreachable(aNow, id);
+      mKnown.OnUnreported(aNow, id);
   }
 }
 
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -107,7 +107,7 @@
   [[nodiscard]] peer_link* FindLink(instance_identity const& aPeer);
   // True when the roster of any link contains the instance.
   [[nodiscard]] bool IsInRosters(instance_id const& aInstance) const;
-  // Marks as unreachable the instances of an earlier roster that no roster
+  // Marks as unreported the instances of an earlier roster that no roster
   // contains any more.
   void MarkUnreported(instant aNow, fleet_roster const& aBefore);
 
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -103,12 +103,15 @@
   }
   mTopology = std::move(topology);
   std::vector<peer_contact> contacts = mTopology.mContacts;
-  // A root keeps trying to connect to instances that it can't reach; those that
-  // are roots do the same.
+  // A root keeps trying to connect to the instances that it can't reach. Those
+  // among them that are roots do the same, so that it needs no links to the
+  // others.
   if (!mTopology.mParent) {
-    for (peer_hello const& unreachable : mRegistry.Known().Unreachable())
-      contacts.push_back({ .mAddress = unreachable.mPeers,
-                           .mInstance = unreachable.mIdentity.mInstance });
+    report_topology const unreachable = ComputeReportTopology(
+      mSelf, mRegistry.Known().Unreachable(), std::nullopt);
+    contacts.insert(contacts.end(),
+                    unreachable.mContacts.begin(),
+                    unreachable.mContacts.end());
   }
   mContactsHandler(contacts);
 }
