LibPeer, LibFleet: Send state again over a link that was replaced

Cause: both ends dial at once, and one of the two connections is closed in favour of the other. The roster, the origins of streams and the first report may have been sent over the closed one, and are sent once a link. The log of failing runs showed both peer_up, the configuration and no roster.

Change: the hub tells its handler that another connection is used, and what is sent once a link is sent again.

HandlerIsToldWhenALinkIsReplaced guards the hub; it could not be built before.

--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -125,6 +125,14 @@
     mControl.ReportToPeers();
   }
 
+  void OnLinkReplaced(peer_hello const& aHello)
+  {
+    LogEvent("peer_link_replaced",
+             { { "peer", aHello.mIdentity.mInstance.Text() } });
+    mRegistry.OnLinkReplaced(mClock.Now(), aHello.mIdentity);
+    mControl.ReportToPeers();
+  }
+
   void OnPeerDown(instance_identity const& aPeer, link_close_reason aReason)
   {
     LogEvent("peer_down",
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -60,6 +60,15 @@
     mKnown.OnUnreachable(aNow, aPeer.mInstance);
 }
 
+// What is sent once over each link is sent again, as it may have been lost with
+// the connection so far.
+void
+peer_registry::OnLinkReplaced(instant aNow, instance_identity const& aPeer)
+{
+  if (peer_link* const found = FindLink(aPeer))
+    found->mUpAt = aNow;
+}
+
 bool
 peer_registry::IsInRosters(instance_id const& aInstance) const
 {
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -38,6 +38,9 @@
   void OnUp(instant aNow, peer_hello const& aHello);
   void OnDown(instant aNow, instance_identity const& aPeer);
 
+  /// The link to a peer goes over another connection from now on.
+  void OnLinkReplaced(instant aNow, instance_identity const& aPeer);
+
   /// Records a report; true when the lease or the set of servers being updated
   /// has changed.
   bool OnReport(instant aNow,
--- a/Libraries/LibPeer/PeerHandler.h
+++ b/Libraries/LibPeer/PeerHandler.h
@@ -8,7 +8,9 @@
 namespace lycheeseam {
 
 /// Receives what a peer_hub gets from peers. An incarnation of a peer is linked
-/// from OnPeerUp to OnPeerDown; its messages arrive only in between.
+/// from OnPeerUp to OnPeerDown; its messages arrive only in between. After
+/// OnLinkReplaced, another connection to the same incarnation is used: messages
+/// that were sent before may be lost.
 template<typename Handler>
 concept peer_handler = requires(Handler& aHandler,
                                 peer_hello const& aHello,
@@ -17,6 +19,7 @@
                                 link_close_reason aReason)
 {
   aHandler.OnPeerUp(aHello);
+  aHandler.OnLinkReplaced(aHello);
   aHandler.OnPeerMessage(aPeer, aMessage);
   aHandler.OnPeerDown(aPeer, aReason);
 };
--- a/Libraries/LibPeer/PeerHubMessages.h
+++ b/Libraries/LibPeer/PeerHubMessages.h
@@ -101,7 +101,8 @@
   if (decision.mEnded)
     mHandler.OnPeerDown(*decision.mEnded, link_close_reason::Superseded);
   if (decision.mIsNew)
-    mHandler.OnPeerUp(aHello);
+    return mHandler.OnPeerUp(aHello);
+  mHandler.OnLinkReplaced(aHello);
 }
 
 template<typename Handler, link_supervisor Supervisor, clock_source Clock>
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -72,6 +72,7 @@
 
   // peer_handler
   void OnPeerUp(peer_hello const& aHello);
+  void OnLinkReplaced(peer_hello const& aHello);
   void OnPeerMessage(instance_identity const& aPeer, peer_message& aMessage);
   void OnPeerDown(instance_identity const& aPeer, link_close_reason aReason);
 
--- a/Libraries/LibRouter/ControlCorePeers.cpp
+++ b/Libraries/LibRouter/ControlCorePeers.cpp
@@ -35,6 +35,12 @@
   PublishInstances();
 }
 
+void
+control_core::OnLinkReplaced(peer_hello const& aHello)
+{
+  RequestSnapshot(aHello.mIdentity.mInstance);
+}
+
 // A starting instance loads its state from a peer's snapshot, so that it can
 // serve before the log has answered.
 void
--- a/Tests/LibPeer/HubPeer.h
+++ b/Tests/LibPeer/HubPeer.h
@@ -70,6 +70,11 @@
 
   void OnPeerUp(peer_hello const& aHello) { mUp.push_back(aHello.mIdentity); }
 
+  void OnLinkReplaced(peer_hello const& aHello)
+  {
+    mReplaced.push_back(aHello.mIdentity);
+  }
+
   void OnPeerMessage(instance_identity const&, peer_message& aMessage)
   {
     if (!std::holds_alternative<peer_heartbeat>(aMessage))
@@ -83,6 +88,7 @@
   }
 
   std::vector<instance_identity> mUp;
+  std::vector<instance_identity> mReplaced;
   std::vector<instance_identity> mDown;
   std::vector<link_close_reason> mDownReasons;
   std::vector<peer_message> mMessages;
--- a/Tests/LibPeer/TestPeerHub.cpp
+++ b/Tests/LibPeer/TestPeerHub.cpp
@@ -106,6 +106,23 @@
   EXPECT_TRUE(RunUntil(mContext, [&]() { return !second.mMessages.empty(); }));
 }
 
+// Guards against instances that never learn what a peer sent over a connection
+// that was replaced while both dialled: for good, whether it is ready.
+TEST_F(peer_hub_test, HandlerIsToldWhenALinkIsReplaced)
+{
+  hub_peer first{ mContext, "a", 1 };
+  raw_peer before{ mContext, first };
+  before.Send(hub_peer::Hello("c", 1));
+  ASSERT_TRUE(RunUntil(mContext, [&]() { return first.mUp.size() == 1; }));
+  EXPECT_TRUE(first.mReplaced.empty());
+  raw_peer after{ mContext, first };
+  after.Send(hub_peer::Hello("c", 1));
+  EXPECT_TRUE(
+    RunUntil(mContext, [&]() { return first.mReplaced.size() == 1; }));
+  EXPECT_EQ(first.mUp.size(), 1u);
+  EXPECT_TRUE(first.mDown.empty());
+}
+
 TEST_F(peer_hub_test, InvalidFramesCloseOnlyTheirOwnLink)
 {
   hub_peer first{ mContext, "a", 1 };
