LibHttp: Repeat a read over a silent connection over a new one

Cause: the client of control calls reuses idle connections, and learns that one has gone silent only by the time limit of a call over it (1.5 s for reads of the store). Each connection that was open at the cut cost a call.

Change: a GET over a reused connection that has no byte of an answer after 0.4 s is sent once more over a new connection, and any call without an answer drops the other idle connections to the same address.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -18,6 +18,27 @@
 
 namespace lycheeseam {
 
+namespace {
+
+// An answer of a slow store takes some hundred milliseconds.
+constexpr std::chrono::milliseconds kReuseTimeout{ 400 };
+
+}
+
+// One connection of a call, and what is read from it.
+struct http_client::attempt
+{
+  std::shared_ptr<tcp::socket> mSocket;
+  boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
+  boost::beast::http::response_parser<boost::beast::http::string_body> mParser;
+
+  void Close() const
+  {
+    boost::system::error_code ignored;
+    mSocket->close(ignored);
+  }
+};
+
 // One running call: its connection, time limit and answer.
 class http_client::transfer
   : public std::enable_shared_from_this<http_client::transfer>
@@ -28,8 +49,8 @@
     , mCall(std::move(aCall))
     , mHandler(std::move(aHandler))
     , mTimer(aClient.mContext)
+    , mReuseTimer(aClient.mContext)
   {
-    mParser.body_limit(mCall.mMaxAnswerBytes);
   }
 
   void Start()
@@ -41,30 +62,60 @@
         if (!aFault)
           self->End("timeout");
       });
+    mCall.mHead.mFields.push_back({ "Host", mCall.mTo.Text() });
+    mCall.mHead.mFields.push_back(
+      { "Content-Length", std::to_string(mCall.mBody.size()) });
+    mHeadBytes = FormatRequestHead(mCall.mHead);
     std::optional<idle_socket> idle = mClient.TakeIdle(mCall.mTo);
     if (!idle)
       return Connect();
-    mSocket = std::move(idle->mSocket);
     mIdleTime = mStartedAt - idle->mIdleSince;
+    Use(std::move(idle->mSocket));
+    if (mCall.mHead.mMethod == "GET")
+      RepeatIfUnanswered();
     Write();
   }
 
 private:
+  // A reused connection may have gone silent for good, in which case nothing
+  // but its silence shows it. A read may be sent twice.
+  void RepeatIfUnanswered()
+  {
+    mReuseTimer.expires_after(kReuseTimeout);
+    mReuseTimer.async_wait(
+      [self = shared_from_this()](boost::system::error_code aFault) {
+        if (aFault || self->mIsDone || self->mAttempt->mParser.got_some())
+          return;
+        self->LogUnanswered("silent");
+        self->mAttempt->Close();
+        self->mClient.mIdle.erase(self->mCall.mTo);
+        self->mIdleTime.reset();
+        self->Connect();
+      });
+  }
+
+  void Use(std::shared_ptr<tcp::socket> aSocket)
+  {
+    mAttempt = std::make_shared<attempt>();
+    mAttempt->mSocket = std::move(aSocket);
+    mAttempt->mParser.body_limit(mCall.mMaxAnswerBytes);
+  }
+
   void Connect()
   {
-    mSocket = std::make_shared<tcp::socket>(mClient.mContext);
+    Use(std::make_shared<tcp::socket>(mClient.mContext));
     boost::system::error_code fault;
     boost::asio::ip::address const address =
       boost::asio::ip::make_address(mCall.mTo.mAddress, fault);
     if (fault)
       return End("the address of the call is not an IP address");
-    mSocket->async_connect(
+    mAttempt->mSocket->async_connect(
       { address, mCall.mTo.mPort },
       [self = shared_from_this()](boost::system::error_code aFault) {
         if (aFault)
           return self->End(aFault.message());
         boost::system::error_code ignored;
-        self->mSocket->set_option(tcp::no_delay{ true }, ignored);
+        self->mAttempt->mSocket->set_option(tcp::no_delay{ true }, ignored);
         self->Write();
       });
   }
@@ -74,27 +125,24 @@
     if (mIsDone)
       return;
     mVerdict = verdict::MayHaveRun;
-    mCall.mHead.mFields.push_back({ "Host", mCall.mTo.Text() });
-    mCall.mHead.mFields.push_back(
-      { "Content-Length", std::to_string(mCall.mBody.size()) });
-    mHeadBytes = FormatRequestHead(mCall.mHead);
     std::array<boost::asio::const_buffer, 2> const buffers{
       boost::asio::buffer(mHeadBytes), boost::asio::buffer(mCall.mBody)
     };
-    boost::asio::async_write(*mSocket,
+    boost::asio::async_write(*mAttempt->mSocket,
                              buffers,
-                             [self = shared_from_this()](
+                             [self = shared_from_this(), used = mAttempt](
                                boost::system::error_code aFault, std::size_t) {
-                               if (aFault)
+                               if (aFault && used == self->mAttempt)
                                  self->End(aFault.message());
                              });
     boost::beast::http::async_read(
-      *mSocket,
-      mBuffer,
-      mParser,
-      [self = shared_from_this()](boost::system::error_code aFault,
-                                  std::size_t) {
-        self->End(aFault ? aFault.message() : std::string{});
+      *mAttempt->mSocket,
+      mAttempt->mBuffer,
+      mAttempt->mParser,
+      [self = shared_from_this(),
+       used = mAttempt](boost::system::error_code aFault, std::size_t) {
+        if (used == self->mAttempt)
+          self->End(aFault ? aFault.message() : std::string{});
       });
   }
 
@@ -103,26 +151,32 @@
     if (std::exchange(mIsDone, true))
       return;
     mTimer.cancel();
+    mReuseTimer.cancel();
     http_exchange_result result{ .mVerdict = mVerdict,
                                  .mFault = std::move(aFault) };
     if (result.mFault.empty()) {
       result.mVerdict = verdict::Ran;
-      result.mHead = TakeAnswerHead(mParser);
-      result.mBody = std::move(mParser.get().body());
-      if (mParser.get().keep_alive() && mBuffer.size() == 0)
-        mClient.mIdle[mCall.mTo].push_back(
-          { .mSocket = std::move(mSocket), .mIdleSince = mClock.Now() });
+      result.mHead = TakeAnswerHead(mAttempt->mParser);
+      result.mBody = std::move(mAttempt->mParser.get().body());
+      KeepOrClose();
     } else {
       LogUnanswered(result.mFault);
-    }
-    if (mSocket) {
-      boost::system::error_code ignored;
-      mSocket->close(ignored);
+      // Whatever made this connection fail may have happened to the others.
+      mClient.mIdle.erase(mCall.mTo);
+      mAttempt->Close();
     }
     mClient.Record(mCall.mPurpose, mClock.Now() - mStartedAt, result);
     mHandler(std::move(result));
   }
 
+  void KeepOrClose()
+  {
+    if (!mAttempt->mParser.get().keep_alive() || mAttempt->mBuffer.size() != 0)
+      return mAttempt->Close();
+    mClient.mIdle[mCall.mTo].push_back(
+      { .mSocket = std::move(mAttempt->mSocket), .mIdleSince = mClock.Now() });
+  }
+
   [[nodiscard]] std::string ConnectionState() const
   {
     if (mVerdict == verdict::NotRun)
@@ -149,14 +203,13 @@
   http_exchange_call mCall;
   handler mHandler;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mReuseTimer;
   system_clock mClock;
   instant mStartedAt{};
-  std::shared_ptr<tcp::socket> mSocket;
+  std::shared_ptr<attempt> mAttempt;
   /// How long the connection was idle before the call; empty for a new one.
   std::optional<duration> mIdleTime;
   std::string mHeadBytes;
-  boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
-  boost::beast::http::response_parser<boost::beast::http::string_body> mParser;
   verdict mVerdict = verdict::NotRun;
   bool mIsDone = false;
 };
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -18,7 +18,8 @@
 
 /// An HTTP client for control calls. It runs on the thread of its io_context,
 /// reuses idle connections, and records the calls' counts and times as metrics.
-/// It never retries a call.
+/// A GET that isn't answered soon over a reused connection is sent once more
+/// over a new one; other calls are never sent twice.
 class http_client
 {
 public:
@@ -31,6 +32,7 @@
   void Call(http_exchange_call aCall, handler aHandler);
 
 private:
+  struct attempt;
   class transfer;
   friend class transfer;
 
