LibGateway, LibTunnel: Reach servers through a peer when cut off from all

Cause: the own connection is the only way to a server, though peers that reach the servers can be reached.

Change: when connections to three servers in a row fail and none is opened in between, an instance asks peers for tunnels, one for each request. The peer copies bytes, and learns what answers announce; all decisions stay where the request arrived. Breakers that opened because of the own failure close again.

--- a/Libraries/LibDispatch/ReadyInstance.h
+++ b/Libraries/LibDispatch/ReadyInstance.h
@@ -11,6 +11,8 @@
   instance_id mInstance;
   failure_domain mDomain;
   endpoint mAddress;
+  /// Where peers ask it for tunnels to servers; port 0 when it opens none.
+  endpoint mTunnels;
 
   bool operator==(ready_instance const&) const = default;
 };
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -153,7 +153,8 @@
       if (entry.mIsReady && !entry.mIsLeaving && id != mSelf)
         entries[id] = { .mInstance = id,
                         .mDomain = entry.mHello.mFailureDomain,
-                        .mAddress = entry.mHello.mCallers };
+                        .mAddress = entry.mHello.mCallers,
+                        .mTunnels = entry.mHello.mTunnels };
     }
   };
   add(mFormerParentRoster);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -4,8 +4,10 @@
 #include <LibGateway/InstanceQueryHandler.h>
 #include <LibGateway/QuerySession.h>
 #include <LibGateway/SessionListener.h>
+#include <LibGateway/TunnelSession.h>
 
 #include <functional>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -33,6 +35,8 @@
     , mCallers(aContext, mCore, mOptions.mCallers)
     , mTimer(aContext)
   {
+    if (mOptions.mTunnels.mPort != 0)
+      mTunnels.emplace(aContext, mCore, mOptions.mTunnels);
   }
 
   /// Starts accepting connections.
@@ -41,6 +45,8 @@
     mReadiness.Accept();
     mAddresses.Accept();
     mCallers.Accept();
+    if (mTunnels)
+      mTunnels->Accept();
     Tick();
   }
 
@@ -72,7 +78,7 @@
       if (session->IsBusy())
         return false;
     }
-    return true;
+    return !mTunnels || mTunnels->Sessions().empty();
   }
 
   /// Takes over what another instance observed.
@@ -116,6 +122,8 @@
   session_listener<query_session<query_handler>, query_handler> mReadiness;
   session_listener<query_session<query_handler>, query_handler> mAddresses;
   session_listener<caller_session<Dialect>, traffic_core> mCallers;
+  std::optional<session_listener<tunnel_session<Dialect>, traffic_core>>
+    mTunnels;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
 };
--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -20,6 +20,9 @@
   endpoint mReadiness;
   /// Listen address for callers' address queries.
   endpoint mAddresses;
+  /// Listen address for tunnels of peers to backend servers; port 0 to open
+  /// none.
+  endpoint mTunnels;
   quota_parameters mQuota;
   /// Retries that a pool may have for each first attempt, over all instances.
   double mRetryRatio = 0.2;
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -44,7 +44,7 @@
     // is being started.
     std::shared_ptr<server_exchange<Sink>> const started =
       std::make_shared<server_exchange<Sink>>(
-        mContext, mCore.Connections(), mServer, std::move(aSink));
+        mContext, mCore, mServer, std::move(aSink));
     mExchange = started;
     started->Start(std::move(aRequest.mHead),
                    std::move(aRequest.mBody),
@@ -84,9 +84,10 @@
   void OnConnectionLost(instant aNow, exchange_end aEnd)
   {
     breaker_state const before = mServer->mBreaker.State(aNow);
-    if (aEnd == exchange_end::Unresponsive)
+    if (aEnd == exchange_end::Unresponsive) {
       mServer->mBreaker.OnUnreachable(aNow);
-    else
+      mCore.OnServerUnreachable(aNow, ServerId());
+    } else
       mServer->mBreaker.OnFailure(aNow);
     ReportBreaker(aNow, before);
     if (aEnd != exchange_end::Unresponsive &&
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -3,14 +3,13 @@
 #include <LibCore/SystemClock.h>
 #include <LibDispatch/TrackedServer.h>
 #include <LibGateway/AnswerUse.h>
-#include <LibGateway/ConnectionPool.h>
 #include <LibGateway/ExchangeEnd.h>
 #include <LibGateway/IdleTimeout.h>
+#include <LibGateway/ServerConnector.h>
 #include <LibGateway/UnusedInput.h>
 #include <LibHttp/HttpStatus.h>
 #include <LibHttp/InputLimits.h>
 #include <LibHttp/TakeHead.h>
-#include <LibHttp/WatchLiveness.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -46,11 +45,11 @@
   using error_code = boost::system::error_code;
 
   server_exchange(boost::asio::io_context& aContext,
-                  connection_pool& aPool,
+                  traffic_core& aCore,
                   std::shared_ptr<tracked_server> aServer,
                   std::shared_ptr<Sink> aSink)
     : mContext(aContext)
-    , mPool(aPool)
+    , mCore(aCore)
     , mServer(std::move(aServer))
     , mSink(std::move(aSink))
     , mTimer(aContext)
@@ -65,7 +64,7 @@
     mHead = std::move(aHead);
     mBody = std::move(aBody);
     mAnswerHasBody = aAnswerHasBody;
-    mSocket = mPool.Acquire(mClock.Now(), mServer->mRegistered);
+    mSocket = mCore.Connections().Acquire(mClock.Now(), mServer->mRegistered);
     mIsReused = mSocket != nullptr;
     return mIsReused ? Send() : Connect();
   }
@@ -105,46 +104,35 @@
 private:
   // Answers come in small events; a larger buffer would only cost memory.
   static constexpr std::size_t kPieceBytes = 16'384;
-  // In a healthy site a connection opens within a few milliseconds. A lost
-  // packet would be sent again only after a second, when another server is the
-  // better choice.
-  static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-  // Allows several retransmissions of lost packets before a server that
-  // acknowledges nothing counts as unresponsive.
-  static constexpr std::chrono::milliseconds kUnresponsiveTimeout{ 900 };
   // How long the rest of an answer that no caller gets is read.
   static constexpr std::chrono::milliseconds kDiscardTimeout{ 100 };
 
   void Connect()
   {
-    mSocket = std::make_shared<tcp::socket>(mContext);
-    error_code fault;
-    boost::asio::ip::address const address = boost::asio::ip::make_address(
-      mServer->mRegistered.mAddress.mAddress, fault);
-    if (fault)
-      return End(exchange_end::NotConnected);
-    mTimer.expires_after(kConnectTimeout);
-    mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
-      if (!aFault && !self->mIsSent)
-        self->End(exchange_end::NotConnected);
-    });
-    mSocket->async_connect({ address, mServer->mRegistered.mAddress.mPort },
-                           [self = this->shared_from_this()](
-                             error_code aFault) { self->OnConnected(aFault); });
+    mConnector = std::make_shared<server_connector>(
+      mContext,
+      mCore,
+      mServer,
+      [self = this->shared_from_this()](connect_end aEnd,
+                                        std::shared_ptr<tcp::socket> aSocket) {
+        self->OnConnected(aEnd, std::move(aSocket));
+      });
+    // A local copy, because the end of the attempt removes the member.
+    std::shared_ptr<server_connector> const started = mConnector;
+    started->Start();
   }
 
-  void OnConnected(error_code aFault)
+  void OnConnected(connect_end aEnd, std::shared_ptr<tcp::socket> aSocket)
   {
+    mConnector.reset();
     if (!mSink)
       return;
-    if (aFault == boost::asio::error::connection_refused)
+    if (aEnd == connect_end::Refused)
       return End(exchange_end::Refused);
-    if (aFault)
+    if (aEnd == connect_end::NotConnected)
       return End(exchange_end::NotConnected);
-    mTimer.cancel();
-    error_code ignored;
-    mSocket->set_option(tcp::no_delay{ true }, ignored);
-    WatchLiveness(*mSocket, kUnresponsiveTimeout);
+    mSocket = std::move(aSocket);
+    mIsTunnel = aEnd == connect_end::Tunnel;
     Send();
   }
 
@@ -251,12 +239,13 @@
     if (!sink)
       return;
     bool const isReusable = aEnd == exchange_end::Complete && mIsWritten &&
-                            mParser->get().keep_alive() &&
+                            !mIsTunnel && mParser->get().keep_alive() &&
                             mBuffer.size() == 0 && mIdleTimeout.count() > 0;
     if (isReusable)
-      mPool.Release(mServer->mRegistered,
-                    { .mSocket = std::move(mSocket),
-                      .mUsableUntil = mClock.Now() + mIdleTimeout });
+      mCore.Connections().Release(
+        mServer->mRegistered,
+        { .mSocket = std::move(mSocket),
+          .mUsableUntil = mClock.Now() + mIdleTimeout });
     Close();
     sink->OnExchangeEnd(aEnd);
   }
@@ -264,6 +253,8 @@
   void Close()
   {
     mTimer.cancel();
+    if (mConnector)
+      std::exchange(mConnector, nullptr)->Cancel();
     if (!mSocket)
       return;
     error_code ignored;
@@ -271,12 +262,14 @@
   }
 
   boost::asio::io_context& mContext;
-  connection_pool& mPool;
+  traffic_core& mCore;
   std::shared_ptr<tracked_server> mServer;
   /// Null once the exchange has ended.
   std::shared_ptr<Sink> mSink;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
+  /// Null unless a connection is being opened.
+  std::shared_ptr<server_connector> mConnector;
   std::shared_ptr<tcp::socket> mSocket;
   std::string mHead;
   std::shared_ptr<std::string const> mBody;
@@ -290,6 +283,8 @@
   bool mIsSent = false;
   bool mIsWritten = false;
   bool mIsReused = false;
+  /// True when the connection goes through a peer, which serves one request.
+  bool mIsTunnel = false;
   answer_use mUse = answer_use::Accept;
   unused_input mUnused;
   /// True while the sink handles the last piece: ReadNext then ends the
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -23,6 +23,7 @@
   , mView(std::make_shared<fleet_view const>())
   , mInstanceOrder(aOptions.mInstance)
   , mQuota(aOptions.mQuota)
+  , mTunnelPeers(aOptions.mInstance)
 {
 }
 
@@ -39,6 +40,7 @@
       budget.second.SetOptions(RetryBudgetOptions());
   }
   mServers.Apply(*mView);
+  mTunnelPeers.Update(mView->mReadyInstances);
   ApplyLimits(aNow);
   mQuota.Apply(aNow, *mView);
   return mView;
@@ -190,6 +192,21 @@
                        server_answer const& aAnswer)
 {
   aServer.mBreaker.OnSuccess();
+  OnAnnouncement(aNow, aServer, aAnswer);
+  if (aAnswer.mLoad) {
+    aServer.mLoad = aAnswer.mLoad;
+    aServer.mLoad->mReportedAt = aNow;
+    aServer.mInFlightAtLoad = aServer.mInFlight;
+  }
+  if (aAnswer.mVersion)
+    OnWeights(aServer, aModel, *aAnswer.mVersion);
+}
+
+void
+traffic_core::OnAnnouncement(instant aNow,
+                             tracked_server& aServer,
+                             server_answer const& aAnswer)
+{
   bool const isItself = aAnswer.mServer == aServer.mRegistered.mId;
   if (aAnswer.mIsMisdirected && aAnswer.mServer && !isItself)
     OnReplaced(aServer);
@@ -201,13 +218,27 @@
     OnLimit(aNow, aServer, aAnswer.mRequestsPerSecond);
   if (aAnswer.mPause.count() > 0)
     OnPause(aNow, aServer, aAnswer.mPause);
-  if (aAnswer.mLoad) {
-    aServer.mLoad = aAnswer.mLoad;
-    aServer.mLoad->mReportedAt = aNow;
-    aServer.mInFlightAtLoad = aServer.mInFlight;
-  }
-  if (aAnswer.mVersion)
-    OnWeights(aServer, aModel, *aAnswer.mVersion);
+}
+
+void
+traffic_core::OnServerConnected()
+{
+  if (mReachability.OnConnected())
+    LogEvent("servers_reachable", {});
+}
+
+void
+traffic_core::OnServerUnreachable(instant aNow,
+                                  backend_server_id const& aServer)
+{
+  if (!mReachability.OnUnreachable(aNow, aServer, mServers.Servers().size()))
+    return;
+  LogEvent("servers_unreachable",
+           { { "server", aServer.Text() },
+             { "peers", static_cast<std::int64_t>(mTunnelPeers.Count()) } });
+  // The failures so far were this instance's, not the servers'.
+  for (auto const& [id, server] : mServers.Servers())
+    server->mBreaker.OnSuccess();
 }
 
 void
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -9,9 +9,11 @@
 #include <LibDispatch/ObservedLimit.h>
 #include <LibDispatch/PrefixIndex.h>
 #include <LibDispatch/QuotaLimiter.h>
+#include <LibDispatch/ServerReachability.h>
 #include <LibDispatch/ServerTable.h>
 #include <LibDispatch/StreamOrigins.h>
 #include <LibDispatch/SuspectParts.h>
+#include <LibDispatch/TunnelPeers.h>
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/GatewayOptions.h>
 #include <LibGateway/PeerUpdate.h>
@@ -70,6 +72,18 @@
                 model_name const& aModel,
                 server_answer const& aAnswer);
 
+  /// Takes over what an answer of the server announces of itself, whichever
+  /// instance asked for it: that it leaves, a rate limit, a pause.
+  void OnAnnouncement(instant aNow,
+                      tracked_server& aServer,
+                      server_answer const& aAnswer);
+
+  /// A connection was opened to a server directly.
+  void OnServerConnected();
+
+  /// A server couldn't be connected to directly, or became unresponsive.
+  void OnServerUnreachable(instant aNow, backend_server_id const& aServer);
+
   /// An answer showed which version of the weights a server has.
   void OnWeights(tracked_server& aServer,
                  model_name const& aModel,
@@ -117,6 +131,11 @@
   [[nodiscard]] prefix_index& Prefixes() noexcept { return mPrefixes; }
   [[nodiscard]] traffic_meter& Meter() noexcept { return mMeter; }
   [[nodiscard]] connection_pool& Connections() noexcept { return mConnections; }
+  [[nodiscard]] server_reachability& Reachability() noexcept
+  {
+    return mReachability;
+  }
+  [[nodiscard]] tunnel_peers& TunnelPeers() noexcept { return mTunnelPeers; }
   [[nodiscard]] bool IsDraining() const noexcept { return mIsDraining; }
   void SetDraining() noexcept { mIsDraining = true; }
 
@@ -151,6 +170,8 @@
   stream_origins mOrigins;
   prefix_index mPrefixes;
   connection_pool mConnections;
+  server_reachability mReachability;
+  tunnel_peers mTunnelPeers;
   retry_budgets mRetryBudgets;
   traffic_meter mMeter;
   traffic_report mReport;
--- a/Libraries/LibHttp/WatchLiveness.h
+++ b/Libraries/LibHttp/WatchLiveness.h
@@ -6,6 +6,10 @@
 
 namespace lycheeseam {
 
+/// Allows several retransmissions of lost packets before a backend server that
+/// acknowledges nothing counts as unresponsive.
+inline constexpr std::chrono::milliseconds kUnresponsiveTimeout{ 900 };
+
 /// Makes a connection fail when its peer is unreachable: when sent bytes, or
 /// the TCP keep-alive probes of an idle connection, stay unacknowledged for
 /// aTimeout. A peer that merely works slowly isn't affected, since its kernel
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -469,7 +469,8 @@
     VT_FAILURE_DOMAIN = 10,
     VT_CALLERS = 12,
     VT_PEERS = 14,
-    VT_CAPACITY = 16
+    VT_CAPACITY = 16,
+    VT_TUNNELS = 18
   };
   uint32_t version() const {
     return GetField<uint32_t>(VT_VERSION, 0);
@@ -492,6 +493,9 @@
   uint32_t capacity() const {
     return GetField<uint32_t>(VT_CAPACITY, 0);
   }
+  const flatbuffers::String *tunnels() const {
+    return GetPointer<const flatbuffers::String *>(VT_TUNNELS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
@@ -505,6 +509,8 @@
            VerifyOffsetRequired(verifier, VT_PEERS) &&
            verifier.VerifyString(peers()) &&
            VerifyField<uint32_t>(verifier, VT_CAPACITY, 4) &&
+           VerifyOffset(verifier, VT_TUNNELS) &&
+           verifier.VerifyString(tunnels()) &&
            verifier.EndTable();
   }
 };
@@ -534,6 +540,9 @@
   void add_capacity(uint32_t capacity) {
     fbb_.AddElement<uint32_t>(Hello::VT_CAPACITY, capacity, 0);
   }
+  void add_tunnels(flatbuffers::Offset<flatbuffers::String> tunnels) {
+    fbb_.AddOffset(Hello::VT_TUNNELS, tunnels);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -557,9 +566,11 @@
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::String> callers = 0,
     flatbuffers::Offset<flatbuffers::String> peers = 0,
-    uint32_t capacity = 0) {
+    uint32_t capacity = 0,
+    flatbuffers::Offset<flatbuffers::String> tunnels = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_tunnels(tunnels);
   builder_.add_capacity(capacity);
   builder_.add_peers(peers);
   builder_.add_callers(callers);
@@ -577,11 +588,13 @@
     const char *failure_domain = nullptr,
     const char *callers = nullptr,
     const char *peers = nullptr,
-    uint32_t capacity = 0) {
+    uint32_t capacity = 0,
+    const char *tunnels = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
   auto peers__ = peers ? _fbb.CreateString(peers) : 0;
+  auto tunnels__ = tunnels ? _fbb.CreateString(tunnels) : 0;
   return lycheeseam::wire::CreateHello(
       _fbb,
       version,
@@ -590,7 +603,8 @@
       failure_domain__,
       callers__,
       peers__,
-      capacity);
+      capacity,
+      tunnels__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibPeer/HelloCodec.cpp
+++ b/Libraries/LibPeer/HelloCodec.cpp
@@ -2,6 +2,18 @@
 
 namespace lycheeseam {
 
+namespace {
+
+endpoint
+DecodeTunnels(wire::Hello const& aTable)
+{
+  return aTable.tunnels() == nullptr
+           ? endpoint{}
+           : endpoint::Parse(aTable.tunnels()->string_view());
+}
+
+}
+
 flatbuffers::Offset<wire::Hello>
 EncodeHello(flatbuffers::FlatBufferBuilder& aBuilder, peer_hello const& aHello)
 {
@@ -13,7 +25,9 @@
     aBuilder.CreateString(aHello.mFailureDomain.Text()),
     aBuilder.CreateString(aHello.mCallers.Text()),
     aBuilder.CreateString(aHello.mPeers.Text()),
-    aHello.mCapacity);
+    aHello.mCapacity,
+    aHello.mTunnels.mPort == 0 ? flatbuffers::Offset<flatbuffers::String>{}
+                               : aBuilder.CreateString(aHello.mTunnels.Text()));
 }
 
 peer_hello
@@ -25,6 +39,7 @@
            .mFailureDomain = failure_domain{ aTable.failure_domain()->str() },
            .mCallers = endpoint::Parse(aTable.callers()->string_view()),
            .mPeers = endpoint::Parse(aTable.peers()->string_view()),
+           .mTunnels = DecodeTunnels(aTable),
            .mCapacity = aTable.capacity() };
 }
 
--- a/Libraries/LibPeer/PeerHello.h
+++ b/Libraries/LibPeer/PeerHello.h
@@ -19,6 +19,9 @@
   endpoint mCallers;
   /// Where peers reach the sender.
   endpoint mPeers;
+  /// Where peers ask the sender for tunnels to backend servers; port 0 when it
+  /// opens none.
+  endpoint mTunnels;
   /// The sender's CPU capacity, in thousandths of a core; 0 when not given.
   std::uint32_t mCapacity = 0;
 
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -22,6 +22,8 @@
   endpoint mAddresses;
   /// The listen address for peers.
   endpoint mPeers;
+  /// The listen address for peers that are cut off from the backend servers.
+  endpoint mTunnels;
   /// The listen address for metrics; metrics aren't served without it.
   std::optional<endpoint> mMetrics;
   /// The address of the platform's store.
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -34,6 +34,11 @@
   aSettings.mReadiness = ReadAddress(aReader, "readiness");
   aSettings.mAddresses = ReadAddress(aReader, "addresses");
   aSettings.mPeers = ReadAddress(aReader, "peers");
+  endpoint const nextToPeers{ .mAddress = aSettings.mPeers.mAddress,
+                              .mPort = static_cast<std::uint16_t>(
+                                aSettings.mPeers.mPort + 1) };
+  aSettings.mTunnels = aReader.ReadEndpoint("tunnels", field_presence::Optional)
+                         .value_or(nextToPeers);
   aSettings.mMetrics =
     aReader.ReadEndpoint("metrics", field_presence::Optional);
   aReader.RefuseUnknownFields();
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -34,6 +34,7 @@
            .mCallers = aSettings.mCallers,
            .mReadiness = aSettings.mReadiness,
            .mAddresses = aSettings.mAddresses,
+           .mTunnels = aSettings.mTunnels,
            .mQuota = { .mWindow = aSettings.mQuotaWindow,
                        .mOvershoot = kSlackShare * aSettings.mQuotaOvershoot,
                        .mSlackUnits = kSlackShare * aSettings.mQuotaSlack,
@@ -55,6 +56,7 @@
                       .mFailureDomain = aSettings.mDomain,
                       .mCallers = aSettings.mCallers,
                       .mPeers = aSettings.mPeers,
+                      .mTunnels = aSettings.mTunnels,
                       .mCapacity = static_cast<std::uint32_t>(
                         aSettings.mCores * kThousandthsPerCore) },
            .mStore = aSettings.mStore,
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -18,7 +18,8 @@
   std::vector<endpoint> addresses{ aSettings.mCallers,
                                    aSettings.mReadiness,
                                    aSettings.mAddresses,
-                                   aSettings.mPeers };
+                                   aSettings.mPeers,
+                                   aSettings.mTunnels };
   if (aSettings.mMetrics)
     addresses.push_back(*aSettings.mMetrics);
   return addresses;
--- /dev/null
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -0,0 +1,288 @@
+#include "GatewayFixture.h"
+#include <LibTunnel/TunnelCodec.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace lycheeseam {
+
+namespace {
+
+/// Another instance of the same fleet, with its own view of it.
+class peer_instance
+{
+public:
+  using test_gateway = gateway<platform::request_dialect>;
+
+  peer_instance(instance_id aName, fleet_view aView)
+    : mName(std::move(aName))
+  {
+    mView.Publish(std::make_shared<fleet_view const>(std::move(aView)));
+    // Another socket may take a port between its choice and its use.
+    constexpr int kTries = 5;
+    for (int tries = 1; !TryStart() && tries < kTries; ++tries)
+      continue;
+  }
+  peer_instance(peer_instance const&) = delete;
+  peer_instance& operator=(peer_instance const&) = delete;
+
+  ~peer_instance()
+  {
+    mTraffic.Stop();
+    mGateway.reset();
+  }
+
+  [[nodiscard]] ready_instance Entry() const
+  {
+    return { .mInstance = mName, .mAddress = mCallers, .mTunnels = mTunnels };
+  }
+
+  void SetView(fleet_view aView)
+  {
+    mView.Publish(std::make_shared<fleet_view const>(std::move(aView)));
+  }
+
+  [[nodiscard]] fleet_view View() const { return *mView.Current(); }
+  [[nodiscard]] endpoint const& Callers() const noexcept { return mCallers; }
+
+private:
+  bool TryStart()
+  {
+    mCallers = FreeAddress();
+    mTunnels = FreeAddress();
+    try {
+      mTraffic.Invoke([this]() { MakeGateway(); });
+      return true;
+    } catch (boost::system::system_error const&) {
+      return false;
+    }
+  }
+
+  void MakeGateway()
+  {
+    mGateway = std::make_unique<test_gateway>(
+      mTraffic.Context(),
+      gateway_options{ .mInstance = mName,
+                       .mCallers = mCallers,
+                       .mReadiness = FreeAddress(),
+                       .mAddresses = FreeAddress(),
+                       .mTunnels = mTunnels },
+      mView,
+      [](traffic_report const&) {});
+    mGateway->Start();
+  }
+
+  instance_id mName;
+  endpoint mCallers;
+  endpoint mTunnels;
+  published<fleet_view> mView{ std::make_shared<fleet_view const>() };
+  control_thread mTraffic;
+  std::unique_ptr<test_gateway> mGateway;
+};
+
+/// A gateway that reaches no server: nothing listens at the addresses that it
+/// has of them. Its peers know the real ones.
+class TestTunnels : public TestGateway
+{
+protected:
+  void StartCutOff(std::span<scripted_server* const> aServers)
+  {
+    mUnreachable.resize(aServers.size());
+    std::generate(mUnreachable.begin(), mUnreachable.end(), FreeAddress);
+    StartGatewayAt(mUnreachable);
+    mReachable = *mView.Current();
+    for (std::size_t index = 0; index < aServers.size(); ++index)
+      mReachable.mServers[index].mAddress = aServers[index]->Address();
+  }
+
+  // Starts a peer; the gateway knows all that were started.
+  peer_instance& StartPeer(std::string const& aName, fleet_view aView)
+  {
+    mPeers.push_back(
+      std::make_unique<peer_instance>(instance_id{ aName }, std::move(aView)));
+    fleet_view view = *mView.Current();
+    view.mReadyInstances.push_back(mPeers.back()->Entry());
+    mView.Publish(std::make_shared<fleet_view const>(std::move(view)));
+    return *mPeers.back();
+  }
+
+  void TearDown() override
+  {
+    TestGateway::TearDown();
+    mPeers.clear();
+  }
+
+  // What an instance that is cut off as well knows of the servers.
+  [[nodiscard]] fleet_view CutOffView() const { return *mView.Current(); }
+
+  std::vector<endpoint> mUnreachable;
+  /// What an instance that reaches the servers knows of them.
+  fleet_view mReachable;
+  std::vector<std::unique_ptr<peer_instance>> mPeers;
+};
+
+bool
+IsRefusedAsNotRun(std::string const& aAnswer)
+{
+  return aAnswer.starts_with("HTTP/1.1 503");
+}
+
+// Guards against callers who are refused because the instance that they use has
+// lost its own way to the servers.
+TEST_F(TestTunnels, RequestsReachServersThroughAPeer)
+{
+  scripted_server server{ { Answer("a"), Answer("b") } };
+  StartCutOff(std::array{ &server });
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\na"));
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\nb"));
+  ASSERT_EQ(server.Requests().size(), 2U);
+  EXPECT_TRUE(Contains(server.Requests()[0], "Tenant: shop\r\n"));
+  EXPECT_TRUE(server.Requests()[0].ends_with("\r\n\r\nhello"));
+}
+
+TEST_F(TestTunnels, StreamsArePassedOnEventByEvent)
+{
+  scripted_server server{ { StreamHead() + Chunk("id: 1\ndata: a\n\n") +
+                            "\x1e" + Chunk("id: 2\ndata: b\n\n") +
+                            "0\r\n\r\n" } };
+  StartCutOff(std::array{ &server });
+  StartPeer("peer", mReachable);
+  std::string const answer = Exchange(Request("/stream/x"));
+  EXPECT_TRUE(Contains(answer, "id: 1\ndata: a\n\n"));
+  EXPECT_TRUE(Contains(answer, "id: 2\ndata: b\n\n"));
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a request that isn't idempotent and runs twice.
+TEST_F(TestTunnels, RequestWhoseAnswerIsLostIsNotSentAgain)
+{
+  scripted_server server{ { "close", Answer("again") } };
+  StartCutOff(std::array{ &server });
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/once/x")).starts_with("HTTP/1.1 502"));
+  EXPECT_EQ(server.Requests().size(), 1U);
+}
+
+// Guards against an answer that a server broke off and that looks complete.
+TEST_F(TestTunnels, AnswerThatIsBrokenOffIsNotPassedOnAsComplete)
+{
+  scripted_server server{ { "HTTP/1.1 200 OK\r\nRequest-Id: "
+                            "r1\r\nContent-Length: 20\r\n\r\npart\a" } };
+  StartCutOff(std::array{ &server });
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/once/x")).starts_with("HTTP/1.1 502"));
+}
+
+// Guards against servers that work for callers who have left.
+TEST_F(TestTunnels, ServerSeesThatTheCallerHasLeft)
+{
+  scripted_server server{ { "hang" } };
+  StartCutOff(std::array{ &server });
+  StartPeer("peer", mReachable);
+  {
+    boost::asio::io_context context;
+    tcp::socket socket{ context };
+    socket.connect(
+      { boost::asio::ip::make_address(mCallers.mAddress), mCallers.mPort });
+    boost::asio::write(socket, boost::asio::buffer(Request("/safe/x")));
+    while (server.Requests().empty())
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  }
+  constexpr int kTries = 100;
+  for (int tries = 0; server.Abandoned() == 0 && tries < kTries; ++tries)
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  EXPECT_EQ(server.Abandoned(), 1);
+}
+
+TEST_F(TestTunnels, PeersThatAreCutOffAsWellArePassedOver)
+{
+  scripted_server server{ { Answer("a"), Answer("b"), Answer("c") } };
+  StartCutOff(std::array{ &server });
+  for (char const* const name : { "cut-1", "cut-2" })
+    StartPeer(name, CutOffView());
+  StartPeer("peer", mReachable);
+  for (char const* const body : { "a", "b", "c" })
+    EXPECT_TRUE(
+      Exchange(Request("/safe/x")).ends_with(std::string{ "\r\n\r\n" } + body));
+}
+
+// Guards against requests that go round between instances none of which
+// reaches a server.
+TEST_F(TestTunnels, RequestIsRefusedSoonWhenNoInstanceReachesServers)
+{
+  scripted_server server{ std::vector<std::string>{} };
+  StartCutOff(std::array{ &server });
+  fleet_view view = CutOffView();
+  view.mReadyInstances = { { .mInstance = instance_id{ "self" },
+                             .mTunnels = FreeAddress() } };
+  for (char const* const name : { "cut-1", "cut-2", "cut-3" })
+    StartPeer(name, view);
+  std::chrono::steady_clock::time_point const start =
+    std::chrono::steady_clock::now();
+  EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+  EXPECT_LT(std::chrono::steady_clock::now() - start,
+            std::chrono::milliseconds{ 1'000 });
+}
+
+TEST_F(TestTunnels, PeerOpensNoTunnelToAServerThatItKnowsToBeLeaving)
+{
+  scripted_server server{ { Answer("late") } };
+  StartCutOff(std::array{ &server });
+  mReachable.mServers[0].mStage = server_stage::Leaving;
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+  EXPECT_TRUE(server.Requests().empty());
+}
+
+TEST_F(TestTunnels, PeerOpensNoTunnelToAnotherIncarnation)
+{
+  scripted_server server{ { Answer("other") } };
+  StartCutOff(std::array{ &server });
+  mReachable.mServers[0].mIncarnation = incarnation{ 9 };
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+  EXPECT_TRUE(server.Requests().empty());
+}
+
+// The server counts the request as the peer's, which must keep to what the
+// answer announces.
+TEST_F(TestTunnels, PeerLearnsThatTheServerIsLeaving)
+{
+  scripted_server server{ { Answer("last", "Server-Leaving: 1\r\n"),
+                            Answer("one more") } };
+  StartCutOff(std::array{ &server });
+  peer_instance& peer = StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\nlast"));
+  EXPECT_TRUE(
+    IsRefusedAsNotRun(ExchangeAt(peer.Callers(), Request("/once/x"))));
+  EXPECT_EQ(server.Requests().size(), 1U);
+}
+
+// Guards against an instance that goes on through peers when it reaches servers
+// itself.
+TEST_F(TestTunnels, ConnectionsAreDirectAgainOnceServersAreReachable)
+{
+  scripted_server server{ [](std::string const&) {
+    return Answer("a") + "\a";
+  } };
+  StartCutOff(std::array{ &server });
+  peer_instance& peer = StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\na"));
+  // The way is back; the next probe shows it.
+  fleet_view view = *mView.Current();
+  view.mServers[0].mAddress = server.Address();
+  mView.Publish(std::make_shared<fleet_view const>(std::move(view)));
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 600 });
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\na"));
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 100 });
+  fleet_view withoutServers = peer.View();
+  withoutServers.mServers.clear();
+  peer.SetView(withoutServers);
+  EXPECT_TRUE(Exchange(Request("/safe/x")).ends_with("\r\n\r\na"));
+}
+
+}
+
+}
