LibGateway: Pass on no part of an answer that was reset under an upload

What callers saw: a server answered a long upload at once with 200 without a length, sent ten bytes and reset the connection while the upload was being written; the caller got the ten bytes as the whole answer.

Cause: the write of the upload fails first and takes the error of the socket with it, so that the next read sees an end instead of the reset.

Change: an answer that ends with its connection is complete only if all of the request was written.

--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -230,7 +230,11 @@
   {
     if (mUse == answer_use::Skip)
       return ReadHead();
-    End(mParser->need_eof() ? exchange_end::Closed : exchange_end::Complete);
+    if (!mParser->need_eof())
+      return End(exchange_end::Complete);
+    // A failed write consumes the fault of a connection that was reset, and the
+    // next read only sees an end.
+    End(mIsWritten ? exchange_end::Closed : exchange_end::Broken);
   }
 
   void End(exchange_end aEnd)
--- a/Tests/LibGateway/TestTunnels.cpp
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -1,4 +1,5 @@
 #include "GatewayFixture.h"
+#include "ResettingServer.h"
 #include <LibTunnel/TunnelCodec.h>
 
 #include <array>
@@ -87,13 +88,21 @@
 {
 protected:
   void StartCutOff(std::span<scripted_server* const> aServers)
+  {
+    std::vector<endpoint> addresses;
+    for (scripted_server* const server : aServers)
+      addresses.push_back(server->Address());
+    StartCutOffFrom(addresses);
+  }
+
+  void StartCutOffFrom(std::span<endpoint const> aServers)
   {
     mUnreachable.resize(aServers.size());
     std::generate(mUnreachable.begin(), mUnreachable.end(), FreeAddress);
     StartGatewayAt(mUnreachable);
     mReachable = *mView.Current();
     for (std::size_t index = 0; index < aServers.size(); ++index)
-      mReachable.mServers[index].mAddress = aServers[index]->Address();
+      mReachable.mServers[index].mAddress = aServers[index];
   }
 
   // Starts a peer; the gateway knows all that were started.
@@ -175,6 +184,27 @@
   EXPECT_TRUE(Exchange(Request("/once/x")).starts_with("HTTP/1.1 502"));
 }
 
+// Guards against the same where only the end of the connection shows how long
+// the answer is.
+TEST_F(TestTunnels, AnswerToAnUploadThatIsResetIsNotPassedOnAsComplete)
+{
+  resetting_server server{ "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                           "Server-Stamp: s\r\n\r\nten bytes." };
+  StartCutOffFrom(std::array{ server.Address() });
+  StartPeer("peer", mReachable);
+  constexpr int kUploads = 40;
+  for (std::size_t const bytes : { 20'000U, 900'000U }) {
+    std::string const request =
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 1500\r\nAuthorization: Bearer secret\r\n"
+      "Content-Length: " +
+      std::to_string(bytes) + "\r\nConnection: close\r\n\r\n" +
+      std::string(bytes, 'x');
+    for (int sent = 0; sent < kUploads; ++sent)
+      EXPECT_FALSE(Exchange(request).starts_with("HTTP/1.1 200")) << bytes;
+  }
+}
+
 // Guards against servers that work for callers who have left.
 TEST_F(TestTunnels, ServerSeesThatTheCallerHasLeft)
 {
