LibGateway: Keep brittle servers from rejecting many requests

What callers would see: servers that say Server-Brittle fall over when they reject more than N requests a second, and are gone for seconds (LIMIT).

Cause: nothing reads the field, and a server that rejected a request is asked again by the next one.

Change: while a pool is brittle, a server gets requests only while it has a free slot by what the instance knows, and none for a while after a rejection, by N and the number of instances.

--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -11,11 +11,23 @@
 // ended since.
 constexpr duration kLoadLifetime = std::chrono::seconds{ 1 };
 
+// When a slot of a server that has none may be free.
+constexpr std::chrono::milliseconds kSlotWait{ 100 };
+
 // Weight of the newest request in the moving average of request sizes.
 constexpr double kAverageWeight = 0.1;
 
 }
 
+instant
+tracked_server::NextSendAt(instant aNow) const
+{
+  instant const next = std::max(mPausedUntil, mLimit.NextSendAt(aNow));
+  bool const mayReject = mRejections.IsInForce(aNow) &&
+                         EstimatedRequests(aNow) >= mRegistered.mSlots;
+  return mayReject ? std::max(next, aNow + kSlotWait) : next;
+}
+
 std::uint32_t
 tracked_server::EstimatedRequests(instant aNow) const
 {
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -3,6 +3,7 @@
 #include <LibAdmission/CircuitBreaker.h>
 #include <LibDispatch/LimitTrace.h>
 #include <LibDispatch/RegisteredServer.h>
+#include <LibDispatch/RejectionLimit.h>
 #include <LibDispatch/ReportedLoad.h>
 #include <LibDispatch/ServerLimit.h>
 
@@ -30,6 +31,8 @@
   /// Its rate limit and this instance's share of it.
   server_limit mLimit;
   limit_trace mLimitTrace;
+  /// How many rejections it bears, while it is brittle.
+  rejection_limit mRejections;
   /// Requests that this instance has sent to it.
   std::uint64_t mSent = 0;
   /// Tokens that fit in its KV cache; 0 for servers that run no model.
@@ -51,12 +54,9 @@
     return mHasAnnouncedLeaving || mRegistered.mStage == server_stage::Leaving;
   }
 
-  /// When it takes the next request from this instance, by its pause and its
-  /// limit; the past when it does now.
-  [[nodiscard]] instant NextSendAt(instant aNow) const
-  {
-    return std::max(mPausedUntil, mLimit.NextSendAt(aNow));
-  }
+  /// When it takes the next request from this instance, by its pause, its
+  /// limits and its free slots; the past when it does now.
+  [[nodiscard]] instant NextSendAt(instant aNow) const;
 
   /// Counts a request of aTokens that this instance sends to the server.
   void OnStart(instant aNow, token_count aTokens);
--- a/Libraries/LibGateway/ServerAnswer.h
+++ b/Libraries/LibGateway/ServerAnswer.h
@@ -16,6 +16,8 @@
   std::optional<request_id> mRequest;
   /// The server states that it did not run the request and never will.
   bool mIsNotRun = false;
+  /// It did not run the request for want of room.
+  bool mHasNoRoom = false;
   /// The server is not the one that the request was meant for, or lacks the
   /// requested weights, and did not run the request.
   bool mIsMisdirected = false;
@@ -24,6 +26,9 @@
   /// The rate of requests that the server takes from all instances together;
   /// empty when it names no limit.
   std::optional<double> mRequestsPerSecond;
+  /// The rejections a second, of requests of all instances together, that each
+  /// server of the pool bears; empty when they aren't brittle.
+  std::optional<double> mRejectionsPerSecond;
   /// How long the server wants no requests from this instance.
   std::chrono::milliseconds mPause{};
   /// The server that answered, when the head states it.
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -216,6 +216,10 @@
     OnLeaving(aServer);
   if (!aAnswer.mIsMisdirected || isItself)
     OnLimit(aNow, aServer, aAnswer.mRequestsPerSecond);
+  if (aAnswer.mRejectionsPerSecond && (!aAnswer.mIsMisdirected || isItself))
+    OnBrittle(aNow, aServer, *aAnswer.mRejectionsPerSecond);
+  if (aAnswer.mHasNoRoom)
+    OnRejected(aNow, aServer);
   if (aAnswer.mPause.count() > 0)
     OnPause(aNow, aServer, aAnswer.mPause);
 }
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -73,7 +73,7 @@
                 server_answer const& aAnswer);
 
   /// Takes over what an answer of the server announces of itself, whichever
-  /// instance asked for it: that it leaves, a rate limit, a pause.
+  /// instance asked for it: that it leaves, limits, a pause.
   void OnAnnouncement(instant aNow,
                       tracked_server& aServer,
                       server_answer const& aAnswer);
@@ -104,6 +104,14 @@
                tracked_server& aServer,
                std::optional<double> aRequestsPerSecond);
 
+  /// An answer of the server says that those of its pool are brittle.
+  void OnBrittle(instant aNow,
+                 tracked_server const& aServer,
+                 double aRejectionsPerSecond);
+
+  /// The server rejected a request for want of room.
+  void OnRejected(instant aNow, tracked_server& aServer);
+
   /// The server wants no requests from this instance for aPause.
   void OnPause(instant aNow,
                tracked_server& aServer,
--- a/Libraries/LibGateway/TrafficCoreLimits.cpp
+++ b/Libraries/LibGateway/TrafficCoreLimits.cpp
@@ -1,9 +1,10 @@
+#include <LibEvents/EventLog.h>
 #include <LibGateway/LogLimit.h>
 #include <LibGateway/TrafficCore.h>
 
 #include <chrono>
 
-// The rate limits that servers name, as this instance and others observe them.
+// The limits that servers name, as this instance and others observe them.
 
 namespace lycheeseam {
 
@@ -70,4 +71,27 @@
   LogLimit(aNow, aServer, evidence_source::Own);
 }
 
+void
+traffic_core::OnBrittle(instant aNow,
+                        tracked_server const& aServer,
+                        double aRejectionsPerSecond)
+{
+  if (!aServer.mRejections.IsInForce(aNow))
+    LogEvent("servers_brittle",
+             { { "pool", aServer.mRegistered.mPool.Text() },
+               { "rejections_per_s", aRejectionsPerSecond } });
+  for (tracked_server* const server : mServers.Pool(aServer.mRegistered.mPool))
+    server->mRejections.OnAnnounced(aNow, aRejectionsPerSecond);
+}
+
+void
+traffic_core::OnRejected(instant aNow, tracked_server& aServer)
+{
+  if (aServer.mRejections.IsInForce(aNow))
+    OnPause(aNow,
+            aServer,
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+              aServer.mRejections.PauseAfterRejection(mView->mInstances)));
+}
+
 }
