LibFleet: Write origins of streams again after the store was restored

What callers saw: after the store came back from a copy and all instances restarted, streams that consumers took up again were refused (LOST).

Cause: the list of versions in use was written again after a restore, the origins of streams were not: those written since the copy was made are gone.

Change: the writer begins with all origins that it knows, as a new one does.

OriginsAreWrittenAgainAfterARestore failed before (the origin was unknown for 10 s after the restart); it passes.

--- a/Libraries/LibFleet/StreamSoftware.h
+++ b/Libraries/LibFleet/StreamSoftware.h
@@ -59,7 +59,12 @@
   }
 
   /// The store has come back from an older copy of itself.
-  void OnStoreRestored() { mWrittenUsed.reset(); }
+  void OnStoreRestored()
+  {
+    mWrittenUsed.reset();
+    // The next tick begins with all origins, as that of a new writer.
+    mIsWriter = false;
+  }
 
   /// The servers that are registered now.
   void OnServers(instant aNow, std::span<registered_server const> aServers)
--- a/Tests/LibFleet/TestStreamSoftware.cpp
+++ b/Tests/LibFleet/TestStreamSoftware.cpp
@@ -82,6 +82,26 @@
   }));
 }
 
+// Guards against refusing resumptions after the store came back from a copy
+// without the origins, and all instances restarted later.
+TEST_F(TestStreamSoftware, OriginsAreWrittenAgainAfterARestore)
+{
+  mStore.Write(kServers, "a", EntryOf("v1", "ready"));
+  mStore.Write(kServers, "b", EntryOf("v2", "ready"));
+  ASSERT_TRUE(AwaitSoftware({ mOld, mNew }));
+  mStore.Copy();
+  stream_origin const origin{ 7, software_version{ "v1" } };
+  mInstances[0]->Begin(origin);
+  ASSERT_TRUE(AwaitStore([&]() { return mInstances[1]->Knows(origin); }));
+  std::this_thread::sleep_for(std::chrono::seconds{ 1 });
+  mStore.Restore();
+  std::this_thread::sleep_for(std::chrono::seconds{ 2 });
+  RestartAll();
+  EXPECT_TRUE(Await([&](test_instance const& aInstance) {
+    return aInstance.Knows(origin);
+  }));
+}
+
 }
 
 }
