LibSettings, Tests: Keep tunnels off ports of other settings, test decisions

Without listen.tunnels an instance opens tunnels at the port after that of its peers. If another setting names that port, no process would start with settings of before: it opens none then.

Tests of the decisions on reachability, peers and rejections, and of the observer of answer heads.

--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -22,7 +22,8 @@
   endpoint mAddresses;
   /// The listen address for peers.
   endpoint mPeers;
-  /// The listen address for peers that are cut off from the backend servers.
+  /// The listen address for peers that are cut off from the backend servers;
+  /// port 0 to open no tunnels for them.
   endpoint mTunnels;
   /// The listen address for metrics; metrics aren't served without it.
   std::optional<endpoint> mMetrics;
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -27,6 +27,18 @@
     .value_or(endpoint{});
 }
 
+// The port after that of peers; none if it has another use.
+endpoint
+DefaultTunnels(fleet_settings const& aSettings)
+{
+  endpoint next = aSettings.mPeers;
+  ++next.mPort;
+  bool const isUsed =
+    next == aSettings.mCallers || next == aSettings.mReadiness ||
+    next == aSettings.mAddresses || next == aSettings.mMetrics;
+  return isUsed ? endpoint{} : next;
+}
+
 void
 ReadListen(settings_reader aReader, fleet_settings& aSettings)
 {
@@ -34,13 +46,10 @@
   aSettings.mReadiness = ReadAddress(aReader, "readiness");
   aSettings.mAddresses = ReadAddress(aReader, "addresses");
   aSettings.mPeers = ReadAddress(aReader, "peers");
-  endpoint const nextToPeers{ .mAddress = aSettings.mPeers.mAddress,
-                              .mPort = static_cast<std::uint16_t>(
-                                aSettings.mPeers.mPort + 1) };
-  aSettings.mTunnels = aReader.ReadEndpoint("tunnels", field_presence::Optional)
-                         .value_or(nextToPeers);
   aSettings.mMetrics =
     aReader.ReadEndpoint("metrics", field_presence::Optional);
+  aSettings.mTunnels = aReader.ReadEndpoint("tunnels", field_presence::Optional)
+                         .value_or(DefaultTunnels(aSettings));
   aReader.RefuseUnknownFields();
 }
 
--- a/Services/lycheeseamd/RunFleet.cpp
+++ b/Services/lycheeseamd/RunFleet.cpp
@@ -18,8 +18,9 @@
   std::vector<endpoint> addresses{ aSettings.mCallers,
                                    aSettings.mReadiness,
                                    aSettings.mAddresses,
-                                   aSettings.mPeers,
-                                   aSettings.mTunnels };
+                                   aSettings.mPeers };
+  if (aSettings.mTunnels.mPort != 0)
+    addresses.push_back(aSettings.mTunnels);
   if (aSettings.mMetrics)
     addresses.push_back(*aSettings.mMetrics);
   return addresses;
--- a/Tests/Daemon/TestDaemonStart.cpp
+++ b/Tests/Daemon/TestDaemonStart.cpp
@@ -56,7 +56,8 @@
            listen("callers", FreeAddress()) + ", " +
            listen("readiness", mReadiness) + ", " +
            listen("addresses", FreeAddress()) + ", " +
-           listen("peers", FreeAddress()) + "}, " +
+           listen("peers", FreeAddress()) + ", " +
+           listen("tunnels", FreeAddress()) + "}, " +
            listen("store", FreeAddress()) + R"(, "limits": {"stop_s": 4}})";
   }
 
--- /dev/null
+++ b/Tests/LibDispatch/TestTunnelPeers.cpp
@@ -0,0 +1,90 @@
+#include <LibDispatch/TunnelPeers.h>
+
+#include <gtest/gtest.h>
+
+namespace lycheeseam {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instant const kNow = instant{} + seconds{ 100 };
+
+ready_instance
+Instance(char const* aName, std::uint16_t aPort = 1)
+{
+  return { .mInstance = instance_id{ aName },
+           .mTunnels = { .mAddress = "10.0.0.1", .mPort = aPort } };
+}
+
+class TestTunnelPeers : public testing::Test
+{
+protected:
+  TestTunnelPeers()
+  {
+    std::vector<ready_instance> const ready{ Instance("a"),
+                                             Instance("b"),
+                                             Instance("self"),
+                                             Instance("c"),
+                                             Instance("none", 0) };
+    mPeers.Update(ready);
+  }
+
+  // The peers in the order in which one request asks them.
+  std::vector<instance_id> Order(instant aNow)
+  {
+    std::set<instance_id> tried;
+    std::vector<instance_id> order;
+    while (ready_instance const* const peer = mPeers.Choose(aNow, tried)) {
+      order.push_back(peer->mInstance);
+      tried.insert(peer->mInstance);
+    }
+    return order;
+  }
+
+  tunnel_peers mPeers{ instance_id{ "self" } };
+};
+
+TEST_F(TestTunnelPeers, EveryOtherInstanceThatOpensTunnelsIsAskedOnce)
+{
+  std::vector<instance_id> order = Order(kNow);
+  std::sort(order.begin(), order.end());
+  EXPECT_EQ(order,
+            (std::vector{
+              instance_id{ "a" }, instance_id{ "b" }, instance_id{ "c" } }));
+}
+
+TEST_F(TestTunnelPeers, PeersThatOpenedATunnelComeFirstAndThoseThatFailedLast)
+{
+  mPeers.OnFailed(kNow, instance_id{ "a" });
+  mPeers.OnOpened(kNow, instance_id{ "c" });
+  for (int request = 0; request < 5; ++request)
+    EXPECT_EQ(Order(kNow + milliseconds{ 100 }),
+              (std::vector{
+                instance_id{ "c" }, instance_id{ "b" }, instance_id{ "a" } }));
+}
+
+// Guards against one peer that carries the requests of all that are cut off.
+TEST_F(TestTunnelPeers, PeersThatOpenTunnelsAreUsedInTurn)
+{
+  std::map<instance_id, int> used;
+  for (char const* const peer : { "a", "b", "c" })
+    mPeers.OnOpened(kNow, instance_id{ peer });
+  constexpr int kRounds = 10;
+  for (int request = 0; request < 3 * kRounds; ++request)
+    ++used[mPeers.Choose(kNow, {})->mInstance];
+  for (char const* const peer : { "a", "b", "c" })
+    EXPECT_EQ(used[instance_id{ peer }], kRounds) << peer;
+}
+
+TEST_F(TestTunnelPeers, PeerThatIsNotReadyIsNotAsked)
+{
+  mPeers.OnOpened(kNow, instance_id{ "a" });
+  mPeers.Update(std::vector{ Instance("b") });
+  EXPECT_EQ(Order(kNow), std::vector{ instance_id{ "b" } });
+}
+
+}
+
+}
--- a/Tests/LibSettings/TestParseFleetSettings.cpp
+++ b/Tests/LibSettings/TestParseFleetSettings.cpp
@@ -37,6 +37,7 @@
   EXPECT_EQ(settings.mInstance, instance_id{ "entry-1" });
   EXPECT_EQ(settings.mStore, endpoint::Parse("127.0.0.1:7000"));
   EXPECT_FALSE(settings.mMetrics);
+  EXPECT_EQ(settings.mTunnels, endpoint::Parse("127.0.0.1:8084"));
   EXPECT_EQ(settings.mCores, 0);
   EXPECT_EQ(settings.mQuotaWindow, std::chrono::milliseconds{ 8'000 });
 }
@@ -45,6 +46,7 @@
 {
   json document = MinimalSettings();
   document["listen"]["metrics"] = "127.0.0.1:8084";
+  document["listen"]["tunnels"] = "127.0.0.1:8085";
   document["cores"] = 0.25;
   document["limits"] = { { "quota_slack", 7.25 },    { "quota_window_s", 8.5 },
                          { "quota_overshoot", 0.1 }, { "retry_ratio", 0.12 },
@@ -53,6 +55,7 @@
                          { "lease_ms", 17.0 } };
   fleet_settings const settings = ParseFleetSettings(document.dump());
   EXPECT_EQ(settings.mMetrics, endpoint::Parse("127.0.0.1:8084"));
+  EXPECT_EQ(settings.mTunnels, endpoint::Parse("127.0.0.1:8085"));
   EXPECT_EQ(settings.mCores, 0.25);
   EXPECT_EQ(settings.mQuotaSlack, 7.25);
   EXPECT_EQ(settings.mQuotaOvershoot, 0.1);
@@ -65,6 +68,14 @@
   EXPECT_EQ(settings.mLease.count(), 17);
 }
 
+// Guards against settings of earlier versions with which no process starts.
+TEST(TestParseFleetSettings, DefaultPortForTunnelsGivesWayToOtherAddresses)
+{
+  json document = MinimalSettings();
+  document["listen"]["metrics"] = "127.0.0.1:8084";
+  EXPECT_EQ(ParseFleetSettings(document.dump()).mTunnels.mPort, 0);
+}
+
 TEST(TestParseFleetSettings, ReportsAllFaultsAtOnce)
 {
   json document = MinimalSettings();
