--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -48,6 +48,8 @@
   {
   }
 
+  // FIXME: A holder that is cut off from all engines keeps the lease; orders
+  // and calls for state don't go through peers.
   /// Does what is due. aRank is this instance's rank among those that could
   /// hold the lease, 0 for the first; aPeerLease is the newest lease of a live
   /// peer, 0 for none. Returns true when the set of servers being updated has
--- a/Libraries/LibGateway/ServerConnector.cpp
+++ b/Libraries/LibGateway/ServerConnector.cpp
@@ -1,4 +1,5 @@
 #include <LibEvents/EventLog.h>
+#include <LibGateway/ConnectTimeout.h>
 #include <LibGateway/ServerConnector.h>
 #include <LibHttp/WatchLiveness.h>
 #include <LibTunnel/TunnelCodec.h>
@@ -84,7 +85,7 @@
 {
   Connect(
     mServer->mRegistered.mAddress,
-    kConnectTimeout,
+    kServerConnectTimeout,
     [this](error_code aFault) { OnDirect(aFault); },
     [this]() { OnDirect(boost::asio::error::timed_out); });
 }
@@ -118,7 +119,8 @@
   std::shared_ptr<tcp::socket> const probe =
     std::make_shared<tcp::socket>(mContext);
   std::shared_ptr<boost::asio::steady_timer> const timer =
-    std::make_shared<boost::asio::steady_timer>(mContext, kConnectTimeout);
+    std::make_shared<boost::asio::steady_timer>(mContext,
+                                                kServerConnectTimeout);
   timer->async_wait([probe](error_code aFault) {
     error_code ignored;
     if (!aFault)
--- a/Libraries/LibGateway/ServerConnector.h
+++ b/Libraries/LibGateway/ServerConnector.h
@@ -42,14 +42,13 @@
   void Cancel();
 
 private:
-  // In a healthy site a connection opens within a few milliseconds. A lost
-  // packet would be sent again only after a second, when another server is the
-  // better choice.
-  static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-  // The peer may need the time above to find out that it is cut off as well.
+  // The peer may need kServerConnectTimeout to find out that it is cut off as
+  // well.
   static constexpr std::chrono::milliseconds kTunnelTimeout{ 400 };
   // Peers that are asked before the server counts as unreachable.
   static constexpr std::size_t kMaxPeers = 4;
+  // An answer has fewer bytes.
+  static constexpr std::size_t kReadBytes = 64;
 
   // True while servers are reached through peers only.
   [[nodiscard]] bool NeedsPeer() const;
@@ -81,7 +80,7 @@
   instance_id mPeer;
   std::set<instance_id> mTried;
   std::vector<std::uint8_t> mRequest;
-  std::array<std::uint8_t, 64> mPiece{};
+  std::array<std::uint8_t, kReadBytes> mPiece{};
   frame_reader mAnswer;
 };
 
--- a/Libraries/LibGateway/TunnelSession.h
+++ b/Libraries/LibGateway/TunnelSession.h
@@ -2,6 +2,7 @@
 
 #include <LibEvents/EventLog.h>
 #include <LibGateway/AnswerHeadObserver.h>
+#include <LibGateway/ConnectTimeout.h>
 #include <LibGateway/DiscardUntilEnd.h>
 #include <LibGateway/TrafficCore.h>
 #include <LibGateway/TunnelPump.h>
@@ -66,9 +67,9 @@
   using pump = tunnel_pump<tunnel_session>;
 
   static constexpr std::chrono::milliseconds kRequestTimeout{ 1'000 };
-  static constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
   // How long the peer may take to read the end of an answer.
   static constexpr std::chrono::milliseconds kLingerTime{ 2'000 };
+  static constexpr std::size_t kReadBytes = 256;
 
   void OnRequestBytes(error_code aFault, std::size_t aBytes)
   {
@@ -110,7 +111,7 @@
       boost::asio::ip::make_address(to.mAddress, fault);
     if (fault)
       return Refuse(tunnel_result::Refused);
-    mTimer.expires_after(kConnectTimeout);
+    mTimer.expires_after(kServerConnectTimeout);
     mTimer.async_wait([self = this->shared_from_this()](error_code aFault) {
       error_code ignored;
       if (!aFault)
@@ -254,7 +255,7 @@
   tcp::socket mServerSocket;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
-  std::array<std::uint8_t, 256> mPiece{};
+  std::array<std::uint8_t, kReadBytes> mPiece{};
   frame_reader mFrame;
   std::shared_ptr<tracked_server> mServer;
   std::vector<std::uint8_t> mAnswer;
--- a/Tests/LibFleet/TestStreamSoftware.cpp
+++ b/Tests/LibFleet/TestStreamSoftware.cpp
@@ -97,9 +97,8 @@
   mStore.Restore();
   std::this_thread::sleep_for(std::chrono::seconds{ 2 });
   RestartAll();
-  EXPECT_TRUE(Await([&](test_instance const& aInstance) {
-    return aInstance.Knows(origin);
-  }));
+  EXPECT_TRUE(Await(
+    [&](test_instance const& aInstance) { return aInstance.Knows(origin); }));
 }
 
 }
