LibFleet: Send a lagging peer the records that it can't read

Cause: the link to its parent went silent with the record on it, and the store right after. Positions in the reports of its new peers told it that it lagged, but nothing brings it the records while it can't read them itself.

Change: an instance that sees in a peer's reports for 0.4 s that it lacks records of the operators sends it all that it knows, at most once a second.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -165,6 +165,7 @@
   }
 
   fleet_observations<Dialect>& Observations() { return mObservations; }
+  store_follower<Dialect> const& Follower() const { return mFollower; }
 
   bool OnPeerRelay(topic_relay const& aRelay)
   {
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/SystemClock.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/LaggingPeers.h>
 #include <LibFleet/PeerRegistry.h>
 #include <LibFleet/PeerTrafficMonitor.h>
 #include <LibFleet/RelayFilter.h>
@@ -25,8 +26,9 @@
 /// Control provides ReportToPeers(), called when a link has opened;
 /// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
 /// whether the peer's lease or the servers that it is updating have changed;
-/// Observations(), a fleet_observations; and OnPeerRelay(topic_relay const&),
-/// which returns whether the records are new, or can't be told to be known.
+/// Observations(), a fleet_observations; Follower(), a store_follower; and
+/// OnPeerRelay(topic_relay const&), which returns whether the records are new,
+/// or can't be told to be known.
 template<typename Control>
 class fleet_links
 {
@@ -195,6 +197,13 @@
         .mHolders = aReport.mHolders,
         .mOrigins = mControl.Observations().MergeSoftware(now, aReport) });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
+    if (mLaggingPeers.IsSnapshotDue(now,
+                                    aPeer.mInstance,
+                                    aReport.mOperatorsEnd,
+                                    mControl.Follower().OperatorsEnd())) {
+      LogEvent("peer_lags", { { "peer", aPeer.mInstance.Text() } });
+      mHub.Send(aPeer.mInstance, mControl.Follower().OperatorsSnapshot());
+    }
   }
 
   void OnRoster(instance_identity const& aPeer, fleet_roster const& aRoster)
@@ -212,6 +221,7 @@
   report_exchange mExchange;
   peer_hub<fleet_links, quiet_link_supervisor, system_clock> mHub;
   relay_filter mRelayFilter;
+  lagging_peers mLaggingPeers;
   peer_traffic_monitor mTrafficMonitor;
   bool mIsLeaving = false;
 };
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -86,6 +86,16 @@
     return mOperators.mReader.NextPosition().value_or(store_position{});
   }
 
+  /// All records of the operators that are known, as a peer that lacks some is
+  /// sent them.
+  [[nodiscard]] topic_relay OperatorsSnapshot() const
+  {
+    return { .mTopic = store_topic::Operators,
+             .mIsSnapshot = true,
+             .mEnd = OperatorsEnd(),
+             .mRecords = mOperators.mState.Records() };
+  }
+
   /// A peer reports the position after its last record of the operators.
   /// Records that it passed on may have been lost when a link closed.
   void OnPeerEnd(instant aNow, store_position aEnd)
--- a/Libraries/LibStore/TopicState.cpp
+++ b/Libraries/LibStore/TopicState.cpp
@@ -13,8 +13,7 @@
     auto const [entry, isNew] = mKeys.try_emplace(record.mKey);
     if (!isNew && record.mPosition <= entry->second.mPosition)
       continue;
-    entry->second = { .mPosition = record.mPosition,
-                      .mIsDeleted = !record.mValue };
+    entry->second = { .mPosition = record.mPosition, .mValue = record.mValue };
     newRecords.push_back(record);
   }
   if (aIsComplete)
@@ -22,6 +21,18 @@
   return newRecords;
 }
 
+std::vector<keyed_record>
+topic_state::Records() const
+{
+  std::vector<keyed_record> records;
+  for (auto const& [key, known] : mKeys) {
+    if (known.mValue)
+      records.push_back(
+        { .mPosition = known.mPosition, .mKey = key, .mValue = known.mValue });
+  }
+  return records;
+}
+
 void
 topic_state::AddDeletions(topic_page const& aPage,
                           std::vector<keyed_record>& aNewRecords)
@@ -33,9 +44,9 @@
     std::string const& key = entry.first;
     known_key& known = entry.second;
     bool const isCovered = known.mPosition < aPage.mEnd;
-    if (known.mIsDeleted || !isCovered || listed.contains(key))
+    if (!known.mValue || !isCovered || listed.contains(key))
       continue;
-    known.mIsDeleted = true;
+    known.mValue.reset();
     aNewRecords.push_back({ .mPosition = known.mPosition, .mKey = key });
   }
 }
--- a/Libraries/LibStore/TopicState.h
+++ b/Libraries/LibStore/TopicState.h
@@ -3,6 +3,7 @@
 #include <LibStore/TopicPage.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,11 +22,15 @@
   [[nodiscard]] std::vector<keyed_record> Apply(topic_page const& aPage,
                                                 bool aIsComplete);
 
+  /// The newest record of each key that isn't deleted.
+  [[nodiscard]] std::vector<keyed_record> Records() const;
+
 private:
   struct known_key
   {
     store_position mPosition;
-    bool mIsDeleted = false;
+    /// Nothing when the key is deleted.
+    std::optional<std::string> mValue;
   };
   using known_keys = std::map<std::string, known_key>;
 
