--- a/Libraries/LibDispatch/RejectionLimit.h
+++ b/Libraries/LibDispatch/RejectionLimit.h
@@ -7,9 +7,9 @@
 
 namespace lycheeseam {
 
-/// How many rejections a brittle backend server bears: it falls over when it has
-/// to reject more requests a second, from all instances together. Each instance
-/// keeps to its part of that. Runs on the traffic thread.
+/// How many rejections a brittle backend server bears: it falls over when it
+/// has to reject more requests a second, from all instances together. Each
+/// instance keeps to its part of that. Runs on the traffic thread.
 class rejection_limit
 {
 public:
