--- a/Libraries/LibGateway/ServerConnector.cpp
+++ b/Libraries/LibGateway/ServerConnector.cpp
@@ -1,4 +1,3 @@
-#include <LibEvents/EventLog.h>
 #include <LibGateway/ConnectTimeout.h>
 #include <LibGateway/ServerConnector.h>
 #include <LibHttp/WatchLiveness.h>
@@ -7,10 +6,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
-#include <iterator>
+#include <optional>
 #include <span>
-#include <string>
 #include <utility>
 
 namespace lycheeseam {
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -69,12 +69,18 @@
   using tcp = boost::asio::ip::tcp;
   using test_gateway = gateway<platform::request_dialect>;
 
-  void StartGateway(std::span<scripted_server* const> aServers)
+  static std::vector<endpoint> AddressesOf(
+    std::span<scripted_server* const> aServers)
   {
     std::vector<endpoint> addresses;
     for (scripted_server* const server : aServers)
       addresses.push_back(server->Address());
-    StartGatewayAt(addresses);
+    return addresses;
+  }
+
+  void StartGateway(std::span<scripted_server* const> aServers)
+  {
+    StartGatewayAt(AddressesOf(aServers));
   }
 
   void StartGatewayAt(std::span<endpoint const> aServers)
--- a/Tests/LibGateway/TestTunnels.cpp
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -89,10 +89,7 @@
 protected:
   void StartCutOff(std::span<scripted_server* const> aServers)
   {
-    std::vector<endpoint> addresses;
-    for (scripted_server* const server : aServers)
-      addresses.push_back(server->Address());
-    StartCutOffFrom(addresses);
+    StartCutOffFrom(AddressesOf(aServers));
   }
 
   void StartCutOffFrom(std::span<endpoint const> aServers)
