LibDispatch: Estimate a server's load in a type of its own

Placement and queues are about to decide by more than the pressure of a server. Pressure() is computed from the estimate and hasn't changed; its tests pass.

--- a/Libraries/LibDispatch/ReportedLoad.h
+++ b/Libraries/LibDispatch/ReportedLoad.h
@@ -3,6 +3,7 @@
 #include <LibCore/Instant.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -15,6 +16,9 @@
   std::uint32_t mWaiting = 0;
   /// Requests that the server runs concurrently.
   std::uint32_t mSlots = 0;
+  /// How long work takes on the server now, relative to its usual time: 1 is
+  /// usual, 2 takes twice as long. Empty when the server doesn't say.
+  std::optional<double> mSlowdown;
   /// When the answer arrived.
   instant mReportedAt{};
 };
--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -56,17 +56,30 @@
   mInFlightTokens -= aTokens;
 }
 
+load_estimate
+tracked_server::Estimate(instant aNow) const
+{
+  std::uint32_t const requests = EstimatedRequests(aNow);
+  load_estimate estimate{ .mRequests = static_cast<double>(requests),
+                          .mTokens = static_cast<double>(mInFlightTokens) +
+                                     (requests - mInFlight) * mAverageTokens };
+  if (!mLoad || aNow - mLoad->mReportedAt > kLoadLifetime)
+    return estimate;
+  estimate.mWaiting = mLoad->mWaiting;
+  estimate.mSlowdown = mLoad->mSlowdown.value_or(1);
+  estimate.mAge = aNow - mLoad->mReportedAt;
+  return estimate;
+}
+
 double
 tracked_server::Pressure(instant aNow) const
 {
-  std::uint32_t const requests = EstimatedRequests(aNow);
-  double const slots = static_cast<double>(requests) /
-                       std::max<std::uint32_t>(1, mRegistered.mSlots);
+  load_estimate const estimate = Estimate(aNow);
+  double const slots =
+    estimate.mRequests / std::max<std::uint32_t>(1, mRegistered.mSlots);
   if (mMemoryTokens <= 0)
     return slots;
-  double const tokens = static_cast<double>(mInFlightTokens) +
-                        (requests - mInFlight) * mAverageTokens;
-  return std::max(slots, tokens / static_cast<double>(mMemoryTokens));
+  return std::max(slots, estimate.mTokens / static_cast<double>(mMemoryTokens));
 }
 
 }
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -2,6 +2,7 @@
 
 #include <LibAdmission/CircuitBreaker.h>
 #include <LibDispatch/LimitTrace.h>
+#include <LibDispatch/LoadEstimate.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/RejectionLimit.h>
 #include <LibDispatch/ReportedLoad.h>
@@ -68,6 +69,9 @@
   /// instance knows.
   [[nodiscard]] std::uint32_t EstimatedRequests(instant aNow) const;
 
+  /// What is known of its load now.
+  [[nodiscard]] load_estimate Estimate(instant aNow) const;
+
   /// The used part of its capacity: requests per slot or tokens per memory,
   /// whichever is higher; 1 is full.
   [[nodiscard]] double Pressure(instant aNow) const;
