LibGateway, LibDispatch: Charge a failed path to the path

An instance that is cut off from all servers reaches them through tunnels. A missing path, a peer with another view of the server and a tunnel that broke are now no evidence about the server: they leave its breaker and the evidence on parts of prompts alone. A crash still counts for the request itself, which may have caused it. Bytes that are no answer stay the server's.

All tunnels of an instance went through the first peer that opened one, since peers that had opened one came first. While fewer than three have, every other request tries another peer.

--- a/Libraries/LibDispatch/TunnelPeers.cpp
+++ b/Libraries/LibDispatch/TunnelPeers.cpp
@@ -30,11 +30,27 @@
   return experience::Unknown;
 }
 
+bool
+tunnel_peers::IsNewPeerDue(instant aNow)
+{
+  std::size_t opened = 0;
+  for (ready_instance const& peer : mPeers) {
+    if (ExperienceWith(aNow, peer.mInstance) == experience::Opened)
+      ++opened;
+  }
+  // Every other request tries a new peer, so that the rest aren't delayed by
+  // peers that are cut off as well.
+  return opened > 0 && opened < kWantedPeers && ++mChoices % 2 == 0;
+}
+
 ready_instance const*
 tunnel_peers::Choose(instant aNow, std::set<instance_id> const& aTried)
 {
+  bool const isNewFirst = aTried.empty() && IsNewPeerDue(aNow);
   for (experience const wanted :
-       { experience::Opened, experience::Unknown, experience::Failed }) {
+       { isNewFirst ? experience::Unknown : experience::Opened,
+         isNewFirst ? experience::Opened : experience::Unknown,
+         experience::Failed }) {
     for (std::size_t step = 0; step < mPeers.size(); ++step) {
       ready_instance const& peer = mPeers[(mNext + step) % mPeers.size()];
       if (aTried.contains(peer.mInstance) ||
--- a/Libraries/LibDispatch/TunnelPeers.h
+++ b/Libraries/LibDispatch/TunnelPeers.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -16,7 +17,9 @@
 
 /// Chooses the peer over which an instance that is cut off from the backend
 /// servers reaches one. Peers that opened a tunnel lately come first, in turn;
-/// then those that haven't failed lately. Runs on the traffic thread.
+/// then those that haven't failed lately. While few have opened one, others are
+/// tried in between: a single peer that stops would take all tunnels along.
+/// Runs on the traffic thread.
 class tunnel_peers
 {
 public:
@@ -47,6 +50,8 @@
   // at any moment.
   static constexpr std::chrono::seconds kFailureLifetime{ 1 };
   static constexpr std::chrono::seconds kSuccessLifetime{ 2 };
+  // With this many peers in use, the loss of one leaves most tunnels working.
+  static constexpr std::size_t kWantedPeers = 3;
 
   enum class experience
   {
@@ -58,12 +63,18 @@
   [[nodiscard]] experience ExperienceWith(instant aNow,
                                           instance_id const& aPeer) const;
 
+  // True when the next request is to try a peer that hasn't opened a tunnel
+  // lately.
+  [[nodiscard]] bool IsNewPeerDue(instant aNow);
+
   instance_id mSelf;
   std::vector<ready_instance> mPeers;
   std::map<instance_id, instant> mOpenedAt;
   std::map<instance_id, instant> mFailedAt;
   /// Where the next search starts, so that peers are used in turn.
   std::size_t mNext = 0;
+  /// Requests that chose their first peer while few had opened a tunnel.
+  std::uint32_t mChoices = 0;
 };
 
 }
--- a/Libraries/LibGateway/ConnectEnd.h
+++ b/Libraries/LibGateway/ConnectEnd.h
@@ -11,8 +11,12 @@
   Tunnel,
   /// The server refused it.
   Refused,
-  /// The server couldn't be reached in time, nor through peers.
+  /// The server couldn't be reached in time, directly or by a peer that reaches
+  /// others.
   NotConnected,
+  /// This instance is cut off from all servers, and no peer opened a tunnel.
+  /// That says nothing about the server.
+  NoPath,
 };
 
 }
--- a/Libraries/LibGateway/ExchangeEnd.h
+++ b/Libraries/LibGateway/ExchangeEnd.h
@@ -15,6 +15,12 @@
   /// The connection was refused because nothing listens at the address, so the
   /// request was not sent.
   Refused,
+  /// No path to the server could be opened, so the request was not sent; the
+  /// server itself may be well.
+  NoPath,
+  /// The tunnel through a peer broke after the request was sent. Either the
+  /// server or the peer may have failed, and the server may have run it.
+  TunnelBroken,
   /// The server's machine stopped acknowledging packets after the request was
   /// sent.
   Unresponsive,
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/InvalidInput.h>
 #include <LibGateway/AdmitRequest.h>
+#include <LibGateway/AttemptEndCause.h>
 #include <LibGateway/CallerAnswer.h>
 #include <LibGateway/IsEventStream.h>
 #include <LibGateway/JudgeAnswer.h>
@@ -201,9 +202,8 @@
 
   void OnUnreachable(exchange_end aEnd)
   {
-    mAttempt.OnUnreachable(mClock.Now());
-    ReportAttemptEnd(aEnd == exchange_end::Refused ? "connection_refused"
-                                                   : "not_connected");
+    mAttempt.OnUnreachable(mClock.Now(), aEnd);
+    ReportAttemptEnd(ConnectFailureCause(aEnd));
     TryAnotherServer();
   }
 
@@ -222,7 +222,7 @@
     mAttempt.OnConnectionLost(now, aEnd);
     mCore.OnCrash(now, mAdmitted.mFingerprint);
     ++mTrace.mRuns;
-    ReportAttemptEnd(aEnd == exchange_end::Unresponsive ? "silent" : "broken");
+    ReportAttemptEnd(LossCause(aEnd));
     bool const mayTry =
       mAnswer.Relay().CanContinue(mAdmitted.mRoute->mIsResumable) &&
       MayRetry(mAdmitted, mTrace.mRuns, now);
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -70,9 +70,13 @@
       mExchange->ReadNext();
   }
 
-  /// No connection could be opened to the server.
-  void OnUnreachable(instant aNow)
+  /// No connection could be opened to the server. A missing path isn't held
+  /// against it: while an instance is cut off, that would open the breakers of
+  /// all servers, and no tunnel would be tried any more.
+  void OnUnreachable(instant aNow, exchange_end aEnd)
   {
+    if (aEnd == exchange_end::NoPath)
+      return;
     breaker_state const before = mServer->mBreaker.State(aNow);
     mServer->mBreaker.OnUnreachable(aNow);
     ReportBreaker(aNow, before);
@@ -83,6 +87,9 @@
   /// the answer was invalid.
   void OnConnectionLost(instant aNow, exchange_end aEnd)
   {
+    // A tunnel shows no difference between a server and a peer that failed.
+    if (aEnd == exchange_end::TunnelBroken)
+      return;
     breaker_state const before = mServer->mBreaker.State(aNow);
     if (aEnd == exchange_end::Unresponsive) {
       mServer->mBreaker.OnUnreachable(aNow);
--- a/Libraries/LibGateway/ServerConnector.cpp
+++ b/Libraries/LibGateway/ServerConnector.cpp
@@ -98,6 +98,8 @@
   mCore.OnServerUnreachable(mClock.Now(), mServer->mRegistered.mId);
   if (NeedsPeer())
     return AskNextPeer();
+  if (mCore.Reachability().IsCutOff())
+    return End(connect_end::NoPath);
   End(aFault == boost::asio::error::connection_refused
         ? connect_end::Refused
         : connect_end::NotConnected);
@@ -140,7 +142,7 @@
     mTried.size() < kMaxPeers ? mCore.TunnelPeers().Choose(mClock.Now(), mTried)
                               : nullptr;
   if (peer == nullptr)
-    return End(connect_end::NotConnected);
+    return End(connect_end::NoPath);
   mPeer = peer->mInstance;
   mTried.insert(mPeer);
   mAnswer = frame_reader{ kMaxTunnelMessageBytes };
@@ -202,8 +204,11 @@
       mCore.TunnelPeers().OnOpened(mClock.Now(), mPeer);
       return End(connect_end::Tunnel);
     case tunnel_result::Unreachable:
-    case tunnel_result::Refused:
       return End(connect_end::NotConnected);
+    // The peer has another view of the server, which says nothing about
+    // whether the server can be reached.
+    case tunnel_result::Refused:
+      return End(connect_end::NoPath);
     case tunnel_result::Unavailable:
       return OnPeerFailed();
   }
--- a/Libraries/LibGateway/ServerConnector.h
+++ b/Libraries/LibGateway/ServerConnector.h
@@ -41,6 +41,9 @@
   /// Closes what has been opened so far.
   void Cancel();
 
+  /// The peer that opened the tunnel; empty for a direct connection.
+  [[nodiscard]] instance_id const& Peer() const noexcept { return mPeer; }
+
 private:
   // The peer may need kServerConnectTimeout to find out that it is cut off as
   // well.
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -124,15 +124,19 @@
 
   void OnConnected(connect_end aEnd, std::shared_ptr<tcp::socket> aSocket)
   {
-    mConnector.reset();
+    std::shared_ptr<server_connector> const connector =
+      std::exchange(mConnector, nullptr);
     if (!mSink)
       return;
     if (aEnd == connect_end::Refused)
       return End(exchange_end::Refused);
     if (aEnd == connect_end::NotConnected)
       return End(exchange_end::NotConnected);
+    if (aEnd == connect_end::NoPath)
+      return End(exchange_end::NoPath);
     mSocket = std::move(aSocket);
-    mIsTunnel = aEnd == connect_end::Tunnel;
+    if (aEnd == connect_end::Tunnel)
+      mTunnelPeer = connector->Peer();
     Send();
   }
 
@@ -220,8 +224,17 @@
       OnDone();
   }
 
-  static exchange_end EndFor(error_code aFault)
+  [[nodiscard]] exchange_end EndFor(error_code aFault) const
   {
+    // Bytes that are no answer are the server's, whatever path they took.
+    bool const isFormatFault =
+      aFault.category() ==
+        boost::beast::http::make_error_code(boost::beast::http::error{})
+          .category() &&
+      aFault != boost::beast::http::error::end_of_stream &&
+      aFault != boost::beast::http::error::partial_message;
+    if (mTunnelPeer && !isFormatFault)
+      return exchange_end::TunnelBroken;
     return aFault == boost::asio::error::timed_out ? exchange_end::Unresponsive
                                                    : exchange_end::Broken;
   }
@@ -242,8 +255,10 @@
     std::shared_ptr<Sink> const sink = std::exchange(mSink, nullptr);
     if (!sink)
       return;
+    if (aEnd == exchange_end::TunnelBroken)
+      mCore.TunnelPeers().OnFailed(mClock.Now(), *mTunnelPeer);
     bool const isReusable = aEnd == exchange_end::Complete && mIsWritten &&
-                            !mIsTunnel && mParser->get().keep_alive() &&
+                            !mTunnelPeer && mParser->get().keep_alive() &&
                             mBuffer.size() == 0 && mIdleTimeout.count() > 0;
     if (isReusable)
       mCore.Connections().Release(
@@ -287,8 +302,9 @@
   bool mIsSent = false;
   bool mIsWritten = false;
   bool mIsReused = false;
-  /// True when the connection goes through a peer, which serves one request.
-  bool mIsTunnel = false;
+  /// The peer that the connection goes through, for one request; empty for a
+  /// direct connection.
+  std::optional<instance_id> mTunnelPeer;
   answer_use mUse = answer_use::Accept;
   unused_input mUnused;
   /// True while the sink handles the last piece: ReadNext then ends the
--- a/Tests/LibGateway/TestTunnels.cpp
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -3,6 +3,7 @@
 #include <LibTunnel/TunnelCodec.h>
 
 #include <array>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -253,6 +254,57 @@
             std::chrono::milliseconds{ 1'000 });
 }
 
+// Guards against servers that get no requests for seconds because the path to
+// them failed: the breakers of all were opened, and no tunnel was tried.
+TEST_F(TestTunnels, PathThatFailsOpensNoBreaker)
+{
+  scripted_server server{ { Answer("a") } };
+  StartCutOff(std::array{ &server });
+  StartPeer("cut", CutOffView());
+  for (int request = 0; request < 3; ++request)
+    EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\na"));
+}
+
+// The same for peers that have another view of the servers.
+TEST_F(TestTunnels, PeersThatDoNotKnowTheServerOpenNoBreaker)
+{
+  scripted_server server{ { Answer("a") } };
+  StartCutOff(std::array{ &server });
+  fleet_view other = mReachable;
+  other.mServers[0].mIncarnation = incarnation{ 9 };
+  peer_instance& peer = StartPeer("peer", other);
+  for (int request = 0; request < 3; ++request)
+    EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+  peer.SetView(mReachable);
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\na"));
+}
+
+// Guards against a server that is left out because the peers in between ended
+// while they carried its answers.
+TEST_F(TestTunnels, PeersThatEndOpenNoBreaker)
+{
+  constexpr int kLostPeers = 4;
+  std::vector<std::string> answers(kLostPeers, "hang");
+  answers.push_back(Answer("a"));
+  scripted_server server{ std::move(answers) };
+  StartCutOff(std::array{ &server });
+  for (std::size_t lost = 0; lost < kLostPeers; ++lost) {
+    StartPeer("peer-" + std::to_string(lost), mReachable);
+    // Requests that are alike would be taken for ones that crash servers.
+    std::string const path = "/once/" + std::to_string(lost);
+    std::future<std::string> answer = std::async(
+      std::launch::async, [this, path]() { return Exchange(Request(path)); });
+    while (server.Requests().size() <= lost)
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+    mPeers.clear();
+    EXPECT_TRUE(answer.get().starts_with("HTTP/1.1 502"));
+  }
+  StartPeer("peer", mReachable);
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\na"));
+}
+
 TEST_F(TestTunnels, PeerOpensNoTunnelToAServerThatItKnowsToBeLeaving)
 {
   scripted_server server{ { Answer("late") } };
