LibDispatch: Admit resumptions while instances are unresponsive

A stream that callers resume was admitted before. Resumptions are counted as before, and refused only beyond rate, burst and 0.9 of the overshoot and the slack over all instances; new requests keep to half of both.

--- a/Libraries/LibDispatch/QuotaLimiter.cpp
+++ b/Libraries/LibDispatch/QuotaLimiter.cpp
@@ -127,16 +127,31 @@
   }
 }
 
+double
+quota_limiter::UnitsPerWindow(dispatch_workspace const& aWorkspace) const
+{
+  return aWorkspace.mRate *
+           std::chrono::duration<double>(mParameters.mWindow).count() +
+         aWorkspace.mBurst;
+}
+
 double
 quota_limiter::Limit(dispatch_workspace const& aWorkspace) const
 {
-  double const seconds =
-    std::chrono::duration<double>(mParameters.mWindow).count();
-  double const within = aWorkspace.mRate * seconds + aWorkspace.mBurst;
-  return (within * (1 + mParameters.mOvershoot) + mParameters.mSlackUnits) *
+  return (UnitsPerWindow(aWorkspace) * (1 + mParameters.mOvershoot) +
+          mParameters.mSlackUnits) *
          mAvailableShare;
 }
 
+// The share of unresponsive instances isn't set aside: the streams that callers
+// resume are those that these instances have admitted, and counted.
+double
+quota_limiter::ResumptionLimit(dispatch_workspace const& aWorkspace) const
+{
+  return UnitsPerWindow(aWorkspace) * (1 + mParameters.mResumptionOvershoot) +
+         mParameters.mResumptionSlackUnits;
+}
+
 double
 quota_limiter::Used(instant aNow, workspace_id const& aWorkspace)
 {
@@ -159,13 +174,10 @@
 quota_limiter::UsableHeadroom(instant aNow,
                               account& aAccount,
                               double aLimit,
-                              double aUnits,
-                              charge_kind aKind) const
+                              double aUnits) const
 {
   double const headroom = aLimit - aAccount.mWindow.Sum(aNow);
-  // The caller of a resumption loses what it already has of the answer.
-  if (aKind == charge_kind::Resumption || IsSmall(aUnits, aLimit) ||
-      headroom > kNearLimit * aLimit)
+  if (IsSmall(aUnits, aLimit) || headroom > kNearLimit * aLimit)
     return headroom;
   return headroom -
          std::min(kSmallRequestShare * aLimit, ReserveForSmall(aNow, aAccount));
@@ -175,16 +187,32 @@
 quota_limiter::CompetingDemand(instant aNow,
                                account& aAccount,
                                double aLimit,
-                               double aUnits,
-                               charge_kind aKind) const
+                               double aUnits) const
 {
   if (IsSmall(aUnits, aLimit))
     return aAccount.mSmallDemand.Sum(aNow) * mInstances;
-  if (aKind == charge_kind::Resumption)
-    return aAccount.mResumptionDemand.Sum(aNow) * mInstances;
   return aAccount.mRecentDemand.Sum(aNow);
 }
 
+bool
+quota_limiter::IsAdmitted(instant aNow,
+                          account& aAccount,
+                          dispatch_workspace const& aWorkspace,
+                          double aUnits,
+                          charge_kind aKind)
+{
+  if (aWorkspace.mRate <= 0)
+    return true;
+  double const limit = Limit(aWorkspace);
+  // The caller of a resumption loses what it already has of the answer.
+  if (aKind == charge_kind::Resumption)
+    return aAccount.mWindow.Sum(aNow) + aUnits <=
+           std::max(limit, ResumptionLimit(aWorkspace));
+  double const headroom = UsableHeadroom(aNow, aAccount, limit, aUnits);
+  return aUnits <= headroom &&
+         IsSampled(CompetingDemand(aNow, aAccount, limit, aUnits), headroom);
+}
+
 void
 quota_limiter::KeepToOwnShareIfStale(instant aNow)
 {
@@ -206,12 +234,7 @@
   found.mRecentDemand.Add(aNow, aUnits);
   if (isSmall)
     found.mSmallDemand.Add(aNow, aUnits);
-  else if (aKind == charge_kind::Resumption)
-    found.mResumptionDemand.Add(aNow, aUnits);
-  bool const isLimited = aWorkspace.mRate > 0;
-  double const headroom = UsableHeadroom(aNow, found, limit, aUnits, aKind);
-  double const demand = CompetingDemand(aNow, found, limit, aUnits, aKind);
-  if (isLimited && (aUnits > headroom || !IsSampled(demand, headroom)))
+  if (!IsAdmitted(aNow, found, aWorkspace, aUnits, aKind))
     return false;
   found.mWindow.Add(aNow, aUnits);
   if (isSmall)
--- a/Libraries/LibDispatch/QuotaLimiter.h
+++ b/Libraries/LibDispatch/QuotaLimiter.h
@@ -33,7 +33,9 @@
 ///
 /// Near the limit, part of the headroom is kept for small requests as far as
 /// the workspace sends any: a large prompt takes the units of many of them.
-/// Resumptions of streams may use that part too.
+///
+/// A resumption continues work that was admitted before. It is counted, and
+/// refused only when the limit is used up that holds with all instances.
 class quota_limiter
 {
 public:
@@ -68,6 +70,10 @@
   /// instances.
   [[nodiscard]] double Limit(dispatch_workspace const& aWorkspace) const;
 
+  /// The units that a window may hold with resumptions.
+  [[nodiscard]] double ResumptionLimit(
+    dispatch_workspace const& aWorkspace) const;
+
   /// Usage of all instances in the window that ends now; empty until this
   /// instance has counted for a full window.
   [[nodiscard]] std::vector<workspace_usage> WindowUsage(instant aNow);
@@ -76,6 +82,10 @@
   [[nodiscard]] std::vector<workspace_usage> Usage() const;
 
 private:
+  /// Rate and burst in a window, in units.
+  [[nodiscard]] double UnitsPerWindow(
+    dispatch_workspace const& aWorkspace) const;
+
   // The demand is measured over this time.
   static constexpr std::chrono::seconds kDemandTime{ 1 };
 
@@ -85,8 +95,6 @@
     quota_window mRecentDemand{ kDemandTime };
     /// The part of it that small requests asked this instance for.
     quota_window mSmallDemand{ kDemandTime };
-    /// The part of it that resumptions asked this instance for.
-    quota_window mResumptionDemand{ kDemandTime };
     /// What this instance admitted of small requests.
     quota_window mSmallAdmitted;
     /// Admitted by this instance since its start, in units.
@@ -121,19 +129,23 @@
   void KeepToOwnShareIfStale(instant aNow);
   /// The units to keep for the small requests of all instances.
   [[nodiscard]] double ReserveForSmall(instant aNow, account& aAccount) const;
-  /// The part of the headroom that a request of aUnits may use.
+  /// The part of the headroom that a new request of aUnits may use.
   [[nodiscard]] double UsableHeadroom(instant aNow,
                                       account& aAccount,
                                       double aLimit,
-                                      double aUnits,
-                                      charge_kind aKind) const;
+                                      double aUnits) const;
   /// The demand of all instances for units that a request of aUnits competes
   /// with, in kDemandTime.
   [[nodiscard]] double CompetingDemand(instant aNow,
                                        account& aAccount,
                                        double aLimit,
-                                       double aUnits,
-                                       charge_kind aKind) const;
+                                       double aUnits) const;
+  /// True when the limit admits a request of aUnits now.
+  [[nodiscard]] bool IsAdmitted(instant aNow,
+                                account& aAccount,
+                                dispatch_workspace const& aWorkspace,
+                                double aUnits,
+                                charge_kind aKind);
   /// Decides at random whether to admit a request; true when the headroom
   /// covers the demand that reports don't show yet.
   [[nodiscard]] bool IsSampled(double aRecentDemand, double aHeadroom);
--- a/Libraries/LibDispatch/QuotaParameters.h
+++ b/Libraries/LibDispatch/QuotaParameters.h
@@ -16,6 +16,9 @@
   double mOvershoot = 0;
   /// Units that a window may hold in addition.
   double mSlackUnits = 0;
+  /// The same two for resumptions of streams, which were admitted before.
+  double mResumptionOvershoot = 0;
+  double mResumptionSlackUnits = 0;
   /// Seeds the random sampling near the limit. Each instance needs its own
   /// seed, otherwise all make the same decisions.
   std::uint32_t mSeed = 1;
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -26,6 +26,8 @@
   // The quota uses half of the slack and of the overshoot. The other half
   // covers differences between the instances' counts and the servers'.
   constexpr double kSlackShare = 0.5;
+  // Few streams break at a time, so their resumptions may use most of it.
+  constexpr double kResumptionSlackShare = 0.9;
   // A request may wait in an engine's queue before it runs, and updates of
   // weights reach this instance with a delay.
   constexpr std::chrono::milliseconds kWeightsMargin{ 1'500 };
@@ -38,6 +40,10 @@
            .mQuota = { .mWindow = aSettings.mQuotaWindow,
                        .mOvershoot = kSlackShare * aSettings.mQuotaOvershoot,
                        .mSlackUnits = kSlackShare * aSettings.mQuotaSlack,
+                       .mResumptionOvershoot =
+                         kResumptionSlackShare * aSettings.mQuotaOvershoot,
+                       .mResumptionSlackUnits =
+                         kResumptionSlackShare * aSettings.mQuotaSlack,
                        .mSeed = std::random_device{}() },
            .mRetryRatio = aSettings.mRetryRatio,
            .mRetrySlack = aSettings.mRetrySlack,
--- a/Tests/LibDispatch/TestQuotaLimiter.cpp
+++ b/Tests/LibDispatch/TestQuotaLimiter.cpp
@@ -209,6 +209,38 @@
   EXPECT_GT(resumed, 0);
 }
 
+// Guards against streams that break when instances are lost and are never
+// finished: the share of the lost ones is set aside, and what they admitted
+// before counts. On a day of restarts 11 of 34 streams went on.
+TEST(TestQuotaLimiter, ResumptionsAreAdmittedWhileInstancesAreUnresponsive)
+{
+  quota_limiter limiter = SettledLimiter(View(7, 0));
+  limiter.Apply(At({}), View(7, 0));
+  ASSERT_EQ(ChargeAll(limiter, At({})), kLimit);
+  limiter.Refund(At({}), kWorkspace.mName, 300);
+  limiter.Apply(At(milliseconds{ 10 }), View(7, 6));
+  EXPECT_FALSE(limiter.TryCharge(At(milliseconds{ 10 }), kWorkspace, 10));
+  for (int resumed = 0; resumed < 30; ++resumed)
+    EXPECT_TRUE(limiter.TryCharge(
+      At(milliseconds{ 10 }), kWorkspace, 10, charge_kind::Resumption));
+}
+
+// Guards against resumptions that are refused by the quota that admitted their
+// streams, and against a limit that they exceed.
+TEST(TestQuotaLimiter, ResumptionsHaveALimitOfTheirOwn)
+{
+  quota_limiter limiter{ { .mWindow = kWindow,
+                           .mResumptionOvershoot = 0.05,
+                           .mResumptionSlackUnits = 20 } };
+  limiter.Apply(At({}) - 2 * kWindow, View(1, 0));
+  ASSERT_EQ(ChargeAll(limiter, At({})), kLimit);
+  double resumed = 0;
+  while (limiter.TryCharge(At({}), kWorkspace, 10, charge_kind::Resumption))
+    resumed += 10;
+  EXPECT_EQ(resumed, 0.05 * kLimit + 20);
+  EXPECT_FALSE(limiter.TryCharge(At({}), kWorkspace, 10));
+}
+
 // Simulates 40 instances for 20 s that exchange their usage every 0.4 s.
 class quota_fleet
 {
