LibGateway: Report origins of streams more often while software is mixed

Streams last some hundred milliseconds, and the software that began one was reported each 150 ms. While the servers of a pool run several versions, reports are sent each 50 ms.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -92,6 +92,16 @@
 
   // Other instances learn of this one's usage with up to this delay.
   static constexpr std::chrono::milliseconds kReportInterval{ 150 };
+  // Streams last for some hundred milliseconds. An instance that is lost must
+  // have reported the software that began them by then, or no other can resume
+  // them.
+  static constexpr std::chrono::milliseconds kOriginsInterval{ 50 };
+
+  [[nodiscard]] std::chrono::milliseconds ReportInterval()
+  {
+    return mCore.View(mClock.Now())->HasMixedSoftware() ? kOriginsInterval
+                                                        : kReportInterval;
+  }
 
   void CloseIdle()
   {
@@ -103,7 +113,7 @@
 
   void Tick()
   {
-    mTimer.expires_after(kReportInterval);
+    mTimer.expires_after(ReportInterval());
     mTimer.async_wait([this](boost::system::error_code aFault) {
       if (aFault)
         return;
