LibDispatch, LibGateway, LibFleet: Open tunnels during a planned stop

An instance that is cut off from all servers asked ready peers only, and peers in a planned stop refused. Stopping peers are now known, asked once no ready peer is left, and open tunnels until 2.5 s before their stop time is over.

--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -38,6 +38,8 @@
   bool mIsSoftwareComplete = false;
   /// The instances that are ready for callers.
   std::vector<ready_instance> mReadyInstances;
+  /// The other instances in a planned stop, which still open tunnels.
+  std::vector<ready_instance> mStoppingInstances;
   /// Instances that share limits, this one included; at least 1.
   std::uint32_t mInstances = 1;
   /// The unresponsive ones of these: other instances without a recent report.
--- a/Libraries/LibDispatch/TunnelPeers.cpp
+++ b/Libraries/LibDispatch/TunnelPeers.cpp
@@ -6,16 +6,18 @@
 namespace lycheeseam {
 
 void
-tunnel_peers::Update(std::span<ready_instance const> aReady)
+tunnel_peers::Update(std::span<ready_instance const> aReady,
+                     std::span<ready_instance const> aStopping)
 {
+  auto const mayOpen = [this](ready_instance const& aInstance) {
+    return aInstance.mInstance != mSelf && aInstance.mTunnels.mPort != 0;
+  };
   mPeers.clear();
-  std::copy_if(aReady.begin(),
-               aReady.end(),
-               std::back_inserter(mPeers),
-               [this](ready_instance const& aInstance) {
-                 return aInstance.mInstance != mSelf &&
-                        aInstance.mTunnels.mPort != 0;
-               });
+  mStopping.clear();
+  std::copy_if(
+    aReady.begin(), aReady.end(), std::back_inserter(mPeers), mayOpen);
+  std::copy_if(
+    aStopping.begin(), aStopping.end(), std::back_inserter(mStopping), mayOpen);
 }
 
 tunnel_peers::experience
@@ -43,24 +45,41 @@
   return opened > 0 && opened < kWantedPeers && ++mChoices % 2 == 0;
 }
 
+ready_instance const*
+tunnel_peers::Next(instant aNow,
+                   std::span<ready_instance const> aPeers,
+                   std::set<instance_id> const& aTried,
+                   experience aWanted)
+{
+  for (std::size_t step = 0; step < aPeers.size(); ++step) {
+    ready_instance const& peer = aPeers[(mNext + step) % aPeers.size()];
+    if (aTried.contains(peer.mInstance) ||
+        ExperienceWith(aNow, peer.mInstance) != aWanted)
+      continue;
+    mNext += step + 1;
+    return &peer;
+  }
+  return nullptr;
+}
+
 ready_instance const*
 tunnel_peers::Choose(instant aNow, std::set<instance_id> const& aTried)
 {
   bool const isNewFirst = aTried.empty() && IsNewPeerDue(aNow);
+  experience const first =
+    isNewFirst ? experience::Unknown : experience::Opened;
+  experience const second =
+    isNewFirst ? experience::Opened : experience::Unknown;
+  ready_instance const* chosen = Next(aNow, mPeers, aTried, first);
+  if (chosen == nullptr)
+    chosen = Next(aNow, mPeers, aTried, second);
   for (experience const wanted :
-       { isNewFirst ? experience::Unknown : experience::Opened,
-         isNewFirst ? experience::Opened : experience::Unknown,
-         experience::Failed }) {
-    for (std::size_t step = 0; step < mPeers.size(); ++step) {
-      ready_instance const& peer = mPeers[(mNext + step) % mPeers.size()];
-      if (aTried.contains(peer.mInstance) ||
-          ExperienceWith(aNow, peer.mInstance) != wanted)
-        continue;
-      mNext += step + 1;
-      return &peer;
-    }
+       { experience::Opened, experience::Unknown, experience::Failed }) {
+    if (chosen == nullptr)
+      chosen = Next(aNow, mStopping, aTried, wanted);
   }
-  return nullptr;
+  return chosen != nullptr ? chosen
+                           : Next(aNow, mPeers, aTried, experience::Failed);
 }
 
 void
--- a/Libraries/LibDispatch/TunnelPeers.h
+++ b/Libraries/LibDispatch/TunnelPeers.h
@@ -19,7 +19,8 @@
 /// servers reaches one. Peers that opened a tunnel lately come first, in turn;
 /// then those that haven't failed lately. While few have opened one, others are
 /// tried in between: a single peer that stops would take all tunnels along.
-/// Runs on the traffic thread.
+/// Peers in a planned stop are asked when no other one is left. Runs on the
+/// traffic thread.
 class tunnel_peers
 {
 public:
@@ -28,8 +29,9 @@
   {
   }
 
-  /// Takes over the ready instances.
-  void Update(std::span<ready_instance const> aReady);
+  /// Takes over the ready instances, and those in a planned stop.
+  void Update(std::span<ready_instance const> aReady,
+              std::span<ready_instance const> aStopping = {});
 
   /// The peer to ask next, apart from those in aTried; null when none is left.
   [[nodiscard]] ready_instance const* Choose(
@@ -37,7 +39,10 @@
     std::set<instance_id> const& aTried);
 
   /// The number of peers that may open tunnels.
-  [[nodiscard]] std::size_t Count() const noexcept { return mPeers.size(); }
+  [[nodiscard]] std::size_t Count() const noexcept
+  {
+    return mPeers.size() + mStopping.size();
+  }
 
   /// The peer opened a tunnel.
   void OnOpened(instant aNow, instance_id const& aPeer);
@@ -68,7 +73,14 @@
   [[nodiscard]] bool IsNewPeerDue(instant aNow);
 
   instance_id mSelf;
+  // The next of aPeers by turns with that experience; null for none.
+  ready_instance const* Next(instant aNow,
+                             std::span<ready_instance const> aPeers,
+                             std::set<instance_id> const& aTried,
+                             experience aWanted);
+
   std::vector<ready_instance> mPeers;
+  std::vector<ready_instance> mStopping;
   std::map<instance_id, instant> mOpenedAt;
   std::map<instance_id, instant> mFailedAt;
   /// Where the next search starts, so that peers are used in turn.
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -145,12 +145,27 @@
 
 std::vector<ready_instance>
 peer_registry::Entries() const
+{
+  return Select([](roster_entry const& aEntry) {
+    return aEntry.mIsReady && !aEntry.mIsLeaving;
+  });
+}
+
+std::vector<ready_instance>
+peer_registry::Stopping() const
+{
+  return Select([](roster_entry const& aEntry) { return aEntry.mIsLeaving; });
+}
+
+template<typename Predicate>
+std::vector<ready_instance>
+peer_registry::Select(Predicate aPredicate) const
 {
   std::map<instance_id, ready_instance> entries;
   auto const add = [&](fleet_roster const& aRoster) {
     for (roster_entry const& entry : aRoster.mEntries) {
       instance_id const& id = entry.mHello.mIdentity.mInstance;
-      if (entry.mIsReady && !entry.mIsLeaving && id != mSelf)
+      if (aPredicate(entry) && id != mSelf)
         entries[id] = { .mInstance = id,
                         .mDomain = entry.mHello.mFailureDomain,
                         .mAddress = entry.mHello.mCallers,
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -69,6 +69,9 @@
   /// The other instances that are ready for callers and aren't leaving.
   [[nodiscard]] std::vector<ready_instance> Entries() const;
 
+  /// The other instances in a planned stop.
+  [[nodiscard]] std::vector<ready_instance> Stopping() const;
+
   /// The number of other instances that no live link reports, nor one that has
   /// closed since its last report, which may be open again in a moment.
   [[nodiscard]] std::uint32_t Unresponsive(instant aNow) const;
@@ -102,6 +105,10 @@
   [[nodiscard]] links const& Links() const noexcept { return mLinks; }
 
 private:
+  /// The other instances that satisfy the predicate.
+  template<typename Predicate>
+  [[nodiscard]] std::vector<ready_instance> Select(Predicate aPredicate) const;
+
   // The entries of the rosters of all live links; an instance may be in
   // several.
   [[nodiscard]] std::vector<roster_entry const*> LiveEntries(
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -64,6 +64,9 @@
   /// Refuses requests that arrive from now on; running requests continue.
   void RefuseRequests() { mCore.SetRefusing(); }
 
+  /// Opens no tunnels from now on; open ones continue.
+  void RefuseTunnels() { mCore.SetRefusingTunnels(); }
+
   /// Gives all running requests their final answers now.
   void EndRequests()
   {
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -40,7 +40,7 @@
       budget.second.SetOptions(RetryBudgetOptions());
   }
   mServers.Apply(*mView);
-  mTunnelPeers.Update(mView->mReadyInstances);
+  mTunnelPeers.Update(mView->mReadyInstances, mView->mStoppingInstances);
   ApplyLimits(aNow);
   mQuota.Apply(aNow, *mView);
   return mView;
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -151,6 +151,13 @@
   [[nodiscard]] bool IsRefusing() const noexcept { return mIsRefusing; }
   void SetRefusing() noexcept { mIsRefusing = true; }
 
+  /// True when new tunnels would be cut off by the end of a planned stop.
+  [[nodiscard]] bool IsRefusingTunnels() const noexcept
+  {
+    return mIsRefusingTunnels;
+  }
+  void SetRefusingTunnels() noexcept { mIsRefusingTunnels = true; }
+
 private:
   using retry_budgets = std::map<pool_name, retry_budget>;
 
@@ -185,6 +192,7 @@
   traffic_report mReport;
   bool mIsDraining = false;
   bool mIsRefusing = false;
+  bool mIsRefusingTunnels = false;
 };
 
 }
--- a/Libraries/LibGateway/TunnelSession.h
+++ b/Libraries/LibGateway/TunnelSession.h
@@ -98,7 +98,7 @@
       !mServer->IsLeaving() && now >= mServer->mPausedUntil;
     if (!isTaken)
       return Refuse(tunnel_result::Refused);
-    if (mCore.IsDraining() || mCore.Reachability().IsCutOff())
+    if (mCore.IsRefusingTunnels() || mCore.Reachability().IsCutOff())
       return Refuse(tunnel_result::Unavailable);
     Connect();
   }
--- a/Services/lycheeseamd/PlannedStop.h
+++ b/Services/lycheeseamd/PlannedStop.h
@@ -48,6 +48,10 @@
   // Requests that still run get their final answers this long before the
   // platform kills the process.
   static constexpr std::chrono::milliseconds kKillMargin{ 400 };
+  // Peers that are cut off from the servers may have no other path while
+  // several instances stop at a time, so tunnels are opened until this long
+  // before the end, which most requests need.
+  static constexpr std::chrono::milliseconds kTunnelMargin{ 2'500 };
   // Time to write these answers.
   static constexpr std::chrono::milliseconds kFlushTime{ 100 };
   static constexpr std::chrono::milliseconds kCheckInterval{ 50 };
@@ -64,6 +68,8 @@
       mGateway.Close();
     if (elapsed >= kMinStopTime)
       mGateway.RefuseRequests();
+    if (elapsed >= mStopTime - kTunnelMargin)
+      mGateway.RefuseTunnels();
     mTimer.expires_after(kCheckInterval);
     mTimer.async_wait([this](boost::system::error_code aFault) {
       if (!aFault)
--- a/Tests/LibDispatch/TestTunnelPeers.cpp
+++ b/Tests/LibDispatch/TestTunnelPeers.cpp
@@ -104,6 +104,24 @@
     EXPECT_EQ(used[instance_id{ peer }], kRounds) << peer;
 }
 
+// Guards against instances without any path while several peers stop at a time,
+// and against tunnels through a peer that stops while others are ready.
+TEST_F(TestTunnelPeers, PeersThatStopAreAskedAfterThoseThatAreReady)
+{
+  mPeers.Update(std::vector{ Instance("a"), Instance("b") },
+                std::vector{ Instance("stopping"), Instance("self") });
+  mPeers.OnOpened(kNow, instance_id{ "stopping" });
+  mPeers.OnFailed(kNow, instance_id{ "b" });
+  for (int request = 0; request < 4; ++request)
+    EXPECT_EQ(Order(kNow + milliseconds{ 100 }),
+              (std::vector{ instance_id{ "a" },
+                            instance_id{ "stopping" },
+                            instance_id{ "b" } }));
+  mPeers.Update({}, std::vector{ Instance("stopping") });
+  EXPECT_EQ(Order(kNow), std::vector{ instance_id{ "stopping" } });
+  EXPECT_EQ(mPeers.Count(), 1U);
+}
+
 TEST_F(TestTunnelPeers, PeerThatIsNotReadyIsNotAsked)
 {
   mPeers.OnOpened(kNow, instance_id{ "a" });
--- a/Tests/LibGateway/TestTunnels.cpp
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -45,6 +45,13 @@
     mView.Publish(std::make_shared<fleet_view const>(std::move(aView)));
   }
 
+  /// Runs a function of the gateway on its thread.
+  template<typename Function>
+  void Do(Function aFunction)
+  {
+    mTraffic.Invoke([this, aFunction]() { aFunction(*mGateway); });
+  }
+
   [[nodiscard]] fleet_view View() const { return *mView.Current(); }
   [[nodiscard]] endpoint const& Callers() const noexcept { return mCallers; }
 
@@ -203,6 +210,27 @@
   }
 }
 
+// Guards against requests without any path while the peers that have one are in
+// a planned stop.
+TEST_F(TestTunnels, PeerInAPlannedStopOpensTunnelsUntilShortlyBeforeItsEnd)
+{
+  scripted_server server{ { Answer("a") } };
+  StartCutOff(std::array{ &server });
+  peer_instance& peer = StartPeer("peer", mReachable);
+  fleet_view view = *mView.Current();
+  view.mStoppingInstances = std::move(view.mReadyInstances);
+  view.mReadyInstances.clear();
+  mView.Publish(std::make_shared<fleet_view const>(std::move(view)));
+  peer.Do([](peer_instance::test_gateway& aGateway) {
+    aGateway.StartDraining();
+    aGateway.RefuseRequests();
+  });
+  EXPECT_TRUE(Exchange(Request("/once/x")).ends_with("\r\n\r\na"));
+  peer.Do(
+    [](peer_instance::test_gateway& aGateway) { aGateway.RefuseTunnels(); });
+  EXPECT_TRUE(IsRefusedAsNotRun(Exchange(Request("/once/x"))));
+}
+
 // Guards against servers that work for callers who have left.
 TEST_F(TestTunnels, ServerSeesThatTheCallerHasLeft)
 {
