LibFleet: Leave heartbeats of servers out of relays

The reader compares what the dialect reads and leaves out entries that only count on. The last entry goes on before a deletion, since counts order entries after a restore. An instance that alone has removed a server reads all servers 1.4 s later, as the next entry may be left out.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -53,6 +53,7 @@
     , mFollower(
         mClient,
         mOptions.mStore,
+        mRecords.Servers(),
         [this](store_topic aTopic,
                std::span<keyed_record const> aNewRecords,
                page_source aSource) {
@@ -84,9 +85,7 @@
         [this](observed_weights const& aObserved) {
           OnObservedWeights({ aObserved });
         },
-        [this](server_identity const& aIdentity) {
-          mRecords.OnAddressTaken(mClock.Now(), aIdentity);
-        })
+        [this](server_identity const& aIdentity) { OnAddressTaken(aIdentity); })
     , mTimer(aContext)
   {
     if (mOptions.mMetrics)
@@ -116,7 +115,7 @@
   void OnReport(traffic_report aReport)
   {
     for (server_identity const& server : aReport.mReplaced)
-      mRecords.OnAddressTaken(mClock.Now(), server);
+      OnAddressTaken(server);
     OnObservedWeights(aReport.mWeights);
     mMetrics.Merge(aReport.mMetrics);
     mOwnUsage = std::move(aReport.mUsage);
@@ -229,6 +228,13 @@
     mObservations.OnStoreRestored();
   }
 
+  void OnAddressTaken(server_identity const& aServer)
+  {
+    instant const now = mClock.Now();
+    if (mRecords.OnAddressTaken(now, aServer, mFollower.ServersEnd()))
+      mFollower.OnServerRemoved(now);
+  }
+
   void OnNewRecords(store_topic aTopic,
                     std::span<keyed_record const> aNewRecords,
                     page_source aSource)
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -8,6 +8,7 @@
 #include <LibFleet/ServerRegistry.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -36,14 +37,22 @@
     }
   }
 
-  /// Another server answered at the address of aServer.
-  void OnAddressTaken(instant aNow, server_identity const& aServer)
+  /// Another server answered at the address of aServer; the records before
+  /// aEnd are known, or were left out of relays. True when that incarnation
+  /// was registered.
+  bool OnAddressTaken(instant aNow,
+                      server_identity const& aServer,
+                      store_position aEnd)
   {
-    if (mServers.OnAddressTaken(aNow, aServer))
-      LogEvent("server_absent",
-               { { "server", aServer.mServer.Text() },
-                 { "reason",
-                   std::string{ "another server answers at its address" } } });
+    if (!mServers.OnAddressTaken(aNow, aServer))
+      return false;
+    mRemovedAt[aServer.mServer] = { .mIncarnation = aServer.mIncarnation,
+                                    .mEnd = aEnd };
+    LogEvent(
+      "server_absent",
+      { { "server", aServer.mServer.Text() },
+        { "reason", std::string{ "another server answers at its address" } } });
+    return true;
   }
 
   [[nodiscard]] server_registry& Servers() noexcept { return mServers; }
@@ -53,6 +62,13 @@
   }
 
 private:
+  /// How much of the topic was known when a server was removed.
+  struct removed_at
+  {
+    incarnation mIncarnation;
+    store_position mEnd;
+  };
+
   void ApplyServers(instant aNow,
                     std::span<keyed_record const> aNewRecords,
                     page_source aSource)
@@ -67,6 +83,7 @@
       LogDropped(record,
                  mServers.OnDropped(aNow, backend_server_id{ record.mKey }),
                  aSource);
+      mRemovedAt.erase(backend_server_id{ record.mKey });
     }
   }
 
@@ -75,6 +92,8 @@
     try {
       registered_server const server =
         Dialect::ReadServer(aRecord.mKey, *aRecord.mValue);
+      if (IsOfRemoved(aRecord, server))
+        return mServers.OnEarlierEntry(server);
       if (mServers.OnEntry(server))
         LogServer(aRecord, server, aSource);
     } catch (invalid_input const& fault) {
@@ -86,6 +105,21 @@
     }
   }
 
+  // True for an entry that a removed server had written before it was removed.
+  // It may arrive later, as relays leave it out while it changes but a count.
+  bool IsOfRemoved(keyed_record const& aRecord,
+                   registered_server const& aServer)
+  {
+    auto const found = mRemovedAt.find(aServer.mId);
+    if (found == mRemovedAt.end())
+      return false;
+    if (aServer.mIncarnation == found->second.mIncarnation &&
+        aRecord.mPosition < found->second.mEnd)
+      return true;
+    mRemovedAt.erase(found);
+    return false;
+  }
+
   static void LogServer(keyed_record const& aRecord,
                         registered_server const& aServer,
                         page_source aSource)
@@ -163,6 +197,8 @@
   }
 
   server_registry mServers;
+  /// Servers that were removed because another one answered at their address.
+  std::map<backend_server_id, removed_at> mRemovedAt;
   operator_state mOperators;
 };
 
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -77,6 +77,17 @@
   return true;
 }
 
+void
+server_registry::OnEarlierEntry(registered_server const& aServer)
+{
+  auto const found = mRemoved.find(aServer.mId);
+  if (found == mRemoved.end() ||
+      found->second.mIncarnation != aServer.mIncarnation)
+    return;
+  std::uint64_t& entries = found->second.mEntries;
+  entries = std::max(entries, aServer.mEntries);
+}
+
 bool
 server_registry::IsOfRemoved(registered_server const& aServer) const
 {
@@ -171,6 +182,15 @@
   return isAnyExpired;
 }
 
+bool
+server_registry::IsInForce(registered_server const& aServer) const
+{
+  auto const found = mEntries.find(aServer.mId);
+  return found != mEntries.end() &&
+         found->second.mServer.mIncarnation == aServer.mIncarnation &&
+         found->second.mServer.mStage == aServer.mStage;
+}
+
 std::vector<registered_server>
 server_registry::Servers() const
 {
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -40,6 +40,9 @@
   /// until it writes its next entry. True when that incarnation was registered.
   bool OnAddressTaken(instant aNow, server_identity const& aServer);
 
+  /// An entry that a removed server had written before its removal has arrived.
+  void OnEarlierEntry(registered_server const& aServer);
+
   /// The store has come back from an older copy of itself.
   void OnStoreRestored(instant aNow);
 
@@ -65,6 +68,9 @@
 
   [[nodiscard]] std::vector<registered_server> Servers() const;
 
+  /// True while the incarnation and the stage of an entry are in force.
+  [[nodiscard]] bool IsInForce(registered_server const& aServer) const;
+
 private:
   // An instance that hasn't run for so long was paused or got no processor.
   static constexpr std::chrono::milliseconds kMinPause{ 300 };
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -4,10 +4,13 @@
 #include <LibEvents/EventLog.h>
 #include <LibFleet/PageSource.h>
 #include <LibFleet/ReaderElection.h>
+#include <LibFleet/RelayRange.h>
+#include <LibFleet/ServerChanges.h>
 #include <LibFleet/TopicReader.h>
 #include <LibPeer/TopicRelay.h>
 #include <LibStore/TopicState.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -32,12 +35,14 @@
   /// before, from an older copy of which the store has come back, or empty for
   /// the first one that is known.
   using era_handler = std::function<void(std::optional<store_era>, store_era)>;
-  /// Receives records that this instance read, and whether any of them was
-  /// newer than what was known.
+  /// Receives records that this instance read, and whether any of them, or the
+  /// end of the topic, was newer than what was known. Those of servers that
+  /// change nothing but a count are left out.
   using relay_handler = std::function<void(topic_relay const&, bool)>;
 
   store_follower(http_client& aClient,
                  endpoint const& aStore,
+                 server_registry const& aServers,
                  new_records_handler aNewRecordsHandler,
                  era_handler aEraHandler,
                  relay_handler aRelayHandler)
@@ -46,6 +51,7 @@
     , mRelayHandler(std::move(aRelayHandler))
     , mOperators(MakeFollowedTopic(aClient, aStore, store_topic::Operators))
     , mServers(MakeFollowedTopic(aClient, aStore, store_topic::Servers))
+    , mServerChanges(aServers)
   {
   }
   store_follower(store_follower const&) = delete;
@@ -58,6 +64,11 @@
       if (topic->mElection.IsDue(aNow, aHasReader))
         Read(*topic);
     }
+    if (mServersDueAt && aNow >= *mServersDueAt) {
+      mServersDueAt = aNow + kServersReadDelay;
+      mServers.mReader.Refresh();
+      mServers.mElection.RequestRead();
+    }
     // Reads of the store may lag behind it while it drops old records, and miss
     // some. Reading the newest record of every key from time to time makes up
     // for that.
@@ -79,6 +90,21 @@
     return false;
   }
 
+  /// This instance has removed a server that others may still have. Its next
+  /// entries may be left out of relays, so that all are read once it has
+  /// written one.
+  void OnServerRemoved(instant aNow)
+  {
+    mServersDueAt = aNow + kServersReadDelay;
+  }
+
+  /// The position after the last record of servers that is known; the first one
+  /// for none.
+  [[nodiscard]] store_position ServersEnd() const
+  {
+    return mServers.mReader.NextPosition().value_or(store_position{});
+  }
+
   /// The position after the last record of the operators that is known; the
   /// first one for none.
   [[nodiscard]] store_position OperatorsEnd() const
@@ -126,6 +152,9 @@
   };
 
   static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
+  // Servers write an entry each 1.2 s, and those in their grace period are
+  // removed after 2.2 s.
+  static constexpr std::chrono::milliseconds kServersReadDelay{ 1'400 };
 
   followed_topic MakeFollowedTopic(http_client& aClient,
                                    endpoint const& aStore,
@@ -170,16 +199,53 @@
     UpdateEra(aPage.mEnd.Era());
     topic_state& state =
       aTopic == store_topic::Operators ? mOperators.mState : mServers.mState;
+    bool const isReadPart = mSource == page_source::Store && !aIsFull;
+    std::vector<keyed_record> changes;
+    if (isReadPart && aTopic == store_topic::Servers)
+      changes = mServerChanges.Select(aPage.mRecords, state);
     std::vector<keyed_record> const newRecords = state.Apply(aPage, aIsFull);
     mHasNewRecords = !newRecords.empty();
     mNewRecordsHandler(aTopic, newRecords, mSource);
-    if (mSource == page_source::Store && !aPage.mRecords.empty())
-      mRelayHandler({ .mTopic = aTopic,
-                      .mIsSnapshot = aIsFull,
-                      .mFrom = aFrom,
-                      .mEnd = aPage.mEnd,
-                      .mRecords = aPage.mRecords },
-                    mHasNewRecords);
+    if (aIsFull && aTopic == store_topic::Servers)
+      OnAllServers(newRecords);
+    if (mSource != page_source::Store)
+      return;
+    if (isReadPart && aTopic == store_topic::Servers)
+      return RelayServers(aFrom, aPage.mEnd, std::move(changes));
+    if (aPage.mRecords.empty())
+      return;
+    if (aTopic == store_topic::Servers)
+      mServersRange.OnSent(aPage.mEnd);
+    mRelayHandler({ .mTopic = aTopic,
+                    .mIsSnapshot = aIsFull,
+                    .mFrom = aFrom,
+                    .mEnd = aPage.mEnd,
+                    .mRecords = aPage.mRecords },
+                  mHasNewRecords);
+  }
+
+  void RelayServers(store_position aFrom,
+                    store_position aEnd,
+                    std::vector<keyed_record> aChanges)
+  {
+    std::optional<topic_relay> const relay = mServersRange.Make(
+      mClock.Now(), store_topic::Servers, aFrom, aEnd, std::move(aChanges));
+    if (relay)
+      mRelayHandler(*relay, true);
+  }
+
+  // A server that this page lacks, but not what the elected reader read, may
+  // have registered again since. The reader leaves out its next entries.
+  void OnAllServers(std::span<keyed_record const> aNewRecords)
+  {
+    if (mSource == page_source::Store)
+      mServersDueAt.reset();
+    bool const isAnyDropped =
+      std::any_of(aNewRecords.begin(),
+                  aNewRecords.end(),
+                  [](keyed_record const& aRecord) { return !aRecord.mValue; });
+    if (isAnyDropped && mSource == page_source::Store)
+      OnServerRemoved(mClock.Now());
   }
 
   void UpdateEra(store_era aEra)
@@ -195,6 +261,7 @@
     mSource = page_source::Peer;
     mHasNewRecords = false;
     bool hasGap = false;
+    std::optional<store_position> const next = aTopic.mReader.NextPosition();
     if (aRelay.mIsSnapshot)
       aTopic.mReader.ApplyFullPage(page);
     else
@@ -202,7 +269,12 @@
     mSource = page_source::Store;
     if (hasGap)
       aTopic.mElection.RequestRead();
-    return hasGap || mHasNewRecords;
+    else if (aTopic.mTopic == store_topic::Servers)
+      mServersRange.OnApplied(aRelay, mHasNewRecords);
+    // A relay without records is new when it moves the end.
+    bool const isEndNew =
+      !aRelay.mIsSnapshot && aTopic.mReader.NextPosition() != next;
+    return hasGap || mHasNewRecords || isEndNew;
   }
 
   new_records_handler mNewRecordsHandler;
@@ -215,6 +287,10 @@
   bool mHasNewRecords = false;
   followed_topic mOperators;
   followed_topic mServers;
+  server_changes<Dialect> mServerChanges;
+  relay_range mServersRange;
+  /// When all servers are to be read; empty when that isn't needed.
+  std::optional<instant> mServersDueAt;
   /// The newest era of any page; empty before the first page.
   std::optional<store_era> mEra;
   instant mNextRefreshAt{};
--- a/Libraries/LibStore/TopicState.cpp
+++ b/Libraries/LibStore/TopicState.cpp
@@ -13,7 +13,7 @@
     auto const [entry, isNew] = mKeys.try_emplace(record.mKey);
     if (!isNew && record.mPosition <= entry->second.mPosition)
       continue;
-    entry->second = { .mPosition = record.mPosition, .mValue = record.mValue };
+    entry->second = record;
     newRecords.push_back(record);
   }
   if (aIsComplete)
@@ -27,12 +27,18 @@
   std::vector<keyed_record> records;
   for (auto const& [key, known] : mKeys) {
     if (known.mValue)
-      records.push_back(
-        { .mPosition = known.mPosition, .mKey = key, .mValue = known.mValue });
+      records.push_back(known);
   }
   return records;
 }
 
+keyed_record const*
+topic_state::Find(std::string_view aKey) const
+{
+  auto const found = mKeys.find(aKey);
+  return found == mKeys.end() ? nullptr : &found->second;
+}
+
 void
 topic_state::AddDeletions(topic_page const& aPage,
                           std::vector<keyed_record>& aNewRecords)
@@ -42,7 +48,7 @@
     listed.insert(record.mKey);
   for (known_keys::value_type& entry : mKeys) {
     std::string const& key = entry.first;
-    known_key& known = entry.second;
+    keyed_record& known = entry.second;
     bool const isCovered = known.mPosition < aPage.mEnd;
     if (!known.mValue || !isCovered || listed.contains(key))
       continue;
--- a/Libraries/LibStore/TopicState.h
+++ b/Libraries/LibStore/TopicState.h
@@ -2,9 +2,10 @@
 
 #include <LibStore/TopicPage.h>
 
+#include <functional>
 #include <map>
-#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheeseam {
@@ -25,14 +26,12 @@
   /// The newest record of each key that isn't deleted.
   [[nodiscard]] std::vector<keyed_record> Records() const;
 
+  /// The newest known record of a key, without a value when the key is deleted;
+  /// null for an unknown key.
+  [[nodiscard]] keyed_record const* Find(std::string_view aKey) const;
+
 private:
-  struct known_key
-  {
-    store_position mPosition;
-    /// Nothing when the key is deleted.
-    std::optional<std::string> mValue;
-  };
-  using known_keys = std::map<std::string, known_key>;
+  using known_keys = std::map<std::string, keyed_record, std::less<>>;
 
   void AddDeletions(topic_page const& aPage,
                     std::vector<keyed_record>& aNewRecords);
--- /dev/null
+++ b/Tests/LibFleet/TestServerRelays.cpp
@@ -0,0 +1,263 @@
+#include "RecordedRelay.h"
+#include "StoreFixture.h"
+#include <LibFleet/StoreFollower.h>
+#include <LibMetrics/MetricsRecorder.h>
+#include <LibPeer/FrameHeader.h>
+#include <LibPeer/PeerCodec.h>
+
+#include <span>
+
+namespace lycheeseam {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An instance's follower, without links.
+class follower
+{
+public:
+  explicit follower(endpoint const& aStore)
+    : mFollower(
+        mClient,
+        aStore,
+        mRecords.Servers(),
+        [this](store_topic aTopic,
+               std::span<keyed_record const> aRecords,
+               page_source aSource) {
+          mRecords.Apply(mClock.Now(), aTopic, aRecords, aSource);
+        },
+        [this](std::optional<store_era> aBefore, store_era) {
+          if (aBefore)
+            mRecords.Servers().OnStoreRestored(mClock.Now());
+        },
+        [this](topic_relay const& aRelay, bool) {
+          if (aRelay.mTopic == store_topic::Servers)
+            mRelays.push_back(aRelay);
+        })
+  {
+  }
+
+  /// Runs for a time; reads the store when no one else does.
+  void Run(milliseconds aTime, bool aHasReader)
+  {
+    for (milliseconds elapsed{}; elapsed < aTime;
+         elapsed += milliseconds{ 20 }) {
+      mRecords.Servers().OnRunning(mClock.Now());
+      mFollower.Tick(mClock.Now(), aHasReader);
+      mContext.restart();
+      mContext.run_for(milliseconds{ 20 });
+    }
+  }
+
+  /// The relays since the last call.
+  std::vector<topic_relay> TakeRelays() { return std::exchange(mRelays, {}); }
+
+  /// Applies a relay that another instance sent; true when any of it was new.
+  bool Apply(topic_relay const& aRelay) { return mFollower.OnRelay(aRelay); }
+
+  bool OnAddressTaken(server_identity const& aServer)
+  {
+    mFollower.OnServerRemoved(mClock.Now());
+    return mRecords.OnAddressTaken(
+      mClock.Now(), aServer, mFollower.ServersEnd());
+  }
+
+  /// The number of entries of the one server; nothing when it isn't known.
+  std::optional<std::uint64_t> Entries()
+  {
+    std::vector<registered_server> const servers = mRecords.Servers().Servers();
+    return servers.empty() ? std::nullopt
+                           : std::optional{ servers[0].mEntries };
+  }
+
+  [[nodiscard]] store_position End() const { return mFollower.ServersEnd(); }
+
+private:
+  system_clock mClock;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mWork{ mContext.get_executor() };
+  metrics_recorder mRecorder;
+  http_client mClient{ mContext, mRecorder };
+  std::vector<topic_relay> mRelays;
+  fleet_records<platform::store_dialect> mRecords;
+  store_follower<platform::store_dialect> mFollower;
+};
+
+std::size_t
+CountRecords(std::span<topic_relay const> aRelays)
+{
+  std::size_t records = 0;
+  for (topic_relay const& relay : aRelays)
+    records += relay.mIsSnapshot ? 0 : relay.mRecords.size();
+  return records;
+}
+
+class TestServerRelays : public testing::Test
+{
+protected:
+  void Write(std::string const& aState, int aCount)
+  {
+    mStore.Write(kServers, kServer.Text(), Entry(aState, aCount));
+  }
+
+  // The reader reads, and the other one gets its relays.
+  std::vector<topic_relay> Relay(milliseconds aTime = milliseconds{ 450 })
+  {
+    mReader.Run(aTime, false);
+    std::vector<topic_relay> relays = mReader.TakeRelays();
+    for (topic_relay const& relay : relays)
+      (void)mOther.Apply(relay);
+    return relays;
+  }
+
+  restorable_store mStore;
+  follower mReader{ mStore.Address() };
+  follower mOther{ mStore.Address() };
+};
+
+// Guards against links that are full of heartbeats in which nothing has changed
+// but a count, and against receivers that read the store because of a gap.
+TEST_F(TestServerRelays, HeartbeatsAreLeftOutAndTheEndIsSent)
+{
+  Write("ready", 1);
+  Relay();
+  for (int count = 2; count < 7; ++count)
+    Write("ready", count);
+  EXPECT_EQ(CountRecords(Relay()), 0U);
+  EXPECT_EQ(mOther.End(), (store_position{ store_era{ 1 }, 6 }));
+  EXPECT_EQ(mReader.Entries(), 6U);
+}
+
+// Guards against requests to a server that was dropped and that an older copy
+// of the store shows with a count that was left out.
+TEST_F(TestServerRelays, DroppedServerStaysAwayAfterARestore)
+{
+  Write("ready", 1);
+  Relay();
+  for (int count = 2; count < 7; ++count)
+    Write("ready", count);
+  Relay();
+  mStore.Copy();
+  Write("ready", 8);
+  Relay();
+  mStore.Write(kServers, kServer.Text(), {});
+  Relay();
+  ASSERT_EQ(mOther.Entries(), std::nullopt);
+  mStore.Restore();
+  Relay();
+  EXPECT_EQ(mReader.Entries(), std::nullopt);
+  EXPECT_EQ(mOther.Entries(), std::nullopt);
+  Write("ready", 9);
+  Relay();
+  EXPECT_EQ(mOther.Entries(), 9U);
+}
+
+// Guards against a running server that one instance has lost because another
+// server once answered at its address: its next entries are left out.
+TEST_F(TestServerRelays, RemovedServerThatWritesAgainComesBack)
+{
+  Write("ready", 1);
+  Relay();
+  Write("ready", 2);
+  ASSERT_TRUE(mOther.OnAddressTaken({ kServer, incarnation{ 7 } }));
+  Relay();
+  ASSERT_EQ(mOther.Entries(), std::nullopt);
+  Write("ready", 3);
+  Relay();
+  mOther.Run(milliseconds{ 1'600 }, true);
+  EXPECT_EQ(mOther.Entries(), 3U);
+}
+
+// Guards against a server that comes back by an entry that it wrote before it
+// was removed, and that was left out then.
+TEST_F(TestServerRelays, RemovedServerDoesNotComeBackByAnEarlierEntry)
+{
+  Write("ready", 1);
+  Relay();
+  Write("ready", 2);
+  Relay();
+  ASSERT_TRUE(mOther.OnAddressTaken({ kServer, incarnation{ 7 } }));
+  mOther.Run(milliseconds{ 1'600 }, true);
+  EXPECT_EQ(mOther.Entries(), std::nullopt);
+}
+
+// What topic_reader, topic_state and relay_filter did with a relay at commit
+// 2e58af3.
+class old_receiver
+{
+public:
+  explicit old_receiver(store_position aNext)
+    : mNext(aNext)
+  {
+  }
+
+  // True when records are missing, so that the store is read.
+  bool Apply(topic_relay const& aRelay)
+  {
+    mIsPassedOn = false;
+    if (!aRelay.mIsSnapshot && aRelay.mFrom > mNext)
+      return true;
+    if (!aRelay.mIsSnapshot && aRelay.mEnd <= mNext)
+      return false;
+    mNext = std::max(mNext, aRelay.mEnd);
+    mIsPassedOn =
+      !mState.Apply({ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd }, false)
+         .empty();
+    return false;
+  }
+
+  [[nodiscard]] store_position Next() const { return mNext; }
+  [[nodiscard]] bool IsPassedOn() const { return mIsPassedOn; }
+
+private:
+  store_position mNext;
+  topic_state mState;
+  bool mIsPassedOn = false;
+};
+
+// Guards against instances of an older build that read the store again and
+// again, because they or their parents don't pass on relays without records.
+TEST_F(TestServerRelays, OlderBuildsFollowRelays)
+{
+  Write("ready", 1);
+  Relay();
+  old_receiver root{ mReader.End() };
+  old_receiver child{ mReader.End() };
+  for (int count = 2; count < 10; ++count) {
+    Write(count % 3 == 0 ? "draining" : "ready", count);
+    for (topic_relay const& relay : Relay(milliseconds{ 420 })) {
+      encoded_frame const frame = EncodePeerMessage(fleet_message{ relay });
+      std::optional<peer_message> const read =
+        DecodePeerMessage(std::span{ *frame }.subspan(kFrameHeaderBytes));
+      ASSERT_TRUE(read);
+      topic_relay const arrived =
+        std::get<topic_relay>(std::get<fleet_message>(*read));
+      ASSERT_EQ(arrived, relay);
+      EXPECT_FALSE(root.Apply(arrived)) << count;
+      if (root.IsPassedOn()) {
+        EXPECT_FALSE(child.Apply(arrived)) << count;
+      }
+    }
+  }
+  EXPECT_EQ(root.Next(), mReader.End());
+}
+
+// Guards against instances that can't follow a reader of an older build.
+TEST_F(TestServerRelays, RelayOfAnOlderBuildIsRead)
+{
+  std::optional<peer_message> const read = DecodePeerMessage(RecordedRelay());
+  ASSERT_TRUE(read);
+  topic_relay const relay =
+    std::get<topic_relay>(std::get<fleet_message>(*read));
+  EXPECT_EQ(relay.mFrom, (store_position{ store_era{ 1 }, 1 }));
+  Write("ready", 1);
+  Relay();
+  ASSERT_EQ(mOther.Entries(), 1U);
+  EXPECT_TRUE(mOther.Apply(relay));
+  EXPECT_EQ(mOther.Entries(), 2U);
+  EXPECT_EQ(mOther.End(), (store_position{ store_era{ 1 }, 2 }));
+}
+
+}
+}
