--- a/Tests/Platform/TestMutatedInput.cpp
+++ b/Tests/Platform/TestMutatedInput.cpp
@@ -74,6 +74,7 @@
     };
   };
   ExpectValueOrInvalidInput("3,0,8", read("Server-Load"));
+  ExpectValueOrInvalidInput("3,0,8,140,7", read("Server-Load"));
   ExpectValueOrInvalidInput("4", read("Weight-Versions"));
 }
 
