LibDispatch: Age reported loads, learn servers' speeds

Estimates kept the requests of other instances in full for a second after a report, and then dropped them, so that all instances took a server for idle at the same moment. Servers also differ in speed, which no report states.

For reports with a slowdown, running and waiting requests of others now shrink evenly to nothing within the second in which they count; own requests count in full. server_speed averages answers slowly: time to the first event for each token that the server read, waiting prompts included, divided by the reported slowdown, and compared with prompts of similar size (pool_pace). The speed is relative to the geometric mean of all servers of the pool. Only servers that report a slowdown are learned from. server_table::IsAdaptive tells pools with such a report within 10 s.

Reports of three figures count as before.

--- a/Libraries/LibDispatch/ServerTable.cpp
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -2,10 +2,16 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <chrono>
+
 namespace lycheeseam {
 
 namespace {
 
+// Longer than the pauses between the answers of a pool that is in use.
+constexpr std::chrono::seconds kAdaptivePeriod{ 10 };
+
 token_count
 MemoryTokens(fleet_view const& aView, pool_name const& aPool)
 {
@@ -58,6 +64,34 @@
   return found->second;
 }
 
+bool
+server_table::IsAdaptive(instant aNow, pool_name const& aPool) const
+{
+  std::span<tracked_server* const> const servers = Pool(aPool);
+  return std::any_of(
+    servers.begin(), servers.end(), [aNow](tracked_server const* aServer) {
+      return aServer->HasReportedSlowdown(aNow, kAdaptivePeriod);
+    });
+}
+
+void
+server_table::LearnSpeed(tracked_server& aServer, speed_sample const& aSample)
+{
+  std::span<tracked_server* const> const servers =
+    Pool(aServer.mRegistered.mPool);
+  if (servers.empty())
+    return;
+  pool_pace& pace = mPaces[aServer.mRegistered.mPool];
+  pace.Learn(aSample, aServer.mSpeed.Relative());
+  aServer.mSpeed.Learn(aSample, pace.Of(aSample));
+  double sum = 0;
+  for (tracked_server const* const server : servers)
+    sum += server->mSpeed.LogSpeed();
+  double const mean = sum / static_cast<double>(servers.size());
+  for (tracked_server* const server : servers)
+    server->mSpeed.SetPoolMean(mean);
+}
+
 std::shared_ptr<tracked_server>
 server_table::Find(backend_server_id const& aId) const
 {
--- a/Libraries/LibDispatch/ServerTable.h
+++ b/Libraries/LibDispatch/ServerTable.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibDispatch/FleetView.h>
+#include <LibDispatch/PoolPace.h>
+#include <LibDispatch/SpeedSample.h>
 #include <LibDispatch/TrackedServer.h>
 
 #include <map>
@@ -23,6 +25,13 @@
   [[nodiscard]] std::span<tracked_server* const> Pool(
     pool_name const& aPool) const;
 
+  /// True when a server of the pool has reported its slowdown lately, so that
+  /// the estimates of its servers' loads are precise enough to place by them.
+  [[nodiscard]] bool IsAdaptive(instant aNow, pool_name const& aPool) const;
+
+  /// Learns the speed of a server from one of its answers.
+  void LearnSpeed(tracked_server& aServer, speed_sample const& aSample);
+
   /// A server by its id, or null. Requests that run on a server share it, so
   /// that it outlives its removal from the view.
   [[nodiscard]] std::shared_ptr<tracked_server> Find(
@@ -39,6 +48,7 @@
 private:
   std::map<backend_server_id, std::shared_ptr<tracked_server>> mServers;
   std::map<pool_name, std::vector<tracked_server*>> mPools;
+  std::map<pool_name, pool_pace> mPaces;
 };
 
 }
--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace lycheeseam {
 
@@ -31,11 +32,47 @@
 std::uint32_t
 tracked_server::EstimatedRequests(instant aNow) const
 {
-  if (!mLoad || aNow - mLoad->mReportedAt > kLoadLifetime)
-    return mInFlight;
+  return mInFlight +
+         static_cast<std::uint32_t>(std::lround(OthersRequests(aNow)));
+}
+
+double
+tracked_server::OthersRequests(instant aNow) const
+{
+  if (!mLoad)
+    return 0;
   std::uint32_t const reported = mLoad->mRunning + mLoad->mWaiting;
   std::uint32_t const others = reported - std::min(reported, mInFlightAtLoad);
-  return mInFlight + others;
+  return LoadWeight(aNow) * others;
+}
+
+// What runs or waits at the time of a report ends gradually. If it counted in
+// full until the report expires, all instances would take the server for idle,
+// and send to it, at the same moment. Only servers whose pool is placed by
+// estimates report a slowdown.
+double
+tracked_server::LoadWeight(instant aNow) const
+{
+  if (!mLoad || aNow - mLoad->mReportedAt > kLoadLifetime)
+    return 0;
+  if (!mLoad->mSlowdown)
+    return 1;
+  std::chrono::duration<double> const age = aNow - mLoad->mReportedAt;
+  std::chrono::duration<double> const lifetime = kLoadLifetime;
+  return 1 - std::max(0.0, age / lifetime);
+}
+
+void
+tracked_server::OnLoad(reported_load const& aLoad)
+{
+  mLoad = aLoad;
+  mInFlightAtLoad = mInFlight;
+}
+
+bool
+tracked_server::HasReportedSlowdown(instant aNow, duration aAge) const
+{
+  return mLoad && mLoad->mSlowdown && aNow - mLoad->mReportedAt <= aAge;
 }
 
 void
@@ -59,13 +96,14 @@
 load_estimate
 tracked_server::Estimate(instant aNow) const
 {
-  std::uint32_t const requests = EstimatedRequests(aNow);
-  load_estimate estimate{ .mRequests = static_cast<double>(requests),
+  double const others = OthersRequests(aNow);
+  load_estimate estimate{ .mRequests = mInFlight + others,
                           .mTokens = static_cast<double>(mInFlightTokens) +
-                                     (requests - mInFlight) * mAverageTokens };
+                                     others * mAverageTokens,
+                          .mSpeed = mSpeed.Relative() };
   if (!mLoad || aNow - mLoad->mReportedAt > kLoadLifetime)
     return estimate;
-  estimate.mWaiting = mLoad->mWaiting;
+  estimate.mWaiting = LoadWeight(aNow) * mLoad->mWaiting;
   estimate.mSlowdown = mLoad->mSlowdown.value_or(1);
   estimate.mAge = aNow - mLoad->mReportedAt;
   return estimate;
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -7,6 +7,7 @@
 #include <LibDispatch/RejectionLimit.h>
 #include <LibDispatch/ReportedLoad.h>
 #include <LibDispatch/ServerLimit.h>
+#include <LibDispatch/ServerSpeed.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -48,6 +49,8 @@
   double mAverageTokens = 0;
   /// This instance's requests in flight when mLoad was reported.
   std::uint32_t mInFlightAtLoad = 0;
+  /// Learned only while the server reports its slowdown.
+  server_speed mSpeed;
 
   /// True when the server takes no new requests until it restarts.
   [[nodiscard]] bool IsLeaving() const noexcept
@@ -65,6 +68,12 @@
   /// Removes a request of aTokens that has ended.
   void OnEnd(token_count aTokens);
 
+  /// Takes over a report of its load.
+  void OnLoad(reported_load const& aLoad);
+
+  /// True when its newest report names a slowdown and isn't older than aAge.
+  [[nodiscard]] bool HasReportedSlowdown(instant aNow, duration aAge) const;
+
   /// Requests of all instances that run or wait on the server, as far as this
   /// instance knows.
   [[nodiscard]] std::uint32_t EstimatedRequests(instant aNow) const;
@@ -75,6 +84,12 @@
   /// The used part of its capacity: requests per slot or tokens per memory,
   /// whichever is higher; 1 is full.
   [[nodiscard]] double Pressure(instant aNow) const;
+
+private:
+  // The part of a figure of the newest report that still counts, from 0 to 1.
+  [[nodiscard]] double LoadWeight(instant aNow) const;
+  // Requests of other instances that run or wait on the server.
+  [[nodiscard]] double OthersRequests(instant aNow) const;
 };
 
 }
--- a/Libraries/LibGateway/AttemptRequest.h
+++ b/Libraries/LibGateway/AttemptRequest.h
@@ -20,6 +20,8 @@
   /// Tokens of the prompt and of the longest possible answer, which occupy the
   /// server's memory.
   token_count mTokens = 0;
+  /// Tokens of the prompt alone; 0 when the request doesn't state its size.
+  token_count mPromptTokens = 0;
   /// The shared prompt prefixes that the server holds once it has read the
   /// prompt.
   std::vector<prefix_holder> mPrefixes;
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -85,6 +85,7 @@
              .mBody = mBody,
              .mAnswerHasBody = mHead.mMethod != "HEAD",
              .mTokens = RequestTokens(mProperties),
+             .mPromptTokens = mProperties.mPromptTokens.value_or(0),
              .mPrefixes = MakePrefixHolders(parameters),
              .mPartCrashes = mCore.Suspects().Evidence(aAdmitted.mParts) };
   }
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDispatch/SpeedTrial.h>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/AttemptOutcome.h>
 #include <LibGateway/AttemptRequest.h>
@@ -39,6 +40,7 @@
     mPartCrashes = std::move(aRequest.mPartCrashes);
     mFirstPieceAt.reset();
     mOutcome = attempt_outcome::Pending;
+    mSpeedTrial.Begin(aNow, *mServer, aRequest.mPromptTokens);
     mServer->OnStart(aNow, mTokens);
     // A local copy, because the sink may begin the next attempt while this one
     // is being started.
@@ -110,6 +112,8 @@
   {
     if (!mFirstPieceAt) {
       mFirstPieceAt = aNow;
+      if (mOutcome == attempt_outcome::Accepted)
+        mSpeedTrial.OnFirstEvent(aNow, *mServer, mCore.Servers());
       for (prefix_holder const& prefix : std::exchange(mPrefixes, {}))
         mCore.OnPrefixRead(aNow, prefix);
     }
@@ -172,6 +176,7 @@
   /// the server answers it.
   std::vector<part_crashes> mPartCrashes;
   std::optional<instant> mFirstPieceAt;
+  speed_trial mSpeedTrial;
   attempt_outcome mOutcome = attempt_outcome::Pending;
 };
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -194,9 +194,9 @@
   aServer.mBreaker.OnSuccess();
   OnAnnouncement(aNow, aServer, aAnswer);
   if (aAnswer.mLoad) {
-    aServer.mLoad = aAnswer.mLoad;
-    aServer.mLoad->mReportedAt = aNow;
-    aServer.mInFlightAtLoad = aServer.mInFlight;
+    reported_load load = *aAnswer.mLoad;
+    load.mReportedAt = aNow;
+    aServer.OnLoad(load);
   }
   if (aAnswer.mVersion)
     OnWeights(aServer, aModel, *aAnswer.mVersion);
