LibFleet, LibPeer: Report servers' loads within a failure domain

An instance knew the load of a server only from its own answers: with 82 instances and 90 servers it has one of a server every 8 s.

Loads with a slowdown now travel in the reports, 16 bytes for each server and at most the 100 newest, between instances of the same failure domain only. A parent passes on what is news to it. Instances without a domain share none. Without loads the field is absent, and old builds skip it. The traffic thread applies a load only if it is newer than what it has; recent_starts tells which own requests it doesn't include.

--- a/Libraries/LibDispatch/ReportedLoad.h
+++ b/Libraries/LibDispatch/ReportedLoad.h
@@ -21,6 +21,8 @@
   std::optional<double> mSlowdown;
   /// When the answer arrived.
   instant mReportedAt{};
+
+  bool operator==(reported_load const&) const = default;
 };
 
 }
--- a/Libraries/LibDispatch/ServerTable.cpp
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -51,8 +51,11 @@
   }
   mServers.swap(next);
   mPools.clear();
-  for (auto const& [id, server] : mServers)
+  mSeeds.clear();
+  for (auto const& [id, server] : mServers) {
     mPools[server->mRegistered.mPool].push_back(server.get());
+    mSeeds.emplace(server->mSeed, server.get());
+  }
 }
 
 std::span<tracked_server* const>
@@ -74,6 +77,16 @@
     });
 }
 
+void
+server_table::ApplyLoads(std::span<observed_load const> aLoads)
+{
+  for (observed_load const& observed : aLoads) {
+    auto const found = mSeeds.find(observed.mServer);
+    if (found != mSeeds.end())
+      found->second->OnPeerLoad(observed.mLoad);
+  }
+}
+
 void
 server_table::LearnSpeed(tracked_server& aServer, speed_sample const& aSample)
 {
--- a/Libraries/LibDispatch/ServerTable.h
+++ b/Libraries/LibDispatch/ServerTable.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <LibDispatch/FleetView.h>
+#include <LibDispatch/ObservedLoad.h>
 #include <LibDispatch/PoolPace.h>
 #include <LibDispatch/SpeedSample.h>
 #include <LibDispatch/TrackedServer.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace lycheeseam {
@@ -29,6 +32,9 @@
   /// the estimates of its servers' loads are precise enough to place by them.
   [[nodiscard]] bool IsAdaptive(instant aNow, pool_name const& aPool) const;
 
+  /// Takes over loads that other instances observed.
+  void ApplyLoads(std::span<observed_load const> aLoads);
+
   /// Learns the speed of a server from one of its answers.
   void LearnSpeed(tracked_server& aServer, speed_sample const& aSample);
 
@@ -49,6 +55,8 @@
   std::map<backend_server_id, std::shared_ptr<tracked_server>> mServers;
   std::map<pool_name, std::vector<tracked_server*>> mPools;
   std::map<pool_name, pool_pace> mPaces;
+  /// The servers by mSeed.
+  std::unordered_map<std::uint64_t, tracked_server*> mSeeds;
 };
 
 }
--- a/Libraries/LibDispatch/TrackedServer.cpp
+++ b/Libraries/LibDispatch/TrackedServer.cpp
@@ -66,7 +66,15 @@
 tracked_server::OnLoad(reported_load const& aLoad)
 {
   mLoad = aLoad;
-  mInFlightAtLoad = mInFlight;
+  mInFlightAtLoad =
+    mInFlight - std::min(mInFlight, mStarts.CountAfter(aLoad.mReportedAt));
+}
+
+void
+tracked_server::OnPeerLoad(reported_load const& aLoad)
+{
+  if (!mLoad || mLoad->mReportedAt < aLoad.mReportedAt)
+    OnLoad(aLoad);
 }
 
 bool
@@ -80,6 +88,7 @@
 {
   mLimit.OnSend(aNow);
   mSent += 1;
+  mStarts.Add(aNow);
   mInFlight += 1;
   mInFlightTokens += aTokens;
   mAverageTokens +=
--- a/Libraries/LibDispatch/TrackedServer.h
+++ b/Libraries/LibDispatch/TrackedServer.h
@@ -3,6 +3,7 @@
 #include <LibAdmission/CircuitBreaker.h>
 #include <LibDispatch/LimitTrace.h>
 #include <LibDispatch/LoadEstimate.h>
+#include <LibDispatch/RecentStarts.h>
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/RejectionLimit.h>
 #include <LibDispatch/ReportedLoad.h>
@@ -49,6 +50,7 @@
   double mAverageTokens = 0;
   /// This instance's requests in flight when mLoad was reported.
   std::uint32_t mInFlightAtLoad = 0;
+  recent_starts mStarts;
   /// Learned only while the server reports its slowdown.
   server_speed mSpeed;
 
@@ -68,9 +70,12 @@
   /// Removes a request of aTokens that has ended.
   void OnEnd(token_count aTokens);
 
-  /// Takes over a report of its load.
+  /// Takes over a report of its load, which it may have made a while ago.
   void OnLoad(reported_load const& aLoad);
 
+  /// Takes over a report that another instance received, if it is newer.
+  void OnPeerLoad(reported_load const& aLoad);
+
   /// True when its newest report names a slowdown and isn't older than aAge.
   [[nodiscard]] bool HasReportedSlowdown(instant aNow, duration aAge) const;
 
--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/ComposeReport.h>
 #include <LibFleet/LimitNotices.h>
+#include <LibFleet/LoadNotices.h>
 
 #include <algorithm>
 #include <map>
@@ -81,6 +82,7 @@
                                   : aRegistry.Usage().ByChildren();
   usage.Add(aOwn.mSpent);
   report.mSpent = usage.List();
+  std::vector<observed_load> loads;
   for (report_update const& update : aUpdates) {
     if (!ForwardsUpdate(update, aScope, aTo))
       continue;
@@ -90,10 +92,28 @@
     Append(report.mLimits, MakeLimitNotices(aNow, update.mLimits));
     Append(report.mHolders, update.mHolders);
     Append(report.mOrigins, update.mOrigins);
+    Append(loads, update.mLoads);
   }
+  report.mLoads = MakeLoadNotices(aNow, loads);
   return report;
 }
 
+void
+AddEarlierState(fleet_report& aReport, fleet_report const& aOwn)
+{
+  aReport.mUsed = aOwn.mUsed;
+  Append(aReport.mPartCrashes, aOwn.mPartCrashes);
+  Append(aReport.mLimits, aOwn.mLimits);
+  aReport.mSoftware = aOwn.mSoftware;
+  aReport.mIsSoftwareComplete = aOwn.mIsSoftwareComplete;
+}
+
+void
+AddOrigins(fleet_report& aReport, fleet_report const& aOwn)
+{
+  Append(aReport.mOrigins, aOwn.mOrigins);
+}
+
 fleet_roster
 ComposeRoster(instant aNow,
               peer_registry const& aRegistry,
--- a/Libraries/LibFleet/ComposeReport.h
+++ b/Libraries/LibFleet/ComposeReport.h
@@ -15,7 +15,8 @@
 /// Composes the report of a scope for the peer aTo, which matters for scope
 /// Rest only: all roots get the same report. aOwn holds the state of this
 /// instance alone, aUpdates what was observed or received since the last
-/// report.
+/// report. Its loads are meant for the instances of the sender's failure domain
+/// only.
 fleet_report
 ComposeReport(instant aNow,
               peer_registry const& aRegistry,
@@ -24,6 +25,14 @@
               report_scope aScope,
               instance_id const& aTo);
 
+/// Adds what an instance that starts, or was unreachable, has missed.
+void
+AddEarlierState(fleet_report& aReport, fleet_report const& aOwn);
+
+/// Adds all known origins of streams.
+void
+AddOrigins(fleet_report& aReport, fleet_report const& aOwn);
+
 /// Composes the roster of the instances that such a report covers, without aTo.
 fleet_roster
 ComposeRoster(instant aNow,
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -11,6 +11,8 @@
 #include <LibFleet/FleetOptions.h>
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
+#include <LibFleet/MakeOwnUpdate.h>
+#include <LibFleet/MakePeerUpdate.h>
 #include <LibFleet/OrderDriver.h>
 #include <LibFleet/StoreFollower.h>
 #include <LibFleet/TickMonitor.h>
@@ -122,11 +124,8 @@
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
     mObservations.Add(mClock.Now(), aReport);
-    mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
-                 .mPartCrashes = std::move(aReport.mPartCrashes),
-                 .mLimits = std::move(aReport.mLimits),
-                 .mHolders = std::move(aReport.mHolders),
-                 .mOrigins = std::move(aReport.mOrigins) });
+    std::vector<observed_load> loads = mObservations.MergeLoads(aReport.mLoads);
+    mLinks.Add(MakeOwnUpdate(std::move(aReport), std::move(loads)));
     ReportToPeers();
     Publish();
   }
@@ -150,15 +149,14 @@
 
   void OnPeersChanged() { Publish(); }
 
-  void OnPeerReport(fleet_report const& aReport, bool aHaveUpdatesChanged)
+  void OnPeerReport(fleet_report const& aReport,
+                    std::vector<observed_load> aLoads,
+                    bool aHaveUpdatesChanged)
   {
     mFollower.OnPeerEnd(mClock.Now(), aReport.mOperatorsEnd);
-    if (!aReport.mCrashes.empty() || !aReport.mPartCrashes.empty() ||
-        !aReport.mHolders.empty() || !aReport.mOrigins.empty())
-      mUpdateHandler({ .mCrashes = aReport.mCrashes,
-                       .mPartCrashes = aReport.mPartCrashes,
-                       .mHolders = aReport.mHolders,
-                       .mOrigins = aReport.mOrigins });
+    peer_update update = MakePeerUpdate(aReport, std::move(aLoads));
+    if (!update.IsEmpty())
+      mUpdateHandler(std::move(update));
     if (mRecords.Servers().OnObservedWeights(aReport.mWeights) ||
         aHaveUpdatesChanged)
       Publish();
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -24,7 +25,8 @@
 /// relayed records over their links. Runs on the control thread.
 ///
 /// Control provides ReportToPeers(), called when a link has opened;
-/// OnPeersChanged(); OnPeerReport(fleet_report const&, bool), whose flag says
+/// OnPeersChanged(); OnPeerReport(fleet_report const&,
+/// std::vector<observed_load>, bool), with the reported loads that are new, and
 /// whether the peer's lease or the servers that it is updating have changed;
 /// Observations(), a fleet_observations; Follower(), a store_follower; and
 /// OnPeerRelay(topic_relay const&), which returns whether the records are new,
@@ -187,6 +189,9 @@
     bool const haveUpdatesChanged =
       mRegistry.OnReport(mClock.Now(), aPeer, aReport);
     instant const now = mClock.Now();
+    std::vector<observed_load> loads;
+    if (mExchange.SharesLoadsWith(aPeer.mInstance))
+      loads = mControl.Observations().MergeLoads(now, aReport);
     mExchange.Add(
       { .mFrom = aPeer.mInstance,
         .mIsOfBranch = aReport.mScope == report_scope::Branch,
@@ -195,8 +200,9 @@
         .mWeights = aReport.mWeights,
         .mLimits = mControl.Observations().MergeLimits(now, aReport),
         .mHolders = aReport.mHolders,
-        .mOrigins = mControl.Observations().MergeSoftware(now, aReport) });
-    mControl.OnPeerReport(aReport, haveUpdatesChanged);
+        .mOrigins = mControl.Observations().MergeSoftware(now, aReport),
+        .mLoads = loads });
+    mControl.OnPeerReport(aReport, std::move(loads), haveUpdatesChanged);
     if (mLaggingPeers.IsSnapshotDue(now,
                                     aPeer.mInstance,
                                     aReport.mOperatorsEnd,
--- a/Libraries/LibFleet/FleetObservations.h
+++ b/Libraries/LibFleet/FleetObservations.h
@@ -3,7 +3,9 @@
 #include <LibDispatch/FleetView.h>
 #include <LibDispatch/SuspectParts.h>
 #include <LibFleet/LimitNotices.h>
+#include <LibFleet/LoadNotices.h>
 #include <LibFleet/ServerLimits.h>
+#include <LibFleet/ServerLoads.h>
 #include <LibFleet/StreamSoftware.h>
 #include <LibGateway/TrafficReport.h>
 
@@ -15,8 +17,8 @@
 namespace lycheeseam {
 
 /// What the instances observed and tell each other: parts of prompts that crash
-/// servers, rate limits, and the software that began streams. Kept for the
-/// view and for peers with a new link. Runs on the control thread.
+/// servers, rate limits, loads, and the software that began streams. Kept for
+/// the view and for peers with a new link. Runs on the control thread.
 template<fleet_dialect Dialect>
 class fleet_observations
 {
@@ -50,18 +52,30 @@
   {
     return mLimits.Merge(ReadLimitNotices(aNow, aReport.mLimits));
   }
+  std::vector<observed_load> MergeLoads(instant aNow,
+                                        fleet_report const& aReport)
+  {
+    return mLoads.Merge(ReadLoadNotices(aNow, aReport.mLoads));
+  }
   std::vector<stream_origin> MergeSoftware(instant aNow,
                                            fleet_report const& aReport)
   {
     return mSoftware.Merge(aNow, aReport);
   }
 
+  /// Loads that servers reported to this instance; returns what is new.
+  std::vector<observed_load> MergeLoads(std::span<observed_load const> aOwn)
+  {
+    return mLoads.Merge(aOwn);
+  }
+
   /// aIsReader is true for the instance that writes to the store for all.
   void Tick(instant aNow, bool aIsReader)
   {
     mSoftware.Tick(aNow, aIsReader);
     mSuspects.Prune(aNow);
     mLimits.Prune(aNow);
+    mLoads.Prune(aNow);
   }
 
   /// The store has come back from an older copy of itself.
@@ -96,6 +110,7 @@
   stream_software<Dialect> mSoftware;
   suspect_parts mSuspects;
   server_limits mLimits;
+  server_loads mLoads;
 };
 
 }
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -8,27 +8,6 @@
 
 namespace {
 
-// Adds what an instance that starts, or was unreachable, has missed.
-void
-AddEarlierState(fleet_report& aReport, fleet_report const& aOwn)
-{
-  aReport.mUsed = aOwn.mUsed;
-  aReport.mPartCrashes.insert(aReport.mPartCrashes.end(),
-                              aOwn.mPartCrashes.begin(),
-                              aOwn.mPartCrashes.end());
-  aReport.mLimits.insert(
-    aReport.mLimits.end(), aOwn.mLimits.begin(), aOwn.mLimits.end());
-  aReport.mSoftware = aOwn.mSoftware;
-  aReport.mIsSoftwareComplete = aOwn.mIsSoftwareComplete;
-}
-
-void
-AddOrigins(fleet_report& aReport, fleet_report const& aOwn)
-{
-  aReport.mOrigins.insert(
-    aReport.mOrigins.end(), aOwn.mOrigins.begin(), aOwn.mOrigins.end());
-}
-
 // aReportedAt is when the parent last reported over its link; empty without a
 // link or a report.
 void
@@ -243,7 +222,7 @@
       AddEarlierState(report, aOwn);
     if (isFirst)
       AddOrigins(report, aOwn);
-    mSend(std::span{ &id, 1 }, std::move(report));
+    Send(std::span{ &id, 1 }, std::move(report));
   }
   if (roots.empty() && newRoots.empty() && firstRoots.empty())
     return;
@@ -251,14 +230,38 @@
   // the earlier state, and once all known origins of streams.
   fleet_report report =
     ComposeReport(aNow, mRegistry, aOwn, updates, report_scope::Root, {});
-  if (!roots.empty())
-    mSend(roots, report);
+  Send(roots, report);
   AddEarlierState(report, aOwn);
-  if (!newRoots.empty())
-    mSend(newRoots, report);
+  Send(newRoots, report);
   AddOrigins(report, aOwn);
-  if (!firstRoots.empty())
-    mSend(firstRoots, std::move(report));
+  Send(firstRoots, std::move(report));
+}
+
+bool
+report_exchange::SharesLoadsWith(instance_id const& aPeer) const
+{
+  auto const link = mRegistry.Links().find(aPeer);
+  return !mSelf.mFailureDomain.IsEmpty() && link != mRegistry.Links().end() &&
+         link->second.mHello.mFailureDomain == mSelf.mFailureDomain;
+}
+
+void
+report_exchange::Send(std::span<instance_id const> aPeers, fleet_report aReport)
+{
+  std::vector<instance_id> others{ aPeers.begin(), aPeers.end() };
+  if (!aReport.mLoads.empty()) {
+    auto const border = std::stable_partition(
+      others.begin(), others.end(), [this](instance_id const& aPeer) {
+        return !SharesLoadsWith(aPeer);
+      });
+    std::vector<instance_id> const sharing{ border, others.end() };
+    others.erase(border, others.end());
+    if (!sharing.empty())
+      mSend(sharing, aReport);
+    aReport.mLoads.clear();
+  }
+  if (!others.empty())
+    mSend(others, std::move(aReport));
 }
 
 void
--- a/Libraries/LibFleet/ReportExchange.h
+++ b/Libraries/LibFleet/ReportExchange.h
@@ -45,6 +45,11 @@
   [[nodiscard]] bool IsAccepted(instance_id const& aPeer,
                                 report_scope aScope) const;
 
+  /// True when loads of servers are exchanged with a peer: it is in this
+  /// instance's failure domain. If all instances knew the same loads, they
+  /// would choose the same server.
+  [[nodiscard]] bool SharesLoadsWith(instance_id const& aPeer) const;
+
   /// How old reports of other instances may be on arrival; 0 when the delay is
   /// negligible.
   [[nodiscard]] std::chrono::milliseconds ReportDelay() const;
@@ -103,6 +108,8 @@
   [[nodiscard]] std::optional<report_scope> ScopeTo(
     instant aNow,
     peer_link const& aLink) const;
+  // Sends a report, without its loads to peers that don't share them.
+  void Send(std::span<instance_id const> aPeers, fleet_report aReport);
   void SendRoster(instant aNow,
                   roster_entry const& aOwn,
                   report_scope aScope,
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -2,12 +2,14 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/ObservedLimit.h>
+#include <LibDispatch/ObservedLoad.h>
 #include <LibPeer/FleetReport.h>
 
 namespace lycheeseam {
 
 /// Crashes, weights, rate limits, prefix holders and origins of streams that an
-/// instance observed, to be reported once to all others.
+/// instance observed, to be reported once to all others, and loads, to be
+/// reported to those of its failure domain.
 struct report_update
 {
   /// The peer that reported it; empty for this instance's own observations.
@@ -20,11 +22,13 @@
   std::vector<observed_limit> mLimits;
   std::vector<prefix_holder> mHolders;
   std::vector<stream_origin> mOrigins;
+  std::vector<observed_load> mLoads;
 
   [[nodiscard]] bool IsEmpty() const
   {
     return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
-           mLimits.empty() && mHolders.empty() && mOrigins.empty();
+           mLimits.empty() && mHolders.empty() && mOrigins.empty() &&
+           mLoads.empty();
   }
 };
 
--- a/Libraries/LibGateway/PeerUpdate.h
+++ b/Libraries/LibGateway/PeerUpdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/CrashCount.h>
+#include <LibDispatch/ObservedLoad.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
 #include <LibDispatch/StreamOrigin.h>
@@ -17,6 +18,14 @@
   std::vector<part_crashes> mPartCrashes;
   std::vector<prefix_holder> mHolders;
   std::vector<stream_origin> mOrigins;
+  /// Newer loads of servers.
+  std::vector<observed_load> mLoads;
+
+  [[nodiscard]] bool IsEmpty() const
+  {
+    return mCrashes.empty() && mPartCrashes.empty() && mHolders.empty() &&
+           mOrigins.empty() && mLoads.empty();
+  }
 };
 
 }
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -183,6 +183,7 @@
   for (prefix_holder const& holder : aUpdate.mHolders)
     mPrefixes.OnServed(aNow, holder);
   mOrigins.Merge(aNow, aUpdate.mOrigins);
+  mServers.ApplyLoads(aUpdate.mLoads);
 }
 
 void
@@ -197,6 +198,8 @@
     reported_load load = *aAnswer.mLoad;
     load.mReportedAt = aNow;
     aServer.OnLoad(load);
+    if (load.mSlowdown)
+      mReport.mLoads.push_back({ .mServer = aServer.mSeed, .mLoad = load });
   }
   if (aAnswer.mVersion)
     OnWeights(aServer, aModel, *aAnswer.mVersion);
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -3,6 +3,7 @@
 #include <LibCore/ServerIdentity.h>
 #include <LibDispatch/CrashCount.h>
 #include <LibDispatch/ObservedLimit.h>
+#include <LibDispatch/ObservedLoad.h>
 #include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
@@ -31,6 +32,9 @@
   std::vector<observed_weights> mWeights;
   /// Rate limits that answers showed since the last report.
   std::vector<observed_limit> mLimits;
+  /// Loads with a slowdown that servers reported to this instance since the
+  /// last report.
+  std::vector<observed_load> mLoads;
   /// Servers at whose address another server answered.
   std::vector<server_identity> mReplaced;
   /// Shared prompt prefixes that servers read since the last report.
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -74,6 +74,25 @@
   }
 }
 
+// Instances with an older schema don't send these.
+std::vector<load_notice>
+DecodeLoads(flatbuffers::Vector<wire::ServerLoad const*> const* aStructs)
+{
+  std::vector<load_notice> notices;
+  if (aStructs == nullptr)
+    return notices;
+  for (wire::ServerLoad const* const load : *aStructs) {
+    if (load->slowdown_percent() == 0)
+      continue;
+    notices.push_back({ .mServer = load->server(),
+                        .mRunning = load->running(),
+                        .mWaiting = load->waiting(),
+                        .mSlowdownPercent = load->slowdown_percent(),
+                        .mAgeMs = load->age_ms() });
+  }
+  return notices;
+}
+
 part_crashes
 DecodePartCrashes(wire::PartCrashes const& aTable)
 {
@@ -125,6 +144,7 @@
       report.mLimits.push_back(DecodeLimit(*limit));
   }
   DecodeSoftware(aTable, report);
+  report.mLoads = DecodeLoads(aTable.loads());
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -82,7 +82,8 @@
                               aReport.mHasParent,
                               Origins(aReport.mOrigins),
                               Software(aReport.mSoftware),
-                              aReport.mIsSoftwareComplete));
+                              aReport.mIsSoftwareComplete,
+                              Loads(aReport.mLoads)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
@@ -161,6 +162,23 @@
     return mBuilder.CreateVector(tables);
   }
 
+  // Nothing at all without loads, as in most deployments.
+  flatbuffers::Offset<flatbuffers::Vector<wire::ServerLoad const*>> Loads(
+    std::vector<load_notice> const& aNotices)
+  {
+    if (aNotices.empty())
+      return {};
+    std::vector<wire::ServerLoad> structs;
+    structs.reserve(aNotices.size());
+    for (load_notice const& notice : aNotices)
+      structs.emplace_back(notice.mServer,
+                           notice.mRunning,
+                           notice.mWaiting,
+                           notice.mSlowdownPercent,
+                           notice.mAgeMs);
+    return mBuilder.CreateVectorOfStructs(structs);
+  }
+
   flatbuffers::Offset<wire::KeyedRecord> Record(keyed_record const& aRecord)
   {
     flatbuffers::Offset<flatbuffers::String> const key = Text(aRecord.mKey);
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/StreamOrigin.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibPeer/LimitNotice.h>
+#include <LibPeer/LoadNotice.h>
 #include <LibPeer/ReportScope.h>
 #include <LibPeer/SoftwareNotice.h>
 #include <LibStore/StorePosition.h>
@@ -59,6 +60,8 @@
   std::vector<software_notice> mSoftware;
   /// True when no other software was; on new links only.
   bool mIsSoftwareComplete = false;
+  /// New loads of servers, between instances of one failure domain only.
+  std::vector<load_notice> mLoads;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -105,6 +105,8 @@
 struct PoolSoftware;
 struct PoolSoftwareBuilder;
 
+struct ServerLoad;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -460,6 +462,47 @@
 };
 FLATBUFFERS_STRUCT_END(CrashCount, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint16_t running_;
+  uint16_t waiting_;
+  uint16_t slowdown_percent_;
+  uint16_t age_ms_;
+
+ public:
+  ServerLoad()
+      : server_(0),
+        running_(0),
+        waiting_(0),
+        slowdown_percent_(0),
+        age_ms_(0) {
+  }
+  ServerLoad(uint64_t _server, uint16_t _running, uint16_t _waiting, uint16_t _slowdown_percent, uint16_t _age_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t slowdown_percent() const {
+    return flatbuffers::EndianScalar(slowdown_percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerLoad, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2744,7 +2787,8 @@
     VT_HAS_PARENT = 28,
     VT_ORIGINS = 30,
     VT_SOFTWARE = 32,
-    VT_SOFTWARE_COMPLETE = 34
+    VT_SOFTWARE_COMPLETE = 34,
+    VT_LOADS = 36
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2794,6 +2838,9 @@
   bool software_complete() const {
     return GetField<uint8_t>(VT_SOFTWARE_COMPLETE, 0) != 0;
   }
+  const flatbuffers::Vector<const lycheeseam::wire::ServerLoad *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::ServerLoad *> *>(VT_LOADS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2832,6 +2879,8 @@
            verifier.VerifyVector(software()) &&
            verifier.VerifyVectorOfTables(software()) &&
            VerifyField<uint8_t>(verifier, VT_SOFTWARE_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
            verifier.EndTable();
   }
 };
@@ -2888,6 +2937,9 @@
   void add_software_complete(bool software_complete) {
     fbb_.AddElement<uint8_t>(FleetReport::VT_SOFTWARE_COMPLETE, static_cast<uint8_t>(software_complete), 0);
   }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::ServerLoad *>> loads) {
+    fbb_.AddOffset(FleetReport::VT_LOADS, loads);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2923,10 +2975,12 @@
     bool has_parent = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software = 0,
-    bool software_complete = false) {
+    bool software_complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::ServerLoad *>> loads = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
+  builder_.add_loads(loads);
   builder_.add_software(software);
   builder_.add_origins(origins);
   builder_.add_limits(limits);
@@ -2961,7 +3015,8 @@
     bool has_parent = false,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software = nullptr,
-    bool software_complete = false) {
+    bool software_complete = false,
+    const std::vector<lycheeseam::wire::ServerLoad> *loads = nullptr) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2973,6 +3028,7 @@
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>(*limits) : 0;
   auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>(*origins) : 0;
   auto software__ = software ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>(*software) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<lycheeseam::wire::ServerLoad>(*loads) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
@@ -2990,7 +3046,8 @@
       has_parent,
       origins__,
       software__,
-      software_complete);
+      software_complete,
+      loads__);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -2,9 +2,11 @@
 
 #include <LibDispatch/StreamOrigins.h>
 #include <LibFleet/LimitNotices.h>
+#include <LibFleet/LoadNotices.h>
 #include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibFleet/ServerLimits.h>
+#include <LibFleet/ServerLoads.h>
 
 #include <chrono>
 #include <map>
@@ -45,6 +47,8 @@
     std::vector<std::uint64_t> mReceivedCrashes;
     std::vector<part_crashes> mReceivedEvidence;
     server_limits mLimits;
+    server_loads mLoads;
+    std::vector<load_notice> mReceivedLoads;
     stream_origins mOrigins;
     std::vector<topic_relay> mRelays;
     relay_filter mRelayFilter;
@@ -305,13 +309,16 @@
     aTo.mReceivedEvidence.insert(aTo.mReceivedEvidence.end(),
                                  report.mPartCrashes.begin(),
                                  report.mPartCrashes.end());
+    aTo.mReceivedLoads.insert(
+      aTo.mReceivedLoads.end(), report.mLoads.begin(), report.mLoads.end());
     aTo.mExchange->Add(
       { .mFrom = aMessage.mFrom,
         .mIsOfBranch = report.mScope == report_scope::Branch,
         .mCrashes = report.mCrashes,
         .mPartCrashes = report.mPartCrashes,
         .mLimits = aTo.mLimits.Merge(ReadLimitNotices(mNow, report.mLimits)),
-        .mOrigins = aTo.mOrigins.Merge(mNow, report.mOrigins) });
+        .mOrigins = aTo.mOrigins.Merge(mNow, report.mOrigins),
+        .mLoads = aTo.mLoads.Merge(ReadLoadNotices(mNow, report.mLoads)) });
   }
 
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -143,7 +143,13 @@
     .mSoftware = { { .mSoftware = { pool_name{ "p" },
                                     software_version{ "v1" } },
                      .mAge = milliseconds{ 50 } } },
-    .mIsSoftwareComplete = true
+    .mIsSoftwareComplete = true,
+    .mLoads = { { .mServer = 0xfedcba9876543210,
+                  .mRunning = 65'535,
+                  .mWaiting = 3,
+                  .mSlowdownPercent = 250,
+                  .mAgeMs = 40 },
+                { .mServer = 2 } }
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
