--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -183,6 +183,7 @@
   for (prefix_holder const& holder : aUpdate.mHolders)
     mPrefixes.OnServed(aNow, holder);
   mOrigins.Merge(aNow, aUpdate.mOrigins);
+  mServers.ApplyLoads(aUpdate.mLoads);
 }
 
 void
@@ -194,9 +195,11 @@
   aServer.mBreaker.OnSuccess();
   OnAnnouncement(aNow, aServer, aAnswer);
   if (aAnswer.mLoad) {
-    aServer.mLoad = aAnswer.mLoad;
-    aServer.mLoad->mReportedAt = aNow;
-    aServer.mInFlightAtLoad = aServer.mInFlight;
+    reported_load load = *aAnswer.mLoad;
+    load.mReportedAt = aNow;
+    aServer.OnLoad(load);
+    if (load.mSlowdown)
+      mReport.mLoads.push_back({ .mServer = aServer.mSeed, .mLoad = load });
   }
   if (aAnswer.mVersion)
     OnWeights(aServer, aModel, *aAnswer.mVersion);
