LibDispatch: Place requests of adaptive pools by expected cost

All servers of a pool counted as equally fast, and the failure domain only broke ties. Pools whose servers report their slowdown now choose among a few servers by the expected time to the first event, and a share of the small requests leaves a domain that is used above 0.8 of its capacity.

TestLibDispatch: 90 tests passed; the new code has no tests yet.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -1,8 +1,10 @@
 #include <LibDispatch/ChooseServer.h>
+#include <LibDispatch/EligibleServers.h>
+#include <LibDispatch/NewestWeights.h>
 #include <LibDispatch/RendezvousRank.h>
 
-#include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -15,66 +17,6 @@
 constexpr double kLoadFactor = 1.25;
 constexpr double kLoadAllowance = 0.12;
 
-// Above this part of its slots or memory an engine's requests slow each other
-// down, so that servers with older weights are the better choice.
-constexpr double kBusyPressure = 0.6;
-
-// Up to this pressure of the other servers, small requests leave those with a
-// rate limit to large requests.
-constexpr double kOverloadedPressure = 2;
-
-// Servers with newer weights get at most this many times the requests that
-// they would get if all servers were equal. An instance of a large fleet sees
-// too few of a server's requests to notice that its servers are overloaded.
-constexpr double kNewWeightsFactor = 2;
-
-// Answers computed with weights that were replaced longer ago than
-// mOutdatedAfter are refused or useless.
-bool
-IsOutdated(tracked_server const& aServer, server_choice_request const& aRequest)
-{
-  if (aRequest.mWeights == nullptr)
-    return false;
-  std::optional<instant> const replaced = aRequest.mWeights->ReplacedSince(
-    aServer.mRegistered.VersionOf(aRequest.mModel));
-  return replaced && aRequest.mNow - *replaced > aRequest.mOutdatedAfter;
-}
-
-// True when nothing but its pause or its rate limit keeps the request from the
-// server.
-bool
-IsUsable(tracked_server const& aServer, server_choice_request const& aRequest)
-{
-  if (aServer.IsLeaving() || aServer.mIsUpdating)
-    return false;
-  if (IsOutdated(aServer, aRequest))
-    return false;
-  if (aRequest.mSoftware &&
-      aServer.mRegistered.mSoftware != *aRequest.mSoftware)
-    return false;
-  breaker_state const breaker = aServer.mBreaker.State(aRequest.mNow);
-  bool const isProbed =
-    breaker == breaker_state::HalfOpen && aServer.mInFlight > 0;
-  if (breaker == breaker_state::Open || isProbed)
-    return false;
-  return std::find(aRequest.mTried.begin(),
-                   aRequest.mTried.end(),
-                   aServer.mRegistered.mId) == aRequest.mTried.end();
-}
-
-std::vector<tracked_server*>
-EligibleServers(std::span<tracked_server* const> aServers,
-                server_choice_request const& aRequest)
-{
-  std::vector<tracked_server*> eligible;
-  for (tracked_server* const server : aServers) {
-    if (server->NextSendAt(aRequest.mNow) <= aRequest.mNow &&
-        IsUsable(*server, aRequest))
-      eligible.push_back(server);
-  }
-  return eligible;
-}
-
 double
 MeanPressure(std::span<tracked_server* const> aServers, instant aNow)
 {
@@ -138,38 +80,6 @@
                        });
 }
 
-// Groups servers by the version of their weights, newest first.
-std::vector<std::vector<tracked_server*>>
-GroupByVersion(std::vector<tracked_server*> aServers, model_name const& aModel)
-{
-  auto const isNewer = [&aModel](tracked_server const* aLeft,
-                                 tracked_server const* aRight) {
-    return aLeft->mRegistered.VersionOf(aModel) >
-           aRight->mRegistered.VersionOf(aModel);
-  };
-  std::stable_sort(aServers.begin(), aServers.end(), isNewer);
-  std::vector<std::vector<tracked_server*>> groups;
-  for (tracked_server* const server : aServers) {
-    if (groups.empty() || isNewer(groups.back().back(), server))
-      groups.emplace_back();
-    groups.back().push_back(server);
-  }
-  return groups;
-}
-
-// True when the request is larger than those that the servers got of late.
-bool
-IsLarge(std::span<tracked_server* const> aServers,
-        server_choice_request const& aRequest)
-{
-  double sum = 0;
-  for (tracked_server const* const server : aServers)
-    sum += server->mAverageTokens;
-  return static_cast<double>(aRequest.mTokens) *
-           static_cast<double>(aServers.size()) >=
-         sum;
-}
-
 tracked_server*
 PreferredEngine(std::span<tracked_server* const> aServers,
                 server_choice_request const& aRequest)
@@ -178,56 +88,20 @@
                              : LeastLoaded(aServers, aRequest);
 }
 
-// The preferred server of a group with equal weights, unless it is busy. A rate
-// limit counts requests of any size, so the servers with a limit relieve the
-// others most with large requests.
-tracked_server*
-PreferredInGroup(std::vector<tracked_server*>& aGroup,
-                 server_choice_request const& aRequest)
-{
-  auto const unlimited = std::stable_partition(
-    aGroup.begin(), aGroup.end(), [](tracked_server const* aServer) {
-      return aServer->mLimit.RequestsPerSecond().has_value();
-    });
-  std::span<tracked_server* const> const limitedPart{ aGroup.begin(),
-                                                      unlimited };
-  std::span<tracked_server* const> const otherPart{ unlimited, aGroup.end() };
-  auto const preferred = [&aRequest](std::span<tracked_server* const> aServers,
-                                     double aPressure) {
-    tracked_server* const server = PreferredEngine(aServers, aRequest);
-    bool const isFree =
-      server != nullptr && server->Pressure(aRequest.mNow) < aPressure;
-    return isFree ? server : nullptr;
-  };
-  if (!limitedPart.empty() && IsLarge(aGroup, aRequest)) {
-    tracked_server* const first = preferred(limitedPart, kBusyPressure);
-    return first != nullptr ? first : preferred(otherPart, kBusyPressure);
-  }
-  if (limitedPart.empty())
-    return preferred(otherPart, kBusyPressure);
-  tracked_server* const first = preferred(otherPart, kOverloadedPressure);
-  return first != nullptr ? first : preferred(limitedPart, kBusyPressure);
-}
-
-// Prefers the newest weights, and goes on to older ones when the servers with
-// newer ones are busy or have had their part of the requests; the least loaded
-// server when all are busy.
+// Prefers the newest weights; the least loaded server when all are busy.
 tracked_server*
 ChooseEngine(std::vector<tracked_server*> const& aServers,
              server_choice_request const& aRequest)
 {
-  std::size_t remaining = aServers.size();
-  for (std::vector<tracked_server*>& group :
-       GroupByVersion(aServers, aRequest.mModel)) {
-    double const part = kNewWeightsFactor * static_cast<double>(group.size()) /
-                        static_cast<double>(remaining);
-    remaining -= group.size();
-    if (aRequest.mSample >= part)
-      continue;
-    if (tracked_server* const preferred = PreferredInGroup(group, aRequest))
-      return preferred;
-  }
-  return LeastLoaded(aServers, aRequest);
+  auto const preferred = [&aRequest](std::span<tracked_server* const> aPart) {
+    return PreferredEngine(aPart, aRequest);
+  };
+  auto const isAdmitted = [&aRequest](double aPart) {
+    return aRequest.mSample < aPart;
+  };
+  tracked_server* const chosen =
+    ChooseNewestWeights(aServers, aRequest, preferred, isAdmitted);
+  return chosen != nullptr ? chosen : LeastLoaded(aServers, aRequest);
 }
 
 }
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
+#include <LibDispatch/DomainScope.h>
 #include <LibDispatch/TargetWeights.h>
 
 #include <cstdint>
@@ -20,6 +21,17 @@
   std::optional<std::uint64_t> mPromptKey;
   /// Tokens of its prompt and of its longest possible answer.
   token_count mTokens = 0;
+  /// Tokens of its prompt alone.
+  token_count mPromptTokens = 0;
+  /// Those of them in parts that other requests may share.
+  token_count mSharedTokens = 0;
+  /// The priority that the server is sent; 0 is the most urgent.
+  std::uint32_t mPriority = 0;
+  /// Bytes of its body and of its expected answer.
+  std::uint64_t mBytes = 0;
+  /// The failure domains whose servers may take it. Only the choice by cost
+  /// depends on it.
+  domain_scope mScope = domain_scope::Any;
   /// A number from 0 to 1 that is distributed evenly over requests.
   double mSample = 0;
   /// Empty for servers that run no model.
--- a/Libraries/LibDispatch/ServerTable.cpp
+++ b/Libraries/LibDispatch/ServerTable.cpp
@@ -2,10 +2,17 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <chrono>
+
 namespace lycheeseam {
 
 namespace {
 
+// A pool stays adaptive over pauses in its traffic, but not once its servers
+// have been replaced by others that don't report their slowdown.
+constexpr duration kAdaptiveTime = std::chrono::seconds{ 10 };
+
 token_count
 MemoryTokens(fleet_view const& aView, pool_name const& aPool)
 {
@@ -58,6 +65,17 @@
   return found->second;
 }
 
+bool
+server_table::IsAdaptive(instant aNow, pool_name const& aPool) const
+{
+  std::span<tracked_server* const> const servers = Pool(aPool);
+  return std::any_of(
+    servers.begin(), servers.end(), [aNow](tracked_server const* aServer) {
+      return aServer->mLoad && aServer->mLoad->mSlowdown &&
+             aNow - aServer->mLoad->mReportedAt <= kAdaptiveTime;
+    });
+}
+
 std::shared_ptr<tracked_server>
 server_table::Find(backend_server_id const& aId) const
 {
--- a/Libraries/LibDispatch/ServerTable.h
+++ b/Libraries/LibDispatch/ServerTable.h
@@ -23,6 +23,9 @@
   [[nodiscard]] std::span<tracked_server* const> Pool(
     pool_name const& aPool) const;
 
+  /// True when servers of the pool report how long work takes on them now.
+  [[nodiscard]] bool IsAdaptive(instant aNow, pool_name const& aPool) const;
+
   /// A server by its id, or null. Requests that run on a server share it, so
   /// that it outlives its removal from the view.
   [[nodiscard]] std::shared_ptr<tracked_server> Find(
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t kRoutePriorityLevels = 3;
 constexpr std::uint32_t kLowestPriority = 9;
 
+// A streamed token is an event of about this size.
+constexpr std::uint64_t kAnswerBytesPerToken = 40;
+
 std::uint64_t
 Hash(std::string_view aText, std::uint64_t aSeed)
 {
@@ -127,6 +130,12 @@
   return aProperties.mPromptTokens.value_or(0) + aProperties.mMaxOutputTokens;
 }
 
+std::uint64_t
+CrossingBytes(request_properties const& aProperties, std::string_view aBody)
+{
+  return aBody.size() + kAnswerBytesPerToken * aProperties.mMaxOutputTokens;
+}
+
 double
 RequestUnits(dispatch_workspace const& aWorkspace,
              request_properties const& aProperties)
@@ -185,6 +194,9 @@
   server_choice_request request{ .mNow = aNow,
                                  .mDomain = aOptions.mDomain,
                                  .mTokens = RequestTokens(aProperties),
+                                 .mPromptTokens =
+                                   aProperties.mPromptTokens.value_or(0),
+                                 .mSharedTokens = aProperties.SharedTokens(),
                                  .mSample = Sample(aProperties.mId),
                                  .mModel = aProperties.mModel,
                                  .mWeights =
--- a/Libraries/LibGateway/PlanSend.h
+++ b/Libraries/LibGateway/PlanSend.h
@@ -23,6 +23,11 @@
 token_count
 RequestTokens(request_properties const& aProperties);
 
+/// The bytes of a request and of its longest possible answer, as far as is
+/// known.
+std::uint64_t
+CrossingBytes(request_properties const& aProperties, std::string_view aBody);
+
 /// What a request is charged, in its workspace's quota unit.
 double
 RequestUnits(dispatch_workspace const& aWorkspace,
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -48,11 +48,11 @@
                                  admitted_request const& aAdmitted,
                                  answer_relay const& aAnswer)
   {
-    server_pick pick = PickOf(aNow, aAdmitted.mPool, Software(aAdmitted));
+    server_pick pick = PickOf(aNow, aAdmitted, Software(aAdmitted));
     // A stream of which the caller has nothing yet may begin elsewhere.
     bool const isBound = aAnswer.IsHeadSent() || aAdmitted.mSoftware;
     if (!pick.mServer && !pick.mSendAt && !isBound && mSoftware)
-      return PickOf(aNow, aAdmitted.mPool, std::nullopt);
+      return PickOf(aNow, aAdmitted, std::nullopt);
     return pick;
   }
 
@@ -69,6 +69,9 @@
       OnStreamSent(aPick.mChoiceRequest.mNow, server);
     mCore.Meter().OnSend(aAdmitted, aTrace.mSends > 0);
     ++aTrace.mSends;
+    aTrace.mCrossing = aPick.mCrossing;
+    if (aPick.mCrossing != crossing_reason::None)
+      mCore.Meter().OnCrossing(aPick.mCrossing);
     send_parameters const parameters = PlanSend(mCore,
                                                 aPick.mChoiceRequest,
                                                 server,
@@ -91,23 +94,37 @@
 
 private:
   server_pick PickOf(instant aNow,
-                     pool_name const& aPool,
+                     admitted_request const& aAdmitted,
                      std::optional<software_version> const& aSoftware)
   {
     server_pick pick{ .mView = mCore.View(aNow) };
     pick.mChoiceRequest = MakeChoiceRequest(
       aNow, mCore.Options(), *pick.mView, mProperties, mTried);
     pick.mChoiceRequest.mSoftware = aSoftware;
+    pick.mChoiceRequest.mPriority =
+      RequestPriority(*aAdmitted.mRoute, aAdmitted.mWorkspace);
+    pick.mChoiceRequest.mBytes = CrossingBytes(mProperties, *mBody);
     std::span<tracked_server* const> const servers =
-      mCore.Servers().Pool(aPool);
-    if (tracked_server const* const chosen =
-          ChooseServer(servers, pick.mChoiceRequest))
-      pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
+      mCore.Servers().Pool(aAdmitted.mPool);
+    placement_choice const choice =
+      Place(aAdmitted.mPool, servers, pick.mChoiceRequest);
+    pick.mCrossing = choice.mCrossing;
+    if (choice.mServer != nullptr)
+      pick.mServer = mCore.Servers().Find(choice.mServer->mRegistered.mId);
     else
       pick.mSendAt = FirstSendAt(servers, pick.mChoiceRequest);
     return pick;
   }
 
+  placement_choice Place(pool_name const& aPool,
+                         std::span<tracked_server* const> aServers,
+                         server_choice_request const& aRequest)
+  {
+    if (mCore.Servers().IsAdaptive(aRequest.mNow, aPool))
+      return mCore.Placement().Choose(aPool, aServers, aRequest);
+    return { .mServer = ChooseServer(aServers, aRequest) };
+  }
+
   // The only software that may run the request; empty when any may.
   [[nodiscard]] std::optional<software_version> const& Software(
     admitted_request const& aAdmitted) const
--- a/Libraries/LibGateway/RunTrace.h
+++ b/Libraries/LibGateway/RunTrace.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
+#include <LibDispatch/CrossingReason.h>
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,9 @@
   /// anywhere.
   std::optional<endpoint> mFetchFrom;
 
+  /// Why the latest server is in another failure domain.
+  crossing_reason mCrossing = crossing_reason::None;
+
   [[nodiscard]] bool MayHaveRun() const noexcept { return mRuns > 0; }
 };
 
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -3,6 +3,7 @@
 #include <LibAdmission/RetryBudget.h>
 #include <LibCore/Published.h>
 #include <LibCore/SystemClock.h>
+#include <LibDispatch/AdaptivePlacement.h>
 #include <LibDispatch/CrashTracker.h>
 #include <LibDispatch/FleetView.h>
 #include <LibDispatch/InstanceOrder.h>
@@ -132,6 +133,7 @@
     return mOptions;
   }
   [[nodiscard]] server_table& Servers() noexcept { return mServers; }
+  [[nodiscard]] adaptive_placement& Placement() noexcept { return mPlacement; }
   [[nodiscard]] quota_limiter& Quota() noexcept { return mQuota; }
   [[nodiscard]] crash_tracker& Crashes() noexcept { return mCrashes; }
   [[nodiscard]] suspect_parts& Suspects() noexcept { return mSuspects; }
@@ -172,6 +174,7 @@
   std::shared_ptr<fleet_view const> mView;
   instance_order mInstanceOrder;
   server_table mServers;
+  adaptive_placement mPlacement;
   quota_limiter mQuota;
   crash_tracker mCrashes;
   suspect_parts mSuspects;
--- a/Libraries/LibGateway/TrafficMeter.cpp
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -12,6 +12,12 @@
     Count("repeats_total", "pool", aAdmitted.mPool.Text());
 }
 
+void
+traffic_meter::OnCrossing(crossing_reason aReason)
+{
+  Count("domain_crossings_total", "reason", std::string{ TextOf(aReason) });
+}
+
 void
 traffic_meter::OnRetryDenied(pool_name const& aPool)
 {
--- a/Libraries/LibGateway/TrafficMeter.h
+++ b/Libraries/LibGateway/TrafficMeter.h
@@ -23,6 +23,9 @@
   /// before.
   void OnSend(admitted_request const& aAdmitted, bool aIsRetry);
 
+  /// A request was sent to a server of another failure domain.
+  void OnCrossing(crossing_reason aReason);
+
   /// A retry was denied because the pool's retry budget is used up.
   void OnRetryDenied(pool_name const& aPool);
 
