--- a/Libraries/LibDispatch/DomainOverflow.cpp
+++ b/Libraries/LibDispatch/DomainOverflow.cpp
@@ -48,10 +48,13 @@
     return;
   }
   UpdateLeaving(aNow, Use(*home));
-  // With a share s, a domain with U requests sends s / (1 - s) * U away, which
-  // must not be more than is free there.
-  double const free = FreeElsewhere(aHome, aLoads, mRules.mBegin);
-  double const highest = free / std::max(1e-9, free + home->mUsed);
+  // With a share s, a domain with U requests has sent s / (1 - s) * U away.
+  // These use capacity elsewhere that was free before, so they may stay. They
+  // count in part, because reports don't show the latest of them yet.
+  double const sent = home->mUsed * mShare / std::max(1e-9, 1 - mShare);
+  double const room =
+    FreeElsewhere(aHome, aLoads, mRules.mBegin) + mRules.mSentPart * sent;
+  double const highest = room / std::max(1e-9, room + home->mUsed);
   double const target = std::min(ShareFor(Use(*home)), highest);
   double const elapsed =
     mUpdatedAt ? std::chrono::duration<double>{ aNow - *mUpdatedAt }.count()
--- a/Libraries/LibDispatch/OverflowRules.h
+++ b/Libraries/LibDispatch/OverflowRules.h
@@ -19,6 +19,9 @@
   double mSurplusGain = 2;
   /// The same between mEnd and mBegin, once requests leave.
   double mBandGain = 0.5;
+  /// The part of the requests already sent to other domains that counts as free
+  /// there. With 0.6, at most 0.71 of what is free elsewhere gets used.
+  double mSentPart = 0.6;
   /// How fast the share follows the use. Reports are up to 0.3 s old and
   /// requests run for about half a second, so that a faster share would swing.
   std::chrono::milliseconds mRise{ 1'000 };
