--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -127,7 +127,10 @@
   aAdmitted.mUnits = RequestUnits(workspace, aProperties);
   charge_kind const kind =
     aAdmitted.mSoftware ? charge_kind::Resumption : charge_kind::NewRequest;
-  if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits, kind))
+  quota_pacing const pacing =
+    aCore.Servers().IsAdaptive(aNow, aAdmitted.mPool) ? quota_pacing::Paced
+                                                      : quota_pacing::Unpaced;
+  if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits, kind, pacing))
     return std::nullopt;
   fleet_view const& view = *aCore.View(aNow);
   LogEvent("over_quota",
@@ -143,7 +146,7 @@
   return request_refusal{
     .mStatus = refusal_status::OverQuota,
     .mRetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
-      aCore.Quota().WaitFor(aNow, workspace, aAdmitted.mUnits))
+      aCore.Quota().WaitFor(aNow, workspace, aAdmitted.mUnits, pacing))
   };
 }
 
