LibFleet: Send records over each border between domains once

A root sent the records of its branch to every root of every other failure domain: in the simulated fleet of 9, 40 and 90 instances 2 to 5 copies crossed each border. It now sends them to the roots of its own domain and to one root of each other domain, which passes them on to the roots at home. Reports tell whether a root does so; those of older builds get their own copies, as before. Reports also carry the end of the servers' topic.

TestRelayTargets counts one copy a border at the same sizes; it fails with the former choice. TestReportExchange passes unchanged.

--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -69,7 +69,8 @@
                        .mLease = aOwn.mLease,
                        .mReader = aOwn.mReader,
                        .mUpdating = aOwn.mUpdating,
-                       .mOperatorsEnd = aOwn.mOperatorsEnd };
+                       .mOperatorsEnd = aOwn.mOperatorsEnd,
+                       .mServersEnd = aOwn.mServersEnd };
   for (auto const& [id, link] : aRegistry.Links()) {
     if (link.IsLive(aNow) && ForwardsLink(link, aScope, aTo))
       MergeLeaseAndReader(report, link.mReport);
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -142,7 +142,8 @@
                       .mSpent = mOwnUsage,
                       .mUpdating = { updating.begin(), updating.end() },
                       .mUsed = mWindowUsage,
-                      .mOperatorsEnd = mFollower.OperatorsEnd() };
+                      .mOperatorsEnd = mFollower.OperatorsEnd(),
+                      .mServersEnd = mFollower.ServersEnd() };
     mObservations.AddTo(now, own);
     mLinks.Report(own, IsReady());
   }
--- a/Libraries/LibFleet/ReportExchange.cpp
+++ b/Libraries/LibFleet/ReportExchange.cpp
@@ -1,4 +1,5 @@
 #include <LibEvents/EventLog.h>
+#include <LibFleet/RelayTargets.h>
 #include <LibFleet/ReportExchange.h>
 
 #include <algorithm>
@@ -239,6 +240,7 @@
     fleet_report report =
       ComposeReport(aNow, mRegistry, aOwn, updates, *scope, id);
     report.mHasParent = mTopology.mParent.has_value();
+    report.mSpreadsRelays = true;
     if (isNewLink)
       AddEarlierState(report, aOwn);
     if (isFirst)
@@ -251,6 +253,7 @@
   // the earlier state, and once all known origins of streams.
   fleet_report report =
     ComposeReport(aNow, mRegistry, aOwn, updates, report_scope::Root, {});
+  report.mSpreadsRelays = true;
   if (!roots.empty())
     mSend(roots, report);
   AddEarlierState(report, aOwn);
@@ -271,12 +274,21 @@
     auto const source = mRegistry.Links().find(*aFrom);
     isOfBranch = source != mRegistry.Links().end() && source->second.IsChild();
   }
+  std::vector<instance_id> roots;
   std::vector<instance_id> targets;
   for (auto const& [id, link] : mRegistry.Links()) {
     std::optional<report_scope> const scope = ScopeTo(aNow, link);
-    if (scope && id != aFrom && (isOfBranch || *scope == report_scope::Rest))
+    if (!scope || id == aFrom)
+      continue;
+    if (*scope == report_scope::Root)
+      roots.push_back(id);
+    else if (isOfBranch || *scope == report_scope::Rest)
       targets.push_back(id);
   }
+  relay_targets const choice{ mSelf, mRegistry.Links() };
+  std::vector<instance_id> const chosen =
+    isOfBranch ? choice.OfBranch(aNow, roots) : choice.OfRoot(*aFrom, roots);
+  targets.insert(targets.end(), chosen.begin(), chosen.end());
   if (!targets.empty())
     mSend(targets, aRelay);
 }
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -56,6 +56,8 @@
 DecodeSoftware(wire::FleetReport const& aTable, fleet_report& aReport)
 {
   aReport.mIsSoftwareComplete = aTable.software_complete();
+  aReport.mSpreadsRelays = aTable.spreads_relays();
+  aReport.mServersEnd = store_position::FromNumber(aTable.servers_end());
   if (aTable.origins() != nullptr) {
     for (wire::StreamOrigins const* const table : *aTable.origins()) {
       software_version const software{ table->software()->str() };
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -82,7 +82,9 @@
                               aReport.mHasParent,
                               Origins(aReport.mOrigins),
                               Software(aReport.mSoftware),
-                              aReport.mIsSoftwareComplete));
+                              aReport.mIsSoftwareComplete,
+                              aReport.mSpreadsRelays,
+                              aReport.mServersEnd.Number()));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -59,6 +59,12 @@
   std::vector<software_notice> mSoftware;
   /// True when no other software was; on new links only.
   bool mIsSoftwareComplete = false;
+  /// True when the sender passes on relays of a root of another failure domain
+  /// to the roots of its own; older builds don't.
+  bool mSpreadsRelays = false;
+  /// The position after the last record of servers that the sender has; the
+  /// first one from older builds.
+  store_position mServersEnd;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2744,7 +2744,9 @@
     VT_HAS_PARENT = 28,
     VT_ORIGINS = 30,
     VT_SOFTWARE = 32,
-    VT_SOFTWARE_COMPLETE = 34
+    VT_SOFTWARE_COMPLETE = 34,
+    VT_SPREADS_RELAYS = 36,
+    VT_SERVERS_END = 38
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2794,6 +2796,12 @@
   bool software_complete() const {
     return GetField<uint8_t>(VT_SOFTWARE_COMPLETE, 0) != 0;
   }
+  bool spreads_relays() const {
+    return GetField<uint8_t>(VT_SPREADS_RELAYS, 0) != 0;
+  }
+  uint64_t servers_end() const {
+    return GetField<uint64_t>(VT_SERVERS_END, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2832,6 +2840,8 @@
            verifier.VerifyVector(software()) &&
            verifier.VerifyVectorOfTables(software()) &&
            VerifyField<uint8_t>(verifier, VT_SOFTWARE_COMPLETE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SPREADS_RELAYS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SERVERS_END, 8) &&
            verifier.EndTable();
   }
 };
@@ -2888,6 +2898,12 @@
   void add_software_complete(bool software_complete) {
     fbb_.AddElement<uint8_t>(FleetReport::VT_SOFTWARE_COMPLETE, static_cast<uint8_t>(software_complete), 0);
   }
+  void add_spreads_relays(bool spreads_relays) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_SPREADS_RELAYS, static_cast<uint8_t>(spreads_relays), 0);
+  }
+  void add_servers_end(uint64_t servers_end) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_SERVERS_END, servers_end, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2923,8 +2939,11 @@
     bool has_parent = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software = 0,
-    bool software_complete = false) {
+    bool software_complete = false,
+    bool spreads_relays = false,
+    uint64_t servers_end = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_servers_end(servers_end);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
   builder_.add_software(software);
@@ -2938,6 +2957,7 @@
   builder_.add_crashes(crashes);
   builder_.add_spent(spent);
   builder_.add_reader(reader);
+  builder_.add_spreads_relays(spreads_relays);
   builder_.add_software_complete(software_complete);
   builder_.add_has_parent(has_parent);
   builder_.add_scope(scope);
@@ -2961,7 +2981,9 @@
     bool has_parent = false,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software = nullptr,
-    bool software_complete = false) {
+    bool software_complete = false,
+    bool spreads_relays = false,
+    uint64_t servers_end = 0) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2990,7 +3012,9 @@
       has_parent,
       origins__,
       software__,
-      software_complete);
+      software_complete,
+      spreads_relays,
+      servers_end);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -7,6 +7,7 @@
 #include <LibFleet/ServerLimits.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -97,6 +98,11 @@
 
   void Reconnect() { mCut.clear(); }
 
+  /// Sees each message that arrives.
+  using observer = std::function<
+    void(peer_hello const&, peer_hello const&, fleet_message const&)>;
+  void Observe(observer aObserver) { mObserver = std::move(aObserver); }
+
   void Run(std::chrono::milliseconds aTime)
   {
     for (instant const end = mNow + aTime; mNow < end; mNow += kStep)
@@ -282,6 +288,9 @@
   {
     instance_identity const from =
       mMembers.at(aMessage.mFrom)->mHello.mIdentity;
+    if (mObserver)
+      mObserver(
+        mMembers.at(aMessage.mFrom)->mHello, aTo.mHello, aMessage.mContent);
     if (auto const* const roster =
           std::get_if<fleet_roster>(&aMessage.mContent)) {
       if (aTo.mRegistry.OnRoster(mNow, from, *roster))
@@ -321,6 +330,7 @@
   /// Links that can't be opened.
   std::set<link> mCut;
   std::vector<message> mSent;
+  observer mObserver;
 };
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -143,7 +143,9 @@
     .mSoftware = { { .mSoftware = { pool_name{ "p" },
                                     software_version{ "v1" } },
                      .mAge = milliseconds{ 50 } } },
-    .mIsSoftwareComplete = true
+    .mIsSoftwareComplete = true,
+    .mSpreadsRelays = true,
+    .mServersEnd = { store_era{ 2 }, 30 }
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
