LibFleet: Send peers only the records that they lack

The reader took all servers each 3 s and relayed them to all, though nobody lacked any, and an instance with a gap read the store for itself.

Within an era a full read relays only what it shows to be new, as part of a range. Reports carry the end of the servers' topic: a peer whose end stays behind for 0.4 s, or that has just started, is sent the records from its end on by one instance, of its own domain if one has more, in pieces of up to 64 kB. An instance with a gap waits 0.9 s for them before it reads the store while another one reads.

TestRelayPieces and TestServerRelays pass.

--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -6,6 +6,7 @@
 #include <LibFleet/PeerRegistry.h>
 #include <LibFleet/PeerTrafficMonitor.h>
 #include <LibFleet/RelayFilter.h>
+#include <LibFleet/RelayTargets.h>
 #include <LibFleet/ReportExchange.h>
 #include <LibMembership/QuietLinkSupervisor.h>
 #include <LibPeer/PeerHub.h>
@@ -13,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <span>
 #include <utility>
@@ -197,13 +199,36 @@
         .mHolders = aReport.mHolders,
         .mOrigins = mControl.Observations().MergeSoftware(now, aReport) });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
-    if (mLaggingPeers.IsSnapshotDue(now,
-                                    aPeer.mInstance,
-                                    aReport.mOperatorsEnd,
-                                    mControl.Follower().OperatorsEnd())) {
-      LogEvent("peer_lags", { { "peer", aPeer.mInstance.Text() } });
-      mHub.Send(aPeer.mInstance, mControl.Follower().OperatorsSnapshot());
-    }
+    SendLacking(aPeer.mInstance, store_topic::Operators, aReport);
+    // Older builds don't report the end of the servers' topic.
+    if (aReport.mSpreadsRelays)
+      SendLacking(aPeer.mInstance, store_topic::Servers, aReport);
+  }
+
+  // Sends a peer the records that it has lacked for too long.
+  void SendLacking(instance_id const& aPeer,
+                   store_topic aTopic,
+                   fleet_report const& aReport)
+  {
+    bool const areServers = aTopic == store_topic::Servers;
+    store_position const peerEnd =
+      areServers ? aReport.mServersEnd : aReport.mOperatorsEnd;
+    store_position const ownEnd = areServers
+                                    ? mControl.Follower().ServersEnd()
+                                    : mControl.Follower().OperatorsEnd();
+    instant const now = mClock.Now();
+    if (!mLaggingPeers[aTopic].IsSnapshotDue(now, aPeer, peerEnd, ownEnd))
+      return;
+    // One of the roots sends servers, one of the peer's own domain if possible.
+    if (areServers &&
+        !relay_targets{ mSelf, mRegistry.Links() }.IsSource(now, aPeer))
+      return;
+    LogEvent("peer_lags",
+             { { "peer", aPeer.Text() },
+               { "topic", static_cast<std::int64_t>(aTopic) } });
+    for (topic_relay& relay :
+         mControl.Follower().RelaysFor(aTopic, peerEnd, aReport.mSpreadsRelays))
+      mHub.Send(aPeer, std::move(relay));
   }
 
   void OnRoster(instance_identity const& aPeer, fleet_roster const& aRoster)
@@ -221,7 +246,7 @@
   report_exchange mExchange;
   peer_hub<fleet_links, quiet_link_supervisor, system_clock> mHub;
   relay_filter mRelayFilter;
-  lagging_peers mLaggingPeers;
+  std::map<store_topic, lagging_peers> mLaggingPeers;
   peer_traffic_monitor mTrafficMonitor;
   bool mIsLeaving = false;
 };
--- a/Libraries/LibFleet/RelayRange.h
+++ b/Libraries/LibFleet/RelayRange.h
@@ -25,6 +25,12 @@
     store_position aEnd,
     std::vector<keyed_record> aSelected);
 
+  /// True once a relay of the era has been sent or applied.
+  [[nodiscard]] bool HasBegunIn(store_era aEra) const
+  {
+    return mBase && mBase->Era() == aEra;
+  }
+
   /// All records before aEnd have been sent.
   void OnSent(store_position aEnd);
 
--- a/Libraries/LibFleet/RelayTargets.cpp
+++ b/Libraries/LibFleet/RelayTargets.cpp
@@ -77,4 +77,29 @@
   return targets;
 }
 
+bool
+relay_targets::IsSource(instant aNow, instance_id const& aPeer) const
+{
+  auto const found = mLinks.find(aPeer);
+  if (found == mLinks.end())
+    return false;
+  peer_link const& peer = found->second;
+  if (peer.mReport.mScope != report_scope::Root)
+    return peer.IsChild();
+  instance_id const& self = mSelf.mIdentity.mInstance;
+  failure_domain const& domain = peer.mHello.mFailureDomain;
+  bool const isSelfHome = IsHome(peer);
+  std::uint64_t const ownRank = Rank(aPeer, self);
+  return std::none_of(mLinks.begin(), mLinks.end(), [&](auto const& aEntry) {
+    peer_link const& other = aEntry.second;
+    bool const hasMore = other.IsLive(aNow) &&
+                         other.mReport.mScope == report_scope::Root &&
+                         other.mReport.mServersEnd > peer.mReport.mServersEnd;
+    bool const isHome = other.mHello.mFailureDomain == domain;
+    if (!hasMore || aEntry.first == aPeer || (isSelfHome && !isHome))
+      return false;
+    return isHome != isSelfHome || Rank(aPeer, aEntry.first) > ownRank;
+  });
+}
+
 }
--- a/Libraries/LibFleet/RelayTargets.h
+++ b/Libraries/LibFleet/RelayTargets.h
@@ -36,6 +36,11 @@
     instance_id const& aFrom,
     std::span<instance_id const> aRoots) const;
 
+  /// True when this instance, of those linked here that have more records of
+  /// servers than aPeer, is the one to send it what it lacks: always for a
+  /// child, else one of the roots, of the peer's own domain if there is one.
+  [[nodiscard]] bool IsSource(instant aNow, instance_id const& aPeer) const;
+
 private:
   [[nodiscard]] bool IsHome(peer_link const& aLink) const;
 
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -4,6 +4,7 @@
 #include <LibEvents/EventLog.h>
 #include <LibFleet/PageSource.h>
 #include <LibFleet/ReaderElection.h>
+#include <LibFleet/RelayPieces.h>
 #include <LibFleet/RelayRange.h>
 #include <LibFleet/ServerChanges.h>
 #include <LibFleet/TopicReader.h>
@@ -60,6 +61,7 @@
   /// Starts the reads that are due.
   void Tick(instant aNow, bool aHasReader)
   {
+    mHasReader = aHasReader;
     for (followed_topic* const topic : { &mServers, &mOperators }) {
       if (topic->mElection.IsDue(aNow, aHasReader))
         Read(*topic);
@@ -112,14 +114,26 @@
     return mOperators.mReader.NextPosition().value_or(store_position{});
   }
 
-  /// All records of the operators that are known, as a peer that lacks some is
-  /// sent them.
-  [[nodiscard]] topic_relay OperatorsSnapshot() const
+  /// The relays that bring a peer which has the records before aPeerEnd up to
+  /// what is known here: of what it lacks when it knows the same era, or
+  /// nothing and aIsFromStart says that it reads records from the first on.
+  [[nodiscard]] std::vector<topic_relay> RelaysFor(store_topic aTopic,
+                                                   store_position aPeerEnd,
+                                                   bool aIsFromStart) const
   {
-    return { .mTopic = store_topic::Operators,
-             .mIsSnapshot = true,
-             .mEnd = OperatorsEnd(),
-             .mRecords = mOperators.mState.Records() };
+    followed_topic const& topic =
+      aTopic == store_topic::Operators ? mOperators : mServers;
+    store_position const end =
+      topic.mReader.NextPosition().value_or(store_position{});
+    bool const isStarting = aPeerEnd == store_position{};
+    store_position const from =
+      isStarting ? store_position{ end.Era(), 0 } : aPeerEnd;
+    if (from.Era() == end.Era() && (!isStarting || aIsFromStart))
+      return MakeRelayPieces(aTopic, from, end, topic.mState.RecordsFrom(from));
+    return { { .mTopic = aTopic,
+               .mIsSnapshot = true,
+               .mEnd = end,
+               .mRecords = topic.mState.Records() } };
   }
 
   /// A peer reports the position after its last record of the operators.
@@ -149,9 +163,15 @@
     topic_reader<Dialect> mReader;
     reader_election mElection{};
     topic_state mState{};
+    relay_range mRange{};
+    /// Since when relays have shown that records are missing.
+    std::optional<instant> mGapSince{};
   };
 
   static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
+  // Peers send what this instance lacks within 0.4 s and two reports; a leaving
+  // server must get no more work after 2 s.
+  static constexpr std::chrono::milliseconds kGapTolerance{ 900 };
   // Servers write an entry each 1.2 s, and those in their grace period are
   // removed after 2.2 s.
   static constexpr std::chrono::milliseconds kServersReadDelay{ 1'400 };
@@ -197,54 +217,77 @@
               bool aIsFull)
   {
     UpdateEra(aPage.mEnd.Era());
-    topic_state& state =
-      aTopic == store_topic::Operators ? mOperators.mState : mServers.mState;
-    bool const isReadPart = mSource == page_source::Store && !aIsFull;
+    followed_topic& topic =
+      aTopic == store_topic::Operators ? mOperators : mServers;
+    bool const isRead = mSource == page_source::Store;
     std::vector<keyed_record> changes;
-    if (isReadPart && aTopic == store_topic::Servers)
-      changes = mServerChanges.Select(aPage.mRecords, state);
-    std::vector<keyed_record> const newRecords = state.Apply(aPage, aIsFull);
+    if (isRead)
+      changes = ChangesOf(topic, aPage, aIsFull);
+    std::vector<keyed_record> const newRecords =
+      topic.mState.Apply(aPage, aIsFull);
     mHasNewRecords = !newRecords.empty();
     mNewRecordsHandler(aTopic, newRecords, mSource);
+    if (!isRead)
+      return;
     if (aIsFull && aTopic == store_topic::Servers)
       OnAllServers(newRecords);
-    if (mSource != page_source::Store)
-      return;
-    if (isReadPart && aTopic == store_topic::Servers)
-      return RelayServers(aFrom, aPage.mEnd, std::move(changes));
-    if (aPage.mRecords.empty())
-      return;
-    if (aTopic == store_topic::Servers)
-      mServersRange.OnSent(aPage.mEnd);
-    mRelayHandler({ .mTopic = aTopic,
-                    .mIsSnapshot = aIsFull,
-                    .mFrom = aFrom,
-                    .mEnd = aPage.mEnd,
-                    .mRecords = aPage.mRecords },
-                  mHasNewRecords);
+    // Those who know an earlier era, or nothing, need all records.
+    if (aIsFull && !topic.mRange.HasBegunIn(aPage.mEnd.Era()))
+      return RelaySnapshot(topic, aPage);
+    store_position const from = aIsFull ? aPage.mEnd : aFrom;
+    std::optional<topic_relay> const relay = topic.mRange.Make(
+      mClock.Now(), aTopic, from, aPage.mEnd, std::move(changes));
+    if (relay)
+      mRelayHandler(*relay, true);
   }
 
-  void RelayServers(store_position aFrom,
-                    store_position aEnd,
-                    std::vector<keyed_record> aChanges)
+  // The records of a page that others may lack, before it is applied. What a
+  // complete page shows as deleted goes on after its last entry, by whose
+  // count entries are ordered when the store comes back from an older copy.
+  std::vector<keyed_record> ChangesOf(followed_topic& aTopic,
+                                      topic_page const& aPage,
+                                      bool aIsFull)
   {
-    std::optional<topic_relay> const relay = mServersRange.Make(
-      mClock.Now(), store_topic::Servers, aFrom, aEnd, std::move(aChanges));
-    if (relay)
-      mRelayHandler(*relay, true);
+    std::vector<keyed_record> records;
+    for (keyed_record const& record : aPage.mRecords) {
+      keyed_record const* const known = aTopic.mState.Find(record.mKey);
+      if (!aIsFull || known == nullptr || known->mPosition < record.mPosition)
+        records.push_back(record);
+    }
+    if (aTopic.mTopic == store_topic::Servers)
+      records = mServerChanges.Select(records, aTopic.mState);
+    if (!aIsFull)
+      return records;
+    for (keyed_record const& missing : aTopic.mState.MissingFrom(aPage)) {
+      records.push_back(missing);
+      records.push_back(
+        { .mPosition = store_position::FromNumber(aPage.mEnd.Number() - 1),
+          .mKey = missing.mKey });
+    }
+    return records;
+  }
+
+  void RelaySnapshot(followed_topic& aTopic, topic_page const& aPage)
+  {
+    aTopic.mRange.OnSent(aPage.mEnd);
+    if (!aPage.mRecords.empty())
+      mRelayHandler({ .mTopic = aTopic.mTopic,
+                      .mIsSnapshot = true,
+                      .mEnd = aPage.mEnd,
+                      .mRecords = aPage.mRecords },
+                    mHasNewRecords);
   }
 
   // A server that this page lacks, but not what the elected reader read, may
   // have registered again since. The reader leaves out its next entries.
   void OnAllServers(std::span<keyed_record const> aNewRecords)
   {
-    if (mSource == page_source::Store)
-      mServersDueAt.reset();
+    mServersDueAt.reset();
     bool const isAnyDropped =
       std::any_of(aNewRecords.begin(),
                   aNewRecords.end(),
                   [](keyed_record const& aRecord) { return !aRecord.mValue; });
-    if (isAnyDropped && mSource == page_source::Store)
+    if (isAnyDropped)
       OnServerRemoved(mClock.Now());
   }
 
@@ -268,15 +311,31 @@
       hasGap = !aTopic.mReader.ApplyPage(aRelay.mFrom, page);
     mSource = page_source::Store;
     if (hasGap)
-      aTopic.mElection.RequestRead();
-    else if (aTopic.mTopic == store_topic::Servers)
-      mServersRange.OnApplied(aRelay, mHasNewRecords);
+      OnGap(aTopic);
+    else
+      aTopic.mRange.OnApplied(aRelay, mHasNewRecords);
     // A relay without records is new when it moves the end.
+    if (!hasGap)
+      aTopic.mGapSince.reset();
     bool const isEndNew =
       !aRelay.mIsSnapshot && aTopic.mReader.NextPosition() != next;
     return hasGap || mHasNewRecords || isEndNew;
   }
 
+  // Peers that see the end in this instance's reports send it the servers that
+  // it lacks, so that not all instances read them when all start.
+  void OnGap(followed_topic& aTopic)
+  {
+    instant const now = mClock.Now();
+    instant const since = aTopic.mGapSince.value_or(now);
+    aTopic.mGapSince = since;
+    if (aTopic.mTopic == store_topic::Servers && mHasReader &&
+        now - since < kGapTolerance)
+      return;
+    aTopic.mGapSince.reset();
+    aTopic.mElection.RequestRead();
+  }
+
   new_records_handler mNewRecordsHandler;
   era_handler mEraHandler;
   relay_handler mRelayHandler;
@@ -288,13 +347,14 @@
   followed_topic mOperators;
   followed_topic mServers;
   server_changes<Dialect> mServerChanges;
-  relay_range mServersRange;
   /// When all servers are to be read; empty when that isn't needed.
   std::optional<instant> mServersDueAt;
   /// The newest era of any page; empty before the first page.
   std::optional<store_era> mEra;
   instant mNextRefreshAt{};
   bool mIsStoreAnswering = true;
+  /// True while a peer reads the store.
+  bool mHasReader = false;
 };
 
 }
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -79,6 +79,11 @@
   /// before it.
   bool ApplyPage(store_position aFrom, topic_page const& aPage)
   {
+    // A range from the first offset on has all records.
+    if (!mNext && aFrom.Offset() == 0 && aFrom.Era() >= mEra) {
+      mEra = aFrom.Era();
+      mNext = aFrom;
+    }
     if (!mNext || aFrom > *mNext)
       return false;
     if (aPage.mEnd <= *mNext)
--- a/Libraries/LibStore/TopicState.h
+++ b/Libraries/LibStore/TopicState.h
@@ -26,12 +26,28 @@
   /// The newest record of each key that isn't deleted.
   [[nodiscard]] std::vector<keyed_record> Records() const;
 
+  /// The newest records, also deletions, of all keys that changed from aFrom
+  /// on, in the order of their positions.
+  [[nodiscard]] std::vector<keyed_record> RecordsFrom(
+    store_position aFrom) const;
+
+  /// The known records of keys that are missing from a complete page.
+  [[nodiscard]] std::vector<keyed_record> MissingFrom(
+    topic_page const& aPage) const;
+
   /// The newest known record of a key, without a value when the key is deleted;
   /// null for an unknown key.
   [[nodiscard]] keyed_record const* Find(std::string_view aKey) const;
 
 private:
-  using known_keys = std::map<std::string, keyed_record, std::less<>>;
+  struct known_key
+  {
+    keyed_record mRecord;
+    /// The position from which on the record is the newest; later than the
+    /// record's own when a complete page lacked the key.
+    store_position mSince;
+  };
+  using known_keys = std::map<std::string, known_key, std::less<>>;
 
   void AddDeletions(topic_page const& aPage,
                     std::vector<keyed_record>& aNewRecords);
