--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -98,6 +98,10 @@
 
   void Reconnect() { mCut.clear(); }
 
+  /// Without, reports don't say that instances pass on relays to the roots of
+  /// their domain, like those of older builds.
+  void SetSpreadingRelays(bool aIsSpreading) { mIsSpreading = aIsSpreading; }
+
   /// Sees each message that arrives.
   using observer = std::function<
     void(peer_hello const&, peer_hello const&, fleet_message const&)>;
@@ -305,7 +309,8 @@
         aTo.mExchange->Relay(mNow, *relay, aMessage.mFrom);
       return;
     }
-    fleet_report const& report = std::get<fleet_report>(aMessage.mContent);
+    fleet_report report = std::get<fleet_report>(aMessage.mContent);
+    report.mSpreadsRelays &= mIsSpreading;
     if (!aTo.mExchange->IsAccepted(aMessage.mFrom, report.mScope))
       return;
     aTo.mRegistry.OnReport(mNow, from, report);
@@ -331,6 +336,7 @@
   std::set<link> mCut;
   std::vector<message> mSent;
   observer mObserver;
+  bool mIsSpreading = true;
 };
 
 }
