--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -83,7 +83,9 @@
                               Origins(aReport.mOrigins),
                               Software(aReport.mSoftware),
                               aReport.mIsSoftwareComplete,
-                              Loads(aReport.mLoads)));
+                              Loads(aReport.mLoads),
+                              aReport.mSpreadsRelays,
+                              aReport.mServersEnd.Number()));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -62,6 +62,12 @@
   bool mIsSoftwareComplete = false;
   /// New loads of servers, between instances of one failure domain only.
   std::vector<load_notice> mLoads;
+  /// True when the sender passes on relays of a root of another failure domain
+  /// to the roots of its own; older builds don't.
+  bool mSpreadsRelays = false;
+  /// The position after the last record of servers that the sender has; the
+  /// first one from older builds.
+  store_position mServersEnd;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2788,7 +2788,9 @@
     VT_ORIGINS = 30,
     VT_SOFTWARE = 32,
     VT_SOFTWARE_COMPLETE = 34,
-    VT_LOADS = 36
+    VT_LOADS = 36,
+    VT_SPREADS_RELAYS = 38,
+    VT_SERVERS_END = 40
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2841,6 +2843,12 @@
   const flatbuffers::Vector<const lycheeseam::wire::ServerLoad *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::ServerLoad *> *>(VT_LOADS);
   }
+  bool spreads_relays() const {
+    return GetField<uint8_t>(VT_SPREADS_RELAYS, 0) != 0;
+  }
+  uint64_t servers_end() const {
+    return GetField<uint64_t>(VT_SERVERS_END, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2881,6 +2889,8 @@
            VerifyField<uint8_t>(verifier, VT_SOFTWARE_COMPLETE, 1) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyField<uint8_t>(verifier, VT_SPREADS_RELAYS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SERVERS_END, 8) &&
            verifier.EndTable();
   }
 };
@@ -2940,6 +2950,12 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::ServerLoad *>> loads) {
     fbb_.AddOffset(FleetReport::VT_LOADS, loads);
   }
+  void add_spreads_relays(bool spreads_relays) {
+    fbb_.AddElement<uint8_t>(FleetReport::VT_SPREADS_RELAYS, static_cast<uint8_t>(spreads_relays), 0);
+  }
+  void add_servers_end(uint64_t servers_end) {
+    fbb_.AddElement<uint64_t>(FleetReport::VT_SERVERS_END, servers_end, 0);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2976,8 +2992,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software = 0,
     bool software_complete = false,
-    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::ServerLoad *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::ServerLoad *>> loads = 0,
+    bool spreads_relays = false,
+    uint64_t servers_end = 0) {
   FleetReportBuilder builder_(_fbb);
+  builder_.add_servers_end(servers_end);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
   builder_.add_loads(loads);
@@ -2992,6 +3011,7 @@
   builder_.add_crashes(crashes);
   builder_.add_spent(spent);
   builder_.add_reader(reader);
+  builder_.add_spreads_relays(spreads_relays);
   builder_.add_software_complete(software_complete);
   builder_.add_has_parent(has_parent);
   builder_.add_scope(scope);
@@ -3016,7 +3036,9 @@
     const std::vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software = nullptr,
     bool software_complete = false,
-    const std::vector<lycheeseam::wire::ServerLoad> *loads = nullptr) {
+    const std::vector<lycheeseam::wire::ServerLoad> *loads = nullptr,
+    bool spreads_relays = false,
+    uint64_t servers_end = 0) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -3047,7 +3069,9 @@
       origins__,
       software__,
       software_complete,
-      loads__);
+      loads__,
+      spreads_relays,
+      servers_end);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -9,6 +9,7 @@
 #include <LibFleet/ServerLoads.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -101,6 +102,15 @@
 
   void Reconnect() { mCut.clear(); }
 
+  /// Without, reports don't say that instances pass on relays to the roots of
+  /// their domain, like those of older builds.
+  void SetSpreadingRelays(bool aIsSpreading) { mIsSpreading = aIsSpreading; }
+
+  /// Sees each message that arrives.
+  using observer = std::function<
+    void(peer_hello const&, peer_hello const&, fleet_message const&)>;
+  void Observe(observer aObserver) { mObserver = std::move(aObserver); }
+
   void Run(std::chrono::milliseconds aTime)
   {
     for (instant const end = mNow + aTime; mNow < end; mNow += kStep)
@@ -286,6 +296,9 @@
   {
     instance_identity const from =
       mMembers.at(aMessage.mFrom)->mHello.mIdentity;
+    if (mObserver)
+      mObserver(
+        mMembers.at(aMessage.mFrom)->mHello, aTo.mHello, aMessage.mContent);
     if (auto const* const roster =
           std::get_if<fleet_roster>(&aMessage.mContent)) {
       if (aTo.mRegistry.OnRoster(mNow, from, *roster))
@@ -300,7 +313,8 @@
         aTo.mExchange->Relay(mNow, *relay, aMessage.mFrom);
       return;
     }
-    fleet_report const& report = std::get<fleet_report>(aMessage.mContent);
+    fleet_report report = std::get<fleet_report>(aMessage.mContent);
+    report.mSpreadsRelays &= mIsSpreading;
     if (!aTo.mExchange->IsAccepted(aMessage.mFrom, report.mScope))
       return;
     aTo.mRegistry.OnReport(mNow, from, report);
@@ -328,6 +342,8 @@
   /// Links that can't be opened.
   std::set<link> mCut;
   std::vector<message> mSent;
+  observer mObserver;
+  bool mIsSpreading = true;
 };
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -149,7 +149,9 @@
                   .mWaiting = 3,
                   .mSlowdownPercent = 250,
                   .mAgeMs = 40 },
-                { .mServer = 2 } }
+                { .mServer = 2 } },
+    .mSpreadsRelays = true,
+    .mServersEnd = { store_era{ 2 }, 30 }
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
