--- a/Libraries/LibDispatch/AdaptivePlacement.cpp
+++ b/Libraries/LibDispatch/AdaptivePlacement.cpp
@@ -46,7 +46,7 @@
   bool const isFree = std::any_of(
     aServers.begin(), aServers.end(), [&](tracked_server const* aServer) {
       return IsHome(*aServer, aRequest) && IsUsable(*aServer, aRequest) &&
-             HasRoom(*aServer, aServer->Estimate(aRequest.mNow), aRequest);
+             HasRoom(*aServer, EstimateFor(*aServer, aRequest), aRequest);
     });
   return isFree ? domain_scope::Home : domain_scope::Any;
 }
@@ -67,6 +67,18 @@
 
 }
 
+double
+adaptive_placement::pool_state::AddTokens(token_count aTokens)
+{
+  // An instance sends a pool about ten requests a second, so that the mean is
+  // right after a few seconds.
+  constexpr double kWeight = 0.05;
+  double const tokens = static_cast<double>(aTokens);
+  mMeanTokens = mMeanTokens.value_or(tokens);
+  *mMeanTokens += kWeight * (tokens - *mMeanTokens);
+  return *mMeanTokens;
+}
+
 placement_choice
 adaptive_placement::Choose(pool_name const& aPool,
                            std::span<tracked_server* const> aServers,
@@ -74,6 +86,7 @@
 {
   server_choice_request request = aRequest;
   request.mScope = ScopeOf(aPool, aServers, aRequest);
+  request.mTypicalTokens = mPools[aPool].AddTokens(aRequest.mTokens);
   placement_choice choice{ .mServer = ChooseByCost(aServers, request, mCosts) };
   if (choice.mServer != nullptr)
     choice.mCrossing = ReasonOf(*choice.mServer, aServers, request, mCosts);
--- a/Libraries/LibDispatch/AdaptivePlacement.h
+++ b/Libraries/LibDispatch/AdaptivePlacement.h
@@ -7,6 +7,7 @@
 #include <LibDispatch/TrackedServer.h>
 
 #include <map>
+#include <optional>
 #include <span>
 
 namespace lycheeseam {
@@ -35,6 +36,11 @@
   {
     domain_overflow mOverflow;
     instant mUpdatedAt{};
+    /// Moving average of the tokens of this instance's requests.
+    std::optional<double> mMeanTokens;
+
+    // Returns the average with a further request.
+    double AddTokens(token_count aTokens);
   };
 
   [[nodiscard]] domain_scope ScopeOf(pool_name const& aPool,
--- a/Libraries/LibDispatch/ChooseByCost.cpp
+++ b/Libraries/LibDispatch/ChooseByCost.cpp
@@ -116,7 +116,7 @@
   bool isRoomNeeded = true;
   for (tracked_server* const server : FirstByWeightedRank(
          aServers, *aRequest.mPromptKey, aCosts.mCandidates, aRequest.mNow)) {
-    load_estimate const estimate = server->Estimate(aRequest.mNow);
+    load_estimate const estimate = EstimateFor(*server, aRequest);
     if (HasMemory(*server, estimate, aRequest))
       best.Add(
         server,
@@ -178,4 +178,21 @@
   return chosen != nullptr ? chosen : preferred(servers);
 }
 
+tracked_server*
+ChooseCacheSourceBySpeed(std::span<tracked_server* const> aServers,
+                         server_choice_request const& aRequest,
+                         tracked_server const& aChosen)
+{
+  if (!aRequest.mPromptKey)
+    return nullptr;
+  std::vector<tracked_server*> sources;
+  for (tracked_server* const server : aServers) {
+    if (IsCacheSource(*server, aRequest, aChosen))
+      sources.push_back(server);
+  }
+  std::vector<tracked_server*> const first =
+    FirstByWeightedRank(sources, *aRequest.mPromptKey, 1, aRequest.mNow);
+  return first.empty() ? nullptr : first.front();
+}
+
 }
--- a/Libraries/LibDispatch/ChooseByCost.h
+++ b/Libraries/LibDispatch/ChooseByCost.h
@@ -20,6 +20,12 @@
              server_choice_request const& aRequest,
              placement_costs const& aCosts);
 
+/// As ChooseCacheSource, by the rank that ChooseByCost uses.
+tracked_server*
+ChooseCacheSourceBySpeed(std::span<tracked_server* const> aServers,
+                         server_choice_request const& aRequest,
+                         tracked_server const& aChosen);
+
 /// True when the request goes where its shared part is cached, whatever the
 /// failure domain.
 bool
--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -137,12 +137,9 @@
 {
   if (!aRequest.mPromptKey)
     return nullptr;
-  std::uint64_t const version = aChosen.mRegistered.VersionOf(aRequest.mModel);
   return HighestRanked(
     aServers, *aRequest.mPromptKey, [&](tracked_server const& aServer) {
-      return &aServer != &aChosen && !aServer.mIsUpdating &&
-             aServer.mRegistered.VersionOf(aRequest.mModel) == version &&
-             aServer.mBreaker.State(aRequest.mNow) != breaker_state::Open;
+      return IsCacheSource(aServer, aRequest, aChosen);
     });
 }
 
--- a/Libraries/LibDispatch/DrawServers.cpp
+++ b/Libraries/LibDispatch/DrawServers.cpp
@@ -15,7 +15,7 @@
 FreeCapacity(tracked_server const& aServer,
              server_choice_request const& aRequest)
 {
-  load_estimate const estimate = aServer.Estimate(aRequest.mNow);
+  load_estimate const estimate = EstimateFor(aServer, aRequest);
   if (!HasMemory(aServer, estimate, aRequest))
     return 0;
   double const slots = aServer.mRegistered.mSlots;
@@ -30,7 +30,7 @@
                    server_choice_request const& aRequest,
                    bool aNeedsMemory)
 {
-  load_estimate const estimate = aServer.Estimate(aRequest.mNow);
+  load_estimate const estimate = EstimateFor(aServer, aRequest);
   if (aNeedsMemory && !HasMemory(aServer, estimate, aRequest))
     return 0;
   return aServer.mRegistered.mSlots * CurrentSpeed(estimate) /
--- a/Libraries/LibDispatch/EligibleServers.cpp
+++ b/Libraries/LibDispatch/EligibleServers.cpp
@@ -46,6 +46,17 @@
                    aServer.mRegistered.mId) == aRequest.mTried.end();
 }
 
+bool
+IsCacheSource(tracked_server const& aServer,
+              server_choice_request const& aRequest,
+              tracked_server const& aChosen)
+{
+  return &aServer != &aChosen && !aServer.mIsUpdating &&
+         aServer.mRegistered.VersionOf(aRequest.mModel) ==
+           aChosen.mRegistered.VersionOf(aRequest.mModel) &&
+         aServer.mBreaker.State(aRequest.mNow) != breaker_state::Open;
+}
+
 std::vector<tracked_server*>
 EligibleServers(std::span<tracked_server* const> aServers,
                 server_choice_request const& aRequest)
--- a/Libraries/LibDispatch/EligibleServers.h
+++ b/Libraries/LibDispatch/EligibleServers.h
@@ -20,6 +20,12 @@
 bool
 IsUsable(tracked_server const& aServer, server_choice_request const& aRequest);
 
+/// True when aServer may give aChosen the prompt parts that it caches.
+bool
+IsCacheSource(tracked_server const& aServer,
+              server_choice_request const& aRequest,
+              tracked_server const& aChosen);
+
 /// The servers that take the request now.
 std::vector<tracked_server*>
 EligibleServers(std::span<tracked_server* const> aServers,
--- a/Libraries/LibDispatch/ExpectedTime.cpp
+++ b/Libraries/LibDispatch/ExpectedTime.cpp
@@ -55,6 +55,18 @@
 
 }
 
+load_estimate
+EstimateFor(tracked_server const& aServer,
+            server_choice_request const& aRequest)
+{
+  load_estimate estimate = aServer.Estimate(aRequest.mNow);
+  double const others = estimate.mRequests - aServer.mInFlight;
+  double const tokens = static_cast<double>(aServer.mInFlightTokens) +
+                        others * aRequest.mTypicalTokens;
+  estimate.mTokens = std::max(estimate.mTokens, tokens);
+  return estimate;
+}
+
 double
 CurrentSpeed(load_estimate const& aEstimate)
 {
@@ -86,7 +98,7 @@
              double aTokens,
              placement_costs const& aCosts)
 {
-  load_estimate const estimate = aServer.Estimate(aRequest.mNow);
+  load_estimate const estimate = EstimateFor(aServer, aRequest);
   double const partAhead = PartAhead(aRequest.mPriority);
   double const waitingTokens =
     estimate.mTokens *
--- a/Libraries/LibDispatch/ExpectedTime.h
+++ b/Libraries/LibDispatch/ExpectedTime.h
@@ -8,6 +8,13 @@
 
 namespace lycheeseam {
 
+/// The server's load. Requests of other instances count with the typical tokens
+/// of the pool: an instance of a large fleet sends so few requests to each
+/// server that its own mean for the server is too low for minutes.
+load_estimate
+EstimateFor(tracked_server const& aServer,
+            server_choice_request const& aRequest);
+
 /// How fast the server works now, relative to the usual speed of its pool.
 double
 CurrentSpeed(load_estimate const& aEstimate);
--- a/Libraries/LibDispatch/PlacementCosts.h
+++ b/Libraries/LibDispatch/PlacementCosts.h
@@ -15,7 +15,7 @@
   double mReadTokensPerSecond = 20'000;
   /// The part of the tokens on a server that belongs to running requests whose
   /// prompts haven't been read yet.
-  double mUnreadPart = 0.1;
+  double mUnreadPart = 0.2;
   /// How long a request holds a slot on a server of usual speed.
   duration mHoldTime = std::chrono::milliseconds{ 500 };
   /// The time to fetch cached tokens from another server, relative to reading.
--- a/Libraries/LibDispatch/PrefixIndex.cpp
+++ b/Libraries/LibDispatch/PrefixIndex.cpp
@@ -18,12 +18,24 @@
 // evicts the least recently used parts, is likely to have evicted it.
 constexpr duration kStoreInterval = std::chrono::seconds{ 20 };
 
+// Earlier holders that are remembered: enough for one in each failure domain.
+constexpr std::size_t kEarlierHolders = 3;
+
 }
 
 void
 prefix_index::OnServed(instant aNow, prefix_holder const& aHolder)
 {
   record& found = mRecords[aHolder.mKey];
+  if (found.mServer != aHolder.mServer) {
+    std::erase_if(found.mEarlier, [&aHolder](earlier_holder const& aEarlier) {
+      return aEarlier.mServer == aHolder.mServer;
+    });
+    if (!found.mServer.IsEmpty())
+      found.mEarlier.push_back({ found.mServer, found.mServedAt });
+    if (found.mEarlier.size() > kEarlierHolders)
+      found.mEarlier.erase(found.mEarlier.begin());
+  }
   found.mServer = aHolder.mServer;
   found.mServedAt = aNow;
   if (aHolder.mIsStored)
@@ -46,6 +58,22 @@
   return found->second.mServer;
 }
 
+std::vector<backend_server_id>
+prefix_index::Holders(instant aNow, std::uint64_t aKey) const
+{
+  std::vector<backend_server_id> holders;
+  std::optional<backend_server_id> const latest = Holder(aNow, aKey);
+  if (!latest)
+    return holders;
+  holders.push_back(*latest);
+  std::vector<earlier_holder> const& earlier = mRecords.at(aKey).mEarlier;
+  for (auto holder = earlier.rbegin(); holder != earlier.rend(); ++holder) {
+    if (aNow - holder->mServedAt <= kCacheLifetime)
+      holders.push_back(holder->mServer);
+  }
+  return holders;
+}
+
 bool
 prefix_index::IsRecent(instant aNow, std::uint64_t aKey) const
 {
--- a/Libraries/LibDispatch/PrefixIndex.h
+++ b/Libraries/LibDispatch/PrefixIndex.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace lycheeseam {
 
@@ -28,6 +29,12 @@
     instant aNow,
     std::uint64_t aKey) const;
 
+  /// The servers that processed the part last and likely cache it, the latest
+  /// first.
+  [[nodiscard]] std::vector<backend_server_id> Holders(
+    instant aNow,
+    std::uint64_t aKey) const;
+
   /// True when a server has processed the part so recently that another holder
   /// would be no better.
   [[nodiscard]] bool IsRecent(instant aNow, std::uint64_t aKey) const;
@@ -40,10 +47,18 @@
   void Prune(instant aNow);
 
 private:
+  struct earlier_holder
+  {
+    backend_server_id mServer;
+    instant mServedAt{};
+  };
+
   struct record
   {
     backend_server_id mServer;
     instant mServedAt{};
+    /// Those that processed it before, the latest last.
+    std::vector<earlier_holder> mEarlier;
     std::optional<instant> mStoredAt;
   };
 
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -21,6 +21,8 @@
   std::optional<std::uint64_t> mPromptKey;
   /// Tokens of its prompt and of its longest possible answer.
   token_count mTokens = 0;
+  /// Mean of mTokens over the requests of the pool; 0 when it isn't known.
+  double mTypicalTokens = 0;
   /// Tokens of its prompt alone.
   token_count mPromptTokens = 0;
   /// Those of them in parts that other requests may share.
--- a/Libraries/LibGateway/PlanSend.cpp
+++ b/Libraries/LibGateway/PlanSend.cpp
@@ -1,6 +1,8 @@
+#include <LibDispatch/ChooseByCost.h>
 #include <LibDispatch/ChooseCacheStore.h>
 #include <LibDispatch/ChooseServer.h>
 #include <LibDispatch/PrefixKeys.h>
+#include <LibGateway/FetchSource.h>
 #include <LibGateway/PlanSend.h>
 
 #include <xxhash.h>
@@ -71,57 +73,6 @@
   return store == nullptr ? std::nullopt : std::optional{ store->mAddress };
 }
 
-// The address of a server from which aServer can fetch what it caches, or
-// nothing.
-std::optional<endpoint>
-HolderAddress(traffic_core& aCore,
-              server_choice_request const& aChoiceRequest,
-              tracked_server const& aServer,
-              backend_server_id const& aHolder)
-{
-  std::shared_ptr<tracked_server> const known = aCore.Servers().Find(aHolder);
-  bool const isUsable =
-    known && !known->mIsUpdating &&
-    known->mBreaker.State(aChoiceRequest.mNow) == breaker_state::Closed &&
-    known->mRegistered.VersionOf(aChoiceRequest.mModel) ==
-      aServer.mRegistered.VersionOf(aChoiceRequest.mModel);
-  return isUsable ? std::optional{ known->mRegistered.mAddress } : std::nullopt;
-}
-
-// Where the server fetches the cached parts of the prompt that it lacks, if
-// anywhere: the longest prefix that is known to be cached somewhere counts.
-std::optional<endpoint>
-FetchSource(traffic_core& aCore,
-            server_choice_request const& aChoiceRequest,
-            tracked_server const& aServer,
-            std::span<std::uint64_t const> aKeys,
-            std::optional<endpoint> const& aStore)
-{
-  instant const now = aChoiceRequest.mNow;
-  for (auto key = aKeys.rbegin(); key != aKeys.rend(); ++key) {
-    std::optional<backend_server_id> const holder =
-      aCore.Prefixes().Holder(now, *key);
-    // The server may have evicted a part of the prefix that it read, which only
-    // the store can supply; parts that it still has are not transferred.
-    if (holder == aServer.mRegistered.mId)
-      return aStore;
-    std::optional<endpoint> address =
-      holder ? HolderAddress(aCore, aChoiceRequest, aServer, *holder)
-             : std::nullopt;
-    if (address)
-      return address;
-    if (aStore && aCore.Prefixes().IsStored(now, *key))
-      return aStore;
-  }
-  if (aStore)
-    return aStore;
-  tracked_server const* const source = ChooseCacheSource(
-    aCore.Servers().Pool(aServer.mRegistered.mPool), aChoiceRequest, aServer);
-  if (source != nullptr)
-    return source->mRegistered.mAddress;
-  return std::nullopt;
-}
-
 }
 
 token_count
--- a/Tests/LibGateway/TestPlanSend.cpp
+++ b/Tests/LibGateway/TestPlanSend.cpp
@@ -153,6 +153,22 @@
   EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, kStore);
 }
 
+// Guards against bytes between failure domains: a holder in the server's own
+// domain is as good as the latest one.
+TEST_F(TestPlanSend, AdaptivePoolsFetchFromAHolderInTheirOwnDomain)
+{
+  mCore.Servers().Find(ServerId(1))->mRegistered.mDomain =
+    failure_domain{ "a" };
+  mCore.Servers().Find(ServerId(2))->mRegistered.mDomain =
+    failure_domain{ "a" };
+  Read(2, Properties("b"));
+  Read(0, Properties("b"));
+  EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, ServerAddress(0));
+  mCore.Servers().Find(ServerId(0))->mLoad =
+    reported_load{ .mSlowdown = 1, .mReportedAt = kNow };
+  EXPECT_EQ(Plan(1, Properties("b")).mFetchFrom, ServerAddress(2));
+}
+
 dispatch_workspace const kShop{ .mName = workspace_id{ "shop" } };
 dispatch_workspace const kBank{ .mName = workspace_id{ "bank" } };
 dispatch_workspace const kIsolatedShop{ .mName = workspace_id{ "shop" },
