--- a/Libraries/LibDispatch/ChooseByCost.cpp
+++ b/Libraries/LibDispatch/ChooseByCost.cpp
@@ -110,20 +110,21 @@
               placement_costs const& aCosts)
 {
   cheapest_server best{ aRequest.mDomain };
-  // The first server is taken to have the shared part, and the others fetch it
-  // from there.
+  // The first server is taken to have the shared part, and the second to fetch
+  // it from there. A further copy counts as read: cheaper ones made instances
+  // spread a prompt over all candidates, which evicted rarely used prompts.
   double sharedPart = 0;
   bool isRoomNeeded = true;
   for (tracked_server* const server : FirstByWeightedRank(
          aServers, *aRequest.mPromptKey, aCosts.mCandidates, aRequest.mNow)) {
-    load_estimate const estimate = server->Estimate(aRequest.mNow);
+    load_estimate const estimate = EstimateFor(*server, aRequest);
     if (HasMemory(*server, estimate, aRequest))
       best.Add(
         server,
         ExpectedTime(
           *server, aRequest, TokensToRead(aRequest, sharedPart), aCosts));
     isRoomNeeded = isRoomNeeded && !HasRoom(*server, estimate, aRequest);
-    sharedPart = aCosts.mFetchPart;
+    sharedPart = sharedPart > 0 ? 1 : aCosts.mFetchPart;
   }
   if (!isRoomNeeded)
     return best.Get(aCosts.mHomeMargin);
@@ -178,4 +179,21 @@
   return chosen != nullptr ? chosen : preferred(servers);
 }
 
+tracked_server*
+ChooseCacheSourceBySpeed(std::span<tracked_server* const> aServers,
+                         server_choice_request const& aRequest,
+                         tracked_server const& aChosen)
+{
+  if (!aRequest.mPromptKey)
+    return nullptr;
+  std::vector<tracked_server*> sources;
+  for (tracked_server* const server : aServers) {
+    if (IsCacheSource(*server, aRequest, aChosen))
+      sources.push_back(server);
+  }
+  std::vector<tracked_server*> const first =
+    FirstByWeightedRank(sources, *aRequest.mPromptKey, 1, aRequest.mNow);
+  return first.empty() ? nullptr : first.front();
+}
+
 }
