--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -2,7 +2,6 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
-#include <LibDispatch/LoadReports.h>
 #include <LibDispatch/QuotaParameters.h>
 
 #include <chrono>
@@ -32,8 +31,6 @@
   std::chrono::milliseconds mRetryWindow{ 10'000 };
   /// How long older weights may still be used after operators named newer ones.
   std::chrono::milliseconds mOutdatedAfter{ 7'000 };
-  /// Which reports of servers' loads are gone by.
-  load_reports mLoadReports = load_reports::WithSlowdown;
   /// How long callers may cache the answer to an address query.
   std::chrono::seconds mAddressLifetime{ 2 };
 };
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -197,8 +197,6 @@
   if (aAnswer.mLoad) {
     reported_load load = *aAnswer.mLoad;
     load.mReportedAt = aNow;
-    if (mOptions.mLoadReports == load_reports::All)
-      load.mSlowdown = load.mSlowdown.value_or(1);
     aServer.OnLoad(load);
     if (load.mSlowdown)
       mReport.mLoads.push_back({ .mServer = aServer.mSeed, .mLoad = load });
--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -2,7 +2,6 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
-#include <LibDispatch/LoadReports.h>
 
 #include <chrono>
 #include <optional>
@@ -30,8 +29,6 @@
   std::optional<endpoint> mMetrics;
   /// The address of the platform's store.
   endpoint mStore;
-  /// Which reports of servers' loads are gone by.
-  load_reports mLoadReports = load_reports::WithSlowdown;
   /// The processor cores that this instance has; 0 when unknown.
   double mCores = 0;
   /// How long callers may cache the answer to an address query.
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -6,9 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <string>
 #include <utility>
-#include <vector>
 
 namespace lycheeseam {
 
@@ -70,19 +68,6 @@
   aReader.RefuseUnknownFields();
 }
 
-// Names of features that this version doesn't know are ignored, so that a
-// platform can pass on its whole list.
-void
-ReadFeatures(settings_reader& aReader, fleet_settings& aSettings)
-{
-  std::vector<std::string> features;
-  aReader.ReadTexts("features", features);
-  for (std::string const& feature : features) {
-    if (feature == "pressure")
-      aSettings.mLoadReports = load_reports::All;
-  }
-}
-
 }
 
 fleet_settings
@@ -103,7 +88,6 @@
   settings.mStore = ReadAddress(root, "store");
   root.ReadFraction("cores", kMaxCores, settings.mCores);
   ReadLimits(root.Section("limits"), settings);
-  ReadFeatures(root, settings);
   root.RefuseUnknownFields();
 
   if (!faults.empty())
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -155,24 +155,6 @@
   }
 }
 
-void
-settings_reader::ReadTexts(std::string_view aField,
-                           std::vector<std::string>& aTarget)
-{
-  json const* const list = FindList(aField);
-  if (!list)
-    return;
-  aTarget.clear();
-  for (std::size_t i = 0; i < list->size(); ++i) {
-    json const& entry = (*list)[i];
-    if (entry.is_string())
-      aTarget.push_back(entry.get<std::string>());
-    else
-      AddFault(
-        PathOf(aField) + "[" + std::to_string(i) + "]", &entry, "a text");
-  }
-}
-
 void
 settings_reader::ReadDigest(std::string_view aField, digest& aTarget)
 {
--- a/Libraries/LibSettings/SettingsReader.h
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -75,9 +75,6 @@
   /// Reads a list of IP addresses with ports.
   void ReadEndpoints(std::string_view aField, std::vector<endpoint>& aTarget);
 
-  /// Reads a list of texts.
-  void ReadTexts(std::string_view aField, std::vector<std::string>& aTarget);
-
   /// Reads a required SHA-256 digest in hexadecimal digits.
   void ReadDigest(std::string_view aField, digest& aTarget);
 
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -50,7 +50,6 @@
            .mRetryWindow = aSettings.mRetryWindow,
            .mOutdatedAfter = std::max(std::chrono::milliseconds{},
                                       aSettings.mWeightsTime - kWeightsMargin),
-           .mLoadReports = aSettings.mLoadReports,
            .mAddressLifetime = aSettings.mAddressLifetime };
 }
 
