LibGateway, LibDispatch: Probe the loads of servers with old reports

An instance that sends a server few requests knows little of its load, and instances of its domain may not know more.

Pools of the configuration may name a health_path. Where servers report a slowdown, load_prober asks servers for their loads there, beside callers' requests and with a time-out of 300 ms. probe_schedule decides: at most one probe for each request, 3 a second in the mean and 6 in any second; none while the mean pressure of the pool is below 0.3 or the mean age of its reports below 400 ms; a server at random among those with reports older than 250 ms, and none that leaves, is paused, updated, limited, or has an open breaker. An instance that is cut off from servers doesn't probe. A probe doesn't change a breaker.

Tests: TestProbeSchedule in virtual time, TestLoadProber and TestProbeAnswers with scripted servers, TestHealthPath. Not measured under load.

--- a/Libraries/LibDispatch/DispatchPool.h
+++ b/Libraries/LibDispatch/DispatchPool.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace lycheeseam {
 
@@ -20,6 +21,9 @@
   /// Address of the KV cache store; unset for pools of backend servers. No
   /// route uses a KV cache store as its pool.
   std::optional<endpoint> mCacheStore;
+  /// Where a GET tells a server's load; empty when the servers have no such
+  /// path.
+  std::string mHealthPath;
 };
 
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/CallerSession.h>
 #include <LibGateway/InstanceQueryHandler.h>
+#include <LibGateway/LoadProber.h>
 #include <LibGateway/QuerySession.h>
 #include <LibGateway/SessionListener.h>
 #include <LibGateway/TunnelSession.h>
@@ -33,6 +34,7 @@
     , mReadiness(aContext, mQueryHandler, mOptions.mReadiness)
     , mAddresses(aContext, mQueryHandler, mOptions.mAddresses)
     , mCallers(aContext, mCore, mOptions.mCallers)
+    , mProber(aContext, mCore)
     , mTimer(aContext)
   {
     if (mOptions.mTunnels.mPort != 0)
@@ -120,6 +122,7 @@
       // Armed first, so that an error below doesn't end the ticks.
       Tick();
       mCore.Prune(mClock.Now());
+      mProber.Tick(mClock.Now());
       mHandler(mCore.TakeReport(mClock.Now()));
     });
   }
@@ -134,6 +137,7 @@
   session_listener<caller_session<Dialect>, traffic_core> mCallers;
   std::optional<session_listener<tunnel_session<Dialect>, traffic_core>>
     mTunnels;
+  load_prober<Dialect> mProber;
   boost::asio::steady_timer mTimer;
   system_clock mClock;
 };
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -68,6 +68,7 @@
     if (aAdmitted.mRoute->mIsResumable)
       OnStreamSent(aPick.mChoiceRequest.mNow, server);
     mCore.Meter().OnSend(aAdmitted, aTrace.mSends > 0);
+    mCore.Probes().OnSent(aAdmitted.mPool);
     ++aTrace.mSends;
     send_parameters const parameters = PlanSend(mCore,
                                                 aPick.mChoiceRequest,
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -3,6 +3,8 @@
 #include <LibGateway/TrafficCore.h>
 
 #include <algorithm>
+#include <functional>
+#include <string>
 #include <utility>
 
 namespace lycheeseam {
@@ -24,6 +26,7 @@
   , mInstanceOrder(aOptions.mInstance)
   , mQuota(aOptions.mQuota)
   , mTunnelPeers(aOptions.mInstance)
+  , mProbes(std::hash<std::string>{}(aOptions.mInstance.Text()))
 {
 }
 
@@ -194,13 +197,8 @@
 {
   aServer.mBreaker.OnSuccess();
   OnAnnouncement(aNow, aServer, aAnswer);
-  if (aAnswer.mLoad) {
-    reported_load load = *aAnswer.mLoad;
-    load.mReportedAt = aNow;
-    aServer.OnLoad(load);
-    if (load.mSlowdown)
-      mReport.mLoads.push_back({ .mServer = aServer.mSeed, .mLoad = load });
-  }
+  if (aAnswer.mLoad)
+    OnLoad(aNow, aServer, *aAnswer.mLoad);
   if (aAnswer.mVersion)
     OnWeights(aServer, aModel, *aAnswer.mVersion);
 }
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/InstanceOrder.h>
 #include <LibDispatch/ObservedLimit.h>
 #include <LibDispatch/PrefixIndex.h>
+#include <LibDispatch/ProbeSchedule.h>
 #include <LibDispatch/QuotaLimiter.h>
 #include <LibDispatch/ServerReachability.h>
 #include <LibDispatch/ServerTable.h>
@@ -17,6 +18,7 @@
 #include <LibGateway/ConnectionPool.h>
 #include <LibGateway/GatewayOptions.h>
 #include <LibGateway/PeerUpdate.h>
+#include <LibGateway/ProbeResult.h>
 #include <LibGateway/ServerAnswer.h>
 #include <LibGateway/TrafficMeter.h>
 #include <LibGateway/TrafficReport.h>
@@ -78,6 +80,14 @@
                       tracked_server& aServer,
                       server_answer const& aAnswer);
 
+  /// The health path of the server answered a probe.
+  probe_result OnProbeAnswer(instant aNow,
+                             tracked_server& aServer,
+                             server_answer const& aAnswer);
+
+  /// A probe of the server has ended.
+  void OnProbeEnd(backend_server_id const& aServer, probe_result aResult);
+
   /// A connection was opened to a server directly.
   void OnServerConnected();
 
@@ -143,6 +153,7 @@
   {
     return mReachability;
   }
+  [[nodiscard]] probe_schedule& Probes() noexcept { return mProbes; }
   [[nodiscard]] tunnel_peers& TunnelPeers() noexcept { return mTunnelPeers; }
   [[nodiscard]] bool IsDraining() const noexcept { return mIsDraining; }
   void SetDraining() noexcept { mIsDraining = true; }
@@ -162,6 +173,7 @@
                   tracked_server& aServer,
                   observed_limit const& aObserved);
   void UpdateLimitShare(instant aNow, tracked_server& aServer);
+  void OnLoad(instant aNow, tracked_server& aServer, reported_load aLoad);
   // Logs new evidence and collects it for the control thread.
   void Report(std::span<part_crashes const> aNews);
   retry_budget& RetryBudget(pool_name const& aPool);
@@ -180,6 +192,7 @@
   connection_pool mConnections;
   server_reachability mReachability;
   tunnel_peers mTunnelPeers;
+  probe_schedule mProbes;
   retry_budgets mRetryBudgets;
   traffic_meter mMeter;
   traffic_report mReport;
--- a/Libraries/LibGateway/TrafficMeter.cpp
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -4,6 +4,34 @@
 
 namespace lycheeseam {
 
+namespace {
+
+char const*
+ResultLabel(probe_result aResult)
+{
+  switch (aResult) {
+    case probe_result::Answered:
+      return "answered";
+    case probe_result::NoLoad:
+      return "no_load";
+    case probe_result::OtherServer:
+      return "other_server";
+    case probe_result::TimedOut:
+      return "timed_out";
+    case probe_result::Failed:
+      break;
+  }
+  return "failed";
+}
+
+}
+
+void
+traffic_meter::OnProbeEnd(probe_result aResult)
+{
+  Count("probes_total", "result", ResultLabel(aResult));
+}
+
 void
 traffic_meter::OnSend(admitted_request const& aAdmitted, bool aIsRetry)
 {
--- a/Libraries/LibGateway/TrafficMeter.h
+++ b/Libraries/LibGateway/TrafficMeter.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifiers.h>
 #include <LibGateway/AdmittedRequest.h>
+#include <LibGateway/ProbeResult.h>
 #include <LibGateway/RequestRefusal.h>
 #include <LibGateway/RunTrace.h>
 #include <LibMetrics/MetricsRecorder.h>
@@ -39,6 +40,9 @@
                 backend_server_id const& aServer,
                 std::uint32_t aStatus);
 
+  /// A probe of a server's load ended.
+  void OnProbeEnd(probe_result aResult);
+
   /// The gateway itself refused the request.
   void OnRefusal(instant aNow,
                  run_trace const& aTrace,
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -94,7 +94,8 @@
         Route("/stream/", request_kind::Stream, 2),
         Route("/single/", request_kind::Stream, 1),
       },
-      std::vector<dispatch_pool>{ { .mName = pool_name{ "p" } } },
+      std::vector<dispatch_pool>{
+        { .mName = pool_name{ "p" }, .mHealthPath = mHealthPath } },
       std::vector<dispatch_workspace>{
         { .mName = workspace_id{ "shop" }, .mKeys = { "secret" } } },
       caller_limits{});
@@ -192,6 +193,7 @@
     return answer;
   }
 
+  std::string mHealthPath;
   double mRetryRatio = 0.2;
   double mRetrySlack = 50;
   endpoint mCallers;
--- a/Tests/Platform/TestMutatedInput.cpp
+++ b/Tests/Platform/TestMutatedInput.cpp
@@ -87,7 +87,8 @@
     R"("max_attempts":1,"public":false,"sticky":true,"resumable":false}],)"
     R"("services":[{"name":"a","max_conns":530,"engine":{"slots":12,)"
     R"("kv_tokens":94288,"models":[{"name":"m"}]}},)"
-    R"({"name":"k","kv_store_addr":"172.20.0.5:8603"}],)"
+    R"({"name":"k","kv_store_addr":"172.20.0.5:8603"},)"
+    R"({"name":"h","health_path":"/health"}],)"
     R"("tenants":[{"name":"t","api_keys":["k1"],"rate_per_s":10,"burst":20,)"
     R"("unit":"tokens","isolated":true}],)"
     R"("limits":{"max_header_bytes":16384,"idle_timeout_ms":15000}})",
