LibGateway: Log and count what is known of servers' loads

The log didn't tell how old the knowledge was by which a server was chosen.

Tests: two in TestTrafficMeter.

--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -78,6 +78,8 @@
                                                 aLastEventId);
     aTrace.mFetchFrom = parameters.mFetchFrom;
     aTrace.mPressure = server.Pressure(aPick.mChoiceRequest.mNow);
+    aTrace.mLoad = server.Estimate(aPick.mChoiceRequest.mNow);
+    mCore.Meter().OnLoadUsed(aPick.mChoiceRequest.mNow, server.mLoad);
     request_head head = Dialect::ForwardedRequest(mHead, parameters);
     if (!mBody->empty() || mHead.mMethod != "GET")
       head.mFields.push_back(
--- a/Libraries/LibGateway/RunTrace.h
+++ b/Libraries/LibGateway/RunTrace.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
+#include <LibDispatch/LoadEstimate.h>
 
 #include <cstdint>
 #include <optional>
@@ -29,6 +30,8 @@
   std::uint32_t mStatus = 0;
   /// The result of the server's Pressure() when the request was sent to it.
   double mPressure = 0;
+  /// What was known of the server's load then.
+  load_estimate mLoad;
   /// Where the latest server was told to fetch cached prompt parts, if
   /// anywhere.
   std::optional<endpoint> mFetchFrom;
--- a/Libraries/LibGateway/TrafficMeter.cpp
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -26,6 +26,16 @@
 
 }
 
+void
+traffic_meter::OnLoadUsed(instant aNow,
+                          std::optional<reported_load> const& aLoad)
+{
+  if (aLoad && aLoad->mSlowdown)
+    mRecorder.Observe(
+      mRecorder.OpenHistogram({ .mMetric = "load_report_age_seconds" }),
+      aNow - aLoad->mReportedAt);
+}
+
 void
 traffic_meter::OnProbeEnd(probe_result aResult)
 {
--- a/Libraries/LibGateway/TrafficMeter.h
+++ b/Libraries/LibGateway/TrafficMeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibDispatch/ReportedLoad.h>
 #include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/ProbeResult.h>
 #include <LibGateway/RequestRefusal.h>
@@ -9,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,6 +42,9 @@
                 backend_server_id const& aServer,
                 std::uint32_t aStatus);
 
+  /// A request was sent to a server whose newest report is aLoad.
+  void OnLoadUsed(instant aNow, std::optional<reported_load> const& aLoad);
+
   /// A probe of a server's load ended.
   void OnProbeEnd(probe_result aResult);
 
--- a/Tests/LibGateway/TestTrafficMeter.cpp
+++ b/Tests/LibGateway/TestTrafficMeter.cpp
@@ -109,5 +109,26 @@
   EXPECT_EQ(CounterTotal("breakers_opened_total", "s0"), 1u);
 }
 
+TEST_F(TestTrafficMeter, CountsProbesByResult)
+{
+  mMeter.OnProbeEnd(probe_result::Answered);
+  mMeter.OnProbeEnd(probe_result::Answered);
+  mMeter.OnProbeEnd(probe_result::TimedOut);
+  EXPECT_EQ(CounterTotal("probes_total", "answered"), 2u);
+  EXPECT_EQ(CounterTotal("probes_total", "timed_out"), 1u);
+}
+
+// Guards against a series where no server reports a slowdown.
+TEST_F(TestTrafficMeter, TimesTheAgeOfReportsWithASlowdown)
+{
+  reported_load load{ .mReportedAt = mStart - milliseconds{ 200 } };
+  mMeter.OnLoadUsed(mStart, std::nullopt);
+  mMeter.OnLoadUsed(mStart, load);
+  EXPECT_EQ(Histogram("load_report_age_seconds", "").Count(), 0u);
+  load.mSlowdown = 1.5;
+  mMeter.OnLoadUsed(mStart, load);
+  EXPECT_EQ(Histogram("load_report_age_seconds", "").Count(), 1u);
+}
+
 }
 }
