--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -68,6 +68,7 @@
     if (aAdmitted.mRoute->mIsResumable)
       OnStreamSent(aPick.mChoiceRequest.mNow, server);
     mCore.Meter().OnSend(aAdmitted, aTrace.mSends > 0);
+    mCore.Probes().OnSent(aAdmitted.mPool);
     ++aTrace.mSends;
     aTrace.mCrossing = aPick.mCrossing;
     if (aPick.mCrossing != crossing_reason::None)
@@ -80,6 +81,8 @@
                                                 aLastEventId);
     aTrace.mFetchFrom = parameters.mFetchFrom;
     aTrace.mPressure = server.Pressure(aPick.mChoiceRequest.mNow);
+    aTrace.mLoad = server.Estimate(aPick.mChoiceRequest.mNow);
+    mCore.Meter().OnLoadUsed(aPick.mChoiceRequest.mNow, server.mLoad);
     request_head head = Dialect::ForwardedRequest(mHead, parameters);
     if (!mBody->empty() || mHead.mMethod != "GET")
       head.mFields.push_back(
