LibRollout: Define the types of rollouts

Operators order rollouts of server software, and nothing reads the orders yet. The headers are committed before the sources, so that the integration can be written against them. Measured: all headers compile together.

--- /dev/null
+++ b/Libraries/LibRollout/RolloutPlan.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibRollout/ExposureBudget.h>
+#include <LibRollout/RolloutInputs.h>
+#include <LibRollout/RolloutLimits.h>
+#include <LibRollout/RolloutState.h>
+
+#include <optional>
+
+namespace lycheeseam {
+
+/// The leader's plan for the rollout of one pool.
+class rollout_plan
+{
+public:
+  rollout_plan(rollout_order const& aOrder,
+               rollout_limits const& aLimits,
+               duration aElapsed);
+
+  /// Decides the next step; returns the new state when it changed. The caller
+  /// ticks about ten times a second, and stores a state that ended before it
+  /// writes the status from it.
+  [[nodiscard]] std::optional<rollout_state> Tick(
+    instant aNow,
+    rollout_inputs const& aInputs);
+
+  /// Continues from the state that an earlier leader left; ignores one that is
+  /// not newer, and one of another order.
+  void Restore(instant aNow, rollout_state const& aState);
+
+  /// True when an order asks for what this plan does, or did within the time of
+  /// its own order.
+  [[nodiscard]] bool IsRepeated(instant aNow,
+                                rollout_order const& aOrder) const;
+
+  /// Replaces the order by a newer one, unless it is repeated. Returns the last
+  /// state of the old order if this ended it; the caller sends and stores it
+  /// along with the new one, because its target must get no more requests.
+  std::optional<rollout_state> Replace(instant aNow,
+                                       rollout_order const& aOrder,
+                                       duration aElapsed);
+
+  /// The state now; sent with every report, also when it did not change.
+  [[nodiscard]] rollout_state State(instant aNow) const;
+
+  /// The number of requests that the target got, as reckoned from the shares.
+  [[nodiscard]] double Exposure() const noexcept { return mUsage.mSent; }
+
+private:
+  /// What the plan gives the target at a moment.
+  struct step
+  {
+    rollout_phase mPhase = rollout_phase::Observing;
+    rollout_reason mReason = rollout_reason::None;
+    double mShare = 0;
+  };
+
+  [[nodiscard]] duration Elapsed(instant aNow) const;
+  void Account(instant aNow, rollout_inputs const& aInputs);
+  [[nodiscard]] bool CanCarryLoad(rollout_inputs const& aInputs) const;
+  [[nodiscard]] step NextStep(duration aElapsed,
+                              rollout_inputs const& aInputs) const;
+  [[nodiscard]] step SmallStep(duration aElapsed,
+                               rollout_inputs const& aInputs) const;
+  [[nodiscard]] std::uint32_t ServersFor(double aShare,
+                                         rollout_inputs const& aInputs) const;
+
+  rollout_limits mLimits;
+  exposure_budget mBudget;
+  rollout_state mState;
+  /// The time that had passed when the order was taken over; the first call
+  /// with a time sets mStartedAt from it.
+  duration mElapsedBefore{};
+  std::optional<instant> mStartedAt;
+  std::optional<instant> mAccountedAt;
+  exposure_budget::usage mUsage;
+  /// When the target first got requests, as time since the order.
+  std::optional<duration> mFirstSharedAt;
+};
+
+}
