--- a/Libraries/LibRollout/RolloutPlan.h
+++ b/Libraries/LibRollout/RolloutPlan.h
@@ -5,6 +5,8 @@
 #include <LibRollout/RolloutInputs.h>
 #include <LibRollout/RolloutLimits.h>
 #include <LibRollout/RolloutState.h>
+#include <LibRollout/RolloutStep.h>
+#include <LibRollout/ShareSchedule.h>
 
 #include <optional>
 
@@ -29,8 +31,8 @@
   /// not newer, and one of another order.
   void Restore(instant aNow, rollout_state const& aState);
 
-  /// True when an order asks for what this plan does, or did within the time of
-  /// its own order.
+  /// True when an order asks for what this plan does or has completed, or for
+  /// what it rolled back within the time of its order.
   [[nodiscard]] bool IsRepeated(instant aNow,
                                 rollout_order const& aOrder) const;
 
@@ -48,29 +50,16 @@
   [[nodiscard]] double Exposure() const noexcept { return mUsage.mSent; }
 
 private:
-  /// What the plan gives the target at a moment.
-  struct step
-  {
-    rollout_phase mPhase = rollout_phase::Observing;
-    rollout_reason mReason = rollout_reason::None;
-    double mShare = 0;
-  };
-
   [[nodiscard]] duration Elapsed(instant aNow) const;
   void Account(instant aNow, rollout_inputs const& aInputs);
-  [[nodiscard]] bool CanCarryLoad(rollout_inputs const& aInputs) const;
-  [[nodiscard]] step NextStep(duration aElapsed,
-                              rollout_inputs const& aInputs) const;
-  [[nodiscard]] step SmallStep(duration aElapsed,
-                               rollout_inputs const& aInputs) const;
-  [[nodiscard]] std::uint32_t ServersFor(double aShare,
-                                         rollout_inputs const& aInputs) const;
+  [[nodiscard]] rollout_step NextStep(duration aElapsed,
+                                      rollout_inputs const& aInputs) const;
+  [[nodiscard]] bool Differs(rollout_step const& aStep) const;
 
   rollout_limits mLimits;
-  exposure_budget mBudget;
   rollout_state mState;
-  /// The time that had passed when the order was taken over; the first call
-  /// with a time sets mStartedAt from it.
+  /// The time since the order when this plan was made; the first tick sets
+  /// mStartedAt from it.
   duration mElapsedBefore{};
   std::optional<instant> mStartedAt;
   std::optional<instant> mAccountedAt;
