--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -10,11 +10,11 @@
 namespace lycheeseam {
 namespace {
 
-// A judge makes some thousand tests of each kind in the course of a rollout,
-// most of them on nearly the same data. At these levels all of them together
-// find a good version bad in fewer than one of 100 rollouts.
-constexpr double kFailureLevel = 1e-5;
-constexpr double kTimeLevel = 1e-6;
+// A judge tests several thousand times in the course of a rollout, nearly
+// always on nearly the same data, so that there are fewer than a hundred
+// independent tests. The bounds below make each of them stricter still.
+constexpr double kFailureLevel = 1e-4;
+constexpr double kTimeLevel = 1e-5;
 // The other software's rates are measured too, and its servers differ.
 constexpr double kFailureMargin = 1.5;
 constexpr double kTimeMargin = 1.25;
@@ -22,17 +22,23 @@
 // environment may cause as many.
 constexpr double kLeastFailureRate = 0.01;
 constexpr double kLeastSlowRate = 0.02;
-constexpr double kLeastBad = 5;
+constexpr double kLeastFailures = 4;
+constexpr double kLeastSlow = 5;
 // Fewer answers of the other software say nothing about its rates.
 constexpr std::uint64_t kLeastReference = 10;
-// A machine that is slow for half a second delays all of its answers in that
-// time, so slow answers must come in more slices than that.
+// A machine that stops breaks its requests within one slice, and one that is
+// slow for half a second delays all of its answers in that time.
+constexpr std::size_t kLeastFailureSlices = 2;
 constexpr std::size_t kLeastSlowSlices = 3;
-// Buckets are a factor of the square root of 2. A target that takes a little
-// more load is up to twice as slow; the first events of another time may be
-// from a time of less load.
+// Buckets are a factor of the square root of 2. A target that takes more load
+// is up to twice as slow; the answers of another time may be from a time of
+// less load.
 constexpr std::size_t kSlowBuckets = 2;
 constexpr std::size_t kSlowBucketsOtherTime = 3;
+// The parts of the other software's answers beyond which answers are counted.
+// The large ones find a version of which all answers are slower, the small ones
+// a version of which a part is.
+constexpr std::array<double, 4> kBeyond{ 0.02, 0.08, 0.25, 0.5 };
 
 struct answer_count
 {
@@ -53,7 +59,7 @@
   {
     if (aTarget.mAll == 0 || aOthers.mAll < kLeastReference)
       return;
-    double const rate = aMargin * static_cast<double>(aOthers.mBad + 1) /
+    double const rate = aMargin * (static_cast<double>(aOthers.mBad) + 0.5) /
                         static_cast<double>(aOthers.mAll + 1);
     mBad += static_cast<double>(aTarget.mBad);
     mExpected +=
@@ -63,7 +69,7 @@
 
   [[nodiscard]] bool IsWorse(double aLevel) const
   {
-    return mBad >= kLeastBad && PoissonTail(mExpected, mBad) < aLevel;
+    return PoissonTail(mExpected, mBad) < aLevel;
   }
 };
 
@@ -76,31 +82,46 @@
            .mExpected = aComparison.mExpected };
 }
 
-// If the target were at most twice as slow, then for each time its answers
-// would exceed twice that time no more often than the others' exceed it. This
-// finds a version of which all answers are slower and one of which a part is.
-template<typename HistogramOf>
-requires std::regular_invocable<HistogramOf const&, rollout_sample const&>
+// The first bucket beyond which there is no more than a part of the answers.
+std::size_t
+BoundOf(log_histogram const& aTimes, double aPart)
+{
+  double const most = aPart * static_cast<double>(aTimes.Total());
+  std::size_t bound = 0;
+  while (
+    bound<log_histogram::kBuckets&& static_cast<double>(aTimes.AtLeast(bound))>
+      most)
+    ++bound;
+  return bound;
+}
+
+// If the target were at most twice as slow, its answers would take twice a time
+// no more often than the others take that time. Sums over pairs of different
+// times, routes and sizes, each with a bound of its own.
+template<typename HistogramsOf>
+requires std::regular_invocable<HistogramsOf const&, rollout_sample const&>
   rollout_verdict
   TestTimes(std::span<slice_pair const> aPairs,
             rollout_reason aReason,
-            HistogramOf const& aHistogramOf)
+            HistogramsOf const& aHistogramsOf)
 {
-  constexpr std::size_t kLastBound =
-    log_histogram::kBuckets - kSlowBucketsOtherTime;
-  for (std::size_t bound = 1; bound < kLastBound; ++bound) {
+  for (double const beyond : kBeyond) {
     comparison result;
     for (slice_pair const& pair : aPairs) {
-      std::size_t const slowBound =
-        bound + (pair.mIsSameTime ? kSlowBuckets : kSlowBucketsOtherTime);
-      log_histogram const& target = aHistogramOf(pair.mTarget);
-      log_histogram const& others = aHistogramOf(pair.mOthers);
-      result.Add({ target.Total(), target.AtLeast(slowBound) },
-                 { others.Total(), others.AtLeast(bound) },
-                 kTimeMargin,
-                 kLeastSlowRate);
+      std::size_t const slower =
+        pair.mIsSameTime ? kSlowBuckets : kSlowBucketsOtherTime;
+      std::span<log_histogram const> const target = aHistogramsOf(pair.mTarget);
+      std::span<log_histogram const> const others = aHistogramsOf(pair.mOthers);
+      for (std::size_t i = 0; i < target.size(); ++i) {
+        std::size_t const bound = BoundOf(others[i], beyond);
+        result.Add({ target[i].Total(), target[i].AtLeast(bound + slower) },
+                   { others[i].Total(), others[i].AtLeast(bound) },
+                   kTimeMargin,
+                   kLeastSlowRate);
+      }
     }
-    if (result.mSlicesWithBad >= kLeastSlowSlices && result.IsWorse(kTimeLevel))
+    if (result.mBad >= kLeastSlow &&
+        result.mSlicesWithBad >= kLeastSlowSlices && result.IsWorse(kTimeLevel))
       return BadVerdict(aReason, result);
   }
   return {};
@@ -118,7 +139,9 @@
                kFailureMargin,
                kLeastFailureRate);
   }
-  if (result.IsWorse(kFailureLevel))
+  if (result.mBad >= kLeastFailures &&
+      result.mSlicesWithBad >= kLeastFailureSlices &&
+      result.IsWorse(kFailureLevel))
     return BadVerdict(rollout_reason::Failures, result);
   return {};
 }
@@ -126,27 +149,34 @@
 rollout_verdict
 TestFirstEvents(std::span<slice_pair const> aPairs)
 {
-  for (std::size_t size = 0; size < rollout_sample::kSizeClasses; ++size) {
-    auto const histogramOf =
-      [size](rollout_sample const& aSample) -> log_histogram const& {
-      return aSample.mFirstEvent.at(size);
-    };
-    rollout_verdict const verdict =
-      TestTimes(aPairs, rollout_reason::SlowFirstEvent, histogramOf);
-    if (verdict.mKind == verdict_kind::Bad)
-      return verdict;
-  }
-  return {};
+  auto const histogramsOf = [](rollout_sample const& aSample) {
+    return std::span<log_histogram const>{ aSample.mFirstEvent };
+  };
+  return TestTimes(aPairs, rollout_reason::SlowFirstEvent, histogramsOf);
 }
 
 rollout_verdict
 TestPauses(std::span<slice_pair const> aPairs)
 {
-  auto const histogramOf =
-    [](rollout_sample const& aSample) -> log_histogram const& {
-    return aSample.mLongestPause;
+  auto const histogramsOf = [](rollout_sample const& aSample) {
+    return std::span<log_histogram const>{ &aSample.mLongestPause, 1 };
   };
-  return TestTimes(aPairs, rollout_reason::SlowEvents, histogramOf);
+  return TestTimes(aPairs, rollout_reason::SlowEvents, histogramsOf);
+}
+
+rollout_verdict
+TestEvidence(std::span<slice_pair const> aPairs)
+{
+  using evidence_test = rollout_verdict (*)(std::span<slice_pair const>);
+  constexpr std::array<evidence_test, 3> kTests{ TestFailures,
+                                                 TestFirstEvents,
+                                                 TestPauses };
+  for (evidence_test const test : kTests) {
+    rollout_verdict const verdict = test(aPairs);
+    if (verdict.mKind == verdict_kind::Bad)
+      return verdict;
+  }
+  return {};
 }
 
 }
--- a/Libraries/LibRollout/EvidenceTest.h
+++ b/Libraries/LibRollout/EvidenceTest.h
@@ -19,4 +19,8 @@
 rollout_verdict
 TestPauses(std::span<slice_pair const> aPairs);
 
+/// Makes all of these tests; returns the first that finds the target bad.
+rollout_verdict
+TestEvidence(std::span<slice_pair const> aPairs);
+
 }
--- a/Libraries/LibRollout/RolloutJudge.cpp
+++ b/Libraries/LibRollout/RolloutJudge.cpp
@@ -1,6 +1,8 @@
+#include <LibRollout/EvidenceTest.h>
 #include <LibRollout/RolloutJudge.h>
 
 #include <chrono>
+#include <vector>
 
 namespace lycheeseam {
 namespace {
@@ -29,28 +31,49 @@
     mRoutes[aSample.mRoute].Add(SliceOf(aNow), aSample);
 }
 
+// Each route is tested, and all of them together: a version that is bad on all
+// is found with fewer answers.
 rollout_verdict
-rollout_judge::Verdict(instant aNow) const
+rollout_judge::Test(std::int64_t aFirst) const
 {
-  std::int64_t const windowBegin = SliceOf(aNow) - kWindowSlices;
-  std::uint64_t answers = 0;
-  bool areRoutesKnown = true;
+  std::vector<slice_pair> all;
   for (auto const& [name, route] : mRoutes) {
-    for (std::int64_t const first : { windowBegin, std::int64_t{ 0 } }) {
-      rollout_verdict verdict = route.Test(first);
-      if (verdict.mKind != verdict_kind::Bad)
-        continue;
+    std::vector<slice_pair> const pairs = route.Pairs(aFirst);
+    rollout_verdict verdict = TestEvidence(pairs);
+    if (verdict.mKind == verdict_kind::Bad) {
       verdict.mRoute = name;
       return verdict;
     }
+    all.insert(all.end(), pairs.begin(), pairs.end());
+  }
+  return TestEvidence(all);
+}
+
+bool
+rollout_judge::IsEnough() const
+{
+  std::uint64_t answers = 0;
+  for (auto const& [name, route] : mRoutes) {
     std::uint64_t const onRoute = route.Answers(rollout_side::Target);
     answers += onRoute;
     if (onRoute < kEnoughOnRoute &&
         route.Answers(rollout_side::Others) >= kBusyRoute)
-      areRoutesKnown = false;
+      return false;
+  }
+  return answers >= kEnoughAnswers;
+}
+
+rollout_verdict
+rollout_judge::Verdict(instant aNow) const
+{
+  std::int64_t const windowBegin = SliceOf(aNow) - kWindowSlices;
+  for (std::int64_t const first : { windowBegin, std::int64_t{ 0 } }) {
+    rollout_verdict const verdict = Test(first);
+    if (verdict.mKind == verdict_kind::Bad)
+      return verdict;
   }
-  bool const isKnown = areRoutesKnown && answers >= kEnoughAnswers;
-  return { .mKind = isKnown ? verdict_kind::NoWorse : verdict_kind::Undecided };
+  return { .mKind =
+             IsEnough() ? verdict_kind::NoWorse : verdict_kind::Undecided };
 }
 
 std::uint64_t
--- a/Libraries/LibRollout/RolloutJudge.h
+++ b/Libraries/LibRollout/RolloutJudge.h
@@ -24,6 +24,8 @@
   /// ignored.
   void Add(instant aNow, rollout_sample const& aSample);
 
+  /// Whether the target is bad. The route is empty if it is so on all routes
+  /// together and on none of them surely.
   [[nodiscard]] rollout_verdict Verdict(instant aNow) const;
 
   /// The target's answers that failed or were several times slower.
@@ -33,6 +35,9 @@
   [[nodiscard]] std::uint64_t TargetAnswers() const;
 
 private:
+  [[nodiscard]] rollout_verdict Test(std::int64_t aFirst) const;
+  [[nodiscard]] bool IsEnough() const;
+
   std::uint64_t mOrder;
   std::map<route_name, route_evidence> mRoutes;
 };
--- a/Libraries/LibRollout/RolloutPlan.cpp
+++ b/Libraries/LibRollout/RolloutPlan.cpp
@@ -20,6 +20,9 @@
 constexpr double kAnsweredPart = 0.33;
 // A share that differs by less isn't worth a new state.
 constexpr double kShareChange = 0.2;
+// A new leader watches the target again before it moves all requests, unless
+// less than the rest of this part of the time is left.
+constexpr double kWatchAgainPart = 0.6;
 // What a new leader assumes the target got at the restored share since.
 constexpr duration kRestoredTime = std::chrono::milliseconds{ 1500 };
 
@@ -44,6 +47,16 @@
          slots * kUsableSlots >= aInputs.mRunning;
 }
 
+// By Little's law.
+duration
+RunTime(rollout_inputs const& aInputs)
+{
+  if (aInputs.mRate <= 0)
+    return {};
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>{ aInputs.mRunning / aInputs.mRate });
+}
+
 }
 
 rollout_plan::rollout_plan(rollout_order const& aOrder,
@@ -118,7 +131,8 @@
   share_schedule const schedule{ { .mOrderTime = mState.mOrder.mDuration,
                                    .mLimits = mLimits,
                                    .mFirstSharedAt = mFirstSharedAt,
-                                   .mUsage = mUsage } };
+                                   .mUsage = mUsage,
+                                   .mRunTime = RunTime(aInputs) } };
   if (schedule.IsOver(aElapsed))
     return rolledBack(rollout_reason::TooFewServers);
   bool const isAnswering = static_cast<double>(aInputs.mTargetAnswers) >=
@@ -171,11 +185,12 @@
   mElapsedBefore = elapsed;
   mStartedAt = aNow - elapsed;
   mAccountedAt.reset();
-  // An earlier leader saw the target's first answers before it ramped.
-  if (aState.mPhase != rollout_phase::Observing)
-    mFirstSharedAt = duration::zero();
-  else if (aState.mShare > 0)
-    mFirstSharedAt = aState.mElapsed;
+  bool const isShared =
+    aState.mShare > 0 || aState.mPhase != rollout_phase::Observing;
+  if (isShared)
+    mFirstSharedAt = std::min(elapsed,
+                              std::chrono::duration_cast<duration>(
+                                mState.mOrder.mDuration * kWatchAgainPart));
 }
 
 bool
--- a/Libraries/LibRollout/RouteEvidence.cpp
+++ b/Libraries/LibRollout/RouteEvidence.cpp
@@ -1,7 +1,5 @@
-#include <LibRollout/EvidenceTest.h>
 #include <LibRollout/RouteEvidence.h>
 
-#include <array>
 #include <cstddef>
 #include <iterator>
 
@@ -87,22 +85,6 @@
   return pairs;
 }
 
-rollout_verdict
-route_evidence::Test(std::int64_t aFirst) const
-{
-  std::vector<slice_pair> const pairs = Pairs(aFirst);
-  using evidence_test = rollout_verdict (*)(std::span<slice_pair const>);
-  constexpr std::array<evidence_test, 3> kTests{ TestFailures,
-                                                 TestFirstEvents,
-                                                 TestPauses };
-  for (evidence_test const test : kTests) {
-    rollout_verdict const verdict = test(pairs);
-    if (verdict.mKind == verdict_kind::Bad)
-      return verdict;
-  }
-  return {};
-}
-
 std::uint64_t
 route_evidence::BadAnswers() const
 {
--- a/Libraries/LibRollout/RouteEvidence.h
+++ b/Libraries/LibRollout/RouteEvidence.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibRollout/RolloutSample.h>
-#include <LibRollout/RolloutVerdict.h>
 #include <LibRollout/SlicePair.h>
 
 #include <array>
@@ -17,9 +16,9 @@
 public:
   void Add(std::int64_t aSlice, rollout_sample const& aSample);
 
-  /// Compares the target's answers of the slices from aFirst on with those of
-  /// the other software.
-  [[nodiscard]] rollout_verdict Test(std::int64_t aFirst) const;
+  /// The target's answers of the slices from aFirst on, each with those of the
+  /// other software to compare them with.
+  [[nodiscard]] std::vector<slice_pair> Pairs(std::int64_t aFirst) const;
 
   /// The target's failures and its answers much slower than nearly all answers
   /// of the other software.
@@ -36,7 +35,6 @@
   [[nodiscard]] rollout_sample Sum(rollout_side aSide) const;
   [[nodiscard]] slice_pair PairOf(std::int64_t aSlice,
                                   rollout_sample const& aTarget) const;
-  [[nodiscard]] std::vector<slice_pair> Pairs(std::int64_t aFirst) const;
 
   std::map<std::int64_t, time_slice> mSlices;
 };
--- a/Libraries/LibRollout/ShareSchedule.h
+++ b/Libraries/LibRollout/ShareSchedule.h
@@ -22,6 +22,8 @@
     /// When the target first got requests, as time since the order.
     std::optional<duration> mFirstSharedAt;
     exposure_budget::usage mUsage;
+    /// The mean time that a request runs; 0 if unknown.
+    duration mRunTime{};
   };
 
   explicit share_schedule(options const& aOptions);
@@ -37,13 +39,16 @@
                                     rollout_inputs const& aInputs) const;
 
 private:
-  /// A part of the exposure, which may be used until a time.
-  [[nodiscard]] double ShareFor(double aPart, duration aTimeLeft) const;
+  [[nodiscard]] duration DrainTime() const;
+  /// The share at which a part of the exposure is used up after a time.
+  [[nodiscard]] double ShareFor(double aPart, duration aTime) const;
   [[nodiscard]] rollout_step HoldStep(duration aElapsed,
                                       rollout_inputs const& aInputs) const;
 
   options mOptions;
-  duration mLastStepAt{};
+  /// When the target gets a burst of requests, the answers to which are awaited
+  /// before all requests move.
+  duration mBurstAt{};
   duration mMoveAt{};
 };
 
--- a/Tests/LibRollout/SimulatedFleet.cpp
+++ b/Tests/LibRollout/SimulatedFleet.cpp
@@ -83,8 +83,8 @@
 void
 simulated_fleet::Arrive()
 {
-  At(mNow + FromSeconds(
-              std::exponential_distribution<>{ mOptions.mRate }(mRandom)),
+  At(mNow +
+       FromSeconds(std::exponential_distribution<>{ mOptions.mRate }(mRandom)),
      [this]() { Arrive(); });
   std::size_t const index = mRandom() % mMembers.size();
   if (SinceOrder() <= mOptions.mOrderTime)
--- a/Tests/LibRollout/SimulatedFleet.h
+++ b/Tests/LibRollout/SimulatedFleet.h
@@ -62,6 +62,7 @@
   void NoteBad(bool aIsTarget, bool aIsBad);
   void Report(std::size_t aMember);
   void Publish();
+  void PublishRegularly();
   void Tick();
   void TakeOver();
   void OnState(rollout_state const& aState);
--- a/Tests/LibRollout/SimulatedLeader.cpp
+++ b/Tests/LibRollout/SimulatedLeader.cpp
@@ -65,6 +65,7 @@
 simulated_fleet::OnState(rollout_state const& aState)
 {
   mStored = aState;
+  Publish();
   if (!aState.IsEnded())
     return;
   mResult.mEndedAt = SinceOrder();
@@ -81,10 +82,16 @@
   mPlan->Restore(mNow, mStored);
 }
 
+void
+simulated_fleet::PublishRegularly()
+{
+  At(mNow + kPublishInterval, [this]() { PublishRegularly(); });
+  Publish();
+}
+
 void
 simulated_fleet::Publish()
 {
-  At(mNow + kPublishInterval, [this]() { Publish(); });
   if (!mPlan)
     return;
   rollout_state const state = mPlan->State(mNow);
@@ -112,7 +119,7 @@
   }
   At(mNow, [this]() { Arrive(); });
   At(mNow + Random(0, 0.1), [this]() { Tick(); });
-  At(mNow + Random(0.1, 0.2), [this]() { Publish(); });
+  PublishRegularly();
   instant const end = mNow + mOptions.mOrderTime + seconds{ 1 };
   while (!mEvents.empty() && mEvents.begin()->first <= end) {
     auto const event = mEvents.extract(mEvents.begin());
--- a/Tests/LibRollout/TestRollouts.cpp
+++ b/Tests/LibRollout/TestRollouts.cpp
@@ -175,9 +175,8 @@
 
 TEST(Rollouts, VersionThatIsSlowOnOneRouteIsRolledBack)
 {
-  scenario runs{
-    { .mNew = { .mSlowPart = 1, .mSlowFactor = 4, .mRoute = 1 } }
-  };
+  scenario runs{ { .mNew = {
+                     .mSlowPart = 1, .mSlowFactor = 4, .mRoute = 1 } } };
   runs.Run(ExpectRolledBack);
   runs.Print("slow on one route");
 }
