LibRollout: Compare times in finer buckets

Slow answers on one route or in part were missed, since buckets of a factor of 1.41 moved the bounds too far. Buckets are now a factor of 1.19, and a slow pool's requests get more time to end.

--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -14,7 +14,7 @@
 // always on nearly the same data, so that there are fewer than a hundred
 // independent tests. The bounds below make each of them stricter still.
 constexpr double kFailureLevel = 1e-4;
-constexpr double kTimeLevel = 1e-5;
+constexpr double kTimeLevel = 1e-4;
 // The other software's rates are measured too, and its servers differ.
 constexpr double kFailureMargin = 1.5;
 constexpr double kTimeMargin = 1.25;
@@ -30,11 +30,10 @@
 // slow for half a second delays all of its answers in that time.
 constexpr std::size_t kLeastFailureSlices = 2;
 constexpr std::size_t kLeastSlowSlices = 3;
-// Buckets are a factor of the square root of 2. A target that takes more load
-// is up to twice as slow; the answers of another time may be from a time of
-// less load.
-constexpr std::size_t kSlowBuckets = 2;
-constexpr std::size_t kSlowBucketsOtherTime = 3;
+// Four buckets are a factor of 2. A target that takes more load is up to twice
+// as slow; the answers of another time may be from a time of less load.
+constexpr std::size_t kSlowBuckets = 4;
+constexpr std::size_t kSlowBucketsOtherTime = 6;
 // The parts of the other software's answers beyond which answers are counted.
 // The large ones find a version of which all answers are slower, the small ones
 // a version of which a part is.
--- a/Libraries/LibRollout/LogHistogram.cpp
+++ b/Libraries/LibRollout/LogHistogram.cpp
@@ -14,8 +14,8 @@
     std::chrono::duration<double, std::milli>(aTime).count();
   if (milliseconds < kFirstBound)
     return 0;
-  double const halfOctaves = 2 * std::log2(milliseconds / kFirstBound);
-  return std::min(kBuckets - 1, static_cast<std::size_t>(halfOctaves) + 1);
+  double const quarterOctaves = 4 * std::log2(milliseconds / kFirstBound);
+  return std::min(kBuckets - 1, static_cast<std::size_t>(quarterOctaves) + 1);
 }
 
 std::uint64_t
--- a/Libraries/LibRollout/LogHistogram.h
+++ b/Libraries/LibRollout/LogHistogram.h
@@ -8,12 +8,12 @@
 
 namespace lycheeseam {
 
-/// Counts of durations in buckets whose bounds grow by the square root of 2,
-/// from 2 ms on; two buckets are a factor of 2.
+/// Counts of durations in buckets whose bounds grow by the fourth root of 2,
+/// from 2 ms to 28 s; four buckets are a factor of 2.
 class log_histogram
 {
 public:
-  static constexpr std::size_t kBuckets = 32;
+  static constexpr std::size_t kBuckets = 56;
 
   /// The bucket of a duration.
   [[nodiscard]] static std::size_t BucketOf(duration aTime);
--- a/Libraries/LibRollout/PoolGate.cpp
+++ b/Libraries/LibRollout/PoolGate.cpp
@@ -12,6 +12,9 @@
 constexpr duration kMaxSilence = std::chrono::milliseconds{ 1500 };
 // Entries of servers may be read before the order that names their software.
 constexpr duration kNewSoftwareTime = std::chrono::seconds{ 3 };
+// An instance's part is a few requests. It is rounded to the nearest number,
+// so that the sum over all instances is as expected.
+constexpr double kRounding = 0.5;
 constexpr duration kLeastRateTime = std::chrono::milliseconds{ 500 };
 
 // A number from 0 to 1 that is independent of other uses of the hash, and of
@@ -167,7 +170,7 @@
            { .mArrived = arrived,
              .mSent = static_cast<double>(mSent),
              .mRate = arrived / std::chrono::duration<double>(counted).count(),
-             .mLeft = mState->mOrder.mDuration - elapsed }) >= 1;
+             .mLeft = mState->mOrder.mDuration - elapsed }) >= kRounding;
 }
 
 bool
--- a/Libraries/LibRollout/RolloutPlan.cpp
+++ b/Libraries/LibRollout/RolloutPlan.cpp
@@ -20,8 +20,9 @@
 constexpr double kAnsweredPart = 0.33;
 // A share that differs by less isn't worth a new state.
 constexpr double kShareChange = 0.2;
-// A new leader watches the target again before it moves all requests, unless
-// less than the rest of this part of the time is left.
+// A new leader tests the target with a burst before it moves all requests, but
+// not later than if the target had got its first requests at this part of the
+// time.
 constexpr double kWatchAgainPart = 0.6;
 // What a new leader assumes the target got at the restored share since.
 constexpr duration kRestoredTime = std::chrono::milliseconds{ 1500 };
@@ -187,10 +188,12 @@
   mAccountedAt.reset();
   bool const isShared =
     aState.mShare > 0 || aState.mPhase != rollout_phase::Observing;
+  duration const time = mState.mOrder.mDuration;
   if (isShared)
-    mFirstSharedAt = std::min(elapsed,
-                              std::chrono::duration_cast<duration>(
-                                mState.mOrder.mDuration * kWatchAgainPart));
+    mFirstSharedAt =
+      std::clamp(elapsed - share_schedule::WatchTime(time),
+                 duration::zero(),
+                 std::chrono::duration_cast<duration>(time * kWatchAgainPart));
 }
 
 bool
--- a/Libraries/LibRollout/RouteEvidence.cpp
+++ b/Libraries/LibRollout/RouteEvidence.cpp
@@ -22,7 +22,7 @@
 {
   constexpr std::uint64_t kLeastReference = 20;
   constexpr std::uint64_t kOneIn = 50;
-  constexpr std::size_t kSlowBuckets = 3;
+  constexpr std::size_t kSlowBuckets = 6;
   std::uint64_t const all = aOthers.Total();
   if (all < kLeastReference)
     return 0;
--- a/Libraries/LibRollout/ShareSchedule.cpp
+++ b/Libraries/LibRollout/ShareSchedule.cpp
@@ -13,12 +13,12 @@
 // All requests move with this part of the time left: running requests end,
 // every instance reports it, and the end is stored. A later move leaves a
 // version less time to turn bad after it. Requests that run long need more: of
-// several hundred, the longest takes about three times the mean.
+// several hundred, the longest takes about 3.5 times the mean.
 constexpr double kDrainPart = 0.3;
 constexpr double kReportPart = 0.1;
-constexpr double kMaxDrainPart = 0.45;
+constexpr double kMaxDrainPart = 0.5;
 constexpr duration kMaxDrainTime = seconds{ 8 };
-constexpr int kLongestRun = 3;
+constexpr double kLongestRun = 3.5;
 // A burst shows whether the target has turned bad, at a cost that doesn't
 // depend on how long its answers take. The leader waits for them and moves all
 // requests only then.
@@ -89,14 +89,20 @@
 
 }
 
+duration
+share_schedule::WatchTime(duration aOrderTime)
+{
+  return PartOf(aOrderTime, kWatchPart);
+}
+
 share_schedule::share_schedule(options const& aOptions)
   : mOptions(aOptions)
 {
   constexpr duration kCheckTime = kBurstTime + kBurstAnswerTime;
   duration const time = aOptions.mOrderTime;
   duration const shared = aOptions.mFirstSharedAt.value_or(time);
-  mBurstAt = std::max(time - DrainTime() - kCheckTime,
-                      shared + PartOf(time, kWatchPart));
+  mBurstAt =
+    std::max(time - DrainTime() - kCheckTime, shared + WatchTime(time));
   mMoveAt = mBurstAt + kCheckTime;
 }
 
@@ -106,7 +112,7 @@
   duration const time = mOptions.mOrderTime;
   duration const least = PartOf(time, kDrainPart);
   duration const needed =
-    PartOf(time, kReportPart) + kLongestRun * mOptions.mRunTime;
+    PartOf(time, kReportPart) + PartOf(mOptions.mRunTime, kLongestRun);
   duration const most = std::max(least, PartOf(time, kMaxDrainPart));
   return std::min(std::clamp(needed, least, most), kMaxDrainTime);
 }
@@ -147,9 +153,8 @@
       : mOptions.mOrderTime - DrainTime() - kBurstTime - kBurstAnswerTime;
   double const share =
     std::min(kMaxHoldShare, ShareFor(kHoldPart, until - aElapsed));
-  bool const isFirst =
-    aElapsed - shared < PartOf(mOptions.mOrderTime, kWatchPart) ||
-    aInputs.mTargetAnswers < kFirstAnswers;
+  bool const isFirst = aElapsed - shared < WatchTime(mOptions.mOrderTime) ||
+                       aInputs.mTargetAnswers < kFirstAnswers;
   if (isFirst)
     return { .mShare = share * kFirstPart };
   return { .mPhase = rollout_phase::Ramping, .mShare = share };
--- a/Libraries/LibRollout/ShareSchedule.h
+++ b/Libraries/LibRollout/ShareSchedule.h
@@ -26,6 +26,9 @@
     duration mRunTime{};
   };
 
+  /// How long the target is watched at a small share at least.
+  [[nodiscard]] static duration WatchTime(duration aOrderTime);
+
   explicit share_schedule(options const& aOptions);
 
   /// True when the time has come for all requests to go to the target.
