--- a/Libraries/LibRollout/RolloutPlan.cpp
+++ b/Libraries/LibRollout/RolloutPlan.cpp
@@ -162,7 +162,9 @@
   Account(aNow, aInputs);
   duration const elapsed = Elapsed(aNow);
   rollout_step const step = NextStep(elapsed, aInputs);
-  if (step.mShare > 0 && !mFirstSharedAt)
+  // Answers may be known though the state of an earlier leader isn't.
+  bool const isShared = step.mShare > 0 || aInputs.mTargetAnswers > 0;
+  if (isShared && !mFirstSharedAt)
     mFirstSharedAt = elapsed;
   if (!Differs(step))
     return std::nullopt;
--- a/Libraries/LibRollout/ShareSchedule.cpp
+++ b/Libraries/LibRollout/ShareSchedule.cpp
@@ -45,9 +45,10 @@
 // How much more load than in a pool of only its own software a target server
 // gets, which shows versions that are bad under load. Less if so many of its
 // slots would be taken that a good version slows down.
-constexpr double kLoadFactor = 1.5;
+constexpr double kMaxLoadFactor = 2;
+constexpr double kLeastLoadFactor = 1.15;
 constexpr double kLoadFactorIfUnknown = 1.25;
-constexpr double kMaxTakenSlots = 0.85;
+constexpr double kMaxTakenSlots = 0.7;
 
 constexpr duration kLeastTime = milliseconds{ 400 };
 constexpr double kLeastRate = 1;
@@ -64,8 +65,9 @@
   if (aInputs.mRunning <= 0)
     return kLoadFactorIfUnknown;
   double const slots = std::min(aInputs.mTarget.mSlots, aInputs.mOthers.mSlots);
-  return std::clamp(
-    kMaxTakenSlots * slots / aInputs.mRunning, 1.0, kLoadFactor);
+  return std::clamp(kMaxTakenSlots * slots / aInputs.mRunning,
+                    kLeastLoadFactor,
+                    kMaxLoadFactor);
 }
 
 // Limits the target's servers so that each has at least the load of the other
