LibRollout: Compare with enough answers of the other software

Slow versions were missed after the move, since the last answers of the other software are slower than usual, and before it, since slow answers to the burst came after the move.

--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -1,3 +1,4 @@
+#include <LibRollout/BinomialTail.h>
 #include <LibRollout/EvidenceTest.h>
 #include <LibRollout/PoissonTail.h>
 
@@ -47,6 +48,7 @@
 
 struct comparison
 {
+  double mAll = 0;
   double mBad = 0;
   double mExpected = 0;
   std::size_t mSlicesWithBad = 0;
@@ -60,6 +62,7 @@
       return;
     double const rate = aMargin * (static_cast<double>(aOthers.mBad) + 0.5) /
                         static_cast<double>(aOthers.mAll + 1);
+    mAll += static_cast<double>(aTarget.mAll);
     mBad += static_cast<double>(aTarget.mBad);
     mExpected +=
       static_cast<double>(aTarget.mAll) * std::clamp(rate, aLeastRate, 1.0);
@@ -68,7 +71,8 @@
 
   [[nodiscard]] bool IsWorse(double aLevel) const
   {
-    return PoissonTail(mExpected, mBad) < aLevel;
+    return std::min(PoissonTail(mExpected, mBad),
+                    BinomialTail(mExpected, mAll, mBad)) < aLevel;
   }
 };
 
--- a/Libraries/LibRollout/RouteEvidence.cpp
+++ b/Libraries/LibRollout/RouteEvidence.cpp
@@ -8,10 +8,12 @@
 
 // Bounds the memory of an order that lasts long.
 constexpr std::size_t kMaxSlices = 1200;
-// Answers of the other software from about 1.25 s around a slice count as of
-// the same time, if they are as many as this.
-constexpr std::int64_t kNearSlices = 2;
-constexpr std::uint32_t kEnoughAnswers = 20;
+// Answers of the other software from these slices around a slice count as of
+// the same time, if they are as many as this. Fewer are mostly the last ones
+// before all traffic moved to the target, which are slower than usual.
+constexpr std::int64_t kSlicesBefore = 3;
+constexpr std::int64_t kSlicesAfter = 1;
+constexpr std::uint32_t kEnoughAnswers = 60;
 constexpr std::uint32_t kEnoughEarlierAnswers = 100;
 
 constexpr std::size_t kTarget = static_cast<std::size_t>(rollout_side::Target);
@@ -56,15 +58,15 @@
 route_evidence::PairOf(std::int64_t aSlice, rollout_sample const& aTarget) const
 {
   slice_pair pair{ .mTarget = aTarget };
-  auto const end = mSlices.upper_bound(aSlice + kNearSlices);
-  for (auto at = mSlices.lower_bound(aSlice - kNearSlices); at != end; ++at)
+  auto const end = mSlices.upper_bound(aSlice + kSlicesAfter);
+  for (auto at = mSlices.lower_bound(aSlice - kSlicesBefore); at != end; ++at)
     pair.mOthers += at->second.at(kOthers);
   if (pair.mOthers.mAnswers >= kEnoughAnswers)
     return pair;
   // While all traffic is on the target, the latest earlier answers are the
   // only ones to compare with.
   pair.mIsSameTime = false;
-  auto earlier = mSlices.lower_bound(aSlice - kNearSlices);
+  auto earlier = mSlices.lower_bound(aSlice - kSlicesBefore);
   while (earlier != mSlices.begin() &&
          pair.mOthers.mAnswers < kEnoughEarlierAnswers) {
     --earlier;
--- a/Libraries/LibRollout/ShareSchedule.cpp
+++ b/Libraries/LibRollout/ShareSchedule.cpp
@@ -23,7 +23,7 @@
 // depend on how long its answers take. The leader waits for them and moves all
 // requests only then.
 constexpr duration kBurstTime = milliseconds{ 400 };
-constexpr duration kBurstAnswerTime = milliseconds{ 1200 };
+constexpr duration kBurstAnswerTime = milliseconds{ 1500 };
 // A target whose servers come up late is watched for this part of the time
 // before the burst.
 constexpr double kWatchPart = 0.08;
@@ -34,12 +34,11 @@
 // The parts of the exposure that are used before the burst, and until the move.
 // The rest is for the time from the move until a target that turned bad is
 // known: about 1 s of all requests on an order of 12 s.
-constexpr double kHoldPart = 0.17;
-constexpr double kBurstPart = 0.36;
+constexpr double kHoldPart = 0.16;
+constexpr double kBurstPart = 0.32;
 constexpr double kMaxHoldShare = 0.15;
 constexpr double kMaxBurstShare = 0.5;
-// The first answers come from a smaller share.
-constexpr double kFirstPart = 0.6;
+// The phase is Ramping once the target has answered this often.
 constexpr std::uint64_t kFirstAnswers = 10;
 
 // How much more load than in a pool of only its own software a target server
@@ -157,9 +156,9 @@
     std::min(kMaxHoldShare, ShareFor(kHoldPart, until - aElapsed));
   bool const isFirst = aElapsed - shared < WatchTime(mOptions.mOrderTime) ||
                        aInputs.mTargetAnswers < kFirstAnswers;
-  if (isFirst)
-    return { .mShare = share * kFirstPart };
-  return { .mPhase = rollout_phase::Ramping, .mShare = share };
+  return { .mPhase =
+             isFirst ? rollout_phase::Observing : rollout_phase::Ramping,
+           .mShare = share };
 }
 
 rollout_step
--- a/Tests/LibRollout/TestRolloutGate.cpp
+++ b/Tests/LibRollout/TestRolloutGate.cpp
@@ -54,7 +54,7 @@
   {
     std::size_t count = 0;
     for (std::size_t i = 0; i < aRequests; ++i) {
-      duration const at = seconds{ 1 } * i / aRequests;
+      duration const at = duration{ seconds{ 1 } } * i / aRequests;
       count += Choose(aFrom + at).mRule == software_rule::TargetOnly ? 1 : 0;
     }
     return count;
@@ -91,6 +91,8 @@
     state.mElapsed += seconds{ 1 };
     Apply(kStart + seconds{ second }, state);
     total += CountForTarget(kStart + seconds{ second }, 1000);
+    
+              << "\n";
   }
   EXPECT_LE(total, 1200U);
 }
--- a/Tests/LibRollout/TestRolloutJudge.cpp
+++ b/Tests/LibRollout/TestRolloutJudge.cpp
@@ -1,3 +1,4 @@
+#include <LibRollout/BinomialTail.h>
 #include <LibRollout/ExposureBudget.h>
 #include <LibRollout/PoissonTail.h>
 #include <LibRollout/RolloutJudge.h>
@@ -123,6 +124,16 @@
   EXPECT_EQ(PoissonTail(5, 5), 1);
 }
 
+TEST(BinomialTail, BoundsTheExactTail)
+{
+  // All of 10 events of probability 0.6.
+  double const exact = std::pow(0.6, 10);
+  EXPECT_NEAR(BinomialTail(6, 10, 10), exact, 1e-12);
+  // 9 or 10 of them.
+  EXPECT_GE(BinomialTail(6, 10, 9), exact + 10 * std::pow(0.6, 9) * 0.4);
+  EXPECT_EQ(BinomialTail(6, 10, 6), 1);
+}
+
 TEST(ExposureBudget, StaysBelowShareAndSlack)
 {
   exposure_budget const budget{ 0.1, 50 };
