--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -175,7 +175,7 @@
                                                  TestFirstEvents,
                                                  TestPauses };
   for (evidence_test const test : kTests) {
-    rollout_verdict const verdict = test(aPairs);
+    rollout_verdict verdict = test(aPairs);
     if (verdict.mKind == verdict_kind::Bad)
       return verdict;
   }
--- a/Libraries/LibRollout/RolloutJudge.cpp
+++ b/Libraries/LibRollout/RolloutJudge.cpp
@@ -68,7 +68,7 @@
 {
   std::int64_t const windowBegin = SliceOf(aNow) - kWindowSlices;
   for (std::int64_t const first : { windowBegin, std::int64_t{ 0 } }) {
-    rollout_verdict const verdict = Test(first);
+    rollout_verdict verdict = Test(first);
     if (verdict.mKind == verdict_kind::Bad)
       return verdict;
   }
--- a/Tests/LibRollout/TestRolloutGate.cpp
+++ b/Tests/LibRollout/TestRolloutGate.cpp
@@ -33,10 +33,10 @@
            .mElapsed = seconds{ 1 } };
 }
 
-class RolloutGate : public testing::Test
+class TestRolloutGate : public testing::Test
 {
 protected:
-  RolloutGate() { mGate.OnServers(kStart, kPool, kOldOnly); }
+  TestRolloutGate() { mGate.OnServers(kStart, kPool, kOldOnly); }
 
   void Apply(instant aNow, rollout_state const& aState)
   {
@@ -66,7 +66,7 @@
 
 // Guards against requests to new servers whose entries are read before the
 // order that names them.
-TEST_F(RolloutGate, NewSoftwareWaitsForAnOrder)
+TEST_F(TestRolloutGate, NewSoftwareWaitsForAnOrder)
 {
   EXPECT_FALSE(Choose(kStart).Allows(kNew));
   EXPECT_TRUE(Choose(kStart).Allows(kOld));
@@ -74,13 +74,13 @@
   EXPECT_TRUE(Choose(kStart + milliseconds{ 3100 }).Allows(kNew));
 }
 
-TEST_F(RolloutGate, SoftwareThatWasThereFirstIsUsedAtOnce)
+TEST_F(TestRolloutGate, SoftwareThatWasThereFirstIsUsedAtOnce)
 {
   rollout_gate fresh{ rollout_limits{} };
   EXPECT_TRUE(fresh.Choose(kStart, kPool, 1, kBoth).Allows(kNew));
 }
 
-TEST_F(RolloutGate, KeepsToItsPart)
+TEST_F(TestRolloutGate, KeepsToItsPart)
 {
   Apply(kStart, State(rollout_phase::Ramping, 0.5));
   std::size_t const count = CountForTarget(kStart, 1000);
@@ -95,7 +95,7 @@
   EXPECT_LE(total, 1200U);
 }
 
-TEST_F(RolloutGate, StopsWhenTheLeaderIsNotHeard)
+TEST_F(TestRolloutGate, StopsWhenTheLeaderIsNotHeard)
 {
   Apply(kStart, State(rollout_phase::Ramping, 0.5));
   EXPECT_GT(CountForTarget(kStart, 100), 0U);
@@ -104,7 +104,7 @@
 
 // Guards against taking the reports of other instances, which pass on the last
 // state, for signs of the leader.
-TEST_F(RolloutGate, KnownStateIsNotASignOfTheLeader)
+TEST_F(TestRolloutGate, KnownStateIsNotASignOfTheLeader)
 {
   Apply(kStart, State(rollout_phase::Ramping, 0.5));
   Apply(kStart + milliseconds{ 1400 }, State(rollout_phase::Ramping, 0.5));
@@ -113,7 +113,7 @@
 
 // Guards against a request on an old server after this instance was counted as
 // drained.
-TEST_F(RolloutGate, DrainingInstanceDoesNotReturnToOthers)
+TEST_F(TestRolloutGate, DrainingInstanceDoesNotReturnToOthers)
 {
   Apply(kStart, State(rollout_phase::Draining, 1));
   allowed_software const allowed = Choose(kStart + seconds{ 5 });
@@ -124,7 +124,7 @@
   EXPECT_FALSE(repeat.Allows(kOld));
 }
 
-TEST_F(RolloutGate, RepeatGoesToOtherSoftware)
+TEST_F(TestRolloutGate, RepeatGoesToOtherSoftware)
 {
   Apply(kStart, State(rollout_phase::Ramping, 1));
   allowed_software const repeat = mGate.ChooseRepeat(kStart, kPool, kBoth);
@@ -132,7 +132,7 @@
   EXPECT_FALSE(repeat.Allows(kNew));
 }
 
-TEST_F(RolloutGate, EndedOrdersDecideForGood)
+TEST_F(TestRolloutGate, EndedOrdersDecideForGood)
 {
   Apply(kStart, State(rollout_phase::RolledBack, 0));
   EXPECT_FALSE(Choose(kStart + seconds{ 9 }).Allows(kNew));
@@ -144,14 +144,14 @@
   EXPECT_FALSE(Choose(kStart + seconds{ 20 }).Allows(kOld));
 }
 
-TEST_F(RolloutGate, OnlyTargetServersLeftAreUsed)
+TEST_F(TestRolloutGate, OnlyTargetServersLeftAreUsed)
 {
   Apply(kStart, State(rollout_phase::Observing, 0));
   std::vector<software_count> const newOnly{ { kOld, 0 }, { kNew, 60 } };
   EXPECT_TRUE(Choose(kStart + seconds{ 2 }, newOnly).Allows(kNew));
 }
 
-TEST_F(RolloutGate, ReplacedTargetGetsNothing)
+TEST_F(TestRolloutGate, ReplacedTargetGetsNothing)
 {
   Apply(kStart, State(rollout_phase::Ramping, 0.1));
   rollout_state next = State(rollout_phase::Observing, 0);
@@ -169,7 +169,7 @@
 }
 
 // Guards against an old state that arrives late.
-TEST_F(RolloutGate, OlderStatesDoNotReplaceNewerOnes)
+TEST_F(TestRolloutGate, OlderStatesDoNotReplaceNewerOnes)
 {
   rollout_state newer = State(rollout_phase::RolledBack, 0);
   newer.mRevision = 5;
@@ -180,7 +180,7 @@
 
 // Guards against an instance that learns of the target's servers first and
 // takes the others for software that came after the order.
-TEST_F(RolloutGate, OthersThatAreSeenLaterAreUsed)
+TEST_F(TestRolloutGate, OthersThatAreSeenLaterAreUsed)
 {
   rollout_gate fresh{ rollout_limits{} };
   rollout_state const state = State(rollout_phase::Observing, 0);
