--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -85,19 +85,6 @@
            .mExpected = aComparison.mExpected };
 }
 
-// The first bucket beyond which there is no more than a part of the answers.
-std::size_t
-BoundOf(log_histogram const& aTimes, double aPart)
-{
-  double const most = aPart * static_cast<double>(aTimes.Total());
-  std::size_t bound = 0;
-  while (
-    bound<log_histogram::kBuckets&& static_cast<double>(aTimes.AtLeast(bound))>
-      most)
-    ++bound;
-  return bound;
-}
-
 // If the target were at most twice as slow, its answers would take twice a time
 // no more often than the others take that time. Sums over pairs of different
 // times, routes and sizes, each with a bound of its own.
@@ -116,7 +103,7 @@
       std::span<log_histogram const> const target = aHistogramsOf(pair.mTarget);
       std::span<log_histogram const> const others = aHistogramsOf(pair.mOthers);
       for (std::size_t i = 0; i < target.size(); ++i) {
-        std::size_t const bound = BoundOf(others[i], beyond);
+        std::size_t const bound = others[i].BoundOf(beyond);
         result.Add({ target[i].Total(), target[i].AtLeast(bound + slower) },
                    { others[i].Total(), others[i].AtLeast(bound) },
                    kTimeMargin,
--- a/Libraries/LibRollout/LogHistogram.cpp
+++ b/Libraries/LibRollout/LogHistogram.cpp
@@ -27,6 +27,21 @@
   return sum;
 }
 
+std::size_t
+log_histogram::BoundOf(double aPart) const
+{
+  double const most = aPart * static_cast<double>(Total());
+  double beyond = 0;
+  std::size_t bound = kBuckets;
+  while (bound > 0) {
+    beyond += mCounts.at(bound - 1);
+    if (beyond > most)
+      break;
+    --bound;
+  }
+  return bound;
+}
+
 log_histogram&
 log_histogram::operator+=(log_histogram const& aOther)
 {
--- a/Libraries/LibRollout/LogHistogram.h
+++ b/Libraries/LibRollout/LogHistogram.h
@@ -23,6 +23,9 @@
   /// How many durations are in a bucket or in one above it.
   [[nodiscard]] std::uint64_t AtLeast(std::size_t aBucket) const;
 
+  /// The first bucket from which on there is no more than a part of all.
+  [[nodiscard]] std::size_t BoundOf(double aPart) const;
+
   [[nodiscard]] std::uint64_t Total() const { return AtLeast(0); }
 
   log_histogram& operator+=(log_histogram const& aOther);
--- a/Libraries/LibRollout/RouteEvidence.cpp
+++ b/Libraries/LibRollout/RouteEvidence.cpp
@@ -23,16 +23,11 @@
 CountMuchSlower(log_histogram const& aTarget, log_histogram const& aOthers)
 {
   constexpr std::uint64_t kLeastReference = 20;
-  constexpr std::uint64_t kOneIn = 50;
+  constexpr double kPart = 0.02;
   constexpr std::size_t kSlowBuckets = 6;
-  std::uint64_t const all = aOthers.Total();
-  if (all < kLeastReference)
+  if (aOthers.Total() < kLeastReference)
     return 0;
-  std::size_t bound = 0;
-  while (bound < log_histogram::kBuckets &&
-         aOthers.AtLeast(bound) * kOneIn > all)
-    ++bound;
-  return aTarget.AtLeast(bound + kSlowBuckets);
+  return aTarget.AtLeast(aOthers.BoundOf(kPart) + kSlowBuckets);
 }
 
 }
