LibSettings, platform: Read the limits of rollouts

Rollouts need the operators' bounds on what software on trial may get. The template passes expose_share, expose_slack and rollback_ms on as limits.exposure_share, limits.exposure_slack and limits.rollback_ms; all are optional and 0 or their default without them. The store's topics for states and status get names.

--- a/Libraries/LibSettings/FleetSettings.h
+++ b/Libraries/LibSettings/FleetSettings.h
@@ -51,6 +51,13 @@
   std::chrono::milliseconds mStopTime{ 8'000 };
   /// How long the order lease lasts after its holder's last heartbeat.
   std::chrono::milliseconds mLease{ 3'000 };
+  /// The most requests that software on trial may get, as a part of all that
+  /// reach its pool; 0 where no rollouts are ordered.
+  double mExposureShare = 0;
+  /// The requests that it may get beyond that share, over all instances.
+  double mExposureSlack = 0;
+  /// How long bad software may get requests after its failures have shown it.
+  std::chrono::milliseconds mRollbackTime{ 5'000 };
 
   bool operator==(fleet_settings const&) const = default;
 };
--- a/Libraries/LibSettings/ParseFleetSettings.cpp
+++ b/Libraries/LibSettings/ParseFleetSettings.cpp
@@ -65,6 +65,9 @@
   aReader.ReadDuration("weights_ms", kMillisecond, aSettings.mWeightsTime);
   aReader.ReadDuration("stop_s", kSecond, aSettings.mStopTime);
   aReader.ReadDuration("lease_ms", kMillisecond, aSettings.mLease);
+  aReader.ReadFraction("exposure_share", 1, aSettings.mExposureShare);
+  aReader.ReadFraction("exposure_slack", kMaxUnits, aSettings.mExposureSlack);
+  aReader.ReadDuration("rollback_ms", kMillisecond, aSettings.mRollbackTime);
   aReader.RefuseUnknownFields();
 }
 
--- a/Libraries/LibStore/StoreTopic.h
+++ b/Libraries/LibStore/StoreTopic.h
@@ -17,6 +17,10 @@
   Usage,
   /// The software that servers have run lately, for instances that start.
   Software,
+  /// The states of rollouts, for the instance that succeeds their leader.
+  Rollouts,
+  /// The progress of rollouts, for operators.
+  Status,
 };
 
 }
--- a/Tests/LibSettings/TestParseFleetSettings.cpp
+++ b/Tests/LibSettings/TestParseFleetSettings.cpp
@@ -40,6 +40,9 @@
   EXPECT_EQ(settings.mTunnels, endpoint::Parse("127.0.0.1:8084"));
   EXPECT_EQ(settings.mCores, 0);
   EXPECT_EQ(settings.mQuotaWindow, std::chrono::milliseconds{ 8'000 });
+  // Without these settings no rollout is run and no software held back.
+  EXPECT_EQ(settings.mExposureShare, 0);
+  EXPECT_EQ(settings.mExposureSlack, 0);
 }
 
 TEST(TestParseFleetSettings, ReadsEveryField)
@@ -52,7 +55,8 @@
                          { "quota_overshoot", 0.1 }, { "retry_ratio", 0.12 },
                          { "retry_slack", 13.5 },    { "retry_window_s", 14 },
                          { "weights_ms", 15 },       { "stop_s", 0.016 },
-                         { "lease_ms", 17.0 } };
+                         { "lease_ms", 17.0 },       { "exposure_share", 0.1 },
+                         { "exposure_slack", 50 },   { "rollback_ms", 18 } };
   fleet_settings const settings = ParseFleetSettings(document.dump());
   EXPECT_EQ(settings.mMetrics, endpoint::Parse("127.0.0.1:8084"));
   EXPECT_EQ(settings.mTunnels, endpoint::Parse("127.0.0.1:8085"));
@@ -66,6 +70,9 @@
   EXPECT_EQ(settings.mWeightsTime.count(), 15);
   EXPECT_EQ(settings.mStopTime.count(), 16);
   EXPECT_EQ(settings.mLease.count(), 17);
+  EXPECT_EQ(settings.mExposureShare, 0.1);
+  EXPECT_EQ(settings.mExposureSlack, 50);
+  EXPECT_EQ(settings.mRollbackTime.count(), 18);
 }
 
 // Guards against settings of earlier versions with which no process starts.
--- a/Tests/Platform/TestSettingsTemplate.cpp
+++ b/Tests/Platform/TestSettingsTemplate.cpp
@@ -65,6 +65,19 @@
   EXPECT_EQ(settings.mStopTime.count(), 8'250);
 }
 
+TEST(TestSettingsTemplate, RendersTheLimitsOfRollouts)
+{
+  json fields = MachineFields();
+  fields["bounds"]["expose_share"] = 0.1;
+  fields["bounds"]["expose_slack"] = 50;
+  fields["bounds"]["rollback_ms"] = 5000;
+  fleet_settings const settings = Settings(fields);
+  EXPECT_EQ(settings.mExposureShare, 0.1);
+  EXPECT_EQ(settings.mExposureSlack, 50);
+  EXPECT_EQ(settings.mRollbackTime.count(), 5'000);
+  EXPECT_EQ(Settings(MachineFields()).mExposureShare, 0);
+}
+
 TEST(TestSettingsTemplate, LimitsThatAreNotGivenTakeTheirDefaults)
 {
   json fields = MachineFields();
