LibPeer: Carry rollouts in reports

The states of rollouts, samples and the orders that a sender has drained follow the known fields of a report. Older builds skip them, and a report of an older build has none.

--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/InvalidInput.h>
 #include <LibPeer/DecodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
+#include <LibPeer/RolloutCodec.h>
 
 #include <chrono>
 #include <cmath>
@@ -125,6 +126,7 @@
       report.mLimits.push_back(DecodeLimit(*limit));
   }
   DecodeSoftware(aTable, report);
+  DecodeRollouts(aTable, report);
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/EncodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
+#include <LibPeer/RolloutCodec.h>
 
 #include <map>
 #include <string>
@@ -82,7 +83,10 @@
                               aReport.mHasParent,
                               Origins(aReport.mOrigins),
                               Software(aReport.mSoftware),
-                              aReport.mIsSoftwareComplete));
+                              aReport.mIsSoftwareComplete,
+                              EncodeRollouts(mBuilder, aReport.mRollouts),
+                              EncodeSamples(mBuilder, aReport.mRolloutSamples),
+                              EncodeDrained(mBuilder, aReport.mDrained)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -9,7 +9,10 @@
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibPeer/LimitNotice.h>
 #include <LibPeer/ReportScope.h>
+#include <LibPeer/RolloutDrain.h>
+#include <LibPeer/RolloutNotice.h>
 #include <LibPeer/SoftwareNotice.h>
+#include <LibRollout/RolloutSample.h>
 #include <LibStore/StorePosition.h>
 
 #include <cstdint>
@@ -59,6 +62,12 @@
   std::vector<software_notice> mSoftware;
   /// True when no other software was; on new links only.
   bool mIsSoftwareComplete = false;
+  /// The newest known states of rollouts.
+  std::vector<rollout_notice> mRollouts;
+  /// What they observed of rollouts since the last report.
+  std::vector<rollout_sample> mRolloutSamples;
+  /// The orders that all of them have drained.
+  std::vector<rollout_drain> mDrained;
 
   bool operator==(fleet_report const&) const = default;
 };
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -105,6 +105,16 @@
 struct PoolSoftware;
 struct PoolSoftwareBuilder;
 
+struct RolloutState;
+struct RolloutStateBuilder;
+
+struct TimeCount;
+
+struct RolloutSample;
+struct RolloutSampleBuilder;
+
+struct RolloutDrain;
+
 struct FleetReport;
 struct FleetReportBuilder;
 
@@ -460,6 +470,63 @@
 };
 FLATBUFFERS_STRUCT_END(CrashCount, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) TimeCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint8_t histogram_;
+  uint8_t bucket_;
+  int16_t padding0__;
+  uint32_t count_;
+
+ public:
+  TimeCount()
+      : histogram_(0),
+        bucket_(0),
+        padding0__(0),
+        count_(0) {
+    (void)padding0__;
+  }
+  TimeCount(uint8_t _histogram, uint8_t _bucket, uint32_t _count)
+      : histogram_(flatbuffers::EndianScalar(_histogram)),
+        bucket_(flatbuffers::EndianScalar(_bucket)),
+        padding0__(0),
+        count_(flatbuffers::EndianScalar(_count)) {
+    (void)padding0__;
+  }
+  uint8_t histogram() const {
+    return flatbuffers::EndianScalar(histogram_);
+  }
+  uint8_t bucket() const {
+    return flatbuffers::EndianScalar(bucket_);
+  }
+  uint32_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TimeCount, 8);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RolloutDrain FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t order_;
+  uint64_t revision_;
+
+ public:
+  RolloutDrain()
+      : order_(0),
+        revision_(0) {
+  }
+  RolloutDrain(uint64_t _order, uint64_t _revision)
+      : order_(flatbuffers::EndianScalar(_order)),
+        revision_(flatbuffers::EndianScalar(_revision)) {
+  }
+  uint64_t order() const {
+    return flatbuffers::EndianScalar(order_);
+  }
+  uint64_t revision() const {
+    return flatbuffers::EndianScalar(revision_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RolloutDrain, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2726,6 +2793,295 @@
       age_ms);
 }
 
+struct RolloutState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutStateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LEASE = 4,
+    VT_POOL = 6,
+    VT_TARGET = 8,
+    VT_DURATION_MS = 10,
+    VT_NUMBER = 12,
+    VT_PHASE = 14,
+    VT_REASON = 16,
+    VT_SHARE = 18,
+    VT_SERVERS = 20,
+    VT_REVISION = 22,
+    VT_ELAPSED_MS = 24
+  };
+  uint64_t lease() const {
+    return GetField<uint64_t>(VT_LEASE, 0);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint64_t duration_ms() const {
+    return GetField<uint64_t>(VT_DURATION_MS, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  uint8_t reason() const {
+    return GetField<uint8_t>(VT_REASON, 0);
+  }
+  double share() const {
+    return GetField<double>(VT_SHARE, 0.0);
+  }
+  uint32_t servers() const {
+    return GetField<uint32_t>(VT_SERVERS, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t elapsed_ms() const {
+    return GetField<uint64_t>(VT_ELAPSED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_LEASE, 8) &&
+           VerifyOffsetRequired(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffsetRequired(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint64_t>(verifier, VT_DURATION_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           VerifyField<double>(verifier, VT_SHARE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SERVERS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ELAPSED_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutStateBuilder {
+  typedef RolloutState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_lease(uint64_t lease) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_LEASE, lease, 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(RolloutState::VT_POOL, pool);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(RolloutState::VT_TARGET, target);
+  }
+  void add_duration_ms(uint64_t duration_ms) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_NUMBER, number, 0);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(RolloutState::VT_PHASE, phase, 0);
+  }
+  void add_reason(uint8_t reason) {
+    fbb_.AddElement<uint8_t>(RolloutState::VT_REASON, reason, 0);
+  }
+  void add_share(double share) {
+    fbb_.AddElement<double>(RolloutState::VT_SHARE, share, 0.0);
+  }
+  void add_servers(uint32_t servers) {
+    fbb_.AddElement<uint32_t>(RolloutState::VT_SERVERS, servers, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_REVISION, revision, 0);
+  }
+  void add_elapsed_ms(uint64_t elapsed_ms) {
+    fbb_.AddElement<uint64_t>(RolloutState::VT_ELAPSED_MS, elapsed_ms, 0);
+  }
+  explicit RolloutStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutState>(end);
+    fbb_.Required(o, RolloutState::VT_POOL);
+    fbb_.Required(o, RolloutState::VT_TARGET);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutState> CreateRolloutState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t lease = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint64_t duration_ms = 0,
+    uint64_t number = 0,
+    uint8_t phase = 0,
+    uint8_t reason = 0,
+    double share = 0.0,
+    uint32_t servers = 0,
+    uint64_t revision = 0,
+    uint64_t elapsed_ms = 0) {
+  RolloutStateBuilder builder_(_fbb);
+  builder_.add_elapsed_ms(elapsed_ms);
+  builder_.add_revision(revision);
+  builder_.add_share(share);
+  builder_.add_number(number);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_lease(lease);
+  builder_.add_servers(servers);
+  builder_.add_target(target);
+  builder_.add_pool(pool);
+  builder_.add_reason(reason);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutState> CreateRolloutStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t lease = 0,
+    const char *pool = nullptr,
+    const char *target = nullptr,
+    uint64_t duration_ms = 0,
+    uint64_t number = 0,
+    uint8_t phase = 0,
+    uint8_t reason = 0,
+    double share = 0.0,
+    uint32_t servers = 0,
+    uint64_t revision = 0,
+    uint64_t elapsed_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return lycheeseam::wire::CreateRolloutState(
+      _fbb,
+      lease,
+      pool__,
+      target__,
+      duration_ms,
+      number,
+      phase,
+      reason,
+      share,
+      servers,
+      revision,
+      elapsed_ms);
+}
+
+struct RolloutSample FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutSampleBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORDER = 4,
+    VT_ROUTE = 6,
+    VT_SIDE = 8,
+    VT_ANSWERS = 10,
+    VT_FAILURES = 12,
+    VT_TIMES = 14
+  };
+  uint64_t order() const {
+    return GetField<uint64_t>(VT_ORDER, 0);
+  }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint8_t side() const {
+    return GetField<uint8_t>(VT_SIDE, 0);
+  }
+  uint32_t answers() const {
+    return GetField<uint32_t>(VT_ANSWERS, 0);
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  const flatbuffers::Vector<const lycheeseam::wire::TimeCount *> *times() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::TimeCount *> *>(VT_TIMES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER, 8) &&
+           VerifyOffsetRequired(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint8_t>(verifier, VT_SIDE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyOffset(verifier, VT_TIMES) &&
+           verifier.VerifyVector(times()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutSampleBuilder {
+  typedef RolloutSample Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_order(uint64_t order) {
+    fbb_.AddElement<uint64_t>(RolloutSample::VT_ORDER, order, 0);
+  }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(RolloutSample::VT_ROUTE, route);
+  }
+  void add_side(uint8_t side) {
+    fbb_.AddElement<uint8_t>(RolloutSample::VT_SIDE, side, 0);
+  }
+  void add_answers(uint32_t answers) {
+    fbb_.AddElement<uint32_t>(RolloutSample::VT_ANSWERS, answers, 0);
+  }
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(RolloutSample::VT_FAILURES, failures, 0);
+  }
+  void add_times(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::TimeCount *>> times) {
+    fbb_.AddOffset(RolloutSample::VT_TIMES, times);
+  }
+  explicit RolloutSampleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutSample> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutSample>(end);
+    fbb_.Required(o, RolloutSample::VT_ROUTE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutSample> CreateRolloutSample(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t order = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint8_t side = 0,
+    uint32_t answers = 0,
+    uint32_t failures = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::TimeCount *>> times = 0) {
+  RolloutSampleBuilder builder_(_fbb);
+  builder_.add_order(order);
+  builder_.add_times(times);
+  builder_.add_failures(failures);
+  builder_.add_answers(answers);
+  builder_.add_route(route);
+  builder_.add_side(side);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutSample> CreateRolloutSampleDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t order = 0,
+    const char *route = nullptr,
+    uint8_t side = 0,
+    uint32_t answers = 0,
+    uint32_t failures = 0,
+    const std::vector<lycheeseam::wire::TimeCount> *times = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto times__ = times ? _fbb.CreateVectorOfStructs<lycheeseam::wire::TimeCount>(*times) : 0;
+  return lycheeseam::wire::CreateRolloutSample(
+      _fbb,
+      order,
+      route__,
+      side,
+      answers,
+      failures,
+      times__);
+}
+
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FleetReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2744,7 +3100,10 @@
     VT_HAS_PARENT = 28,
     VT_ORIGINS = 30,
     VT_SOFTWARE = 32,
-    VT_SOFTWARE_COMPLETE = 34
+    VT_SOFTWARE_COMPLETE = 34,
+    VT_ROLLOUTS = 36,
+    VT_ROLLOUT_SAMPLES = 38,
+    VT_DRAINED = 40
   };
   lycheeseam::wire::ReportScope scope() const {
     return static_cast<lycheeseam::wire::ReportScope>(GetField<uint8_t>(VT_SCOPE, 0));
@@ -2794,6 +3153,15 @@
   bool software_complete() const {
     return GetField<uint8_t>(VT_SOFTWARE_COMPLETE, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutState>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutState>> *>(VT_ROLLOUTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>> *rollout_samples() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>> *>(VT_ROLLOUT_SAMPLES);
+  }
+  const flatbuffers::Vector<const lycheeseam::wire::RolloutDrain *> *drained() const {
+    return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::RolloutDrain *> *>(VT_DRAINED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_SCOPE, 1) &&
@@ -2832,6 +3200,14 @@
            verifier.VerifyVector(software()) &&
            verifier.VerifyVectorOfTables(software()) &&
            VerifyField<uint8_t>(verifier, VT_SOFTWARE_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
+           VerifyOffset(verifier, VT_ROLLOUT_SAMPLES) &&
+           verifier.VerifyVector(rollout_samples()) &&
+           verifier.VerifyVectorOfTables(rollout_samples()) &&
+           VerifyOffset(verifier, VT_DRAINED) &&
+           verifier.VerifyVector(drained()) &&
            verifier.EndTable();
   }
 };
@@ -2888,6 +3264,15 @@
   void add_software_complete(bool software_complete) {
     fbb_.AddElement<uint8_t>(FleetReport::VT_SOFTWARE_COMPLETE, static_cast<uint8_t>(software_complete), 0);
   }
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutState>>> rollouts) {
+    fbb_.AddOffset(FleetReport::VT_ROLLOUTS, rollouts);
+  }
+  void add_rollout_samples(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>>> rollout_samples) {
+    fbb_.AddOffset(FleetReport::VT_ROLLOUT_SAMPLES, rollout_samples);
+  }
+  void add_drained(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::RolloutDrain *>> drained) {
+    fbb_.AddOffset(FleetReport::VT_DRAINED, drained);
+  }
   explicit FleetReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2923,10 +3308,16 @@
     bool has_parent = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>> origins = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>> software = 0,
-    bool software_complete = false) {
+    bool software_complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutState>>> rollouts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>>> rollout_samples = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::RolloutDrain *>> drained = 0) {
   FleetReportBuilder builder_(_fbb);
   builder_.add_operators_end(operators_end);
   builder_.add_lease(lease);
+  builder_.add_drained(drained);
+  builder_.add_rollout_samples(rollout_samples);
+  builder_.add_rollouts(rollouts);
   builder_.add_software(software);
   builder_.add_origins(origins);
   builder_.add_limits(limits);
@@ -2961,7 +3352,10 @@
     bool has_parent = false,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>> *origins = nullptr,
     const std::vector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>> *software = nullptr,
-    bool software_complete = false) {
+    bool software_complete = false,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::RolloutState>> *rollouts = nullptr,
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>> *rollout_samples = nullptr,
+    const std::vector<lycheeseam::wire::RolloutDrain> *drained = nullptr) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   auto spent__ = spent ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::SpentUnits>>(*spent) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<lycheeseam::wire::CrashCount>(*crashes) : 0;
@@ -2973,6 +3367,9 @@
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::ServerLimit>>(*limits) : 0;
   auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::StreamOrigins>>(*origins) : 0;
   auto software__ = software ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::PoolSoftware>>(*software) : 0;
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::RolloutState>>(*rollouts) : 0;
+  auto rollout_samples__ = rollout_samples ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::RolloutSample>>(*rollout_samples) : 0;
+  auto drained__ = drained ? _fbb.CreateVectorOfStructs<lycheeseam::wire::RolloutDrain>(*drained) : 0;
   return lycheeseam::wire::CreateFleetReport(
       _fbb,
       scope,
@@ -2990,7 +3387,10 @@
       has_parent,
       origins__,
       software__,
-      software_complete);
+      software_complete,
+      rollouts__,
+      rollout_samples__,
+      drained__);
 }
 
 struct RosterEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
