LibGateway: Keep requests to the software that a rollout allows

Servers of two software versions got the same traffic during a rollout. The traffic thread now asks the gate which software a request may go to, restricts the target to its first servers, and counts what the answers of each side show. A stream that other software can't continue keeps to its own; a repeat after a failure on the target goes to other software. Without limits for rollouts nothing is asked.

--- a/Libraries/LibDispatch/ChooseServer.cpp
+++ b/Libraries/LibDispatch/ChooseServer.cpp
@@ -52,6 +52,8 @@
   if (aRequest.mSoftware &&
       aServer.mRegistered.mSoftware != *aRequest.mSoftware)
     return false;
+  if (!aRequest.mAllowedSoftware.Allows(aServer.mRegistered.mSoftware))
+    return false;
   breaker_state const breaker = aServer.mBreaker.State(aRequest.mNow);
   bool const isProbed =
     breaker == breaker_state::HalfOpen && aServer.mInFlight > 0;
--- a/Libraries/LibDispatch/FleetView.h
+++ b/Libraries/LibDispatch/FleetView.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/TargetWeights.h>
 #include <LibDispatch/WorkspaceUsage.h>
+#include <LibRollout/RolloutState.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -36,6 +37,8 @@
   std::vector<pool_software> mSoftware;
   /// True while no other software can have begun a stream.
   bool mIsSoftwareComplete = false;
+  /// The newest known states of rollouts, of running and ended orders.
+  std::vector<rollout_state> mRollouts;
   /// The instances that are ready for callers.
   std::vector<ready_instance> mReadyInstances;
   /// Instances that share limits, this one included; at least 1.
--- a/Libraries/LibDispatch/ServerChoiceRequest.h
+++ b/Libraries/LibDispatch/ServerChoiceRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Instant.h>
 #include <LibDispatch/TargetWeights.h>
+#include <LibRollout/AllowedSoftware.h>
 
 #include <cstdint>
 #include <optional>
@@ -31,6 +32,8 @@
   duration mOutdatedAfter{ duration::max() };
   /// The only software that may run the request; empty when any may.
   std::optional<software_version> mSoftware;
+  /// The software that the rollout of the pool allows.
+  allowed_software mAllowedSoftware;
   /// Servers that the request was already sent to.
   std::vector<backend_server_id> mTried;
 };
--- a/Libraries/LibGateway/AttemptRequest.h
+++ b/Libraries/LibGateway/AttemptRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/PartCrashes.h>
 #include <LibDispatch/PrefixHolder.h>
+#include <LibGateway/ObservedAttempt.h>
 
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
   std::vector<prefix_holder> mPrefixes;
   /// What is known now of the prompt's parts and the crashes of servers.
   std::vector<part_crashes> mPartCrashes;
+  observed_attempt mObserved;
 };
 
 }
--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -3,9 +3,11 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Identifiers.h>
 #include <LibDispatch/QuotaParameters.h>
+#include <LibRollout/RolloutLimits.h>
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace lycheeseam {
 
@@ -31,6 +33,8 @@
   std::chrono::milliseconds mRetryWindow{ 10'000 };
   /// How long older weights may still be used after operators named newer ones.
   std::chrono::milliseconds mOutdatedAfter{ 7'000 };
+  /// Without them no rollouts are run, and all software may get requests.
+  std::optional<rollout_limits> mRollouts;
   /// How long callers may cache the answer to an address query.
   std::chrono::seconds mAddressLifetime{ 2 };
 };
--- a/Libraries/LibGateway/RequestRun.h
+++ b/Libraries/LibGateway/RequestRun.h
@@ -107,6 +107,7 @@
     if (mAttempt.MayBeOfEarlierRequest(answer))
       return answer_use::Reject;
     mTrace.mStatus = aHead.mStatus;
+    mAttempt.OnHead(aHead.mStatus);
     mCore.OnAnswer(
       mClock.Now(), mAttempt.Server(), mSender.Properties().mModel, answer);
     bool const isReplaceable =
@@ -264,6 +265,7 @@
   {
     mCore.Crashes().OnAnswer(mAdmitted.mFingerprint);
     mAttempt.OnAnswering(mClock.Now());
+    mAttempt.OnComplete();
     mAttempt.End();
     mEvents.OnAnswer(
       mClock.Now(), mAttempt.ServerId(), mAnswer.Relay().Status());
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/SystemClock.h>
 #include <LibDispatch/ChooseServer.h>
 #include <LibGateway/AnswerRelay.h>
 #include <LibGateway/AttemptRequest.h>
@@ -10,6 +11,7 @@
 #include <LibGateway/TrafficCore.h>
 #include <LibHttp/FormatHead.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <span>
@@ -48,11 +50,20 @@
                                  admitted_request const& aAdmitted,
                                  answer_relay const& aAnswer)
   {
-    server_pick pick = PickOf(aNow, aAdmitted.mPool, Software(aAdmitted));
     // A stream of which the caller has nothing yet may begin elsewhere.
     bool const isBound = aAnswer.IsHeadSent() || aAdmitted.mSoftware;
+    allowed_software const allowed = Allowed(aNow, aAdmitted, isBound);
+    bool const isForTarget = allowed.mRule == software_rule::TargetOnly;
+    server_pick pick =
+      PickOf(aNow, aAdmitted.mPool, Software(aAdmitted), allowed);
     if (!pick.mServer && !pick.mSendAt && !isBound && mSoftware)
-      return PickOf(aNow, aAdmitted.mPool, std::nullopt);
+      pick = PickOf(aNow, aAdmitted.mPool, std::nullopt, allowed);
+    // The target of a rollout has no server that takes the request.
+    if (!pick.mServer && !isBound && isForTarget)
+      return PickOf(aNow,
+                    aAdmitted.mPool,
+                    std::nullopt,
+                    mCore.Rollouts().ChooseRepeat(aNow, aAdmitted.mPool));
     return pick;
   }
 
@@ -81,33 +92,75 @@
     if (!mBody->empty() || mHead.mMethod != "GET")
       head.mFields.push_back(
         { "Content-Length", std::to_string(mBody->size()) });
+    if (mCore.Rollouts().IsRunning(aAdmitted.mPool))
+      mCore.Meter().OnRolloutSend(server.mRegistered);
     return { .mHead = FormatRequestHead(head),
              .mBody = mBody,
              .mAnswerHasBody = mHead.mMethod != "HEAD",
              .mTokens = RequestTokens(mProperties),
              .mPrefixes = MakePrefixHolders(parameters),
-             .mPartCrashes = mCore.Suspects().Evidence(aAdmitted.mParts) };
+             .mPartCrashes = mCore.Suspects().Evidence(aAdmitted.mParts),
+             .mObserved =
+               mCore.Rollouts().OnSent(aPick.mChoiceRequest.mNow,
+                                       server,
+                                       *aAdmitted.mRoute,
+                                       Uncached(server, parameters)) };
   }
 
 private:
   server_pick PickOf(instant aNow,
                      pool_name const& aPool,
-                     std::optional<software_version> const& aSoftware)
+                     std::optional<software_version> const& aSoftware,
+                     allowed_software const& aAllowed)
   {
     server_pick pick{ .mView = mCore.View(aNow) };
     pick.mChoiceRequest = MakeChoiceRequest(
       aNow, mCore.Options(), *pick.mView, mProperties, mTried);
     pick.mChoiceRequest.mSoftware = aSoftware;
+    pick.mChoiceRequest.mAllowedSoftware = aAllowed;
+    std::vector<tracked_server*> kept;
     std::span<tracked_server* const> const servers =
-      mCore.Servers().Pool(aPool);
+      traffic_rollouts::Restrict(mCore.Servers().Pool(aPool), aAllowed, kept);
     if (tracked_server const* const chosen =
           ChooseServer(servers, pick.mChoiceRequest))
       pick.mServer = mCore.Servers().Find(chosen->mRegistered.mId);
     else
       pick.mSendAt = FirstSendAt(servers, pick.mChoiceRequest);
+    // It refers to data that the next view may change.
+    pick.mChoiceRequest.mAllowedSoftware = {};
     return pick;
   }
 
+  // The software that a rollout of the pool allows for the next attempt. A
+  // request that failed on the target goes to other software.
+  allowed_software Allowed(instant aNow,
+                           admitted_request const& aAdmitted,
+                           bool aIsBound)
+  {
+    traffic_rollouts& rollouts = mCore.Rollouts();
+    mCore.View(aNow);
+    bool const isFirst = !std::exchange(mIsChosen, true);
+    std::optional<software_version> const& software = Software(aAdmitted);
+    if (aIsBound && software)
+      return rollouts.ChooseResumption(aNow, aAdmitted.mPool, *software);
+    return isFirst
+             ? rollouts.Choose(aNow, aAdmitted.mPool, mProperties.mId.Text())
+             : rollouts.ChooseRepeat(aNow, aAdmitted.mPool);
+  }
+
+  // The tokens of the prompt that the server has to read.
+  [[nodiscard]] token_count Uncached(tracked_server const& aServer,
+                                     send_parameters const& aParameters) const
+  {
+    token_count const tokens = mProperties.mPromptTokens.value_or(0);
+    bool const isCached =
+      !aParameters.mPrefixKeys.empty() &&
+      mCore.Prefixes().Holder(mClock.Now(), aParameters.mPrefixKeys.back()) ==
+        aServer.mRegistered.mId;
+    token_count const cached = isCached ? mProperties.SharedTokens() : 0;
+    return tokens - std::min(tokens, cached);
+  }
+
   // The only software that may run the request; empty when any may.
   [[nodiscard]] std::optional<software_version> const& Software(
     admitted_request const& aAdmitted) const
@@ -127,10 +180,13 @@
   }
 
   traffic_core& mCore;
+  system_clock mClock;
   request_head mHead;
   std::shared_ptr<std::string const> mBody;
   request_properties mProperties;
   std::vector<backend_server_id> mTried;
+  /// True once software was chosen for the request.
+  bool mIsChosen = false;
   /// The software of the latest server of a resumable stream.
   std::optional<software_version> mSoftware;
 };
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -37,6 +37,7 @@
     mTokens = aRequest.mTokens;
     mPrefixes = std::move(aRequest.mPrefixes);
     mPartCrashes = std::move(aRequest.mPartCrashes);
+    mObserved = std::move(aRequest.mObserved);
     mFirstPieceAt.reset();
     mOutcome = attempt_outcome::Pending;
     mServer->OnStart(aNow, mTokens);
@@ -58,6 +59,8 @@
     if (!mExchange)
       return;
     mServer->OnEnd(mTokens);
+    mObserved.mIsIgnored |= mOutcome == attempt_outcome::NotRun;
+    mCore.Rollouts().OnEnd(mClock.Now(), mObserved);
     mExchange->Cancel();
     mExchange.reset();
   }
@@ -75,6 +78,7 @@
   /// all servers, and no tunnel would be tried any more.
   void OnUnreachable(instant aNow, exchange_end aEnd)
   {
+    mObserved.mIsIgnored = true;
     if (aEnd == exchange_end::NoPath)
       return;
     breaker_state const before = mServer->mBreaker.State(aNow);
@@ -88,8 +92,10 @@
   void OnConnectionLost(instant aNow, exchange_end aEnd)
   {
     // A tunnel shows no difference between a server and a peer that failed.
+    mObserved.mIsIgnored = aEnd == exchange_end::TunnelBroken;
     if (aEnd == exchange_end::TunnelBroken)
       return;
+    mObserved.mIsBroken = true;
     breaker_state const before = mServer->mBreaker.State(aNow);
     if (aEnd == exchange_end::Unresponsive) {
       mServer->mBreaker.OnUnreachable(aNow);
@@ -108,6 +114,7 @@
   /// A piece of the answer was received, so the server has read the prompt.
   void OnPiece(instant aNow)
   {
+    mObserved.OnPiece(aNow);
     if (!mFirstPieceAt) {
       mFirstPieceAt = aNow;
       for (prefix_holder const& prefix : std::exchange(mPrefixes, {}))
@@ -117,6 +124,12 @@
       OnAnswering(aNow);
   }
 
+  /// The head of the answer was received.
+  void OnHead(std::uint32_t aStatus) { mObserved.mStatus = aStatus; }
+
+  /// The answer was received to its end.
+  void OnComplete() { mObserved.mIsComplete = true; }
+
   /// The server answers the request without having crashed under it.
   void OnAnswering(instant aNow)
   {
@@ -172,6 +185,8 @@
   /// the server answers it.
   std::vector<part_crashes> mPartCrashes;
   std::optional<instant> mFirstPieceAt;
+  observed_attempt mObserved;
+  system_clock mClock;
   attempt_outcome mOutcome = attempt_outcome::Pending;
 };
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -24,6 +24,7 @@
   , mInstanceOrder(aOptions.mInstance)
   , mQuota(aOptions.mQuota)
   , mTunnelPeers(aOptions.mInstance)
+  , mRollouts(aOptions.mRollouts)
 {
 }
 
@@ -40,6 +41,7 @@
       budget.second.SetOptions(RetryBudgetOptions());
   }
   mServers.Apply(*mView);
+  mRollouts.Apply(aNow, *mView, mServers);
   mTunnelPeers.Update(mView->mReadyInstances);
   ApplyLimits(aNow);
   mQuota.Apply(aNow, *mView);
@@ -267,6 +269,7 @@
   // With one version, all streams are of that one.
   if (View(aNow)->HasMixedSoftware())
     report.mOrigins = mOrigins.TakeUnreported(aNow);
+  mRollouts.TakeReport(report);
   report.mMetrics = mMeter.TakeDelta();
   return report;
 }
--- a/Libraries/LibGateway/TrafficCore.h
+++ b/Libraries/LibGateway/TrafficCore.h
@@ -20,6 +20,7 @@
 #include <LibGateway/ServerAnswer.h>
 #include <LibGateway/TrafficMeter.h>
 #include <LibGateway/TrafficReport.h>
+#include <LibGateway/TrafficRollouts.h>
 
 #include <cstdint>
 #include <map>
@@ -137,6 +138,7 @@
   [[nodiscard]] suspect_parts& Suspects() noexcept { return mSuspects; }
   [[nodiscard]] stream_origins& Origins() noexcept { return mOrigins; }
   [[nodiscard]] prefix_index& Prefixes() noexcept { return mPrefixes; }
+  [[nodiscard]] traffic_rollouts& Rollouts() noexcept { return mRollouts; }
   [[nodiscard]] traffic_meter& Meter() noexcept { return mMeter; }
   [[nodiscard]] connection_pool& Connections() noexcept { return mConnections; }
   [[nodiscard]] server_reachability& Reachability() noexcept
@@ -181,6 +183,7 @@
   server_reachability mReachability;
   tunnel_peers mTunnelPeers;
   retry_budgets mRetryBudgets;
+  traffic_rollouts mRollouts;
   traffic_meter mMeter;
   traffic_report mReport;
   bool mIsDraining = false;
--- a/Libraries/LibGateway/TrafficMeter.cpp
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -12,6 +12,17 @@
     Count("repeats_total", "pool", aAdmitted.mPool.Text());
 }
 
+void
+traffic_meter::OnRolloutSend(registered_server const& aServer)
+{
+  mRecorder.Count(
+    mRecorder.OpenCounter({ .mMetric = "rollout_sends_total",
+                            .mLabel = "pool",
+                            .mLabelValue = aServer.mPool.Text(),
+                            .mSecondLabel = "software",
+                            .mSecondLabelValue = aServer.mSoftware.Text() }));
+}
+
 void
 traffic_meter::OnRetryDenied(pool_name const& aPool)
 {
--- a/Libraries/LibGateway/TrafficMeter.h
+++ b/Libraries/LibGateway/TrafficMeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibDispatch/RegisteredServer.h>
 #include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/RequestRefusal.h>
 #include <LibGateway/RunTrace.h>
@@ -23,6 +24,9 @@
   /// before.
   void OnSend(admitted_request const& aAdmitted, bool aIsRetry);
 
+  /// A request was sent to a server of a pool whose rollout runs.
+  void OnRolloutSend(registered_server const& aServer);
+
   /// A retry was denied because the pool's retry budget is used up.
   void OnRetryDenied(pool_name const& aPool);
 
--- a/Libraries/LibGateway/TrafficReport.h
+++ b/Libraries/LibGateway/TrafficReport.h
@@ -9,6 +9,8 @@
 #include <LibDispatch/StreamOrigin.h>
 #include <LibDispatch/WorkspaceUsage.h>
 #include <LibMetrics/MetricsDelta.h>
+#include <LibPeer/RolloutDrain.h>
+#include <LibRollout/RolloutSample.h>
 
 #include <vector>
 
@@ -38,6 +40,10 @@
   /// Streams of this instance that callers may resume, which haven't been
   /// reported before; empty while all servers of each pool run one software.
   std::vector<stream_origin> mOrigins;
+  /// What it observed of rollouts since the last report.
+  std::vector<rollout_sample> mRolloutSamples;
+  /// The orders that this instance has drained.
+  std::vector<rollout_drain> mDrained;
   /// What the traffic thread counted and timed since the last report.
   metrics_delta mMetrics;
 };
--- a/Libraries/LibMetrics/CounterSeries.h
+++ b/Libraries/LibMetrics/CounterSeries.h
@@ -5,7 +5,7 @@
 
 namespace lycheeseam {
 
-/// Names one counter, gauge or histogram: a metric with at most one label.
+/// Names one counter, gauge or histogram: a metric with at most two labels.
 struct counter_series
 {
   /// The Prometheus name without the common prefix, such as "requests_total".
@@ -13,6 +13,9 @@
   /// The label's name; empty when the series has no label.
   std::string mLabel;
   std::string mLabelValue;
+  /// Empty when the series has no second label.
+  std::string mSecondLabel;
+  std::string mSecondLabelValue;
 
   auto operator<=>(counter_series const&) const = default;
 };
--- a/Libraries/LibMetrics/EncodePrometheus.cpp
+++ b/Libraries/LibMetrics/EncodePrometheus.cpp
@@ -47,7 +47,7 @@
   return std::string{ aName } + "=\"" + EscapeLabelValue(aValue) + "\"";
 }
 
-// Formats the label of the series, followed by an extra label unless its name
+// Formats the labels of the series, followed by an extra label unless its name
 // is empty.
 std::string
 Labels(counter_series const& aSeries,
@@ -57,6 +57,8 @@
   std::string labels;
   if (!aSeries.mLabel.empty())
     labels = Label(aSeries.mLabel, aSeries.mLabelValue);
+  if (!aSeries.mSecondLabel.empty())
+    labels += "," + Label(aSeries.mSecondLabel, aSeries.mSecondLabelValue);
   if (!aExtraLabel.empty())
     labels += (labels.empty() ? "" : ",") + Label(aExtraLabel, aValue);
   return labels.empty() ? labels : "{" + labels + "}";
