LibFleet: Lead rollouts of server software

Orders for rollouts weren't read. The holder of the lease on orders runs a plan for each order, tells the steps in its reports, stores them under the condition that no other instance has written, and then writes the status. A completion counts once it is stored. Every instance keeps the evidence, so that a successor goes on from the stored state.

--- a/Libraries/LibFleet/ComposeReport.cpp
+++ b/Libraries/LibFleet/ComposeReport.cpp
@@ -1,3 +1,4 @@
+#include <LibFleet/CombineDrained.h>
 #include <LibFleet/ComposeReport.h>
 #include <LibFleet/LimitNotices.h>
 
@@ -40,6 +41,24 @@
   aTo.insert(aTo.end(), aFrom.begin(), aFrom.end());
 }
 
+// Samples with the same key become one, so that a report for many instances
+// grows with their routes only.
+void
+AddSamples(std::vector<rollout_sample>& aTo,
+           std::span<rollout_sample const> aFrom)
+{
+  for (rollout_sample const& sample : aFrom) {
+    auto const found = std::find_if(
+      aTo.begin(), aTo.end(), [&sample](rollout_sample const& aOther) {
+        return aOther.HasKeyOf(sample);
+      });
+    if (found != aTo.end())
+      *found += sample;
+    else
+      aTo.push_back(sample);
+  }
+}
+
 // Keeps the newest lease, with the servers that its holder is updating, and the
 // first reader by id of all instances that the report covers.
 void
@@ -69,10 +88,14 @@
                        .mLease = aOwn.mLease,
                        .mReader = aOwn.mReader,
                        .mUpdating = aOwn.mUpdating,
-                       .mOperatorsEnd = aOwn.mOperatorsEnd };
+                       .mOperatorsEnd = aOwn.mOperatorsEnd,
+                       .mRollouts = aOwn.mRollouts,
+                       .mDrained = aOwn.mDrained };
   for (auto const& [id, link] : aRegistry.Links()) {
-    if (link.IsLive(aNow) && ForwardsLink(link, aScope, aTo))
-      MergeLeaseAndReader(report, link.mReport);
+    if (!link.IsLive(aNow) || !ForwardsLink(link, aScope, aTo))
+      continue;
+    MergeLeaseAndReader(report, link.mReport);
+    report.mDrained = CombineDrained(report.mDrained, link.mReport.mDrained);
   }
   auto const target = aRegistry.Links().find(aTo);
   bool const isForChild =
@@ -90,6 +113,7 @@
     Append(report.mLimits, MakeLimitNotices(aNow, update.mLimits));
     Append(report.mHolders, update.mHolders);
     Append(report.mOrigins, update.mOrigins);
+    AddSamples(report.mRolloutSamples, update.mRolloutSamples);
   }
   return report;
 }
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -12,6 +12,7 @@
 #include <LibFleet/FleetRecords.h>
 #include <LibFleet/InstanceRegistration.h>
 #include <LibFleet/OrderDriver.h>
+#include <LibFleet/RolloutDriver.h>
 #include <LibFleet/StoreFollower.h>
 #include <LibFleet/TickMonitor.h>
 #include <LibFleet/UsageWriter.h>
@@ -87,6 +88,7 @@
         [this](server_identity const& aIdentity) {
           mRecords.OnAddressTaken(mClock.Now(), aIdentity);
         })
+    , mRollouts(mClient, mOptions.mStore, mOptions.mRollouts)
     , mTimer(aContext)
   {
     if (mOptions.mMetrics)
@@ -122,11 +124,13 @@
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
     mObservations.Add(mClock.Now(), aReport);
+    mRollouts.Add(mClock.Now(), aReport);
     mLinks.Add({ .mCrashes = std::move(aReport.mCrashes),
                  .mPartCrashes = std::move(aReport.mPartCrashes),
                  .mLimits = std::move(aReport.mLimits),
                  .mHolders = std::move(aReport.mHolders),
-                 .mOrigins = std::move(aReport.mOrigins) });
+                 .mOrigins = std::move(aReport.mOrigins),
+                 .mRolloutSamples = std::move(aReport.mRolloutSamples) });
     ReportToPeers();
     Publish();
   }
@@ -145,6 +149,7 @@
                       .mUsed = mWindowUsage,
                       .mOperatorsEnd = mFollower.OperatorsEnd() };
     mObservations.AddTo(now, own);
+    mRollouts.AddTo(own);
     mLinks.Report(own, IsReady());
   }
 
@@ -159,8 +164,9 @@
                        .mPartCrashes = aReport.mPartCrashes,
                        .mHolders = aReport.mHolders,
                        .mOrigins = aReport.mOrigins });
+    bool const haveStepsChanged = mRollouts.Merge(mClock.Now(), aReport);
     if (mRecords.Servers().OnObservedWeights(aReport.mWeights) ||
-        aHaveUpdatesChanged)
+        aHaveUpdatesChanged || haveStepsChanged)
       Publish();
   }
 
@@ -201,14 +207,30 @@
       mOrderDriver.Tick(mRecords.Servers().Servers(),
                         mRecords.Operators().Weights(),
                         mLinks.Registry().Rank(now),
-                        mLinks.Registry().NewestLease(now));
-    if (haveUpdatesChanged)
+                        mLinks.Registry().NewestLease(now),
+                        mRollouts.IsLeaseNeeded());
+    bool const hasChanged = TickRollouts(now) || haveUpdatesChanged;
+    if (hasChanged)
       ReportToPeers();
-    if (haveServersExpired || haveUpdatesChanged)
+    if (haveServersExpired || hasChanged)
       Publish();
+    mRollouts.SetGauges(mMetrics);
     mMetrics.Tick(now, mView, mOrderDriver.Lease());
   }
 
+  // True when a step of a rollout has changed.
+  bool TickRollouts(instant aNow)
+  {
+    peer_registry const& peers = mLinks.Registry();
+    return mRollouts.Tick(
+      aNow,
+      { .mOrders = mRecords.Operators().Rollouts(),
+        .mServers = mRecords.Servers().Servers(),
+        .mLease = mOrderDriver.Lease(),
+        .mPeerLease = peers.NewestLease(aNow),
+        .mDrained = peers.Drained(aNow, mRollouts.OwnDrained()) });
+  }
+
   // True while this instance reads the store for the others.
   [[nodiscard]] bool IsReader(instant aNow) const
   {
@@ -227,6 +249,7 @@
     mRecords.Servers().OnStoreRestored(now);
     mRegistration.OnStoreRestored(now);
     mObservations.OnStoreRestored();
+    mRollouts.OnStoreRestored();
   }
 
   void OnNewRecords(store_topic aTopic,
@@ -266,6 +289,7 @@
           .mDomain = mOptions.mSelf.mFailureDomain,
           .mAddress = mOptions.mSelf.mCallers });
     mObservations.Describe(now, mFollower.IsReadingServers(now), mView);
+    mRollouts.Describe(mView);
     mView.mReportDelay = mLinks.ReportDelay();
     if (mView.mConfig)
       mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
@@ -287,6 +311,7 @@
   fleet_observations<Dialect> mObservations;
   fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrderDriver;
+  rollout_driver<Dialect> mRollouts;
   fleet_view mView;
   /// What this instance admitted since its start.
   std::vector<workspace_usage> mOwnUsage;
--- a/Libraries/LibFleet/FleetDialect.h
+++ b/Libraries/LibFleet/FleetDialect.h
@@ -12,6 +12,7 @@
 #include <LibHttp/HttpExchangeResult.h>
 #include <LibHttp/RequestHead.h>
 #include <LibPeer/PeerHello.h>
+#include <LibPeer/RolloutNotice.h>
 #include <LibStore/KeyedRecord.h>
 #include <LibStore/StoreEra.h>
 #include <LibStore/StoreTopic.h>
@@ -44,6 +45,8 @@
                                  quota_usage const& aUsage,
                                  std::span<pool_software const> aSoftware,
                                  std::span<stream_origin const> aOrigins,
+                                 std::span<rollout_notice const> aNotices,
+                                 rollout_state const& aState,
                                  http_exchange_result const& aResult)
 {
   // The newest record of each key that sorts after a given key.
@@ -110,6 +113,17 @@
   {
     Dialect::ReadOrigins(aText)
     } -> std::same_as<std::vector<stream_origin>>;
+  // The states of a pool's rollouts, and the record that tells operators the
+  // progress of one.
+  {
+    Dialect::FormatRollouts(aNotices)
+    } -> std::same_as<std::string>;
+  {
+    Dialect::ReadRollouts(aText)
+    } -> std::same_as<std::vector<rollout_notice>>;
+  {
+    Dialect::FormatRolloutStatus(aState)
+    } -> std::same_as<keyed_record>;
   // Orders to engines, and the engines' reports of their state.
   {
     Dialect::OrderRequest(aOrder)
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -195,7 +195,8 @@
         .mWeights = aReport.mWeights,
         .mLimits = mControl.Observations().MergeLimits(now, aReport),
         .mHolders = aReport.mHolders,
-        .mOrigins = mControl.Observations().MergeSoftware(now, aReport) });
+        .mOrigins = mControl.Observations().MergeSoftware(now, aReport),
+        .mRolloutSamples = aReport.mRolloutSamples });
     mControl.OnPeerReport(aReport, haveUpdatesChanged);
     if (mLaggingPeers.IsSnapshotDue(now,
                                     aPeer.mInstance,
--- a/Libraries/LibFleet/FleetMetrics.cpp
+++ b/Libraries/LibFleet/FleetMetrics.cpp
@@ -49,6 +49,21 @@
   set("order_lease", static_cast<double>(aLease));
 }
 
+void
+fleet_metrics::SetRollout(pool_name const& aPool,
+                          double aShare,
+                          std::uint64_t aBadAnswers)
+{
+  mStore.SetGauge({ .mMetric = "rollout_share",
+                    .mLabel = "pool",
+                    .mLabelValue = aPool.Text() },
+                  aShare);
+  mStore.SetGauge({ .mMetric = "rollout_bad_answers",
+                    .mLabel = "pool",
+                    .mLabelValue = aPool.Text() },
+                  static_cast<double>(aBadAnswers));
+}
+
 local_answer
 fleet_metrics::Answer(request_head const& aQuery)
 {
--- a/Libraries/LibFleet/FleetMetrics.h
+++ b/Libraries/LibFleet/FleetMetrics.h
@@ -26,6 +26,12 @@
   /// instance's lease on orders, 0 for none.
   void Tick(instant aNow, fleet_view const& aView, std::uint64_t aLease);
 
+  /// Sets the gauges of a pool's rollout: the share of requests for the target,
+  /// and how many of its answers were bad.
+  void SetRollout(pool_name const& aPool,
+                  double aShare,
+                  std::uint64_t aBadAnswers);
+
   /// Answers a request at the metrics address: GET /metrics with the metrics,
   /// all else with status 404.
   local_answer Answer(request_head const& aQuery);
--- a/Libraries/LibFleet/FleetOptions.h
+++ b/Libraries/LibFleet/FleetOptions.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Instant.h>
 #include <LibPeer/PeerHello.h>
+#include <LibRollout/RolloutLimits.h>
 
 #include <optional>
 
@@ -20,6 +21,8 @@
   duration mQuotaWindow{};
   /// The term of the lease on orders, from when the lease is sent.
   duration mLease{};
+  /// Without them no rollouts are run.
+  std::optional<rollout_limits> mRollouts;
 };
 
 }
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -139,6 +139,10 @@
       return ApplyConfig(aRecord, *config, aSource);
     if (auto const* const target = std::get_if<loaded_model>(&read))
       return ApplyWeights(aNow, *target);
+    if (auto* const order = std::get_if<rollout_order>(&read)) {
+      order->mNumber = aRecord.mPosition.Number();
+      return ApplyRollout(aNow, *order);
+    }
     // Records under keys that this version doesn't know are ignored.
   }
 
@@ -162,6 +166,20 @@
                  { "version", static_cast<std::int64_t>(aTarget.mVersion) } });
   }
 
+  void ApplyRollout(instant aNow, rollout_order const& aOrder)
+  {
+    if (mOperators.Apply(aNow, aOrder))
+      LogEvent(
+        "rollout_ordered",
+        { { "pool", aOrder.mPool.Text() },
+          { "to", aOrder.mTarget.Text() },
+          { "duration_ms",
+            std::int64_t{ std::chrono::duration_cast<std::chrono::milliseconds>(
+                            aOrder.mDuration)
+                            .count() } },
+          { "order", static_cast<std::int64_t>(aOrder.mNumber) } });
+  }
+
   server_registry mServers;
   operator_state mOperators;
 };
--- a/Libraries/LibFleet/OperatorState.cpp
+++ b/Libraries/LibFleet/OperatorState.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/OperatorState.h>
+#include <LibStore/StorePosition.h>
 
 #include <algorithm>
 
@@ -10,6 +11,16 @@
 // than these.
 constexpr std::size_t kKeptVersions = 16;
 
+// True for copies of one record. A store that comes back from an older copy of
+// itself shows the record again in its new era.
+bool
+AreOfOneRecord(rollout_order const& aLeft, rollout_order const& aRight)
+{
+  return store_position::FromNumber(aLeft.mNumber).Offset() ==
+           store_position::FromNumber(aRight.mNumber).Offset() &&
+         aLeft.mTarget == aRight.mTarget && aLeft.mDuration == aRight.mDuration;
+}
+
 }
 
 bool
@@ -41,4 +52,22 @@
   return true;
 }
 
+bool
+operator_state::Apply(instant aNow, rollout_order const& aOrder)
+{
+  auto const isOfPool = [&aOrder](known_order const& aKnown) {
+    return aKnown.mOrder.mPool == aOrder.mPool;
+  };
+  auto const found = std::find_if(mRollouts.begin(), mRollouts.end(), isOfPool);
+  if (found == mRollouts.end()) {
+    mRollouts.push_back({ .mOrder = aOrder, .mLearnedAt = aNow });
+    return true;
+  }
+  if (aOrder.mNumber <= found->mOrder.mNumber ||
+      AreOfOneRecord(aOrder, found->mOrder))
+    return false;
+  *found = { .mOrder = aOrder, .mLearnedAt = aNow };
+  return true;
+}
+
 }
--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -52,12 +52,14 @@
   // and calls for state don't go through peers.
   /// Does what is due. aRank is this instance's rank among those that could
   /// hold the lease, 0 for the first; aPeerLease is the newest lease of a live
-  /// peer, 0 for none. Returns true when the set of servers being updated has
+  /// peer, 0 for none. With aIsLeaseNeeded it renews the lease also while no
+  /// engine is updated. Returns true when the set of servers being updated has
   /// changed.
   bool Tick(std::span<registered_server const> aServers,
             std::span<target_weights const> aWeights,
             std::uint32_t aRank,
-            std::uint64_t aPeerLease)
+            std::uint64_t aPeerLease,
+            bool aIsLeaseNeeded)
   {
     instant const now = mClock.Now();
     bool const hadUpdates = !mPlan.IsIdle();
@@ -86,6 +88,8 @@
     }
     std::set<backend_server_id> const before = mPlan.Updating();
     mPlan.Update(now, aServers, aWeights);
+    if ((aIsLeaseNeeded || !mPlan.IsIdle()) && mLease.IsRenewalDue(now))
+      Acquire();
     if (!mPlan.IsIdle())
       SendDue(now, aServers);
     return mPlan.Updating() != before;
@@ -118,8 +122,6 @@
 
   void SendDue(instant aNow, std::span<registered_server const> aServers)
   {
-    if (mLease.IsRenewalDue(aNow))
-      Acquire();
     for (backend_server_id const& id : mPlan.DueOrders(aNow)) {
       std::optional<std::uint64_t> const fence = mLease.FencingNumber(aNow);
       registered_server const* const server = FindServer(aServers, id);
--- a/Libraries/LibFleet/PeerRegistry.cpp
+++ b/Libraries/LibFleet/PeerRegistry.cpp
@@ -1,3 +1,4 @@
+#include <LibFleet/CombineDrained.h>
 #include <LibFleet/PeerRegistry.h>
 
 #include <algorithm>
@@ -224,6 +225,16 @@
   return {};
 }
 
+std::vector<rollout_drain>
+peer_registry::Drained(instant aNow, std::vector<rollout_drain> aOwn) const
+{
+  for (auto const& [id, link] : mLinks) {
+    if (link.IsLive(aNow))
+      aOwn = CombineDrained(aOwn, link.mReport.mDrained);
+  }
+  return aOwn;
+}
+
 std::uint64_t
 peer_registry::NewestLease(instant aNow) const
 {
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -85,6 +85,12 @@
   /// The servers that the holder of the newest lease is updating.
   [[nodiscard]] std::set<backend_server_id> Updating(instant aNow) const;
 
+  /// The orders that all instances behind live links have drained, and this
+  /// instance too, whose own are aOwn.
+  [[nodiscard]] std::vector<rollout_drain> Drained(
+    instant aNow,
+    std::vector<rollout_drain> aOwn) const;
+
   /// The number of the newest lease that a live peer reports; 0 for none.
   [[nodiscard]] std::uint64_t NewestLease(instant aNow) const;
 
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -6,8 +6,9 @@
 
 namespace lycheeseam {
 
-/// Crashes, weights, rate limits, prefix holders and origins of streams that an
-/// instance observed, to be reported once to all others.
+/// Crashes, weights, rate limits, prefix holders, origins of streams and
+/// samples of rollouts that an instance observed, to be reported once to all
+/// others.
 struct report_update
 {
   /// The peer that reported it; empty for this instance's own observations.
@@ -20,11 +21,13 @@
   std::vector<observed_limit> mLimits;
   std::vector<prefix_holder> mHolders;
   std::vector<stream_origin> mOrigins;
+  std::vector<rollout_sample> mRolloutSamples;
 
   [[nodiscard]] bool IsEmpty() const
   {
     return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
-           mLimits.empty() && mHolders.empty() && mOrigins.empty();
+           mLimits.empty() && mHolders.empty() && mOrigins.empty() &&
+           mRolloutSamples.empty();
   }
 };
 
--- /dev/null
+++ b/Libraries/LibFleet/RolloutEvidence.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibCore/Instant.h>
+#include <LibRollout/RolloutJudge.h>
+#include <LibRollout/RolloutSample.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+
+namespace lycheeseam {
+
+/// What all instances observed of rollouts. Every instance keeps it, so that
+/// each can succeed the leader.
+class rollout_evidence
+{
+public:
+  void Add(instant aNow, std::span<rollout_sample const> aSamples);
+
+  /// The judge of an order; null before the first sample.
+  [[nodiscard]] rollout_judge const* JudgeOf(std::uint64_t aOrder) const;
+
+  /// The answers of the pool's servers in a second, over all instances.
+  [[nodiscard]] double Rate(instant aNow, std::uint64_t aOrder) const;
+
+private:
+  struct answer_count
+  {
+    instant mAt{};
+    std::uint32_t mAnswers = 0;
+  };
+  struct order_evidence
+  {
+    rollout_judge mJudge;
+    instant mSince{};
+    /// Those of the last seconds, oldest first.
+    std::deque<answer_count> mRecent;
+  };
+
+  std::map<std::uint64_t, order_evidence> mOrders;
+};
+
+}
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <random>
 
 namespace lycheeseam {
@@ -18,6 +19,17 @@
   return incarnation{ static_cast<std::uint64_t>(TimeOfDay().count()) };
 }
 
+// Empty where no rollouts are ordered.
+std::optional<rollout_limits>
+MakeRolloutLimits(fleet_settings const& aSettings)
+{
+  if (aSettings.mExposureShare <= 0)
+    return std::nullopt;
+  return rollout_limits{ .mShare = aSettings.mExposureShare,
+                         .mSlack = aSettings.mExposureSlack,
+                         .mRollbackTime = aSettings.mRollbackTime };
+}
+
 }
 
 gateway_options
@@ -50,6 +62,7 @@
            .mRetryWindow = aSettings.mRetryWindow,
            .mOutdatedAfter = std::max(std::chrono::milliseconds{},
                                       aSettings.mWeightsTime - kWeightsMargin),
+           .mRollouts = MakeRolloutLimits(aSettings),
            .mAddressLifetime = aSettings.mAddressLifetime };
 }
 
@@ -68,7 +81,8 @@
            .mStore = aSettings.mStore,
            .mMetrics = aSettings.mMetrics,
            .mQuotaWindow = aSettings.mQuotaWindow,
-           .mLease = aSettings.mLease };
+           .mLease = aSettings.mLease,
+           .mRollouts = MakeRolloutLimits(aSettings) };
 }
 
 }
