--- a/Tests/LibFleet/SimulatedFleet.h
+++ b/Tests/LibFleet/SimulatedFleet.h
@@ -4,6 +4,7 @@
 #include <LibFleet/LimitNotices.h>
 #include <LibFleet/RelayFilter.h>
 #include <LibFleet/ReportExchange.h>
+#include <LibFleet/RolloutStates.h>
 #include <LibFleet/ServerLimits.h>
 
 #include <chrono>
@@ -42,6 +43,11 @@
     std::uint64_t mLease = 0;
     std::vector<report_update> mOwnUpdates;
     std::vector<part_crashes> mQuarantined;
+    rollout_states mStates;
+    std::vector<rollout_notice> mRollouts;
+    std::vector<rollout_drain> mDrained;
+    /// Answers in the samples that it received.
+    std::uint64_t mReceivedAnswers = 0;
     std::vector<std::uint64_t> mReceivedCrashes;
     std::vector<part_crashes> mReceivedEvidence;
     server_limits mLimits;
@@ -273,7 +279,9 @@
         .mSpent = { { workspace_id{ "w" }, aMember.mUsage } },
         .mPartCrashes = aMember.mQuarantined,
         .mLimits = MakeLimitNotices(mNow, aMember.mLimits.List()),
-        .mOrigins = aMember.mOrigins.List(mNow) },
+        .mOrigins = aMember.mOrigins.List(mNow),
+        .mRollouts = aMember.mRollouts,
+        .mDrained = aMember.mDrained },
       true,
       false);
   }
@@ -302,6 +310,11 @@
     aTo.mRegistry.OnReport(mNow, from, report);
     for (crash_count const& crash : report.mCrashes)
       aTo.mReceivedCrashes.push_back(crash.mFingerprint);
+    for (rollout_sample const& sample : report.mRolloutSamples)
+      aTo.mReceivedAnswers += sample.mAnswers;
+    for (rollout_notice const& notice : report.mRollouts)
+      aTo.mStates.Merge(mNow, notice);
+    aTo.mRollouts = aTo.mStates.List();
     aTo.mReceivedEvidence.insert(aTo.mReceivedEvidence.end(),
                                  report.mPartCrashes.begin(),
                                  report.mPartCrashes.end());
@@ -311,7 +324,8 @@
         .mCrashes = report.mCrashes,
         .mPartCrashes = report.mPartCrashes,
         .mLimits = aTo.mLimits.Merge(ReadLimitNotices(mNow, report.mLimits)),
-        .mOrigins = aTo.mOrigins.Merge(mNow, report.mOrigins) });
+        .mOrigins = aTo.mOrigins.Merge(mNow, report.mOrigins),
+        .mRolloutSamples = report.mRolloutSamples });
   }
 
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/Tests/LibFleet/StoreFixture.h
+++ b/Tests/LibFleet/StoreFixture.h
@@ -62,7 +62,8 @@
                             .mCallers = FreeAddress(),
                             .mPeers = FreeAddress() },
                  .mStore = aStore,
-                 .mLease = std::chrono::seconds{ 3 } },
+                 .mLease = std::chrono::seconds{ 3 },
+                 .mRollouts = rollout_limits{} },
                mView,
                [this](peer_update const& aUpdate) { OnUpdate(aUpdate); })
   {
@@ -85,6 +86,42 @@
       [this, aOrigin]() { mControl.OnReport({ .mOrigins = { aOrigin } }); });
   }
 
+  /// Reports that no request runs on other software than the target, while the
+  /// pool p is in the phase that waits for it.
+  void ReportDrained()
+  {
+    std::optional<rollout_state> const state = Rollout();
+    if (!state || state->mPhase != rollout_phase::Draining)
+      return;
+    mThread.Invoke([this, state]() {
+      mControl.OnReport(
+        { .mDrained = { { state->mOrder.mNumber, state->mRevision } } });
+    });
+  }
+
+  /// Has the view published, and peers told.
+  void Report()
+  {
+    mThread.Invoke([this]() { mControl.OnReport({}); });
+  }
+
+  /// The newest state of the pool p in its view.
+  [[nodiscard]] std::optional<rollout_state> Rollout() const
+  {
+    std::optional<rollout_state> newest;
+    for (rollout_state const& state : mView.Current()->mRollouts) {
+      if (!newest || state.mOrder.mNumber > newest->mOrder.mNumber)
+        newest = state;
+    }
+    return newest;
+  }
+
+  /// All orders of the pool p in its view.
+  [[nodiscard]] std::vector<rollout_state> Rollouts() const
+  {
+    return mView.Current()->mRollouts;
+  }
+
   /// True when it has learned of the stream's origin.
   [[nodiscard]] bool Knows(stream_origin const& aOrigin) const
   {
--- a/Tests/LibFleet/TestOperatorState.cpp
+++ b/Tests/LibFleet/TestOperatorState.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/OperatorState.h>
+#include <LibStore/StorePosition.h>
 
 #include <gtest/gtest.h>
 
@@ -44,6 +45,39 @@
   EXPECT_FALSE(weights.ReplacedSince(4));
 }
 
+rollout_order
+Order(char const* aTarget, store_position aPosition)
+{
+  return { .mPool = pool_name{ "p" },
+           .mTarget = software_version{ aTarget },
+           .mDuration = std::chrono::seconds{ 12 },
+           .mNumber = aPosition.Number() };
+}
+
+TEST(TestOperatorState, NewerOrderReplacesTheOneOfItsPool)
+{
+  operator_state state;
+  EXPECT_TRUE(state.Apply(kNow, Order("v2", { store_era{}, 4 })));
+  EXPECT_TRUE(state.Apply(kNow, Order("v3", { store_era{}, 6 })));
+  EXPECT_FALSE(state.Apply(kNow, Order("v2", { store_era{}, 4 })));
+  ASSERT_EQ(state.Rollouts().size(), 1U);
+  EXPECT_EQ(state.Rollouts()[0].mOrder.mTarget, software_version{ "v3" });
+}
+
+// Guards against a rollout that begins again because its record is read again,
+// by a full read or from a store that came back from an older copy.
+TEST(TestOperatorState, OrderOfARecordThatIsReadAgainIsTheSame)
+{
+  operator_state state;
+  EXPECT_TRUE(state.Apply(kNow, Order("v2", { store_era{ 1 }, 4 })));
+  instant const later = kNow + std::chrono::seconds{ 5 };
+  EXPECT_FALSE(state.Apply(later, Order("v2", { store_era{ 1 }, 4 })));
+  EXPECT_FALSE(state.Apply(later, Order("v2", { store_era{ 2 }, 4 })));
+  EXPECT_EQ(state.Rollouts()[0].mLearnedAt, kNow);
+  // The copy lacked the record, and another order got its offset.
+  EXPECT_TRUE(state.Apply(later, Order("v3", { store_era{ 2 }, 4 })));
+}
+
 }
 
 }
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -143,7 +143,20 @@
     .mSoftware = { { .mSoftware = { pool_name{ "p" },
                                     software_version{ "v1" } },
                      .mAge = milliseconds{ 50 } } },
-    .mIsSoftwareComplete = true
+    .mIsSoftwareComplete = true,
+    .mRollouts = { { .mLease = 9,
+                     .mState = { .mOrder = { .mPool = pool_name{ "p" },
+                                             .mTarget =
+                                               software_version{ "v2" },
+                                             .mDuration =
+                                               milliseconds{ 12'000 },
+                                             .mNumber = 5 },
+                                 .mPhase = rollout_phase::Ramping,
+                                 .mShare = 0.25 } } },
+    .mRolloutSamples = { { .mOrder = 5,
+                           .mRoute = route_name{ "r" },
+                           .mAnswers = 7 } },
+    .mDrained = { { .mOrder = 5, .mRevision = 7 } }
   };
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
