LibRollout, LibFleet: Report how long answers ran

The plan weighs the requests that are running against the target's slots, and no report carried them. Samples now add up how long servers were at work; time per second is the number of running requests.

--- a/Libraries/LibFleet/RolloutDriver.h
+++ b/Libraries/LibFleet/RolloutDriver.h
@@ -251,6 +251,7 @@
     rollout_order const& order = aState.mOrder;
     rollout_inputs inputs = CountSoftware(aContext.mServers, order);
     inputs.mRate = mEvidence.Rate(aNow, order.mNumber);
+    inputs.mRunning = mEvidence.Running(aNow, order.mNumber);
     inputs.mIsDrained = IsDrained(aNow, aContext, aState);
     if (rollout_judge const* const judge = mEvidence.JudgeOf(order.mNumber)) {
       inputs.mVerdict = judge->Verdict(aNow);
--- a/Libraries/LibFleet/RolloutEvidence.cpp
+++ b/Libraries/LibFleet/RolloutEvidence.cpp
@@ -28,7 +28,9 @@
                                      .mSince = aNow })
         .first->second;
     evidence.mJudge.Add(aNow, sample);
-    evidence.mRecent.push_back({ .mAt = aNow, .mAnswers = sample.mAnswers });
+    evidence.mRecent.push_back({ .mAt = aNow,
+                                 .mAnswers = sample.mAnswers,
+                                 .mRunTime = sample.mRunTime });
     while (aNow - evidence.mRecent.front().mAt > kRateWindow)
       evidence.mRecent.pop_front();
   }
@@ -43,20 +45,39 @@
   return found == mOrders.end() ? nullptr : &found->second.mJudge;
 }
 
-double
-rollout_evidence::Rate(instant aNow, std::uint64_t aOrder) const
+rollout_evidence::answer_sum
+rollout_evidence::Recent(instant aNow, std::uint64_t aOrder) const
 {
+  using seconds = std::chrono::duration<double>;
   auto const found = mOrders.find(aOrder);
   if (found == mOrders.end())
-    return 0;
-  double answers = 0;
+    return {};
+  answer_sum sum{ .mSeconds =
+                    seconds(std::clamp<duration>(aNow - found->second.mSince,
+                                                 kLeastRateTime,
+                                                 kRateWindow))
+                      .count() };
   for (answer_count const& count : found->second.mRecent) {
-    if (aNow - count.mAt <= kRateWindow)
-      answers += count.mAnswers;
+    if (aNow - count.mAt > kRateWindow)
+      continue;
+    sum.mAnswers += count.mAnswers;
+    sum.mRunSeconds += seconds(count.mRunTime).count();
   }
-  duration const known = std::clamp<duration>(
-    aNow - found->second.mSince, kLeastRateTime, kRateWindow);
-  return answers / std::chrono::duration<double>(known).count();
+  return sum;
+}
+
+double
+rollout_evidence::Rate(instant aNow, std::uint64_t aOrder) const
+{
+  answer_sum const sum = Recent(aNow, aOrder);
+  return sum.mAnswers / sum.mSeconds;
+}
+
+double
+rollout_evidence::Running(instant aNow, std::uint64_t aOrder) const
+{
+  answer_sum const sum = Recent(aNow, aOrder);
+  return sum.mRunSeconds / sum.mSeconds;
 }
 
 }
--- a/Libraries/LibFleet/RolloutEvidence.h
+++ b/Libraries/LibFleet/RolloutEvidence.h
@@ -24,11 +24,16 @@
   /// The answers of the pool's servers in a second, over all instances.
   [[nodiscard]] double Rate(instant aNow, std::uint64_t aOrder) const;
 
+  /// The requests that run on the pool's servers, as many as take that time
+  /// together.
+  [[nodiscard]] double Running(instant aNow, std::uint64_t aOrder) const;
+
 private:
   struct answer_count
   {
     instant mAt{};
     std::uint32_t mAnswers = 0;
+    duration mRunTime{};
   };
   struct order_evidence
   {
@@ -37,6 +42,15 @@
     /// Those of the last seconds, oldest first.
     std::deque<answer_count> mRecent;
   };
+  struct answer_sum
+  {
+    double mAnswers = 0;
+    double mRunSeconds = 0;
+    /// The time in which they ended, in seconds.
+    double mSeconds = 1;
+  };
+
+  [[nodiscard]] answer_sum Recent(instant aNow, std::uint64_t aOrder) const;
 
   std::map<std::uint64_t, order_evidence> mOrders;
 };
--- a/Libraries/LibGateway/TrafficRollouts.cpp
+++ b/Libraries/LibGateway/TrafficRollouts.cpp
@@ -238,6 +238,7 @@
   rollout_sample& sample = SampleOf(aAttempt);
   ++sample.mAnswers;
   sample.mFailures += hasFailed ? 1 : 0;
+  sample.mRunTime += aNow - aAttempt.mSentAt;
   if (aAttempt.mFirstPieceAt || hasTimedOut)
     sample.mFirstEvent[aAttempt.mSizeClass].Add(
       aAttempt.mFirstPieceAt.value_or(aNow) - aAttempt.mSentAt);
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -2976,7 +2976,8 @@
     VT_SIDE = 8,
     VT_ANSWERS = 10,
     VT_FAILURES = 12,
-    VT_TIMES = 14
+    VT_TIMES = 14,
+    VT_RUN_TIME_MS = 16
   };
   uint64_t order() const {
     return GetField<uint64_t>(VT_ORDER, 0);
@@ -2996,6 +2997,9 @@
   const flatbuffers::Vector<const lycheeseam::wire::TimeCount *> *times() const {
     return GetPointer<const flatbuffers::Vector<const lycheeseam::wire::TimeCount *> *>(VT_TIMES);
   }
+  uint64_t run_time_ms() const {
+    return GetField<uint64_t>(VT_RUN_TIME_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ORDER, 8) &&
@@ -3006,6 +3010,7 @@
            VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
            VerifyOffset(verifier, VT_TIMES) &&
            verifier.VerifyVector(times()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN_TIME_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -3032,6 +3037,9 @@
   void add_times(flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::TimeCount *>> times) {
     fbb_.AddOffset(RolloutSample::VT_TIMES, times);
   }
+  void add_run_time_ms(uint64_t run_time_ms) {
+    fbb_.AddElement<uint64_t>(RolloutSample::VT_RUN_TIME_MS, run_time_ms, 0);
+  }
   explicit RolloutSampleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3051,8 +3059,10 @@
     uint8_t side = 0,
     uint32_t answers = 0,
     uint32_t failures = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::TimeCount *>> times = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const lycheeseam::wire::TimeCount *>> times = 0,
+    uint64_t run_time_ms = 0) {
   RolloutSampleBuilder builder_(_fbb);
+  builder_.add_run_time_ms(run_time_ms);
   builder_.add_order(order);
   builder_.add_times(times);
   builder_.add_failures(failures);
@@ -3069,7 +3079,8 @@
     uint8_t side = 0,
     uint32_t answers = 0,
     uint32_t failures = 0,
-    const std::vector<lycheeseam::wire::TimeCount> *times = nullptr) {
+    const std::vector<lycheeseam::wire::TimeCount> *times = nullptr,
+    uint64_t run_time_ms = 0) {
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto times__ = times ? _fbb.CreateVectorOfStructs<lycheeseam::wire::TimeCount>(*times) : 0;
   return lycheeseam::wire::CreateRolloutSample(
@@ -3079,7 +3090,8 @@
       side,
       answers,
       failures,
-      times__);
+      times__,
+      run_time_ms);
 }
 
 struct FleetReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibPeer/RolloutCodec.cpp
+++ b/Libraries/LibPeer/RolloutCodec.cpp
@@ -73,7 +73,8 @@
                          .mRoute = route_name{ aTable.route()->str() },
                          .mSide = static_cast<rollout_side>(aTable.side()),
                          .mAnswers = aTable.answers(),
-                         .mFailures = aTable.failures() };
+                         .mFailures = aTable.failures(),
+                         .mRunTime = ReadSpan(aTable.run_time_ms()) };
   if (aTable.times() == nullptr)
     return sample;
   for (wire::TimeCount const* const time : *aTable.times()) {
@@ -135,7 +136,8 @@
                                 static_cast<std::uint8_t>(sample.mSide),
                                 sample.mAnswers,
                                 sample.mFailures,
-                                aBuilder.CreateVectorOfStructs(times)));
+                                aBuilder.CreateVectorOfStructs(times),
+                                Milliseconds(sample.mRunTime)));
   }
   return aBuilder.CreateVector(tables);
 }
--- a/Libraries/LibRollout/RolloutSample.cpp
+++ b/Libraries/LibRollout/RolloutSample.cpp
@@ -10,6 +10,7 @@
   for (std::size_t i = 0; i < kSizeClasses; ++i)
     mFirstEvent.at(i) += aOther.mFirstEvent.at(i);
   mLongestPause += aOther.mLongestPause;
+  mRunTime += aOther.mRunTime;
   return *this;
 }
 
--- a/Libraries/LibRollout/RolloutSample.h
+++ b/Libraries/LibRollout/RolloutSample.h
@@ -39,6 +39,8 @@
   std::array<log_histogram, kSizeClasses> mFirstEvent{};
   /// The longest pause between events of a stream.
   log_histogram mLongestPause;
+  /// How long the servers were at work on these answers, added up.
+  duration mRunTime{};
 
   bool operator==(rollout_sample const&) const = default;
 
--- a/Tests/LibPeer/TestRolloutReports.cpp
+++ b/Tests/LibPeer/TestRolloutReports.cpp
@@ -36,7 +36,8 @@
                          .mRoute = route_name{ "r" },
                          .mSide = rollout_side::Others,
                          .mAnswers = 7,
-                         .mFailures = 2 };
+                         .mFailures = 2,
+                         .mRunTime = milliseconds{ 4'000 } };
   sample.mFirstEvent[0].Add(milliseconds{ 5 });
   sample.mFirstEvent[2].Add(milliseconds{ 900 });
   sample.mLongestPause.Add(milliseconds{ 60 });
