--- a/Libraries/LibRollout/EvidenceTest.cpp
+++ b/Libraries/LibRollout/EvidenceTest.cpp
@@ -1,3 +1,4 @@
+#include <LibRollout/BinomialTail.h>
 #include <LibRollout/EvidenceTest.h>
 #include <LibRollout/PoissonTail.h>
 
@@ -33,7 +34,7 @@
 // Four buckets are a factor of 2. A target that takes more load is up to twice
 // as slow; the answers of another time may be from a time of less load.
 constexpr std::size_t kSlowBuckets = 4;
-constexpr std::size_t kSlowBucketsOtherTime = 6;
+constexpr std::size_t kSlowBucketsOtherTime = 5;
 // The parts of the other software's answers beyond which answers are counted.
 // The large ones find a version of which all answers are slower, the small ones
 // a version of which a part is.
@@ -47,6 +48,7 @@
 
 struct comparison
 {
+  double mAll = 0;
   double mBad = 0;
   double mExpected = 0;
   std::size_t mSlicesWithBad = 0;
@@ -60,6 +62,7 @@
       return;
     double const rate = aMargin * (static_cast<double>(aOthers.mBad) + 0.5) /
                         static_cast<double>(aOthers.mAll + 1);
+    mAll += static_cast<double>(aTarget.mAll);
     mBad += static_cast<double>(aTarget.mBad);
     mExpected +=
       static_cast<double>(aTarget.mAll) * std::clamp(rate, aLeastRate, 1.0);
@@ -68,7 +71,8 @@
 
   [[nodiscard]] bool IsWorse(double aLevel) const
   {
-    return PoissonTail(mExpected, mBad) < aLevel;
+    return std::min(PoissonTail(mExpected, mBad),
+                    BinomialTail(mExpected, mAll, mBad)) < aLevel;
   }
 };
 
@@ -81,19 +85,6 @@
            .mExpected = aComparison.mExpected };
 }
 
-// The first bucket beyond which there is no more than a part of the answers.
-std::size_t
-BoundOf(log_histogram const& aTimes, double aPart)
-{
-  double const most = aPart * static_cast<double>(aTimes.Total());
-  std::size_t bound = 0;
-  while (
-    bound<log_histogram::kBuckets&& static_cast<double>(aTimes.AtLeast(bound))>
-      most)
-    ++bound;
-  return bound;
-}
-
 // If the target were at most twice as slow, its answers would take twice a time
 // no more often than the others take that time. Sums over pairs of different
 // times, routes and sizes, each with a bound of its own.
@@ -112,7 +103,7 @@
       std::span<log_histogram const> const target = aHistogramsOf(pair.mTarget);
       std::span<log_histogram const> const others = aHistogramsOf(pair.mOthers);
       for (std::size_t i = 0; i < target.size(); ++i) {
-        std::size_t const bound = BoundOf(others[i], beyond);
+        std::size_t const bound = others[i].BoundOf(beyond);
         result.Add({ target[i].Total(), target[i].AtLeast(bound + slower) },
                    { others[i].Total(), others[i].AtLeast(bound) },
                    kTimeMargin,
@@ -171,7 +162,7 @@
                                                  TestFirstEvents,
                                                  TestPauses };
   for (evidence_test const test : kTests) {
-    rollout_verdict const verdict = test(aPairs);
+    rollout_verdict verdict = test(aPairs);
     if (verdict.mKind == verdict_kind::Bad)
       return verdict;
   }
