--- a/Libraries/LibDispatch/EligibleServers.cpp
+++ b/Libraries/LibDispatch/EligibleServers.cpp
@@ -41,6 +41,8 @@
   if (aRequest.mSoftware &&
       aServer.mRegistered.mSoftware != *aRequest.mSoftware)
     return false;
+  if (!aRequest.mAllowedSoftware.Allows(aServer.mRegistered.mSoftware))
+    return false;
   return std::find(aRequest.mTried.begin(),
                    aRequest.mTried.end(),
                    aServer.mRegistered.mId) == aRequest.mTried.end();
--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -14,6 +14,7 @@
 #include <LibFleet/MakeOwnUpdate.h>
 #include <LibFleet/MakePeerUpdate.h>
 #include <LibFleet/OrderDriver.h>
+#include <LibFleet/RolloutDriver.h>
 #include <LibFleet/StoreFollower.h>
 #include <LibFleet/TickMonitor.h>
 #include <LibFleet/UsageWriter.h>
@@ -88,6 +89,7 @@
           OnObservedWeights({ aObserved });
         },
         [this](server_identity const& aIdentity) { OnAddressTaken(aIdentity); })
+    , mRollouts(mClient, mOptions.mStore, mOptions.mRollouts)
     , mTimer(aContext)
   {
     if (mOptions.mMetrics)
@@ -123,6 +125,7 @@
     mOwnUsage = std::move(aReport.mUsage);
     mWindowUsage = std::move(aReport.mWindowUsage);
     mObservations.Add(mClock.Now(), aReport);
+    mRollouts.Add(mClock.Now(), aReport);
     std::vector<observed_load> loads = mObservations.MergeLoads(aReport.mLoads);
     mLinks.Add(MakeOwnUpdate(std::move(aReport), std::move(loads)));
     ReportToPeers();
@@ -144,6 +147,7 @@
                       .mOperatorsEnd = mFollower.OperatorsEnd(),
                       .mServersEnd = mFollower.ServersEnd() };
     mObservations.AddTo(now, own);
+    mRollouts.AddTo(own);
     mLinks.Report(own, IsReady());
   }
 
@@ -157,8 +161,9 @@
     peer_update update = MakePeerUpdate(aReport, std::move(aLoads));
     if (!update.IsEmpty())
       mUpdateHandler(std::move(update));
+    bool const haveStepsChanged = mRollouts.Merge(mClock.Now(), aReport);
     if (mRecords.Servers().OnObservedWeights(aReport.mWeights) ||
-        aHaveUpdatesChanged)
+        aHaveUpdatesChanged || haveStepsChanged)
       Publish();
   }
 
@@ -199,14 +204,30 @@
       mOrderDriver.Tick(mRecords.Servers().Servers(),
                         mRecords.Operators().Weights(),
                         mLinks.Registry().Rank(now),
-                        mLinks.Registry().NewestLease(now));
-    if (haveUpdatesChanged)
+                        mLinks.Registry().NewestLease(now),
+                        mRollouts.IsLeaseNeeded());
+    bool const hasChanged = TickRollouts(now) || haveUpdatesChanged;
+    if (hasChanged)
       ReportToPeers();
-    if (haveServersExpired || haveUpdatesChanged)
+    if (haveServersExpired || hasChanged)
       Publish();
+    mRollouts.SetGauges(mMetrics);
     mMetrics.Tick(now, mView, mOrderDriver.Lease());
   }
 
+  // True when a step of a rollout has changed.
+  bool TickRollouts(instant aNow)
+  {
+    peer_registry const& peers = mLinks.Registry();
+    return mRollouts.Tick(
+      aNow,
+      { .mOrders = mRecords.Operators().Rollouts(),
+        .mServers = mRecords.Servers().Servers(),
+        .mLease = mOrderDriver.Lease(),
+        .mPeerLease = peers.NewestLease(aNow),
+        .mDrained = peers.Drained(aNow, mRollouts.OwnDrained()) });
+  }
+
   // True while this instance reads the store for the others.
   [[nodiscard]] bool IsReader(instant aNow) const
   {
@@ -225,6 +246,7 @@
     mRecords.Servers().OnStoreRestored(now);
     mRegistration.OnStoreRestored(now);
     mObservations.OnStoreRestored();
+    mRollouts.OnStoreRestored();
   }
 
   void OnAddressTaken(server_identity const& aServer)
@@ -271,6 +293,7 @@
           .mDomain = mOptions.mSelf.mFailureDomain,
           .mAddress = mOptions.mSelf.mCallers });
     mObservations.Describe(now, mFollower.IsReadingServers(now), mView);
+    mRollouts.Describe(mView);
     mView.mReportDelay = mLinks.ReportDelay();
     if (mView.mConfig)
       mView.mStoredUsage = mUsageWriter.StoredUsage(*mView.mConfig);
@@ -292,6 +315,7 @@
   fleet_observations<Dialect> mObservations;
   fleet_links<fleet_control> mLinks;
   order_driver<Dialect> mOrderDriver;
+  rollout_driver<Dialect> mRollouts;
   fleet_view mView;
   /// What this instance admitted since its start.
   std::vector<workspace_usage> mOwnUsage;
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -203,7 +203,8 @@
         .mLimits = mControl.Observations().MergeLimits(now, aReport),
         .mHolders = aReport.mHolders,
         .mOrigins = mControl.Observations().MergeSoftware(now, aReport),
-        .mLoads = loads });
+        .mLoads = loads,
+        .mRolloutSamples = aReport.mRolloutSamples });
     mControl.OnPeerReport(aReport, std::move(loads), haveUpdatesChanged);
     SendLacking(aPeer.mInstance, store_topic::Operators, aReport);
     // Older builds don't report the end of the servers' topic.
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -173,6 +173,10 @@
       return ApplyConfig(aRecord, *config, aSource);
     if (auto const* const target = std::get_if<loaded_model>(&read))
       return ApplyWeights(aNow, *target);
+    if (auto* const order = std::get_if<rollout_order>(&read)) {
+      order->mNumber = aRecord.mPosition.Number();
+      return ApplyRollout(aNow, *order);
+    }
     // Records under keys that this version doesn't know are ignored.
   }
 
@@ -196,6 +200,20 @@
                  { "version", static_cast<std::int64_t>(aTarget.mVersion) } });
   }
 
+  void ApplyRollout(instant aNow, rollout_order const& aOrder)
+  {
+    if (mOperators.Apply(aNow, aOrder))
+      LogEvent(
+        "rollout_ordered",
+        { { "pool", aOrder.mPool.Text() },
+          { "to", aOrder.mTarget.Text() },
+          { "duration_ms",
+            std::int64_t{ std::chrono::duration_cast<std::chrono::milliseconds>(
+                            aOrder.mDuration)
+                            .count() } },
+          { "order", static_cast<std::int64_t>(aOrder.mNumber) } });
+  }
+
   server_registry mServers;
   /// Servers that were removed because another one answered at their address.
   std::map<backend_server_id, removed_at> mRemovedAt;
--- a/Libraries/LibFleet/MakeOwnUpdate.cpp
+++ b/Libraries/LibFleet/MakeOwnUpdate.cpp
@@ -12,7 +12,8 @@
            .mLimits = std::move(aReport.mLimits),
            .mHolders = std::move(aReport.mHolders),
            .mOrigins = std::move(aReport.mOrigins),
-           .mLoads = std::move(aLoads) };
+           .mLoads = std::move(aLoads),
+           .mRolloutSamples = std::move(aReport.mRolloutSamples) };
 }
 
 }
--- a/Libraries/LibFleet/ReportUpdate.h
+++ b/Libraries/LibFleet/ReportUpdate.h
@@ -7,9 +7,9 @@
 
 namespace lycheeseam {
 
-/// Crashes, weights, rate limits, prefix holders and origins of streams that an
-/// instance observed, to be reported once to all others, and loads, to be
-/// reported to those of its failure domain.
+/// Crashes, weights, rate limits, prefix holders, origins of streams and
+/// samples of rollouts that an instance observed, to be reported once to all
+/// others, and loads, to be reported to those of its failure domain.
 struct report_update
 {
   /// The peer that reported it; empty for this instance's own observations.
@@ -23,12 +23,13 @@
   std::vector<prefix_holder> mHolders;
   std::vector<stream_origin> mOrigins;
   std::vector<observed_load> mLoads;
+  std::vector<rollout_sample> mRolloutSamples;
 
   [[nodiscard]] bool IsEmpty() const
   {
     return mCrashes.empty() && mPartCrashes.empty() && mWeights.empty() &&
            mLimits.empty() && mHolders.empty() && mOrigins.empty() &&
-           mLoads.empty();
+           mLoads.empty() && mRolloutSamples.empty();
   }
 };
 
--- a/Libraries/LibGateway/ServerAttempt.h
+++ b/Libraries/LibGateway/ServerAttempt.h
@@ -38,6 +38,7 @@
     mTokens = aRequest.mTokens;
     mPrefixes = std::move(aRequest.mPrefixes);
     mPartCrashes = std::move(aRequest.mPartCrashes);
+    mObserved = std::move(aRequest.mObserved);
     mFirstPieceAt.reset();
     mOutcome = attempt_outcome::Pending;
     mSpeedTrial.Begin(aNow, *mServer, aRequest.mPromptTokens);
@@ -60,6 +61,8 @@
     if (!mExchange)
       return;
     mServer->OnEnd(mTokens);
+    mObserved.mIsIgnored |= mOutcome == attempt_outcome::NotRun;
+    mCore.Rollouts().OnEnd(mClock.Now(), mObserved);
     mExchange->Cancel();
     mExchange.reset();
   }
@@ -77,6 +80,7 @@
   /// all servers, and no tunnel would be tried any more.
   void OnUnreachable(instant aNow, exchange_end aEnd)
   {
+    mObserved.mIsIgnored = true;
     if (aEnd == exchange_end::NoPath)
       return;
     breaker_state const before = mServer->mBreaker.State(aNow);
@@ -90,8 +94,10 @@
   void OnConnectionLost(instant aNow, exchange_end aEnd)
   {
     // A tunnel shows no difference between a server and a peer that failed.
+    mObserved.mIsIgnored = aEnd == exchange_end::TunnelBroken;
     if (aEnd == exchange_end::TunnelBroken)
       return;
+    mObserved.mIsBroken = true;
     breaker_state const before = mServer->mBreaker.State(aNow);
     if (aEnd == exchange_end::Unresponsive) {
       mServer->mBreaker.OnUnreachable(aNow);
@@ -110,6 +116,7 @@
   /// A piece of the answer was received, so the server has read the prompt.
   void OnPiece(instant aNow)
   {
+    mObserved.OnPiece(aNow);
     if (!mFirstPieceAt) {
       mFirstPieceAt = aNow;
       if (mOutcome == attempt_outcome::Accepted)
@@ -121,6 +128,12 @@
       OnAnswering(aNow);
   }
 
+  /// The head of the answer was received.
+  void OnHead(std::uint32_t aStatus) { mObserved.mStatus = aStatus; }
+
+  /// The answer was received to its end.
+  void OnComplete() { mObserved.mIsComplete = true; }
+
   /// The server answers the request without having crashed under it.
   void OnAnswering(instant aNow)
   {
@@ -177,6 +190,8 @@
   std::vector<part_crashes> mPartCrashes;
   std::optional<instant> mFirstPieceAt;
   speed_trial mSpeedTrial;
+  observed_attempt mObserved;
+  system_clock mClock;
   attempt_outcome mOutcome = attempt_outcome::Pending;
 };
 
--- a/Libraries/LibGateway/TrafficCore.cpp
+++ b/Libraries/LibGateway/TrafficCore.cpp
@@ -27,6 +27,7 @@
   , mQuota(aOptions.mQuota)
   , mTunnelPeers(aOptions.mInstance)
   , mProbes(std::hash<std::string>{}(aOptions.mInstance.Text()))
+  , mRollouts(aOptions.mRollouts)
 {
 }
 
@@ -43,6 +44,7 @@
       budget.second.SetOptions(RetryBudgetOptions());
   }
   mServers.Apply(*mView);
+  mRollouts.Apply(aNow, *mView, mServers);
   mTunnelPeers.Update(mView->mReadyInstances, mView->mStoppingInstances);
   ApplyLimits(aNow);
   mQuota.Apply(aNow, *mView);
@@ -268,6 +270,7 @@
   // With one version, all streams are of that one.
   if (View(aNow)->HasMixedSoftware())
     report.mOrigins = mOrigins.TakeUnreported(aNow);
+  mRollouts.TakeReport(report);
   report.mMetrics = mMeter.TakeDelta();
   return report;
 }
--- a/Libraries/LibGateway/TrafficMeter.cpp
+++ b/Libraries/LibGateway/TrafficMeter.cpp
@@ -56,6 +56,17 @@
   Count("domain_crossings_total", "reason", std::string{ TextOf(aReason) });
 }
 
+void
+traffic_meter::OnRolloutSend(registered_server const& aServer)
+{
+  mRecorder.Count(
+    mRecorder.OpenCounter({ .mMetric = "rollout_sends_total",
+                            .mLabel = "pool",
+                            .mLabelValue = aServer.mPool.Text(),
+                            .mSecondLabel = "software",
+                            .mSecondLabelValue = aServer.mSoftware.Text() }));
+}
+
 void
 traffic_meter::OnRetryDenied(pool_name const& aPool)
 {
--- a/Libraries/LibGateway/TrafficMeter.h
+++ b/Libraries/LibGateway/TrafficMeter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifiers.h>
+#include <LibDispatch/RegisteredServer.h>
 #include <LibDispatch/ReportedLoad.h>
 #include <LibGateway/AdmittedRequest.h>
 #include <LibGateway/ProbeResult.h>
@@ -29,6 +30,9 @@
   /// A request was sent to a server of another failure domain.
   void OnCrossing(crossing_reason aReason);
 
+  /// A request was sent to a server of a pool whose rollout runs.
+  void OnRolloutSend(registered_server const& aServer);
+
   /// A retry was denied because the pool's retry budget is used up.
   void OnRetryDenied(pool_name const& aPool);
 
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/InvalidInput.h>
 #include <LibPeer/DecodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
+#include <LibPeer/RolloutCodec.h>
 
 #include <chrono>
 #include <cmath>
@@ -147,6 +148,7 @@
   }
   DecodeSoftware(aTable, report);
   report.mLoads = DecodeLoads(aTable.loads());
+  DecodeRollouts(aTable, report);
   return report;
 }
 
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/EncodeFleetMessage.h>
 #include <LibPeer/HelloCodec.h>
+#include <LibPeer/RolloutCodec.h>
 
 #include <map>
 #include <string>
@@ -85,7 +86,10 @@
                               aReport.mIsSoftwareComplete,
                               Loads(aReport.mLoads),
                               aReport.mSpreadsRelays,
-                              aReport.mServersEnd.Number()));
+                              aReport.mServersEnd.Number(),
+                              EncodeRollouts(mBuilder, aReport.mRollouts),
+                              EncodeSamples(mBuilder, aReport.mRolloutSamples),
+                              EncodeDrained(mBuilder, aReport.mDrained)));
   }
 
   encoded_body operator()(topic_relay const& aRelay)
--- a/Libraries/LibPeer/FleetReport.h
+++ b/Libraries/LibPeer/FleetReport.h
@@ -10,7 +10,10 @@
 #include <LibPeer/LimitNotice.h>
 #include <LibPeer/LoadNotice.h>
 #include <LibPeer/ReportScope.h>
+#include <LibPeer/RolloutDrain.h>
+#include <LibPeer/RolloutNotice.h>
 #include <LibPeer/SoftwareNotice.h>
+#include <LibRollout/RolloutSample.h>
 #include <LibStore/StorePosition.h>
 
 #include <cstdint>
@@ -68,6 +71,12 @@
   /// The position after the last record of servers that the sender has; the
   /// first one from older builds.
   store_position mServersEnd;
+  /// The newest known states of rollouts.
+  std::vector<rollout_notice> mRollouts;
+  /// What they observed of rollouts since the last report.
+  std::vector<rollout_sample> mRolloutSamples;
+  /// The orders that all of them have drained.
+  std::vector<rollout_drain> mDrained;
 
   bool operator==(fleet_report const&) const = default;
 };
