--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -2,14 +2,10 @@
 
 #include <LibCore/SystemClock.h>
 #include <LibEvents/EventLog.h>
+#include <LibFleet/FollowedTopic.h>
 #include <LibFleet/PageSource.h>
-#include <LibFleet/ReaderElection.h>
-#include <LibFleet/RelayPieces.h>
-#include <LibFleet/RelayRange.h>
 #include <LibFleet/ServerChanges.h>
-#include <LibFleet/TopicReader.h>
 #include <LibPeer/TopicRelay.h>
-#include <LibStore/TopicState.h>
 
 #include <algorithm>
 #include <chrono>
@@ -115,25 +111,14 @@
   }
 
   /// The relays that bring a peer which has the records before aPeerEnd up to
-  /// what is known here: of what it lacks when it knows the same era, or
-  /// nothing and aIsFromStart says that it reads records from the first on.
+  /// what is known here. With aIsFromStart a peer that knows nothing can read
+  /// ranges that begin with the first record.
   [[nodiscard]] std::vector<topic_relay> RelaysFor(store_topic aTopic,
                                                    store_position aPeerEnd,
                                                    bool aIsFromStart) const
   {
-    followed_topic const& topic =
-      aTopic == store_topic::Operators ? mOperators : mServers;
-    store_position const end =
-      topic.mReader.NextPosition().value_or(store_position{});
-    bool const isStarting = aPeerEnd == store_position{};
-    store_position const from =
-      isStarting ? store_position{ end.Era(), 0 } : aPeerEnd;
-    if (from.Era() == end.Era() && (!isStarting || aIsFromStart))
-      return MakeRelayPieces(aTopic, from, end, topic.mState.RecordsFrom(from));
-    return { { .mTopic = aTopic,
-               .mIsSnapshot = true,
-               .mEnd = end,
-               .mRecords = topic.mState.Records() } };
+    return (aTopic == store_topic::Operators ? mOperators : mServers)
+      .RelaysFor(aPeerEnd, aIsFromStart);
   }
 
   /// A peer reports the position after its last record of the operators.
@@ -157,21 +142,9 @@
   }
 
 private:
-  struct followed_topic
-  {
-    store_topic mTopic;
-    topic_reader<Dialect> mReader;
-    reader_election mElection{};
-    topic_state mState{};
-    relay_range mRange{};
-    /// Since when relays have shown that records are missing.
-    std::optional<instant> mGapSince{};
-  };
+  using followed_topic = lycheeseam::followed_topic<Dialect>;
 
   static constexpr std::chrono::milliseconds kRefreshInterval{ 3'000 };
-  // Peers send what this instance lacks within 0.4 s and two reports; a leaving
-  // server must get no more work after 2 s.
-  static constexpr std::chrono::milliseconds kGapTolerance{ 900 };
   // Servers write an entry each 1.2 s, and those in their grace period are
   // removed after 2.2 s.
   static constexpr std::chrono::milliseconds kServersReadDelay{ 1'400 };
@@ -222,7 +195,7 @@
     bool const isRead = mSource == page_source::Store;
     std::vector<keyed_record> changes;
     if (isRead)
-      changes = ChangesOf(topic, aPage, aIsFull);
+      changes = topic.ChangesOf(aPage, aIsFull, mServerChanges);
     std::vector<keyed_record> const newRecords =
       topic.mState.Apply(aPage, aIsFull);
     mHasNewRecords = !newRecords.empty();
@@ -241,32 +214,6 @@
       mRelayHandler(*relay, true);
   }
 
-  // The records of a page that others may lack, before it is applied. What a
-  // complete page shows as deleted goes on after its last entry, by whose
-  // count entries are ordered when the store comes back from an older copy.
-  std::vector<keyed_record> ChangesOf(followed_topic& aTopic,
-                                      topic_page const& aPage,
-                                      bool aIsFull)
-  {
-    std::vector<keyed_record> records;
-    for (keyed_record const& record : aPage.mRecords) {
-      keyed_record const* const known = aTopic.mState.Find(record.mKey);
-      if (!aIsFull || known == nullptr || known->mPosition < record.mPosition)
-        records.push_back(record);
-    }
-    if (aTopic.mTopic == store_topic::Servers)
-      records = mServerChanges.Select(records, aTopic.mState);
-    if (!aIsFull)
-      return records;
-    for (keyed_record const& missing : aTopic.mState.MissingFrom(aPage)) {
-      records.push_back(missing);
-      records.push_back(
-        { .mPosition = store_position::FromNumber(aPage.mEnd.Number() - 1),
-          .mKey = missing.mKey });
-    }
-    return records;
-  }
-
   void RelaySnapshot(followed_topic& aTopic, topic_page const& aPage)
   {
     aTopic.mRange.OnSent(aPage.mEnd);
@@ -311,7 +258,7 @@
       hasGap = !aTopic.mReader.ApplyPage(aRelay.mFrom, page);
     mSource = page_source::Store;
     if (hasGap)
-      OnGap(aTopic);
+      aTopic.OnGap(mClock.Now(), mHasReader);
     else
       aTopic.mRange.OnApplied(aRelay, mHasNewRecords);
     // A relay without records is new when it moves the end.
@@ -322,20 +269,6 @@
     return hasGap || mHasNewRecords || isEndNew;
   }
 
-  // Peers that see the end in this instance's reports send it the servers that
-  // it lacks, so that not all instances read them when all start.
-  void OnGap(followed_topic& aTopic)
-  {
-    instant const now = mClock.Now();
-    instant const since = aTopic.mGapSince.value_or(now);
-    aTopic.mGapSince = since;
-    if (aTopic.mTopic == store_topic::Servers && mHasReader &&
-        now - since < kGapTolerance)
-      return;
-    aTopic.mGapSince.reset();
-    aTopic.mElection.RequestRead();
-  }
-
   new_records_handler mNewRecordsHandler;
   era_handler mEraHandler;
   relay_handler mRelayHandler;
--- a/Tests/LibFleet/TestServerRelays.cpp
+++ b/Tests/LibFleet/TestServerRelays.cpp
@@ -70,6 +70,13 @@
                            : std::optional{ servers[0].mEntries };
   }
 
+  /// What it would send a peer that has the records before aPeerEnd.
+  [[nodiscard]] std::vector<topic_relay> RelaysFor(
+    store_position aPeerEnd) const
+  {
+    return mFollower.RelaysFor(store_topic::Servers, aPeerEnd, true);
+  }
+
   [[nodiscard]] store_position End() const { return mFollower.ServersEnd(); }
 
 private:
@@ -182,6 +189,59 @@
   EXPECT_EQ(mOther.Entries(), std::nullopt);
 }
 
+// Guards against all instances reading all servers when all start.
+TEST_F(TestServerRelays, StartingInstanceGetsTheServersFromAPeer)
+{
+  Write("ready", 1);
+  mReader.Run(milliseconds{ 450 }, false);
+  for (topic_relay const& relay : mReader.RelaysFor({}))
+    EXPECT_TRUE(mOther.Apply(relay));
+  EXPECT_EQ(mOther.Entries(), 1U);
+  EXPECT_EQ(mOther.End(), mReader.End());
+}
+
+// Guards against an instance that lost a relay and stays behind, and against
+// one that reads the store before its peers could send what it lacks.
+TEST_F(TestServerRelays, LaggingInstanceGetsWhatItLacksFromAPeer)
+{
+  Write("ready", 1);
+  Relay();
+  mOther.Run(milliseconds{ 20 }, true);
+  store_position const known = mOther.End();
+  Write("draining", 2);
+  mReader.Run(milliseconds{ 450 }, false);
+  (void)mReader.TakeRelays();
+  Write("ready", 3);
+  Relay();
+  EXPECT_EQ(mOther.End(), known);
+  mOther.Run(milliseconds{ 400 }, true);
+  EXPECT_EQ(mOther.End(), known);
+  for (topic_relay const& relay : mReader.RelaysFor(known)) {
+    EXPECT_FALSE(relay.mIsSnapshot);
+    EXPECT_TRUE(mOther.Apply(relay));
+  }
+  EXPECT_EQ(mOther.End(), mReader.End());
+  EXPECT_EQ(mOther.Entries(), 3U);
+}
+
+// Guards against an instance that no peer sends what it lacks.
+TEST_F(TestServerRelays, LaggingInstanceReadsTheStoreAfterAWhile)
+{
+  Write("ready", 1);
+  Relay();
+  Write("draining", 2);
+  mReader.Run(milliseconds{ 450 }, false);
+  (void)mReader.TakeRelays();
+  for (int count = 3; count < 6; ++count) {
+    Write("ready", 2 * count);
+    Relay();
+    Write("draining", 2 * count + 1);
+    Relay();
+    mOther.Run(milliseconds{ 100 }, true);
+  }
+  EXPECT_EQ(mOther.End(), mReader.End());
+}
+
 // What topic_reader, topic_state and relay_filter did with a relay at commit
 // 2e58af3.
 class old_receiver
