--- a/Tests/LibFleet/TestServerChanges.cpp
+++ b/Tests/LibFleet/TestServerChanges.cpp
@@ -47,8 +47,7 @@
 TEST_F(TestServerChanges, EntryOfARemovedServerGoesOn)
 {
   (void)Read({ Record(0, Entry("ready", 1)) });
-  ASSERT_TRUE(
-    mRecords.OnAddressTaken(mNow, { kServer, incarnation{ 7 } }, {}));
+  ASSERT_TRUE(mRecords.OnAddressTaken(mNow, { kServer, incarnation{ 7 } }, {}));
   records const next{ Record(1, Entry("ready", 2)) };
   EXPECT_EQ(Read(next), next);
 }
