--- a/Tests/LibFleet/TestPeerTraffic.cpp
+++ b/Tests/LibFleet/TestPeerTraffic.cpp
@@ -12,6 +12,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr milliseconds kPoll{ 400 };
+constexpr milliseconds kHeartbeat{ 1'200 };
+constexpr int kPolls = 15;
+constexpr int kPollsPerSnapshot = 7;
+
 /// The servers' topic, in which each server writes an entry each 1.2 s.
 class heartbeats
 {
@@ -53,10 +58,6 @@
 traffic
 Measure(int aInstances, int aServers, bool aIsOld)
 {
-  constexpr milliseconds kPoll{ 400 };
-  constexpr milliseconds kHeartbeat{ 1'200 };
-  constexpr int kPolls = 15;
-  constexpr int kPollsPerSnapshot = 7;
   simulated_fleet fleet{ aInstances };
   fleet.SetSpreadingRelays(!aIsOld);
   fleet.Run(seconds{ 6 });
@@ -107,7 +108,7 @@
       fleet.Read(reader,
                  { .mTopic = store_topic::Servers,
                    .mIsSnapshot = true,
-                   .mEnd = relay.mEnd.Plus(0),
+                   .mEnd = relay.mEnd,
                    .mRecords = state.Records() });
     fleet.Run(kPoll);
   }
