--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -127,9 +127,9 @@
   aAdmitted.mUnits = RequestUnits(workspace, aProperties);
   charge_kind const kind =
     aAdmitted.mSoftware ? charge_kind::Resumption : charge_kind::NewRequest;
-  quota_pacing const pacing =
-    aCore.Servers().IsAdaptive(aNow, aAdmitted.mPool) ? quota_pacing::Paced
-                                                      : quota_pacing::Unpaced;
+  quota_pacing const pacing = aCore.Servers().IsAdaptive(aNow, aAdmitted.mPool)
+                                ? quota_pacing::Paced
+                                : quota_pacing::Unpaced;
   if (aCore.Quota().TryCharge(aNow, workspace, aAdmitted.mUnits, kind, pacing))
     return std::nullopt;
   fleet_view const& view = *aCore.View(aNow);
