--- a/Libraries/LibGateway/FetchSource.cpp
+++ b/Libraries/LibGateway/FetchSource.cpp
@@ -35,7 +35,7 @@
   instant const now = aChoiceRequest.mNow;
   std::optional<endpoint> first;
   for (backend_server_id const& holder : aCore.Prefixes().Holders(now, aKey)) {
-    std::optional<endpoint> const address =
+    std::optional<endpoint> address =
       HolderAddress(aCore, aChoiceRequest, aServer, holder);
     if (!aCore.Servers().IsAdaptive(now, aServer.mRegistered.mPool))
       return address;
@@ -80,7 +80,7 @@
     // the store can supply; parts that it still has are not transferred.
     if (holder == aServer.mRegistered.mId)
       return aStore;
-    if (std::optional<endpoint> const address =
+    if (std::optional<endpoint> address =
           HolderOf(aCore, aChoiceRequest, aServer, *key))
       return address;
     if (aStore && aCore.Prefixes().IsStored(now, *key))
