LibDispatch, Tests: Name the choice of a server, list two red tests

Two types were named placement_choice. The sample report of TestPeerCodec has a function of its own, as the linter asks; it has the same fields.

--- a/Libraries/LibDispatch/AdaptivePlacement.cpp
+++ b/Libraries/LibDispatch/AdaptivePlacement.cpp
@@ -79,7 +79,7 @@
   return *mMeanTokens;
 }
 
-placement_choice
+server_choice
 adaptive_placement::Choose(pool_name const& aPool,
                            std::span<tracked_server* const> aServers,
                            server_choice_request const& aRequest)
@@ -87,7 +87,7 @@
   server_choice_request request = aRequest;
   request.mScope = ScopeOf(aPool, aServers, aRequest);
   request.mTypicalTokens = mPools[aPool].AddTokens(aRequest.mTokens);
-  placement_choice choice{ .mServer = ChooseByCost(aServers, request, mCosts) };
+  server_choice choice{ .mServer = ChooseByCost(aServers, request, mCosts) };
   if (choice.mServer != nullptr)
     choice.mCrossing = ReasonOf(*choice.mServer, aServers, request, mCosts);
   return choice;
--- a/Libraries/LibDispatch/AdaptivePlacement.h
+++ b/Libraries/LibDispatch/AdaptivePlacement.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibDispatch/DomainOverflow.h>
-#include <LibDispatch/PlacementChoice.h>
 #include <LibDispatch/PlacementCosts.h>
+#include <LibDispatch/ServerChoice.h>
 #include <LibDispatch/ServerChoiceRequest.h>
 #include <LibDispatch/TrackedServer.h>
 
@@ -23,10 +23,9 @@
   }
 
   /// Chooses a server of a pool. aRequest.mScope is decided here.
-  [[nodiscard]] placement_choice Choose(
-    pool_name const& aPool,
-    std::span<tracked_server* const> aServers,
-    server_choice_request const& aRequest);
+  [[nodiscard]] server_choice Choose(pool_name const& aPool,
+                                     std::span<tracked_server* const> aServers,
+                                     server_choice_request const& aRequest);
 
   /// The share of a pool's requests that leaves the home domain.
   [[nodiscard]] double LeavingShare(pool_name const& aPool) const;
--- a/Libraries/LibDispatch/PlacementChoice.h
+++ b/Libraries/LibDispatch/ServerChoice.h
@@ -7,7 +7,7 @@
 
 /// The server that was chosen for a request, and why it is in another failure
 /// domain if it is.
-struct placement_choice
+struct server_choice
 {
   /// Null when no server takes the request now.
   tracked_server* mServer = nullptr;
--- a/Libraries/LibGateway/RequestSender.h
+++ b/Libraries/LibGateway/RequestSender.h
@@ -130,7 +130,7 @@
     std::vector<tracked_server*> kept;
     std::span<tracked_server* const> const servers = traffic_rollouts::Restrict(
       mCore.Servers().Pool(aAdmitted.mPool), aAllowed, kept);
-    placement_choice const choice =
+    server_choice const choice =
       Place(aAdmitted.mPool, servers, pick.mChoiceRequest);
     pick.mCrossing = choice.mCrossing;
     if (choice.mServer != nullptr)
@@ -142,9 +142,9 @@
     return pick;
   }
 
-  placement_choice Place(pool_name const& aPool,
-                         std::span<tracked_server* const> aServers,
-                         server_choice_request const& aRequest)
+  server_choice Place(pool_name const& aPool,
+                      std::span<tracked_server* const> aServers,
+                      server_choice_request const& aRequest)
   {
     if (mCore.Servers().IsAdaptive(aRequest.mNow, aPool))
       return mCore.Placement().Choose(aPool, aServers, aRequest);
--- a/Tests/LibDispatch/TestAdaptivePlacement.cpp
+++ b/Tests/LibDispatch/TestAdaptivePlacement.cpp
@@ -48,7 +48,7 @@
     std::map<crossing_reason, int> counts;
     for (int index = 0; index < kRequests; ++index) {
       mRequest.mSample = (index + 0.5) / kRequests;
-      placement_choice const choice =
+      server_choice const choice =
         mPlacement.Choose(kPool, mPool.All(), mRequest);
       EXPECT_NE(choice.mServer, nullptr);
       bool const isAway =
@@ -136,7 +136,7 @@
   }
   EXPECT_EQ(counts.size(), 3U);
   for (auto const& [domain, count] : counts)
-    EXPECT_NEAR(count, kRequests / 3, kRequests / 10);
+    EXPECT_NEAR(count, kRequests / 3.0, kRequests / 10.0);
 }
 
 // Reading a large shared part again costs more than the bytes that cross.
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -111,61 +111,65 @@
   };
 }
 
+fleet_report
+ReportWithAllFields()
+{
+  backend_server_id const server{ "s" };
+  return { .mScope = report_scope::Rest,
+           .mLease = 5,
+           .mReader = instance_id{ "r" },
+           .mSpent = { { workspace_id{ "w" }, 1.5, 2.0 } },
+           .mCrashes = { { .mFingerprint = 9, .mCount = 2 } },
+           .mPartCrashes = { { .mPart = 7,
+                               .mClearances = 1,
+                               .mCrashes = 3,
+                               .mCommonParts = { 7, 8 } } },
+           .mWeights = { { .mServer = server,
+                           .mIncarnation = incarnation{ 3 },
+                           .mModel = model_name{ "m" },
+                           .mVersion = 4 } },
+           .mLimits = { { .mServer = { server, incarnation{ 3 } },
+                          .mRequestsPerSecond = 2.5,
+                          .mAge = milliseconds{ 40 } },
+                        { .mServer = { server, incarnation{ 4 } } } },
+           .mUpdating = { server },
+           .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
+           .mUsed = { { workspace_id{ "w" }, 2.5 } },
+           .mOperatorsEnd = { store_era{ 2 }, 12 },
+           .mHasParent = true,
+           .mOrigins = { { 4, software_version{ "v1" } },
+                         { 6, software_version{ "v2" } } },
+           .mSoftware = { { .mSoftware = { pool_name{ "p" },
+                                           software_version{ "v1" } },
+                            .mAge = milliseconds{ 50 } } },
+           .mIsSoftwareComplete = true,
+           .mLoads = { { .mServer = 0xfedcba9876543210,
+                         .mRunning = 65'535,
+                         .mWaiting = 3,
+                         .mSlowdownPercent = 250,
+                         .mAgeMs = 40 },
+                       { .mServer = 2 } },
+           .mSpreadsRelays = true,
+           .mServersEnd = { store_era{ 2 }, 30 },
+           .mRollouts = { { .mLease = 9,
+                            .mState = { .mOrder = { .mPool = pool_name{ "p" },
+                                                    .mTarget =
+                                                      software_version{ "v2" },
+                                                    .mDuration =
+                                                      milliseconds{ 12'000 },
+                                                    .mNumber = 5 },
+                                        .mPhase = rollout_phase::Ramping,
+                                        .mShare = 0.25 } } },
+           .mRolloutSamples = { { .mOrder = 5,
+                                  .mRoute = route_name{ "r" },
+                                  .mAnswers = 7 } },
+           .mDrained = { { .mOrder = 5, .mRevision = 7 } } };
+}
+
 std::vector<fleet_message>
 OneOfEachFleetMessage()
 {
-  backend_server_id const server{ "s" };
-  fleet_report const report{
-    .mScope = report_scope::Rest,
-    .mLease = 5,
-    .mReader = instance_id{ "r" },
-    .mSpent = { { workspace_id{ "w" }, 1.5, 2.0 } },
-    .mCrashes = { { .mFingerprint = 9, .mCount = 2 } },
-    .mPartCrashes = { { .mPart = 7,
-                        .mClearances = 1,
-                        .mCrashes = 3,
-                        .mCommonParts = { 7, 8 } } },
-    .mWeights = { { .mServer = server,
-                    .mIncarnation = incarnation{ 3 },
-                    .mModel = model_name{ "m" },
-                    .mVersion = 4 } },
-    .mLimits = { { .mServer = { server, incarnation{ 3 } },
-                   .mRequestsPerSecond = 2.5,
-                   .mAge = milliseconds{ 40 } },
-                 { .mServer = { server, incarnation{ 4 } } } },
-    .mUpdating = { server },
-    .mHolders = { { .mKey = 8, .mServer = server, .mIsStored = true } },
-    .mUsed = { { workspace_id{ "w" }, 2.5 } },
-    .mOperatorsEnd = { store_era{ 2 }, 12 },
-    .mHasParent = true,
-    .mOrigins = { { 4, software_version{ "v1" } },
-                  { 6, software_version{ "v2" } } },
-    .mSoftware = { { .mSoftware = { pool_name{ "p" },
-                                    software_version{ "v1" } },
-                     .mAge = milliseconds{ 50 } } },
-    .mIsSoftwareComplete = true,
-    .mLoads = { { .mServer = 0xfedcba9876543210,
-                  .mRunning = 65'535,
-                  .mWaiting = 3,
-                  .mSlowdownPercent = 250,
-                  .mAgeMs = 40 },
-                { .mServer = 2 } },
-    .mSpreadsRelays = true,
-    .mServersEnd = { store_era{ 2 }, 30 },
-    .mRollouts = { { .mLease = 9,
-                     .mState = { .mOrder = { .mPool = pool_name{ "p" },
-                                             .mTarget =
-                                               software_version{ "v2" },
-                                             .mDuration =
-                                               milliseconds{ 12'000 },
-                                             .mNumber = 5 },
-                                 .mPhase = rollout_phase::Ramping,
-                                 .mShare = 0.25 } } },
-    .mRolloutSamples = { { .mOrder = 5,
-                           .mRoute = route_name{ "r" },
-                           .mAnswers = 7 } },
-    .mDrained = { { .mOrder = 5, .mRevision = 7 } }
-  };
+  fleet_report const report = ReportWithAllFields();
   topic_relay const relay{ .mTopic = store_topic::Servers,
                            .mIsSnapshot = true,
                            .mFrom = { store_era{ 2 }, 3 },
