--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -173,7 +173,7 @@
       return ApplyConfig(aRecord, *config, aSource);
     if (auto const* const target = std::get_if<loaded_model>(&read))
       return ApplyWeights(aNow, *target);
-    if (auto* const order = std::get_if<rollout_order>(&read)) {
+    if (rollout_order* const order = std::get_if<rollout_order>(&read)) {
       order->mNumber = aRecord.mPosition.Number();
       return ApplyRollout(aNow, *order);
     }
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -4,6 +4,7 @@
 #include <LibDispatch/TrackedServer.h>
 #include <LibGateway/AnswerUse.h>
 #include <LibGateway/ExchangeEnd.h>
+#include <LibGateway/ExchangeEndFor.h>
 #include <LibGateway/IdleTimeout.h>
 #include <LibGateway/ServerConnector.h>
 #include <LibGateway/UnusedInput.h>
@@ -226,17 +227,8 @@
 
   [[nodiscard]] exchange_end EndFor(error_code aFault) const
   {
-    // Bytes that are no answer are the server's, whatever path they took.
-    bool const isFormatFault =
-      aFault.category() ==
-        boost::beast::http::make_error_code(boost::beast::http::error{})
-          .category() &&
-      aFault != boost::beast::http::error::end_of_stream &&
-      aFault != boost::beast::http::error::partial_message;
-    if (mTunnelPeer && !isFormatFault)
-      return exchange_end::TunnelBroken;
-    return aFault == boost::asio::error::timed_out ? exchange_end::Unresponsive
-                                                   : exchange_end::Broken;
+    return ExchangeEndFor(
+      aFault, mTunnelPeer ? connect_end::Tunnel : connect_end::Direct);
   }
 
   void OnDone()
