--- a/review/second/Net.h
+++ b/review/second/Net.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -304,20 +305,24 @@
     "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
 }
 
-// A port of an address that is free now.
+// A port of an address that is free now and that no earlier call gave.
 inline int
 FreePort(std::string const& aIp)
 {
-  int const probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Address(aIp, 0);
-  if (bind(probe,
-           reinterpret_cast<sockaddr const*>(&address),
-           sizeof address) != 0)
-    throw std::runtime_error("no free port");
-  socklen_t size = sizeof address;
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  close(probe);
-  return ntohs(address.sin_port);
+  static std::set<int> given;
+  for (;;) {
+    int const probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Address(aIp, 0);
+    if (bind(probe,
+             reinterpret_cast<sockaddr const*>(&address),
+             sizeof address) != 0)
+      throw std::runtime_error("no free port");
+    socklen_t size = sizeof address;
+    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    close(probe);
+    if (given.insert(ntohs(address.sin_port)).second)
+      return ntohs(address.sin_port);
+  }
 }
 
 }
--- a/review/second/Place.h
+++ b/review/second/Place.h
@@ -174,6 +174,8 @@
   std::string mId;
   std::string mTenant;
   std::size_t mBytes;
+  std::string mSalt;
+  std::string mPrefix;
 };
 
 // A sound worker of the one service: registers itself in the store and
@@ -247,9 +249,15 @@
     std::string const tenant = aRequest.Header("tenant");
     {
       std::lock_guard const lock(mMutex);
-      mRuns.push_back({ NowMs(), id, tenant, aRequest.mBody.size() });
+      mRuns.push_back({ NowMs(),
+                        id,
+                        tenant,
+                        aRequest.mBody.size(),
+                        aRequest.Header("cache-salt"),
+                        aRequest.Header("prompt-prefix") });
     }
     mRecord.Line("worker " + mId + " runs " + id + ", tenant '" + tenant +
+                 "', Cache-Salt '" + aRequest.Header("cache-salt") +
                  "', body of " + std::to_string(aRequest.mBody.size()) +
                  " bytes");
     constexpr std::size_t kLongBytes = 1000;
