LibDispatch: Require keys when the list of workspaces is empty

Cause: ReadConfigDocument read a missing list of workspaces and an empty one into the same empty vector, and admission took an empty vector for a configuration that requires no keys.

The new test RequestsAreUnauthorizedOnceTheLastWorkspaceIsWithdrawn failed before the change: 200 for all three keys, and four requests at the server where one is allowed.

Change: dispatch_config takes the list as an optional one and says with RequiresKeys whether there was a list. Admission asks that, so that an empty list holds no valid key. Without the list no keys are required, as before; RequestsNeedNoKeyWhereTheConfigurationHasNoWorkspaces guards that and passed before, too. config_in_force says requires_keys and the number of workspaces, as its log line could not tell the two apart.

--- a/Libraries/LibDispatch/DispatchConfig.cpp
+++ b/Libraries/LibDispatch/DispatchConfig.cpp
@@ -46,14 +46,17 @@
 
 }
 
-dispatch_config::dispatch_config(std::uint64_t aVersion,
-                                 std::vector<dispatch_route> aRoutes,
-                                 std::vector<dispatch_pool> aPools,
-                                 std::vector<dispatch_workspace> aWorkspaces,
-                                 caller_limits aLimits)
+dispatch_config::dispatch_config(
+  std::uint64_t aVersion,
+  std::vector<dispatch_route> aRoutes,
+  std::vector<dispatch_pool> aPools,
+  std::optional<std::vector<dispatch_workspace>> aWorkspaces,
+  caller_limits aLimits)
   : mVersion(aVersion)
   , mPools(std::move(aPools))
-  , mWorkspaces(std::move(aWorkspaces))
+  , mRequiresKeys(aWorkspaces.has_value())
+  , mWorkspaces(
+      std::move(aWorkspaces).value_or(std::vector<dispatch_workspace>{}))
   , mSharedScope(MakeSharedScope(mWorkspaces))
   , mLimits(aLimits)
 {
--- a/Libraries/LibDispatch/DispatchConfig.h
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,16 +23,21 @@
 class dispatch_config
 {
 public:
+  /// Without workspaces, requests need no key. With an empty list of them no
+  /// key is valid.
   dispatch_config(std::uint64_t aVersion,
                   std::vector<dispatch_route> aRoutes,
                   std::vector<dispatch_pool> aPools,
-                  std::vector<dispatch_workspace> aWorkspaces,
+                  std::optional<std::vector<dispatch_workspace>> aWorkspaces,
                   caller_limits aLimits);
 
   /// The host's route with the longest prefix of the path, or null.
   [[nodiscard]] dispatch_route const* FindRoute(std::string_view aHost,
                                                 std::string_view aPath) const;
 
+  /// True when requests on routes that aren't public need a valid API key.
+  [[nodiscard]] bool RequiresKeys() const noexcept { return mRequiresKeys; }
+
   /// The workspace that an API key belongs to, or null.
   [[nodiscard]] dispatch_workspace const* FindWorkspace(
     std::string_view aKey) const;
@@ -78,6 +84,7 @@
   routes_by_host mRoutes;
   std::vector<dispatch_pool> mPools;
   std::vector<cache_store> mCacheStores;
+  bool mRequiresKeys;
   std::vector<dispatch_workspace> mWorkspaces;
   std::string mSharedScope;
   std::unordered_map<std::string, std::size_t> mWorkspaceByKey;
--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -188,6 +188,9 @@
       LogEvent(
         "config_in_force",
         { { "version", static_cast<std::int64_t>(aConfig->Version()) },
+          { "requires_keys", std::int64_t{ aConfig->RequiresKeys() } },
+          { "workspaces",
+            static_cast<std::int64_t>(aConfig->Workspaces().size()) },
           { "position", static_cast<std::int64_t>(aRecord.mPosition.Number()) },
           { "told_by", NameOf(aSource) } });
   }
--- a/Libraries/LibGateway/AdmitRequest.cpp
+++ b/Libraries/LibGateway/AdmitRequest.cpp
@@ -24,7 +24,7 @@
   aAdmitted.mRoute = config.FindRoute(aProperties.mHost, aProperties.mPath);
   if (aAdmitted.mRoute == nullptr)
     return request_refusal{ .mStatus = refusal_status::NotFound };
-  if (aAdmitted.mRoute->mIsPublic || config.Workspaces().empty())
+  if (aAdmitted.mRoute->mIsPublic || !config.RequiresKeys())
     return std::nullopt;
   if (aProperties.mKey)
     aAdmitted.mWorkspace = config.FindWorkspace(*aProperties.mKey);
