--- a/Libraries/LibDispatch/DispatchConfig.h
+++ b/Libraries/LibDispatch/DispatchConfig.h
@@ -23,7 +23,7 @@
 class dispatch_config
 {
 public:
-  /// Without workspaces, requests need no key. With an empty list of them no
+  /// Without a list of workspaces, requests need no key. With an empty list, no
   /// key is valid.
   dispatch_config(std::uint64_t aVersion,
                   std::vector<dispatch_route> aRoutes,
