Tests/Scenarios: Give each free port once

Its router-3 didn't start: "$.listen.peers: found 127.0.0.1:34761; allowed: an address of its own".

Cause: free_port closes the port that it returns, so that the system may choose it again for the router's next address. The runner keeps the ports that it has returned now, and asks for another one.

The failing check is unchanged.

--- a/Tests/Scenarios/NetworkVerbs.cpp
+++ b/Tests/Scenarios/NetworkVerbs.cpp
@@ -13,15 +13,20 @@
 using boost::asio::ip::tcp;
 using nlohmann::json;
 
-/// free_port(): a loopback port on which no process listens.
+/// free_port(): a loopback port on which no process listens, another one with
+/// each call.
 json
-FreePort(scenario&, json const&)
+FreePort(scenario& aScenario, json const&)
 {
   boost::asio::io_context context;
-  tcp::acceptor const acceptor{
-    context, { boost::asio::ip::address_v4::loopback(), 0 }
-  };
-  return acceptor.local_endpoint().port();
+  for (;;) {
+    tcp::acceptor const acceptor{
+      context, { boost::asio::ip::address_v4::loopback(), 0 }
+    };
+    std::uint16_t const port = acceptor.local_endpoint().port();
+    if (aScenario.TakePort(port))
+      return port;
+  }
 }
 
 /// is_listening(port): whether the port accepts a connection.
--- a/Tests/Scenarios/Scenario.h
+++ b/Tests/Scenarios/Scenario.h
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -51,6 +52,9 @@
 
   relay_thread& Relays() { return mRelays; }
 
+  /// Takes a port for a process of the scenario; false if it was taken before.
+  bool TakePort(std::uint16_t aPort) { return mPorts.insert(aPort).second; }
+
   /// The end of each process's output, for a failure report.
   [[nodiscard]] std::string OutputTails() const;
 
@@ -64,6 +68,7 @@
   std::map<std::string, std::shared_ptr<curl_session>, std::less<>> mSessions;
   std::map<std::uint64_t, std::unique_ptr<http_call>> mCalls;
   std::uint64_t mLastCall = 0;
+  std::set<std::uint16_t> mPorts;
   relay_thread mRelays;
 };
 
