--- /dev/null
+++ b/review/third/Worker.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "Record.h"
+#include "Server.h"
+#include "Store.h"
+
+namespace review {
+
+/// A worker that answers each request with a stream of events that has neither
+/// a length nor chunks and ends with its channel. It registers itself in the
+/// store and keeps its entry alive until it crashes or stops.
+class worker
+{
+public:
+  struct options
+  {
+    std::string mId;
+    std::string mService;
+    std::string mZone;
+    std::string mModel;
+    unsigned mEvents = 0;
+    milliseconds mEventInterval{};
+  };
+
+  worker(options aOptions, store& aStore, record& aRecord)
+    : mOptions(std::move(aOptions))
+    , mStore(aStore)
+    , mRecord(aRecord)
+    , mServer("127.0.0.1",
+              [this](message const& aRequest, connection& aTo) {
+                return Handle(aRequest, aTo);
+              })
+    , mHeartbeats([this]() { Register(); })
+  {
+  }
+  worker(worker const&) = delete;
+  worker& operator=(worker const&) = delete;
+  ~worker() { Crash(); }
+
+  /// Ends at once, without a word to the store.
+  void Crash()
+  {
+    if (mIsCrashed.exchange(true))
+      return;
+    mHeartbeats.join();
+    mServer.Stop();
+  }
+
+  [[nodiscard]] std::string const& Id() const noexcept { return mOptions.mId; }
+
+  /// The text of an event, as the worker writes it.
+  static std::string Event(unsigned aNumber)
+  {
+    return "id: " + std::to_string(aNumber) + "\ndata: token" +
+           std::to_string(aNumber) + "\n\n";
+  }
+
+private:
+  void Register()
+  {
+    constexpr milliseconds kInterval{ 1'200 };
+    constexpr milliseconds kStep{ 20 };
+    std::int64_t const born =
+      std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch())
+        .count();
+    steady::time_point next = steady::now();
+    for (unsigned entries = 1; !mIsCrashed;) {
+      if (steady::now() >= next) {
+        nlohmann::json const entry{
+          { "service", mOptions.mService },
+          { "addr", mServer.Address().Text() },
+          { "zone", mOptions.mZone },
+          { "version", "v1" },
+          { "slots", 64 },
+          { "state", "ready" },
+          { "cold_left_ms", 0 },
+          { "stage", "unified" },
+          { "models",
+            { { { "name", mOptions.mModel },
+                { "version", 1 },
+                { "adapters", nlohmann::json::array() } } } },
+          { "seq", entries++ },
+          { "born", born }
+        };
+        mStore.Put("keyed.servers", mOptions.mId, entry.dump());
+        next += kInterval;
+      }
+      std::this_thread::sleep_for(kStep);
+    }
+  }
+
+  bool Handle(message const& aRequest, connection& aTo)
+  {
+    std::string const stamp = "Server-Stamp: " + mOptions.mId + ".1\r\n";
+    std::string const id =
+      "Request-Id: " + aRequest.Field("request-id").value_or("") + "\r\n";
+    if (aRequest.Field("expect-instance").value_or(mOptions.mId) !=
+        mOptions.mId)
+      return aTo.Send(
+        Answer("421 Misdirected Request",
+               id + "Not-Run: 1\r\nInstance-Id: " + mOptions.mId + "\r\n",
+               {}));
+    if (aRequest.Method() == "GET")
+      return aTo.Send(
+        Answer("200 OK", "Instance-Id: " + mOptions.mId + "\r\n", {}));
+    mRecord.Write(mOptions.mId + " runs request " +
+                  aRequest.Field("request-id").value_or(""));
+    if (!aTo.Send("HTTP/1.1 200 OK\r\n" + id + stamp +
+                  "Content-Type: text/event-stream\r\n"
+                  "Weight-Versions: 1\r\nConnection: close\r\n\r\n"))
+      return false;
+    for (unsigned number = 1; number <= mOptions.mEvents; ++number) {
+      std::this_thread::sleep_for(mOptions.mEventInterval);
+      if (!aTo.Send(Event(number))) {
+        mRecord.Write(mOptions.mId + " finds its channel closed at event " +
+                      std::to_string(number) + " of " +
+                      std::to_string(mOptions.mEvents));
+        return false;
+      }
+    }
+    mRecord.Write(mOptions.mId + " has written all " +
+                  std::to_string(mOptions.mEvents) +
+                  " events and closes the channel");
+    return false;
+  }
+
+  options mOptions;
+  store& mStore;
+  record& mRecord;
+  std::atomic<bool> mIsCrashed = false;
+  server mServer;
+  std::thread mHeartbeats;
+};
+
+}
