--- a/review/third/Message.h
+++ b/review/third/Message.h
@@ -75,17 +75,26 @@
   std::optional<message> Read(milliseconds aTimeout)
   {
     std::optional<message> read = ReadHead(aTimeout);
-    if (!read)
+    if (!read || !ReadSized(*read, read->mBody, aTimeout))
       return std::nullopt;
+    return read;
+  }
+
+  /// Reads a body of the length that aHead gives into aBody; true when it is
+  /// whole.
+  bool ReadSized(message const& aHead,
+                 std::string& aBody,
+                 milliseconds aTimeout)
+  {
     std::size_t const length =
-      std::stoul(read->Field("content-length").value_or("0"));
+      std::stoul(aHead.Field("content-length").value_or("0"));
     while (mBytes.size() < length) {
       if (!mConnection.Receive(mBytes, aTimeout))
-        return std::nullopt;
+        return false;
     }
-    read->mBody = mBytes.substr(0, length);
+    aBody = mBytes.substr(0, length);
     mBytes.erase(0, length);
-    return read;
+    return true;
   }
 
   /// Reads a chunked body into aBody; true when its last chunk arrived.
--- a/review/third/TruncatedStream.cpp
+++ b/review/third/TruncatedStream.cpp
@@ -3,18 +3,19 @@
 
 #include <iostream>
 
-/// \file A stream without a length that reaches an instance through a peer: the
-/// peer is killed while the stream runs.
+/// \file Two answers without a length, a stream and the receipt of a booking,
+/// reach an instance through a peer: the peer is killed while they run.
 
 namespace review {
 
 namespace {
 
-constexpr char const* kService = "assist";
+constexpr char const* kModelService = "assist";
+constexpr char const* kPlainService = "ledger";
 constexpr char const* kModel = "m1";
 constexpr char const* kHost = "maps.example";
-constexpr unsigned kEvents = 73;
-constexpr milliseconds kEventInterval{ 40 };
+constexpr unsigned kPieces = 73;
+constexpr milliseconds kPieceInterval{ 40 };
 
 enum class result : int
 {
@@ -23,36 +24,50 @@
   NotRun = 2,
 };
 
+nlohmann::json
+Route(std::string const& aName,
+      std::string const& aPrefix,
+      std::string const& aKind,
+      std::string const& aService)
+{
+  return { { "name", aName },
+           { "host", kHost },
+           { "path_prefix", aPrefix },
+           { "kind", aKind },
+           { "timeout_ms", 15'000 },
+           { "target_latency_ms", 500 },
+           { "priority", 0 },
+           { "service", aService },
+           { "max_attempts", 1 },
+           { "public", false },
+           { "sticky", aKind == "stream" },
+           { "resumable", false } };
+}
+
 std::string
 Configuration()
 {
+  nlohmann::json const engine{ { "slots", 64 },
+                               { "kv_tokens", 104'044 },
+                               { "kv_bytes", 327'680 },
+                               { "models", { { { "name", kModel } } } } };
   return nlohmann::json{
     { "version", 1 },
     { "routes",
-      { { { "name", "r-1" },
-          { "host", kHost },
-          { "path_prefix", "/chat/" },
-          { "kind", "stream" },
-          { "timeout_ms", 15'000 },
-          { "target_latency_ms", 500 },
-          { "priority", 0 },
-          { "service", kService },
-          { "max_attempts", 1 },
-          { "public", false },
-          { "sticky", true },
-          { "resumable", false },
-          { "gap_aim_ms", 500 } } } },
+      { Route("r-chat", "/chat/", "stream", kModelService),
+        Route("r-book", "/book/", "non_idempotent", kPlainService) } },
     { "services",
-      { { { "name", kService },
+      { { { "name", kModelService },
           { "health_path", "/health" },
           { "max_conns", 360 },
           { "protocol", "h1" },
           { "tls", false },
-          { "engine",
-            { { "slots", 64 },
-              { "kv_tokens", 104'044 },
-              { "kv_bytes", 327'680 },
-              { "models", { { { "name", kModel } } } } } } } } },
+          { "engine", engine } },
+        { { "name", kPlainService },
+          { "health_path", "/health" },
+          { "max_conns", 100 },
+          { "protocol", "h1" },
+          { "tls", false } } } },
     { "limits",
       { { "max_header_bytes", 16'384 },
         { "max_body_bytes", 4'194'304 },
@@ -63,101 +78,160 @@
 
 struct caller_answer
 {
-  std::string mStatus;
+  std::string mStatus = "none";
   bool mIsComplete = false;
   std::string mBody;
 
-  [[nodiscard]] std::size_t Events() const
+  [[nodiscard]] std::size_t Pieces() const
   {
-    std::size_t events = 0;
+    std::size_t pieces = 0;
     for (std::size_t at = mBody.find("\n\n"); at != std::string::npos;
          at = mBody.find("\n\n", at + 2))
-      ++events;
-    return events;
+      ++pieces;
+    return pieces;
+  }
+
+  /// True for an answer that looks whole and isn't.
+  [[nodiscard]] bool IsTruncated() const
+  {
+    return mStatus == "200" && mIsComplete && Pieces() < kPieces;
   }
 };
 
 caller_answer
-Call(address const& aTo, std::string const& aId)
+Call(address const& aTo,
+     std::string const& aTarget,
+     std::string const& aId,
+     std::string const& aFields)
 {
   constexpr milliseconds kTimeout{ 15'000 };
-  std::string const body = "{}";
   std::unique_ptr<connection> const caller = connection::Open(aTo);
+  caller_answer answer;
   if (!caller ||
-      !caller->Send("POST /chat/2f HTTP/1.1\r\nHost: " + std::string{ kHost } +
-                    "\r\nRequest-Id: " + aId + "\r\nModel: " + kModel +
-                    "\r\nToken-Counts: 826,73\r\nDeadline-Ms: 15000\r\n"
-                    "Content-Length: " +
-                    std::to_string(body.size()) + "\r\n\r\n" + body))
-    throw setup_error("the instance doesn't take a request");
+      !caller->Send("POST " + aTarget + " HTTP/1.1\r\nHost: " + kHost +
+                    "\r\nRequest-Id: " + aId + "\r\n" + aFields +
+                    "Deadline-Ms: 15000\r\nContent-Length: 2\r\n\r\n{}"))
+    return answer;
   message_reader reader{ *caller };
-  caller_answer answer;
   std::optional<message> const head = reader.ReadHead(kTimeout);
   if (!head)
     return answer;
   answer.mStatus = head->Second();
-  if (head->Field("transfer-encoding"))
-    answer.mIsComplete = reader.ReadChunks(answer.mBody, kTimeout);
+  answer.mIsComplete = head->Field("transfer-encoding")
+                         ? reader.ReadChunks(answer.mBody, kTimeout)
+                         : reader.ReadSized(*head, answer.mBody, kTimeout);
   return answer;
 }
 
-/// What the caller sees in the end. With aIsTroubled the three workers of the
-/// caller's zone crash before the request, and the peer is killed a second
-/// after it.
+void
+Describe(record& aRecord, std::string const& aId, caller_answer const& aAnswer)
+{
+  aRecord.Write("the caller of " + aId + " has status " + aAnswer.mStatus +
+                ", " + std::to_string(aAnswer.Pieces()) + " of " +
+                std::to_string(kPieces) + " pieces, the answer is " +
+                (aAnswer.mIsComplete ? "complete" : "broken off"));
+}
+
+/// The stand-ins and the two instances of one run.
+class deployment
+{
+public:
+  explicit deployment(record& aRecord)
+    : mRecord(aRecord)
+    , mEntry({ "front-bkk-a-1",
+               "bkk-a",
+               "127.0.1.1",
+               mStore.Address(),
+               mFolder.Path() })
+    , mPeer({ "front-bkk-b-1",
+              "bkk-b",
+              "127.0.1.2",
+              mStore.Address(),
+              mFolder.Path() })
+  {
+    mStore.Put("keyed.op", "config", Configuration());
+    mStore.Put("keyed.op",
+               std::string{ "version/" } + kModel,
+               nlohmann::json{ { "model", kModel }, { "version", 1 } }.dump());
+    for (char const* const id : { "i-1", "i-2", "i-3" })
+      Add(id, kModelService, "bkk-a", kModel);
+    Add("i-4", kModelService, "bkk-b", kModel);
+    Add("i-5", kPlainService, "bkk-b", "");
+    mEntry.AwaitReady();
+    mPeer.AwaitReady();
+  }
+
+  [[nodiscard]] address const& Entry() const { return mEntry.Callers(); }
+
+  /// The three workers of the entry's zone crash.
+  void CrashWorkers()
+  {
+    for (std::size_t index = 0; index < 3; ++index)
+      mWorkers[index]->Crash();
+    mRecord.Write("workers i-1, i-2 and i-3 have crashed");
+  }
+
+  void KillPeer()
+  {
+    mRecord.Write("SIGKILL to " + mPeer.Name());
+    mPeer.Signal(SIGKILL);
+  }
+
+private:
+  void Add(std::string const& aId,
+           std::string const& aService,
+           std::string const& aZone,
+           std::string const& aModel)
+  {
+    mWorkers.push_back(std::make_unique<worker>(
+      worker::options{ aId, aService, aZone, aModel, kPieces, kPieceInterval },
+      mStore,
+      mRecord));
+  }
+
+  record& mRecord;
+  temporary_folder mFolder;
+  store mStore;
+  std::vector<std::unique_ptr<worker>> mWorkers;
+  instance mEntry;
+  instance mPeer;
+};
+
+/// With aIsTroubled three workers crash before the requests, and the peer is
+/// killed a second after them.
 result
 Run(record& aRecord, bool aIsTroubled)
 {
-  constexpr milliseconds kSettle{ 4'000 };
-  constexpr milliseconds kStreamTime{ 1'000 };
-  temporary_folder const folder;
-  store store;
-  store.Put("keyed.op", "config", Configuration());
-  store.Put("keyed.op",
-            std::string{ "version/" } + kModel,
-            nlohmann::json{ { "model", kModel }, { "version", 1 } }.dump());
-  std::vector<std::unique_ptr<worker>> near;
-  for (char const* const id : { "i-1", "i-2", "i-3" })
-    near.push_back(std::make_unique<worker>(
-      worker::options{ id, kService, "bkk-a", kModel, kEvents, kEventInterval },
-      store,
-      aRecord));
-  worker const far{
-    { "i-4", kService, "bkk-b", kModel, kEvents, kEventInterval },
-    store,
-    aRecord
-  };
-  instance entry{
-    { "front-bkk-a-1", "bkk-a", "127.0.1.1", store.Address(), folder.Path() }
-  };
-  instance peer{
-    { "front-bkk-b-1", "bkk-b", "127.0.1.2", store.Address(), folder.Path() }
-  };
-  entry.AwaitReady();
-  peer.AwaitReady();
-  std::this_thread::sleep_for(kSettle);
-  if (aIsTroubled) {
-    for (std::unique_ptr<worker> const& crashed : near)
-      crashed->Crash();
-    aRecord.Write("workers i-1, i-2 and i-3 have crashed");
-  }
-  std::thread killer([&]() {
-    std::this_thread::sleep_for(kStreamTime);
-    if (!aIsTroubled)
-      return;
-    aRecord.Write("SIGKILL to " + peer.Name());
-    peer.Signal(SIGKILL);
+  constexpr milliseconds kSettleTime{ 4'000 };
+  constexpr milliseconds kBetweenRequests{ 50 };
+  constexpr milliseconds kRunTime{ 1'000 };
+  deployment running{ aRecord };
+  std::this_thread::sleep_for(kSettleTime);
+  if (aIsTroubled)
+    running.CrashWorkers();
+  caller_answer stream;
+  caller_answer receipt;
+  std::thread chat([&]() {
+    stream =
+      Call(running.Entry(),
+           "/chat/2f",
+           "r-1",
+           std::string{ "Model: " } + kModel + "\r\nToken-Counts: 826,73\r\n");
   });
-  aRecord.Write("a caller sends request r-1 to " + entry.Name());
-  caller_answer const answer = Call(entry.Callers(), "r-1");
-  killer.join();
-  aRecord.Write("the caller gets status " + answer.mStatus + ", " +
-                std::to_string(answer.Events()) + " of " +
-                std::to_string(kEvents) + " events, the answer is " +
-                (answer.mIsComplete ? "complete" : "broken off"));
-  if (answer.mStatus != "200" && !aIsTroubled)
+  std::this_thread::sleep_for(kBetweenRequests);
+  std::thread booking(
+    [&]() { receipt = Call(running.Entry(), "/book/2f", "r-2", {}); });
+  std::this_thread::sleep_for(kRunTime);
+  if (aIsTroubled)
+    running.KillPeer();
+  chat.join();
+  booking.join();
+  Describe(aRecord, "r-1", stream);
+  Describe(aRecord, "r-2", receipt);
+  if (!aIsTroubled && (stream.mStatus != "200" || receipt.mStatus != "200"))
     return result::NotRun;
-  return answer.mIsComplete && answer.Events() < kEvents ? result::Broken
-                                                         : result::Held;
+  return stream.IsTruncated() || receipt.IsTruncated() ? result::Broken
+                                                       : result::Held;
 }
 
 }
@@ -169,7 +243,7 @@
 {
   using namespace review;
   if (aCount != 2) {
-    std::cerr << "usage: truncated-stream RECORD\n";
+    std::cerr << "usage: TruncatedStream RECORD\n";
     return static_cast<int>(result::NotRun);
   }
   char const* const trouble = std::getenv("TROUBLE");
--- a/review/third/Worker.h
+++ b/review/third/Worker.h
@@ -17,9 +17,11 @@
     std::string mId;
     std::string mService;
     std::string mZone;
+    /// Empty for a worker of a plain service, which answers with a document.
     std::string mModel;
-    unsigned mEvents = 0;
-    milliseconds mEventInterval{};
+    /// The pieces of an answer, each of which is an event of a stream.
+    unsigned mPieces = 0;
+    milliseconds mPieceInterval{};
   };
 
   worker(options aOptions, store& aStore, record& aRecord)
@@ -48,11 +50,13 @@
 
   [[nodiscard]] std::string const& Id() const noexcept { return mOptions.mId; }
 
-  /// The text of an event, as the worker writes it.
-  static std::string Event(unsigned aNumber)
+  /// The bytes of a piece, which end with "\n\n" in both kinds of answer.
+  [[nodiscard]] std::string Piece(unsigned aNumber) const
   {
-    return "id: " + std::to_string(aNumber) + "\ndata: token" +
-           std::to_string(aNumber) + "\n\n";
+    std::string const number = std::to_string(aNumber);
+    return mOptions.mModel.empty()
+             ? "line " + number + " of the receipt\n\n"
+             : "id: " + number + "\ndata: token" + number + "\n\n";
   }
 
 private:
@@ -67,22 +71,17 @@
     steady::time_point next = steady::now();
     for (unsigned entries = 1; !mIsCrashed;) {
       if (steady::now() >= next) {
-        nlohmann::json const entry{
-          { "service", mOptions.mService },
-          { "addr", mServer.Address().Text() },
-          { "zone", mOptions.mZone },
-          { "version", "v1" },
-          { "slots", 64 },
-          { "state", "ready" },
-          { "cold_left_ms", 0 },
-          { "stage", "unified" },
-          { "models",
-            { { { "name", mOptions.mModel },
-                { "version", 1 },
-                { "adapters", nlohmann::json::array() } } } },
-          { "seq", entries++ },
-          { "born", born }
-        };
+        nlohmann::json const entry{ { "service", mOptions.mService },
+                                    { "addr", mServer.Address().Text() },
+                                    { "zone", mOptions.mZone },
+                                    { "version", "v1" },
+                                    { "slots", 64 },
+                                    { "state", "ready" },
+                                    { "cold_left_ms", 0 },
+                                    { "stage", "unified" },
+                                    { "models", Models() },
+                                    { "seq", entries++ },
+                                    { "born", born } };
         mStore.Put("keyed.servers", mOptions.mId, entry.dump());
         next += kInterval;
       }
@@ -90,6 +89,23 @@
     }
   }
 
+  [[nodiscard]] std::string TypeFields() const
+  {
+    return mOptions.mModel.empty()
+             ? "Content-Type: text/plain\r\n"
+             : "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n";
+  }
+
+  [[nodiscard]] nlohmann::json Models() const
+  {
+    nlohmann::json models = nlohmann::json::array();
+    if (!mOptions.mModel.empty())
+      models.push_back({ { "name", mOptions.mModel },
+                         { "version", 1 },
+                         { "adapters", nlohmann::json::array() } });
+    return models;
+  }
+
   bool Handle(message const& aRequest, connection& aTo)
   {
     std::string const stamp = "Server-Stamp: " + mOptions.mId + ".1\r\n";
@@ -106,22 +122,21 @@
         Answer("200 OK", "Instance-Id: " + mOptions.mId + "\r\n", {}));
     mRecord.Write(mOptions.mId + " runs request " +
                   aRequest.Field("request-id").value_or(""));
-    if (!aTo.Send("HTTP/1.1 200 OK\r\n" + id + stamp +
-                  "Content-Type: text/event-stream\r\n"
-                  "Weight-Versions: 1\r\nConnection: close\r\n\r\n"))
+    if (!aTo.Send("HTTP/1.1 200 OK\r\n" + id + stamp + TypeFields() +
+                  "Connection: close\r\n\r\n"))
       return false;
-    for (unsigned number = 1; number <= mOptions.mEvents; ++number) {
-      std::this_thread::sleep_for(mOptions.mEventInterval);
-      if (!aTo.Send(Event(number))) {
-        mRecord.Write(mOptions.mId + " finds its channel closed at event " +
+    for (unsigned number = 1; number <= mOptions.mPieces; ++number) {
+      std::this_thread::sleep_for(mOptions.mPieceInterval);
+      if (!aTo.Send(Piece(number))) {
+        mRecord.Write(mOptions.mId + " finds its channel closed at piece " +
                       std::to_string(number) + " of " +
-                      std::to_string(mOptions.mEvents));
+                      std::to_string(mOptions.mPieces));
         return false;
       }
     }
     mRecord.Write(mOptions.mId + " has written all " +
-                  std::to_string(mOptions.mEvents) +
-                  " events and closes the channel");
+                  std::to_string(mOptions.mPieces) +
+                  " pieces and closes the channel");
     return false;
   }
 
