--- a/review/third/Instance.h
+++ b/review/third/Instance.h
@@ -82,6 +82,9 @@
     }
   }
 
+  /// Starts the process again after it was killed.
+  void Restart() { Start(); }
+
   /// Sends a signal; one that kills the process also collects it.
   void Signal(int aSignal)
   {
@@ -105,7 +108,7 @@
     if (mProcess != 0)
       return;
     int const log =
-      ::open(mLog.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+      ::open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     char* const arguments[] = { const_cast<char*>(kProgram),
--- a/review/third/Store.h
+++ b/review/third/Store.h
@@ -35,6 +35,13 @@
     mTopics[aTopic].push_back(static_cast<char>(aKey.size()) + aKey + aValue);
   }
 
+  /// How many reads of a topic have been answered, whole or from an offset on.
+  unsigned Reads(std::string const& aTopic)
+  {
+    std::lock_guard const lock{ mMutex };
+    return mReads[aTopic];
+  }
+
 private:
   using records = std::vector<std::string>;
 
@@ -83,6 +90,7 @@
     records& topic = mTopics[Parameter(target, "topic")];
     if (target.starts_with("/api/log-append"))
       return Append(target, aRequest.mBody, topic);
+    ++mReads[Parameter(target, "topic")];
     if (target.starts_with("/api/log-read"))
       return Read(target, topic);
     if (target.starts_with("/api/log-newest"))
@@ -149,6 +157,7 @@
 
   std::mutex mMutex;
   std::map<std::string, records> mTopics;
+  std::map<std::string, unsigned> mReads;
   server mServer;
 };
 
--- a/review/third/Worker.h
+++ b/review/third/Worker.h
@@ -44,10 +44,23 @@
   {
     if (mIsCrashed.exchange(true))
       return;
-    mHeartbeats.join();
+    if (mHeartbeats.joinable())
+      mHeartbeats.join();
     mServer.Stop();
   }
 
+  /// Its entry is removed; it continues to serve.
+  void Unregister()
+  {
+    if (mIsUnregistered.exchange(true))
+      return;
+    mHeartbeats.join();
+    mStore.Put("keyed.servers", mOptions.mId, "");
+  }
+
+  /// Requests that it has begun to run.
+  [[nodiscard]] unsigned Runs() const noexcept { return mRuns; }
+
   [[nodiscard]] std::string const& Id() const noexcept { return mOptions.mId; }
 
   /// The bytes of a piece, which end with "\n\n" in both kinds of answer.
@@ -69,7 +82,7 @@
         std::chrono::system_clock::now().time_since_epoch())
         .count();
     steady::time_point next = steady::now();
-    for (unsigned entries = 1; !mIsCrashed;) {
+    for (unsigned entries = 1; !mIsCrashed && !mIsUnregistered;) {
       if (steady::now() >= next) {
         nlohmann::json const entry{ { "service", mOptions.mService },
                                     { "addr", mServer.Address().Text() },
@@ -117,9 +130,11 @@
         Answer("421 Misdirected Request",
                id + "Not-Run: 1\r\nInstance-Id: " + mOptions.mId + "\r\n",
                {}));
-    if (aRequest.Method() == "GET")
+    std::string const target = aRequest.Second();
+    if (target == "/health" || target.starts_with("/api/"))
       return aTo.Send(
         Answer("200 OK", "Instance-Id: " + mOptions.mId + "\r\n", {}));
+    ++mRuns;
     mRecord.Write(mOptions.mId + " runs request " +
                   aRequest.Field("request-id").value_or(""));
     if (!aTo.Send("HTTP/1.1 200 OK\r\n" + id + stamp + TypeFields() +
@@ -144,6 +159,8 @@
   store& mStore;
   record& mRecord;
   std::atomic<bool> mIsCrashed = false;
+  std::atomic<bool> mIsUnregistered = false;
+  std::atomic<unsigned> mRuns = 0;
   server mServer;
   std::thread mHeartbeats;
 };
