LibTunnel: Mark the end of a server's answer in a tunnel

A planned stop of the peer did the same to answers that outlast it.

Cause: a tunnel carried the server's bytes unchanged. Where an answer has neither a length nor chunks, the end of the tunnel was the only sign of its end, and the system closes the connections of a killed process as it closes those of one that is done. In the record of the case the servers are still writing when the callers already have their answers, which rules out an end that the peer passed on.

Change: the peer sends the server's bytes in frames, and an empty frame once the server has closed its connection. A tunnel that ends without it has broken. The messages that open a tunnel say on both sides whether frames are known; an answer that only the end of its connection completes is never whole through a peer of an older build.

Before, both tests of TestTunnelEnds with a peer that ends failed on:

[ FAILED ] TestTunnelEnds.UnsizedAnswerIsNotCompleteWhenThePeerEnds [ FAILED ] TestTunnelEnds.UnsizedStreamIsNotCompleteWhenThePeerEnds

--- a/Libraries/LibGateway/ServerConnector.cpp
+++ b/Libraries/LibGateway/ServerConnector.cpp
@@ -163,9 +163,10 @@
 void
 server_connector::SendRequest()
 {
-  mRequest =
-    EncodeTunnelRequest({ .mServer = mServer->mRegistered.mId,
-                          .mIncarnation = mServer->mRegistered.mIncarnation });
+  mRequest = EncodeTunnelRequest(
+    { .mServer = { .mServer = mServer->mRegistered.mId,
+                   .mIncarnation = mServer->mRegistered.mIncarnation },
+      .mFraming = tunnel_framing::Frames });
   boost::asio::async_write(*mSocket,
                            boost::asio::buffer(mRequest),
                            [self = shared_from_this(),
@@ -198,9 +199,12 @@
   std::optional<std::span<std::uint8_t const>> const content = mAnswer.Next();
   if (!content)
     return mAnswer.Fault() == frame_fault::None ? ReadAnswer() : OnPeerFailed();
-  switch (DecodeTunnelAnswer(*content).value_or(tunnel_result::Unavailable)) {
+  tunnel_answer const answer =
+    DecodeTunnelAnswer(*content).value_or(tunnel_answer{});
+  switch (answer.mResult) {
     case tunnel_result::Open:
       mTimer.cancel();
+      mFraming = answer.mFraming;
       mCore.TunnelPeers().OnOpened(mClock.Now(), mPeer);
       return End(connect_end::Tunnel);
     case tunnel_result::Unreachable:
--- a/Libraries/LibGateway/ServerConnector.h
+++ b/Libraries/LibGateway/ServerConnector.h
@@ -4,6 +4,7 @@
 #include <LibGateway/ConnectEnd.h>
 #include <LibGateway/TrafficCore.h>
 #include <LibPeer/FrameReader.h>
+#include <LibTunnel/TunnelFraming.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,6 +45,9 @@
   /// The peer that opened the tunnel; empty for a direct connection.
   [[nodiscard]] instance_id const& Peer() const noexcept { return mPeer; }
 
+  /// How that tunnel carries what the server sends.
+  [[nodiscard]] tunnel_framing Framing() const noexcept { return mFraming; }
+
 private:
   // The peer may need kServerConnectTimeout to find out that it is cut off as
   // well.
@@ -85,6 +89,7 @@
   std::vector<std::uint8_t> mRequest;
   std::array<std::uint8_t, kReadBytes> mPiece{};
   frame_reader mAnswer;
+  tunnel_framing mFraming = tunnel_framing::None;
 };
 
 }
--- a/Libraries/LibGateway/ServerExchange.h
+++ b/Libraries/LibGateway/ServerExchange.h
@@ -7,6 +7,7 @@
 #include <LibGateway/ExchangeEndFor.h>
 #include <LibGateway/IdleTimeout.h>
 #include <LibGateway/ServerConnector.h>
+#include <LibGateway/ServerStream.h>
 #include <LibGateway/UnusedInput.h>
 #include <LibHttp/HttpStatus.h>
 #include <LibHttp/InputLimits.h>
@@ -65,9 +66,13 @@
     mHead = std::move(aHead);
     mBody = std::move(aBody);
     mAnswerHasBody = aAnswerHasBody;
-    mSocket = mCore.Connections().Acquire(mClock.Now(), mServer->mRegistered);
-    mIsReused = mSocket != nullptr;
-    return mIsReused ? Send() : Connect();
+    std::shared_ptr<tcp::socket> idle =
+      mCore.Connections().Acquire(mClock.Now(), mServer->mRegistered);
+    mIsReused = idle != nullptr;
+    if (!mIsReused)
+      return Connect();
+    mStream.emplace(std::move(idle), std::nullopt);
+    Send();
   }
 
   /// Reads the next piece of the answer.
@@ -80,7 +85,7 @@
     mParser->get().body().data = mPiece.data();
     mParser->get().body().size = mPiece.size();
     boost::beast::http::async_read_some(
-      *mSocket,
+      *mStream,
       mBuffer,
       *mParser,
       [self = this->shared_from_this()](error_code aFault, std::size_t) {
@@ -135,9 +140,12 @@
       return End(exchange_end::NotConnected);
     if (aEnd == connect_end::NoPath)
       return End(exchange_end::NoPath);
-    mSocket = std::move(aSocket);
-    if (aEnd == connect_end::Tunnel)
+    std::optional<tunnel_framing> framing;
+    if (aEnd == connect_end::Tunnel) {
+      framing = connector->Framing();
       mTunnelPeer = connector->Peer();
+    }
+    mStream.emplace(std::move(aSocket), framing);
     Send();
   }
 
@@ -148,7 +156,7 @@
       boost::asio::buffer(mHead), boost::asio::buffer(*mBody)
     };
     boost::asio::async_write(
-      *mSocket,
+      mStream->Socket(),
       buffers,
       [self = this->shared_from_this()](error_code aFault, std::size_t) {
         // The end of the answer decides what became of
@@ -166,7 +174,7 @@
     if (!mAnswerHasBody)
       mParser->skip(true);
     boost::beast::http::async_read_header(
-      *mSocket,
+      *mStream,
       mBuffer,
       *mParser,
       [self = this->shared_from_this()](error_code aFault, std::size_t) {
@@ -255,7 +263,7 @@
     if (isReusable)
       mCore.Connections().Release(
         mServer->mRegistered,
-        { .mSocket = std::move(mSocket),
+        { .mSocket = mStream->TakeSocket(),
           .mUsableUntil = mClock.Now() + mIdleTimeout });
     Close();
     sink->OnExchangeEnd(aEnd);
@@ -266,10 +274,8 @@
     mTimer.cancel();
     if (mConnector)
       std::exchange(mConnector, nullptr)->Cancel();
-    if (!mSocket)
-      return;
-    error_code ignored;
-    mSocket->close(ignored);
+    if (mStream)
+      mStream->Close();
   }
 
   boost::asio::io_context& mContext;
@@ -281,7 +287,8 @@
   system_clock mClock;
   /// Null unless a connection is being opened.
   std::shared_ptr<server_connector> mConnector;
-  std::shared_ptr<tcp::socket> mSocket;
+  /// Empty until a connection is open.
+  std::optional<server_stream> mStream;
   std::string mHead;
   std::shared_ptr<std::string const> mBody;
   boost::beast::flat_buffer mBuffer{ kMaxInputBytes };
--- a/Libraries/LibGateway/TunnelPump.h
+++ b/Libraries/LibGateway/TunnelPump.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <LibPeer/FrameHeader.h>
+#include <LibTunnel/TunnelFraming.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string_view>
 #include <utility>
@@ -13,7 +17,8 @@
 namespace lycheeseam {
 
 /// Copies what arrives on one connection to another, piece by piece, so that a
-/// slow receiver slows the sender down. Runs on the traffic thread.
+/// slow receiver slows the sender down; each piece in a frame of its own, if
+/// asked for. Runs on the traffic thread.
 ///
 /// Owner has OnPumped(tunnel_pump const&, std::string_view), called before each
 /// piece is sent, and, of which one is called once,
@@ -33,6 +38,9 @@
   {
   }
 
+  /// Before Read(): how the copy is sent.
+  void SetFraming(tunnel_framing aFraming) { mFraming = aFraming; }
+
   /// Copies until the input ends.
   void Read()
   {
@@ -55,8 +63,15 @@
   {
     mIsWriting = true;
     mOwner.OnPumped(*this, { mPiece.data(), aBytes });
+    std::size_t const headerBytes =
+      mFraming == tunnel_framing::Frames ? kFrameHeaderBytes : 0;
+    mFrameHeader = EncodeFrameHeader(static_cast<std::uint32_t>(aBytes));
+    std::array<boost::asio::const_buffer, 2> const buffers{
+      boost::asio::buffer(mFrameHeader.data(), headerBytes),
+      boost::asio::buffer(mPiece.data(), aBytes)
+    };
     boost::asio::async_write(mTo,
-                             boost::asio::buffer(mPiece.data(), aBytes),
+                             buffers,
                              [this, owner = mOwner.shared_from_this()](
                                error_code aFault, std::size_t) {
                                mIsWriting = false;
@@ -69,6 +84,8 @@
   tcp::socket& mFrom;
   tcp::socket& mTo;
   Owner& mOwner;
+  tunnel_framing mFraming = tunnel_framing::None;
+  std::array<std::uint8_t, kFrameHeaderBytes> mFrameHeader{};
   std::array<char, kPieceBytes> mPiece{};
   bool mIsWriting = false;
 };
--- a/Libraries/LibGateway/TunnelSession.h
+++ b/Libraries/LibGateway/TunnelSession.h
@@ -7,6 +7,7 @@
 #include <LibGateway/TrafficCore.h>
 #include <LibGateway/TunnelPump.h>
 #include <LibHttp/WatchLiveness.h>
+#include <LibPeer/FrameHeader.h>
 #include <LibPeer/FrameReader.h>
 #include <LibTunnel/TunnelCodec.h>
 
@@ -79,13 +80,15 @@
     std::optional<std::span<std::uint8_t const>> const content = mFrame.Next();
     if (!content && mFrame.Fault() == frame_fault::None)
       return ReadRequest();
-    std::optional<server_identity> const server =
+    std::optional<tunnel_request> const request =
       content ? DecodeTunnelRequest(*content) : std::nullopt;
-    if (!server) {
+    if (!request) {
       LogEvent("tunnel_ignored", {});
       return Close();
     }
-    Open(*server);
+    mFraming = request->mFraming;
+    mToPeer.SetFraming(mFraming);
+    Open(request->mServer);
   }
 
   void Open(server_identity const& aServer)
@@ -161,7 +164,7 @@
   template<typename Next>
   void Answer(tunnel_result aResult, Next aNext)
   {
-    mAnswer = EncodeTunnelAnswer(aResult);
+    mAnswer = EncodeTunnelAnswer({ .mResult = aResult, .mFraming = mFraming });
     boost::asio::async_write(
       mPeer,
       boost::asio::buffer(mAnswer),
@@ -187,7 +190,7 @@
     if (&aPump == &mToServer)
       return Close();
     if (aFault == boost::asio::error::eof && IsRequestSent())
-      return Linger();
+      return EndAnswer();
     Reset();
   }
 
@@ -209,6 +212,21 @@
            mPeer.available(fault) == 0;
   }
 
+  // Tells the peer that the server has closed its connection, which the end of
+  // the tunnel doesn't show: it ends as well when this process ends.
+  void EndAnswer()
+  {
+    if (mFraming == tunnel_framing::None)
+      return Linger();
+    mEndFrame = EncodeFrameHeader(0);
+    boost::asio::async_write(
+      mPeer,
+      boost::asio::buffer(mEndFrame),
+      [self = this->shared_from_this()](error_code aFault, std::size_t) {
+        aFault ? self->Close() : self->Linger();
+      });
+  }
+
   // Lets the peer see that the answer isn't complete.
   void Reset()
   {
@@ -259,6 +277,8 @@
   frame_reader mFrame;
   std::shared_ptr<tracked_server> mServer;
   std::vector<std::uint8_t> mAnswer;
+  tunnel_framing mFraming = tunnel_framing::None;
+  std::array<std::uint8_t, kFrameHeaderBytes> mEndFrame{};
   answer_head_observer mObserver;
   boost::beast::flat_buffer mUnread{ kMaxInputBytes };
   pump mToServer;
--- a/Libraries/LibTunnel/Generated/Tunnel_generated.h
+++ b/Libraries/LibTunnel/Generated/Tunnel_generated.h
@@ -62,7 +62,8 @@
   typedef TunnelRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
-    VT_INCARNATION = 6
+    VT_INCARNATION = 6,
+    VT_FRAMED = 8
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -70,11 +71,15 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  bool framed() const {
+    return GetField<uint8_t>(VT_FRAMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SERVER) &&
            verifier.VerifyString(server()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_FRAMED, 1) &&
            verifier.EndTable();
   }
 };
@@ -89,6 +94,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(TunnelRequest::VT_INCARNATION, incarnation, 0);
   }
+  void add_framed(bool framed) {
+    fbb_.AddElement<uint8_t>(TunnelRequest::VT_FRAMED, static_cast<uint8_t>(framed), 0);
+  }
   explicit TunnelRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -104,35 +112,44 @@
 inline flatbuffers::Offset<TunnelRequest> CreateTunnelRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    bool framed = false) {
   TunnelRequestBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_server(server);
+  builder_.add_framed(framed);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<TunnelRequest> CreateTunnelRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    bool framed = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return lycheeseam::wire::CreateTunnelRequest(
       _fbb,
       server__,
-      incarnation);
+      incarnation,
+      framed);
 }
 
 struct TunnelAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TunnelAnswerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_RESULT = 4
+    VT_RESULT = 4,
+    VT_FRAMED = 6
   };
   lycheeseam::wire::TunnelResult result() const {
     return static_cast<lycheeseam::wire::TunnelResult>(GetField<uint8_t>(VT_RESULT, 0));
   }
+  bool framed() const {
+    return GetField<uint8_t>(VT_FRAMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_FRAMED, 1) &&
            verifier.EndTable();
   }
 };
@@ -144,6 +161,9 @@
   void add_result(lycheeseam::wire::TunnelResult result) {
     fbb_.AddElement<uint8_t>(TunnelAnswer::VT_RESULT, static_cast<uint8_t>(result), 0);
   }
+  void add_framed(bool framed) {
+    fbb_.AddElement<uint8_t>(TunnelAnswer::VT_FRAMED, static_cast<uint8_t>(framed), 0);
+  }
   explicit TunnelAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -157,8 +177,10 @@
 
 inline flatbuffers::Offset<TunnelAnswer> CreateTunnelAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    lycheeseam::wire::TunnelResult result = lycheeseam::wire::TunnelResult::Open) {
+    lycheeseam::wire::TunnelResult result = lycheeseam::wire::TunnelResult::Open,
+    bool framed = false) {
   TunnelAnswerBuilder builder_(_fbb);
+  builder_.add_framed(framed);
   builder_.add_result(result);
   return builder_.Finish();
 }
--- a/Libraries/LibTunnel/TunnelCodec.cpp
+++ b/Libraries/LibTunnel/TunnelCodec.cpp
@@ -23,6 +23,12 @@
   return frame;
 }
 
+tunnel_framing
+FramingOf(bool aIsFramed)
+{
+  return aIsFramed ? tunnel_framing::Frames : tunnel_framing::None;
+}
+
 // A FlatBuffer that holds a table. It is read in place, which needs its bytes
 // to be aligned.
 template<typename Table>
@@ -55,46 +61,51 @@
 }
 
 std::vector<std::uint8_t>
-EncodeTunnelRequest(server_identity const& aServer)
+EncodeTunnelRequest(tunnel_request const& aRequest)
 {
   flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(
-    wire::CreateTunnelRequest(builder,
-                              builder.CreateString(aServer.mServer.Text()),
-                              aServer.mIncarnation.Value()));
+  builder.Finish(wire::CreateTunnelRequest(
+    builder,
+    builder.CreateString(aRequest.mServer.mServer.Text()),
+    aRequest.mServer.mIncarnation.Value(),
+    aRequest.mFraming == tunnel_framing::Frames));
   return MakeFrame(builder);
 }
 
-std::optional<server_identity>
+std::optional<tunnel_request>
 DecodeTunnelRequest(std::span<std::uint8_t const> aContent)
 {
   aligned_table<wire::TunnelRequest> const table{ aContent };
   wire::TunnelRequest const* const request = table.Get();
   if (request == nullptr)
     return std::nullopt;
-  return server_identity{ .mServer =
-                            backend_server_id{ request->server()->str() },
-                          .mIncarnation =
-                            incarnation{ request->incarnation() } };
+  return tunnel_request{
+    .mServer = { .mServer = backend_server_id{ request->server()->str() },
+                 .mIncarnation = incarnation{ request->incarnation() } },
+    .mFraming = FramingOf(request->framed())
+  };
 }
 
 std::vector<std::uint8_t>
-EncodeTunnelAnswer(tunnel_result aResult)
+EncodeTunnelAnswer(tunnel_answer const& aAnswer)
 {
   flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(wire::CreateTunnelAnswer(
-    builder, static_cast<wire::TunnelResult>(aResult)));
+  builder.Finish(
+    wire::CreateTunnelAnswer(builder,
+                             static_cast<wire::TunnelResult>(aAnswer.mResult),
+                             aAnswer.mFraming == tunnel_framing::Frames));
   return MakeFrame(builder);
 }
 
-std::optional<tunnel_result>
+std::optional<tunnel_answer>
 DecodeTunnelAnswer(std::span<std::uint8_t const> aContent)
 {
   aligned_table<wire::TunnelAnswer> const table{ aContent };
   wire::TunnelAnswer const* const answer = table.Get();
   if (answer == nullptr || answer->result() > wire::TunnelResult::MAX)
     return std::nullopt;
-  return static_cast<tunnel_result>(answer->result());
+  return tunnel_answer{ .mResult = static_cast<tunnel_result>(answer->result()),
+                        .mFraming = FramingOf(answer->framed()) };
 }
 
 }
--- a/Libraries/LibTunnel/TunnelCodec.h
+++ b/Libraries/LibTunnel/TunnelCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibCore/ServerIdentity.h>
-#include <LibTunnel/TunnelResult.h>
+#include <LibTunnel/TunnelAnswer.h>
+#include <LibTunnel/TunnelRequest.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -19,15 +19,15 @@
 inline constexpr std::size_t kMaxTunnelMessageBytes = 1'024;
 
 std::vector<std::uint8_t>
-EncodeTunnelRequest(server_identity const& aServer);
+EncodeTunnelRequest(tunnel_request const& aRequest);
 
-std::optional<server_identity>
+std::optional<tunnel_request>
 DecodeTunnelRequest(std::span<std::uint8_t const> aContent);
 
 std::vector<std::uint8_t>
-EncodeTunnelAnswer(tunnel_result aResult);
+EncodeTunnelAnswer(tunnel_answer const& aAnswer);
 
-std::optional<tunnel_result>
+std::optional<tunnel_answer>
 DecodeTunnelAnswer(std::span<std::uint8_t const> aContent);
 
 }
--- a/Libraries/LibTunnel/TunnelResult.h
+++ b/Libraries/LibTunnel/TunnelResult.h
@@ -4,10 +4,10 @@
 
 namespace lycheeseam {
 
-/// What a peer answers to the request for a tunnel.
+/// Whether a peer opens a tunnel, and if not, why.
 enum class tunnel_result : std::uint8_t
 {
-  /// The tunnel is open: all bytes that follow are the server's.
+  /// The tunnel is open: what follows is the server's.
   Open,
   /// The peer can't connect to the server.
   Unreachable,
