--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -230,12 +230,28 @@
     if (areServers &&
         !relay_targets{ mSelf, mRegistry.Links() }.IsSource(now, aPeer))
       return;
+    std::vector<topic_relay> relays =
+      mControl.Follower().RelaysFor(aTopic, peerEnd, aReport.mSpreadsRelays);
+    LogLag(aPeer, peerEnd, relays);
+    for (topic_relay& relay : relays)
+      mHub.Send(aPeer, std::move(relay));
+  }
+
+  static void LogLag(instance_id const& aPeer,
+                     store_position aPeerEnd,
+                     std::span<topic_relay const> aRelays)
+  {
+    std::size_t records = 0;
+    for (topic_relay const& relay : aRelays)
+      records += relay.mRecords.size();
+    topic_relay const& last = aRelays.back();
     LogEvent("peer_lags",
              { { "peer", aPeer.Text() },
-               { "topic", static_cast<std::int64_t>(aTopic) } });
-    for (topic_relay& relay :
-         mControl.Follower().RelaysFor(aTopic, peerEnd, aReport.mSpreadsRelays))
-      mHub.Send(aPeer, std::move(relay));
+               { "topic", static_cast<std::int64_t>(last.mTopic) },
+               { "from", static_cast<std::int64_t>(aPeerEnd.Number()) },
+               { "to", static_cast<std::int64_t>(last.mEnd.Number()) },
+               { "snapshot", std::int64_t{ last.mIsSnapshot } },
+               { "records", static_cast<std::int64_t>(records) } });
   }
 
   void OnRoster(instance_identity const& aPeer, fleet_roster const& aRoster)
