LibFleet: Send no ranges that may lack removals

The entry was removed while the reader restarted.

Cause: the newest record of each key, with which an instance starts, shows no removals. It sent ranges of its records to any peer whose end lay before its own, and the peer took them for all changes since.

Change: topic_reader keeps the position from which on it has followed the topic, and ranges say it. Two related paths had the same fault: an instance that got all it knows from such ranges and sends them on, and one for which the store has no history, which reported no end and was sent ranges as if it knew nothing.

--- a/Libraries/LibFleet/FollowedTopic.h
+++ b/Libraries/LibFleet/FollowedTopic.h
@@ -67,9 +67,9 @@
     mElection.RequestRead();
   }
 
-  /// The relays for a peer that has the records before aPeerEnd. With
-  /// aIsFromStart a peer that knows nothing can read ranges that begin with the
-  /// first record.
+  /// The relays for a peer that has the records before aPeerEnd: all records
+  /// when this instance may not know of a removal since. With aIsFromStart a
+  /// peer that knows nothing can read ranges that begin with the first record.
   [[nodiscard]] std::vector<topic_relay> RelaysFor(store_position aPeerEnd,
                                                    bool aIsFromStart) const
   {
@@ -78,12 +78,18 @@
     bool const isStarting = aPeerEnd == store_position{};
     store_position const from =
       isStarting ? store_position{ end.Era(), 0 } : aPeerEnd;
-    if (from.Era() == end.Era() && (!isStarting || aIsFromStart))
-      return MakeRelayPieces(mTopic, from, end, mState.RecordsFrom(from));
-    return { { .mTopic = mTopic,
-               .mIsSnapshot = true,
-               .mEnd = end,
-               .mRecords = mState.Records() } };
+    bool const hasAllChanges =
+      isStarting ? aIsFromStart : from >= mReader.CompleteFrom();
+    if (from.Era() != end.Era() || !hasAllChanges)
+      return { { .mTopic = mTopic,
+                 .mIsSnapshot = true,
+                 .mEnd = end,
+                 .mRecords = mState.Records() } };
+    std::vector<topic_relay> pieces =
+      MakeRelayPieces(mTopic, from, end, mState.RecordsFrom(from));
+    for (topic_relay& piece : pieces)
+      piece.mCompleteFrom = mReader.CompleteFrom();
+    return pieces;
   }
 
   // Peers send what is missing within 0.4 s and two reports; a leaving server
--- a/Libraries/LibFleet/StoreFollower.h
+++ b/Libraries/LibFleet/StoreFollower.h
@@ -208,10 +208,12 @@
     if (aIsFull && !topic.mRange.HasBegunIn(aPage.mEnd.Era()))
       return RelaySnapshot(topic, aPage);
     store_position const from = aIsFull ? aPage.mEnd : aFrom;
-    std::optional<topic_relay> const relay = topic.mRange.Make(
+    std::optional<topic_relay> relay = topic.mRange.Make(
       mClock.Now(), aTopic, from, aPage.mEnd, std::move(changes));
-    if (relay)
-      mRelayHandler(*relay, true);
+    if (!relay)
+      return;
+    relay->mCompleteFrom = topic.mReader.CompleteFrom();
+    mRelayHandler(*relay, true);
   }
 
   void RelaySnapshot(followed_topic& aTopic, topic_page const& aPage)
@@ -247,15 +249,10 @@
 
   bool ApplyRelay(topic_relay const& aRelay, followed_topic& aTopic)
   {
-    topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
     mSource = page_source::Peer;
     mHasNewRecords = false;
-    bool hasGap = false;
     std::optional<store_position> const next = aTopic.mReader.NextPosition();
-    if (aRelay.mIsSnapshot)
-      aTopic.mReader.ApplyFullPage(page);
-    else
-      hasGap = !aTopic.mReader.ApplyPage(aRelay.mFrom, page);
+    bool const hasGap = !aTopic.mReader.Apply(aRelay);
     mSource = page_source::Store;
     if (hasGap)
       aTopic.OnGap(mClock.Now(), mHasReader);
--- a/Libraries/LibFleet/TopicReader.h
+++ b/Libraries/LibFleet/TopicReader.h
@@ -5,6 +5,7 @@
 #include <LibFleet/FleetDialect.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpStatus.h>
+#include <LibPeer/TopicRelay.h>
 #include <LibStore/StoreReadStatus.h>
 
 #include <algorithm>
@@ -50,7 +51,9 @@
     if (std::exchange(mIsReading, true))
       return;
     mDone = std::move(aDone);
-    if (mNext && !std::exchange(mIsFullReadDue, false))
+    bool const isFull =
+      std::exchange(mIsFullReadDue, false) || mIsHistoryMissing;
+    if (mNext && !isFull)
       return ReadRecords();
     mFullPage = {};
     ReadNewest({});
@@ -58,38 +61,43 @@
 
   [[nodiscard]] bool IsReading() const noexcept { return mIsReading; }
 
-  /// The position of the next record to read; empty when the newest record of
-  /// each key must be read first.
+  /// The position of the next record to read; empty before the newest record
+  /// of each key was read, here or by a peer.
   [[nodiscard]] std::optional<store_position> NextPosition() const noexcept
   {
     return mNext;
   }
 
-  /// Applies the newest record of each key, which another instance read.
-  void ApplyFullPage(topic_page const& aPage)
+  /// The position from which on all changes are known. Keys that were removed
+  /// before it may be unknown here, as the newest records don't show them.
+  [[nodiscard]] store_position CompleteFrom() const noexcept
   {
-    if (aPage.mEnd.Era() < mEra)
-      return;
-    mEra = aPage.mEnd.Era();
-    mNext = std::max(mNext.value_or(store_position{}), aPage.mEnd);
-    mHandler({}, aPage, true);
+    return mCompleteFrom;
   }
 
-  /// Applies a page that another instance read; false when records are missing
-  /// before it.
-  bool ApplyPage(store_position aFrom, topic_page const& aPage)
+  /// Applies records that another instance read; false when changes may be
+  /// missing before them.
+  bool Apply(topic_relay const& aRelay)
   {
-    // A range from the first offset on has all records.
-    if (!mNext && aFrom.Offset() == 0 && aFrom.Era() >= mEra) {
-      mEra = aFrom.Era();
-      mNext = aFrom;
+    topic_page const page{ .mRecords = aRelay.mRecords, .mEnd = aRelay.mEnd };
+    if (aRelay.mIsSnapshot) {
+      ApplySnapshot(page);
+      return true;
     }
-    if (!mNext || aFrom > *mNext)
+    StartFrom(aRelay);
+    if (!mNext || aRelay.mFrom > *mNext)
       return false;
-    if (aPage.mEnd <= *mNext)
+    if (page.mEnd <= *mNext)
       return true;
-    mNext = aPage.mEnd;
-    mHandler(aFrom, aPage, false);
+    // This instance may know keys that were removed before the sender began to
+    // follow the topic.
+    if (aRelay.mCompleteFrom &&
+        *aRelay.mCompleteFrom > std::max(*mNext, mCompleteFrom))
+      return false;
+    if (!aRelay.mCompleteFrom)
+      mCompleteFrom = std::max(mCompleteFrom, page.mEnd);
+    mNext = page.mEnd;
+    mHandler(aRelay.mFrom, page, false);
     return true;
   }
 
@@ -98,6 +106,35 @@
   // after a longer wait a new connection is more likely to succeed.
   static constexpr std::chrono::milliseconds kReadTimeout{ 1'500 };
 
+  void ApplySnapshot(topic_page const& aPage)
+  {
+    if (aPage.mEnd.Era() < mEra)
+      return;
+    mEra = aPage.mEnd.Era();
+    if (!mNext || aPage.mEnd > *mNext)
+      SkipTo(aPage.mEnd);
+    mHandler({}, aPage, true);
+  }
+
+  // A range from the first offset on has all records, but not the removals of
+  // which its sender doesn't know.
+  void StartFrom(topic_relay const& aRelay)
+  {
+    if (mNext || aRelay.mFrom.Offset() != 0 || aRelay.mFrom.Era() < mEra)
+      return;
+    mEra = aRelay.mFrom.Era();
+    mNext = aRelay.mFrom;
+    mCompleteFrom = aRelay.mCompleteFrom.value_or(aRelay.mEnd);
+  }
+
+  // Changes up to a position haven't been followed one by one.
+  void SkipTo(store_position aNext)
+  {
+    mNext = aNext;
+    mCompleteFrom = aNext;
+    mIsHistoryMissing = false;
+  }
+
   void ReadNewest(std::string_view aAfter)
   {
     Call(Dialect::NewestRequest(mTopic, aAfter),
@@ -129,7 +166,9 @@
       return ReadNewest(mFullPage.mRecords.back().mKey);
     // Records that other instances passed on meanwhile aren't read again.
     mFullPage.mEnd = *mFirstPageEnd;
-    mNext = std::max(mNext.value_or(store_position{}), *mFirstPageEnd);
+    if (!mNext || mIsHistoryMissing)
+      SkipTo(std::max(mNext.value_or(store_position{}), mFullPage.mEnd));
+    mNext = std::max(*mNext, mFullPage.mEnd);
     mFirstPageEnd.reset();
     mHandler({}, mFullPage, true);
     End(store_read_status::Done);
@@ -153,7 +192,7 @@
       page = Dialect::ReadRecords(
         aResult.mBody, { Dialect::ReadEra(aResult), mReadFrom.Offset() });
     } catch (invalid_input const&) {
-      mNext.reset();
+      mIsHistoryMissing = true;
       return End(store_read_status::Failed);
     }
     // The records at these offsets aren't those that follow the known ones.
@@ -194,7 +233,7 @@
                  static_cast<std::int64_t>(
                    mNext.value_or(store_position{}).Number()) } });
     mEra = std::max(mEra, aEra);
-    mNext.reset();
+    mIsHistoryMissing = true;
     End(store_read_status::Expired);
   }
 
@@ -214,10 +253,14 @@
   topic_page mFullPage;
   std::optional<store_position> mFirstPageEnd;
   std::optional<store_position> mNext;
+  store_position mCompleteFrom;
   /// The newest era of any page.
   store_era mEra;
   store_position mReadFrom;
   bool mIsFullReadDue = false;
+  /// True while the records from mNext on can't be read. mNext stays, with what
+  /// is known: peers send one that reports no end all records, but no removals.
+  bool mIsHistoryMissing = false;
   bool mIsReading = false;
 };
 
--- a/Libraries/LibPeer/DecodeFleetMessage.cpp
+++ b/Libraries/LibPeer/DecodeFleetMessage.cpp
@@ -159,6 +159,8 @@
                      .mIsSnapshot = aTable.whole(),
                      .mFrom = store_position::FromNumber(aTable.from()),
                      .mEnd = store_position::FromNumber(aTable.end()) };
+  if (aTable.complete_from())
+    relay.mCompleteFrom = store_position::FromNumber(*aTable.complete_from());
   for (wire::KeyedRecord const* const record : *aTable.records()) {
     keyed_record decoded{ .mPosition =
                             store_position::FromNumber(record->offset()),
--- a/Libraries/LibPeer/EncodeFleetMessage.cpp
+++ b/Libraries/LibPeer/EncodeFleetMessage.cpp
@@ -104,7 +104,8 @@
                              aRelay.mIsSnapshot,
                              aRelay.mFrom.Number(),
                              aRelay.mEnd.Number(),
-                             mBuilder.CreateVector(records)));
+                             mBuilder.CreateVector(records),
+                             Number(aRelay.mCompleteFrom)));
   }
 
   encoded_body operator()(fleet_roster const& aRoster)
@@ -123,6 +124,14 @@
   }
 
 private:
+  static flatbuffers::Optional<std::uint64_t> Number(
+    std::optional<store_position> const& aPosition)
+  {
+    return aPosition
+             ? flatbuffers::Optional<std::uint64_t>{ aPosition->Number() }
+             : flatbuffers::nullopt;
+  }
+
   flatbuffers::Offset<flatbuffers::String> Text(std::string const& aText)
   {
     return mBuilder.CreateString(aText);
--- a/Libraries/LibPeer/Generated/PeerMessage_generated.h
+++ b/Libraries/LibPeer/Generated/PeerMessage_generated.h
@@ -3687,7 +3687,8 @@
     VT_WHOLE = 6,
     VT_FROM = 8,
     VT_END = 10,
-    VT_RECORDS = 12
+    VT_RECORDS = 12,
+    VT_COMPLETE_FROM = 14
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
@@ -3704,6 +3705,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *>(VT_RECORDS);
   }
+  flatbuffers::Optional<uint64_t> complete_from() const {
+    return GetOptional<uint64_t, uint64_t>(VT_COMPLETE_FROM);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
@@ -3713,6 +3717,7 @@
            VerifyOffsetRequired(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<uint64_t>(verifier, VT_COMPLETE_FROM, 8) &&
            verifier.EndTable();
   }
 };
@@ -3736,6 +3741,9 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records) {
     fbb_.AddOffset(TopicRelay::VT_RECORDS, records);
   }
+  void add_complete_from(uint64_t complete_from) {
+    fbb_.AddElement<uint64_t>(TopicRelay::VT_COMPLETE_FROM, complete_from);
+  }
   explicit TopicRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3754,8 +3762,10 @@
     bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>> records = 0,
+    flatbuffers::Optional<uint64_t> complete_from = flatbuffers::nullopt) {
   TopicRelayBuilder builder_(_fbb);
+  if(complete_from) { builder_.add_complete_from(*complete_from); }
   builder_.add_end(end);
   builder_.add_from(from);
   builder_.add_records(records);
@@ -3770,7 +3780,8 @@
     bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
-    const std::vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>> *records = nullptr,
+    flatbuffers::Optional<uint64_t> complete_from = flatbuffers::nullopt) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<lycheeseam::wire::KeyedRecord>>(*records) : 0;
   return lycheeseam::wire::CreateTopicRelay(
       _fbb,
@@ -3778,7 +3789,8 @@
       whole,
       from,
       end,
-      records__);
+      records__,
+      complete_from);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibPeer/TopicRelay.h
+++ b/Libraries/LibPeer/TopicRelay.h
@@ -3,6 +3,7 @@
 #include <LibStore/KeyedRecord.h>
 #include <LibStore/StoreTopic.h>
 
+#include <optional>
 #include <vector>
 
 namespace lycheeseam {
@@ -19,6 +20,9 @@
   store_position mFrom;
   /// The position after the last of them.
   store_position mEnd;
+  /// The position from which on the sender knows all changes; keys that were
+  /// removed before it may be unknown to it. Empty when an older build sent it.
+  std::optional<store_position> mCompleteFrom{};
   std::vector<keyed_record> mRecords;
 
   bool operator==(topic_relay const&) const = default;
--- a/Tests/LibFleet/RestorableStore.cpp
+++ b/Tests/LibFleet/RestorableStore.cpp
@@ -75,6 +75,14 @@
   mReadsToRefuse[aTopic] = aCount;
 }
 
+void
+restorable_store::DropHistory(std::string const& aTopic, int aRefusedReads)
+{
+  std::lock_guard const lock{ mMutex };
+  mFirst[aTopic] = mTopics[aTopic].size();
+  mNewestToRefuse[aTopic] = aRefusedReads;
+}
+
 std::string
 restorable_store::AnswerTo(std::string const& aRequest)
 {
@@ -88,10 +96,15 @@
     --mReadsToRefuse[topic];
     return Format("503 Service Unavailable", "{}");
   }
+  if (target.starts_with("/api/log-newest") && mNewestToRefuse[topic] > 0) {
+    --mNewestToRefuse[topic];
+    return Format("503 Service Unavailable", "{}");
+  }
   if (target.starts_with("/api/log-newest"))
     return AnswerToNewest(records);
   if (target.starts_with("/api/log-read"))
-    return AnswerToRead(records, std::stoull(Parameter(target, "from")));
+    return AnswerToRead(
+      records, mFirst[topic], std::stoull(Parameter(target, "from")));
   if (target.starts_with("/api/log-append"))
     return AnswerToAppend(
       records, target, aRequest.substr(aRequest.find("\r\n\r\n") + 4));
@@ -123,12 +136,13 @@
 
 std::string
 restorable_store::AnswerToRead(std::vector<record> const& aRecords,
+                               std::uint64_t aFirst,
                                std::uint64_t aFrom)
 {
-  if (aFrom > aRecords.size())
-    return Format("410 Gone", R"({"first": 0})");
+  if (aFrom < aFirst || aFrom > aRecords.size())
+    return Format("410 Gone", nlohmann::json{ { "first", aFirst } }.dump());
   std::string body =
-    BigEndian(aRecords.size(), kOffsetBytes) + BigEndian(0, kOffsetBytes);
+    BigEndian(aRecords.size(), kOffsetBytes) + BigEndian(aFirst, kOffsetBytes);
   for (std::size_t offset = aFrom; offset < aRecords.size(); ++offset) {
     record const& written = aRecords[offset];
     std::string const content =
--- a/Tests/LibFleet/RestorableStore.h
+++ b/Tests/LibFleet/RestorableStore.h
@@ -36,6 +36,10 @@
   /// Refuses the next reads of a topic.
   void RefuseReads(std::string const& aTopic, int aCount);
 
+  /// Forgets the records so far but for the newest of each key, and refuses the
+  /// next reads of those.
+  void DropHistory(std::string const& aTopic, int aRefusedReads);
+
 private:
   struct record
   {
@@ -48,6 +52,7 @@
   std::string AnswerTo(std::string const& aRequest);
   std::string AnswerToNewest(std::vector<record> const& aRecords);
   std::string AnswerToRead(std::vector<record> const& aRecords,
+                           std::uint64_t aFirst,
                            std::uint64_t aFrom);
   std::string AnswerToAppend(std::vector<record>& aRecords,
                              std::string const& aTarget,
@@ -59,6 +64,9 @@
   topics mCopy;
   std::uint64_t mEra = 1;
   std::map<std::string, int> mReadsToRefuse;
+  std::map<std::string, int> mNewestToRefuse;
+  /// The offset of the first record of each topic that isn't forgotten.
+  std::map<std::string, std::uint64_t> mFirst;
   scripted_server mServer{ [this](std::string const& aRequest) {
     return AnswerTo(aRequest);
   } };
--- a/Tests/LibPeer/TestPeerCodec.cpp
+++ b/Tests/LibPeer/TestPeerCodec.cpp
@@ -174,6 +174,7 @@
                            .mIsSnapshot = true,
                            .mFrom = { store_era{ 2 }, 3 },
                            .mEnd = { store_era{ 2 }, 5 },
+                           .mCompleteFrom = store_position{ store_era{ 2 }, 1 },
                            .mRecords = { { .mPosition = { store_era{ 2 }, 3 },
                                            .mKey = "a",
                                            .mValue = "bytes" },
