Tests/LibGateway: Reserve the addresses that refuse connections

Cause: the tests of tunnels took free ports for servers that nobody reaches, and another process could listen at them before the gateway connected.

Change: a socket is bound to each such address and doesn't listen, so that it refuses connections for as long as the test runs.

--- a/Tests/LibGateway/TestTunnels.cpp
+++ b/Tests/LibGateway/TestTunnels.cpp
@@ -144,9 +144,10 @@
 {
   scripted_server server{ std::vector<std::string>{} };
   StartCutOff(std::array{ &server });
+  reserved_address const ended;
   fleet_view view = CutOffView();
   view.mReadyInstances = { { .mInstance = instance_id{ "self" },
-                             .mTunnels = FreeAddress() } };
+                             .mTunnels = ended.Address() } };
   for (char const* const name : { "cut-1", "cut-2", "cut-3" })
     StartPeer(name, view);
   std::chrono::steady_clock::time_point const start =
--- a/Tests/LibGateway/TunnelFixture.h
+++ b/Tests/LibGateway/TunnelFixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "GatewayFixture.h"
+#include "ReservedAddress.h"
 
-#include <algorithm>
 #include <array>
 #include <span>
 #include <string>
@@ -102,9 +102,11 @@
 
   void StartCutOffFrom(std::span<endpoint const> aServers)
   {
-    mUnreachable.resize(aServers.size());
-    std::generate(mUnreachable.begin(), mUnreachable.end(), FreeAddress);
-    StartGatewayAt(mUnreachable);
+    mUnreachable = std::vector<reserved_address>(aServers.size());
+    std::vector<endpoint> addresses;
+    for (reserved_address const& unreachable : mUnreachable)
+      addresses.push_back(unreachable.Address());
+    StartGatewayAt(addresses);
     mReachable = *mView.Current();
     for (std::size_t index = 0; index < aServers.size(); ++index)
       mReachable.mServers[index].mAddress = aServers[index];
@@ -130,7 +132,7 @@
   // What an instance that is cut off as well knows of the servers.
   [[nodiscard]] fleet_view CutOffView() const { return *mView.Current(); }
 
-  std::vector<endpoint> mUnreachable;
+  std::vector<reserved_address> mUnreachable;
   /// What an instance that reaches the servers knows of them.
   fleet_view mReachable;
   std::vector<std::unique_ptr<peer_instance>> mPeers;
