Tests/LibGateway: End the older peer's thread in each case

The test's stand-in waited for ever for a tunnel that nobody asked for; two runs beside others, with addresses that another process had taken, so never ended.

--- a/Tests/LibGateway/TestTunnelEnds.cpp
+++ b/Tests/LibGateway/TestTunnelEnds.cpp
@@ -46,7 +46,15 @@
   older_peer(older_peer const&) = delete;
   older_peer& operator=(older_peer const&) = delete;
 
-  ~older_peer() { mThread.join(); }
+  ~older_peer()
+  {
+    // The connection ends a wait for a tunnel that nobody asked for.
+    tcp::socket waker{ mContext };
+    boost::system::error_code ignored;
+    waker.connect(mAcceptor.local_endpoint(), ignored);
+    waker.close(ignored);
+    mThread.join();
+  }
 
   [[nodiscard]] ready_instance Entry() const
   {
@@ -60,13 +68,23 @@
   {
     tcp::socket socket{ mContext };
     mAcceptor.accept(socket);
-    ReadFrame(socket);
+    // The test sees that an answer is missing.
+    try {
+      ServeTunnel(socket);
+    } catch (boost::system::system_error const&) {
+      return;
+    }
+  }
+
+  void ServeTunnel(tcp::socket& aSocket) const
+  {
+    ReadFrame(aSocket);
     std::vector<std::uint8_t> const open =
       EncodeTunnelAnswer({ .mResult = tunnel_result::Open });
-    boost::asio::write(socket, boost::asio::buffer(open));
+    boost::asio::write(aSocket, boost::asio::buffer(open));
     boost::asio::streambuf request;
-    boost::asio::read_until(socket, request, "\r\n\r\nhello");
-    boost::asio::write(socket, boost::asio::buffer(mAnswer));
+    boost::asio::read_until(aSocket, request, "\r\n\r\nhello");
+    boost::asio::write(aSocket, boost::asio::buffer(mAnswer));
   }
 
   std::string mAnswer;
