LibPeer: Take the later link for the later process

An instance had been restarted while its clock was ahead, and again when it was right.

Cause: the number of a process is the time of day at its start. Peers kept the highest number that they had ever seen of an instance and refused any lower one for as long as they ran.

Change: the processes of an instance run one after the other, so the one whose link opened later is the later one, whatever its number. A hello is refused when its link opened before that of the process that has one, or when another process has replaced its sender, and only while there is a link; a wrong decision ends with the link of the process that has ended. Nothing is kept of peers without a link any more. A record of the topic of instances with another number is a later one, as records are read in their order, but doesn't replace what a link shows. A refused hello is logged (peer_refused): only its sender showed it, as a link that closes at once.

--- a/Bench/Peers/MeasureLinks.cpp
+++ b/Bench/Peers/MeasureLinks.cpp
@@ -65,6 +65,7 @@
 
   void OnPeerUp(peer_hello const&) {}
   void OnLinkReplaced(peer_hello const&) {}
+  void OnHelloRefused(peer_hello const&, link_close_reason) {}
   void OnPeerMessage(instance_identity const&, peer_message&) {}
   void OnPeerDown(instance_identity const&, link_close_reason) {}
 
--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -49,7 +49,9 @@
 /// before it.
 using log_offset = ordinal<struct log_offset_tag>;
 
-/// The number of one run of a process; it grows with each restart.
+/// The number of one run of a process, its start by its own time of day. It
+/// tells runs apart. As clocks may jump, it doesn't tell which is the later
+/// one.
 using incarnation = ordinal<struct incarnation_tag>;
 
 /// A table row's version: the log offset of the record that wrote the row, 0 if
--- a/Libraries/LibFleet/FleetLinks.h
+++ b/Libraries/LibFleet/FleetLinks.h
@@ -149,6 +149,19 @@
     mControl.OnPeersChanged();
   }
 
+  void OnHelloRefused(peer_hello const& aHello, link_close_reason aReason)
+  {
+    // Of two links of one incarnation one is refused whenever both ends dial.
+    if (aReason == link_close_reason::Duplicate)
+      return;
+    LogEvent(
+      "peer_refused",
+      { { "peer", aHello.mIdentity.mInstance.Text() },
+        { "incarnation",
+          static_cast<std::int64_t>(aHello.mIdentity.mIncarnation.Value()) },
+        { "reason", static_cast<std::int64_t>(aReason) } });
+  }
+
   void OnPeerMessage(instance_identity const& aPeer, peer_message& aMessage)
   {
     fleet_message* const message = std::get_if<fleet_message>(&aMessage);
--- a/Libraries/LibFleet/KnownInstances.cpp
+++ b/Libraries/LibFleet/KnownInstances.cpp
@@ -26,10 +26,12 @@
 known_instances::OnRegistered(instant aNow, peer_hello const& aHello)
 {
   auto const known = mKnown.find(aHello.mIdentity.mInstance);
-  bool const isNewer =
-    known == mKnown.end() ||
-    known->second.mHello.mIdentity.mIncarnation < aHello.mIdentity.mIncarnation;
-  if (isNewer)
+  // Records are read in the order in which they were written, so one of another
+  // incarnation is of a later one, whatever its number.
+  bool const isOther =
+    known == mKnown.end() || known->second.mHello.mIdentity.mIncarnation !=
+                               aHello.mIdentity.mIncarnation;
+  if (isOther)
     OnObserved(aNow, aHello);
 }
 
--- a/Libraries/LibFleet/KnownInstances.h
+++ b/Libraries/LibFleet/KnownInstances.h
@@ -23,7 +23,8 @@
   {
   }
 
-  /// An instance is registered in the store.
+  /// An instance without a link is registered in the store; a record of another
+  /// incarnation than the known one shows that it has restarted.
   void OnRegistered(instant aNow, peer_hello const& aHello);
 
   /// An instance has a link, or a linked peer reports it: it is reachable.
--- a/Libraries/LibFleet/PeerRegistry.h
+++ b/Libraries/LibFleet/PeerRegistry.h
@@ -29,10 +29,12 @@
   {
   }
 
-  /// An instance is registered in the store.
+  /// An instance is registered in the store. The record may be older than a
+  /// link, which shows the process that runs now.
   void OnRegistered(instant aNow, peer_hello const& aHello)
   {
-    mKnown.OnRegistered(aNow, aHello);
+    if (!mLinks.contains(aHello.mIdentity.mInstance))
+      mKnown.OnRegistered(aNow, aHello);
   }
 
   void OnUp(instant aNow, peer_hello const& aHello);
--- a/Libraries/LibPeer/HelloDecision.h
+++ b/Libraries/LibPeer/HelloDecision.h
@@ -15,7 +15,7 @@
   std::optional<link_close_reason> mRefused;
   /// The peer's earlier link, which is to be closed.
   std::optional<link_number> mReplaced;
-  /// The peer's earlier incarnation, when this link is from a newer one.
+  /// The peer's earlier incarnation, when this link is from a later one.
   std::optional<instance_identity> mEnded;
   /// The peer's incarnation had no link until now.
   bool mIsNew = false;
--- a/Libraries/LibPeer/LinkCloseReason.h
+++ b/Libraries/LibPeer/LinkCloseReason.h
@@ -20,11 +20,11 @@
   WrongVersion,
   /// The peer is this process itself.
   Self,
-  /// The hello is from an older incarnation than an earlier hello.
+  /// The hello is from an incarnation that another one has replaced.
   OlderIncarnation,
   /// Another link to the same incarnation is kept.
   Duplicate,
-  /// A newer incarnation of the peer has a link.
+  /// A later incarnation of the peer has a link.
   Superseded,
   /// Nothing that the link's supervisor counts arrived within its time limit.
   Unresponsive,
--- a/Libraries/LibPeer/LinkTable.cpp
+++ b/Libraries/LibPeer/LinkTable.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/LinkTable.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheeseam {
@@ -29,38 +30,45 @@
   instance_id const& peer = aHello.mIdentity.mInstance;
   if (peer == mSelf.mInstance)
     return Refuse(link_close_reason::Self);
-  peer_state& state = mPeers[peer];
-  if (aHello.mIdentity.mIncarnation < state.mNewest)
-    return Refuse(link_close_reason::OlderIncarnation);
-
-  hello_decision decision;
-  if (state.mLink && aHello.mIdentity.mIncarnation == state.mNewest) {
+  incarnation const current = aHello.mIdentity.mIncarnation;
+  auto const [found, isFirst] = mPeers.try_emplace(
+    peer,
+    peer_state{
+      .mCurrent = current, .mLink = aLink, .mDirection = aDirection });
+  if (isFirst)
+    return { .mIsNew = true };
+  peer_state& state = found->second;
+  hello_decision decision{ .mReplaced = state.mLink };
+  if (current == state.mCurrent) {
     if (!IsReplaced(state, aDirection, peer))
       return Refuse(link_close_reason::Duplicate);
   } else {
+    if (IsOfFormer(state, aLink, current))
+      return Refuse(link_close_reason::OlderIncarnation);
+    decision.mEnded =
+      instance_identity{ .mInstance = peer, .mIncarnation = state.mCurrent };
     decision.mIsNew = true;
-    if (state.mLink)
-      decision.mEnded =
-        instance_identity{ .mInstance = peer, .mIncarnation = state.mNewest };
+    state.mFormer.insert(state.mCurrent);
   }
-  decision.mReplaced = state.mLink;
-  state = { .mNewest = aHello.mIdentity.mIncarnation,
-            .mLink = aLink,
-            .mDirection = aDirection };
+  state.mCurrent = current;
+  state.mLink = aLink;
+  state.mDirection = aDirection;
   return decision;
 }
 
 std::optional<instance_identity>
 link_table::OnClosed(link_number aLink)
 {
-  for (auto& [peer, state] : mPeers) {
-    if (state.mLink != aLink)
-      continue;
-    state.mLink.reset();
-    return instance_identity{ .mInstance = peer,
-                              .mIncarnation = state.mNewest };
-  }
-  return std::nullopt;
+  auto const found =
+    std::find_if(mPeers.begin(), mPeers.end(), [aLink](auto const& aPeer) {
+      return aPeer.second.mLink == aLink;
+    });
+  if (found == mPeers.end())
+    return std::nullopt;
+  instance_identity const ended{ .mInstance = found->first,
+                                 .mIncarnation = found->second.mCurrent };
+  mPeers.erase(found);
+  return ended;
 }
 
 std::optional<link_number>
@@ -76,13 +84,20 @@
 link_table::Links() const
 {
   std::vector<link_number> links;
-  for (auto const& [peer, state] : mPeers) {
-    if (state.mLink)
-      links.push_back(*state.mLink);
-  }
+  links.reserve(mPeers.size());
+  for (auto const& [peer, state] : mPeers)
+    links.push_back(state.mLink);
   return links;
 }
 
+bool
+link_table::IsOfFormer(peer_state const& aState,
+                       link_number aLink,
+                       incarnation aIncarnation)
+{
+  return aLink < aState.mLink || aState.mFormer.contains(aIncarnation);
+}
+
 // When both ends dial at once, both must keep the same link: the one that the
 // instance with the lesser name dialled. A second link in the same direction
 // means that the end which dialled has given up the first one.
--- a/Libraries/LibPeer/LinkTable.h
+++ b/Libraries/LibPeer/LinkTable.h
@@ -9,12 +9,16 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace lycheeseam {
 
-/// Decides which link carries each peer's messages: one for each instance,
-/// to its newest incarnation.
+/// Decides which link carries each peer's messages: one for each instance, to
+/// the incarnation that runs. The processes of an instance run one after the
+/// other, so of two incarnations the one whose link opened later is the later
+/// one. Their numbers come from the time of day, which may jump, and don't
+/// tell.
 class link_table
 {
 public:
@@ -35,20 +39,27 @@
   [[nodiscard]] std::vector<link_number> Links() const;
 
 private:
+  /// A peer with a link.
   struct peer_state
   {
-    incarnation mNewest;
-    std::optional<link_number> mLink;
+    incarnation mCurrent;
+    link_number mLink;
     link_direction mDirection = link_direction::Dialled;
+    /// The incarnations that others have replaced since the peer first had a
+    /// link without a break.
+    std::set<incarnation> mFormer;
   };
 
+  // True when the hello is from a process that has ended: it took so long that
+  // a later process has a link already.
+  static bool IsOfFormer(peer_state const& aState,
+                         link_number aLink,
+                         incarnation aIncarnation);
   [[nodiscard]] bool IsReplaced(peer_state const& aState,
                                 link_direction aDirection,
                                 instance_id const& aPeer) const;
 
   instance_identity mSelf;
-  // FIXME: An instance that never comes back is never removed. Its name and
-  // incarnation are kept to recognise a late hello of an older incarnation.
   std::map<instance_id, peer_state> mPeers;
 };
 
--- a/Libraries/LibPeer/PeerHandler.h
+++ b/Libraries/LibPeer/PeerHandler.h
@@ -10,7 +10,8 @@
 /// Receives what a peer_hub gets from peers. An incarnation of a peer is linked
 /// from OnPeerUp to OnPeerDown; its messages arrive only in between. After
 /// OnLinkReplaced, another connection to the same incarnation is used: messages
-/// that were sent before may be lost.
+/// that were sent before may be lost. OnHelloRefused tells of a link that isn't
+/// used and why; it is closed afterwards.
 template<typename Handler>
 concept peer_handler = requires(Handler& aHandler,
                                 peer_hello const& aHello,
@@ -22,6 +23,7 @@
   aHandler.OnLinkReplaced(aHello);
   aHandler.OnPeerMessage(aPeer, aMessage);
   aHandler.OnPeerDown(aPeer, aReason);
+  aHandler.OnHelloRefused(aHello, aReason);
 };
 
 }
--- a/Libraries/LibPeer/PeerHubMessages.h
+++ b/Libraries/LibPeer/PeerHubMessages.h
@@ -88,8 +88,10 @@
 {
   hello_decision const decision =
     mTable.OnHello(aLink, aState.mDirection, aHello);
-  if (decision.mRefused)
+  if (decision.mRefused) {
+    mHandler.OnHelloRefused(aHello, *decision.mRefused);
     return CloseLink(aLink, *decision.mRefused);
+  }
   aState.mPeer = aHello.mIdentity;
   mLinkByAddress.insert_or_assign(aHello.mPeers, aLink);
   if (aState.mDialled)
--- a/Libraries/LibRouter/ControlCore.h
+++ b/Libraries/LibRouter/ControlCore.h
@@ -73,6 +73,7 @@
   // peer_handler
   void OnPeerUp(peer_hello const& aHello);
   void OnLinkReplaced(peer_hello const& aHello);
+  void OnHelloRefused(peer_hello const&, link_close_reason) {}
   void OnPeerMessage(instance_identity const& aPeer, peer_message& aMessage);
   void OnPeerDown(instance_identity const& aPeer, link_close_reason aReason);
 
--- a/Libraries/LibRouter/Router.cpp
+++ b/Libraries/LibRouter/Router.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 // An instance stores nothing on disk, so its incarnation number is its start
-// time on the wall clock, in milliseconds.
+// time on the wall clock, in milliseconds. Peers of older builds refuse a
+// restart with a lower number, so that it isn't random.
 instance_identity
 MakeIdentity(daemon_settings const& aSettings)
 {
--- a/Services/lycheeseamd/FleetOptions.cpp
+++ b/Services/lycheeseamd/FleetOptions.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// The start time in Unix milliseconds: a restart gets a greater number, even on
-// another machine under the same instance id.
+// The start time in Unix milliseconds. Peers of older builds refuse a restart
+// with a lower number, so that it isn't random.
 incarnation
 ThisIncarnation()
 {
--- a/Tests/LibFleet/StoreFixture.h
+++ b/Tests/LibFleet/StoreFixture.h
@@ -54,10 +54,12 @@
 class test_instance
 {
 public:
-  test_instance(std::string const& aName, endpoint const& aStore)
+  test_instance(std::string const& aName,
+                endpoint const& aStore,
+                incarnation aIncarnation = incarnation{ 1 })
     : mControl(mThread.Context(),
                { .mSelf = { .mIdentity = { .mInstance = instance_id{ aName },
-                                           .mIncarnation = incarnation{ 1 } },
+                                           .mIncarnation = aIncarnation },
                             .mFailureDomain = failure_domain{ "z" },
                             .mCallers = FreeAddress(),
                             .mPeers = FreeAddress() },
@@ -139,12 +141,18 @@
                                      : std::vector<pool_software>{};
   }
 
-  /// The number of peers that are ready for callers.
+  /// The number of other instances that it knows.
   [[nodiscard]] std::size_t PeerCount() const
   {
     return mView.Current()->mInstances - 1;
   }
 
+  /// The number of other instances that are known but don't report.
+  [[nodiscard]] std::size_t SilentPeerCount() const
+  {
+    return mView.Current()->mUnresponsiveInstances;
+  }
+
   [[nodiscard]] std::size_t ServerCount() const
   {
     return mView.Current()->mServers.size();
--- a/Tests/LibFleet/TestInstanceDiscovery.cpp
+++ b/Tests/LibFleet/TestInstanceDiscovery.cpp
@@ -24,6 +24,36 @@
     [](test_instance const& aInstance) { return aInstance.PeerCount() == 1; }));
 }
 
+class TestRestartedInstance : public store_fixture
+{
+protected:
+  // Waits until each instance hears of aCount others no more.
+  bool AwaitSilentPeers(std::size_t aCount)
+  {
+    return AwaitStore([this, aCount]() {
+      return std::all_of(
+        mInstances.begin(), mInstances.end(), [aCount](auto const& aInstance) {
+          aInstance->Report();
+          return aInstance->SilentPeerCount() == aCount;
+        });
+    });
+  }
+};
+
+// Guards against an instance that no peer reports any more once it has
+// restarted, as the time of day was ahead at its start before.
+TEST_F(TestRestartedInstance, PeersTakeItBackWhateverItsNumber)
+{
+  ASSERT_TRUE(AwaitSilentPeers(0));
+  for (std::uint64_t const number : { 5, 2, 3 }) {
+    mInstances.pop_back();
+    ASSERT_TRUE(AwaitSilentPeers(1));
+    mInstances.push_back(std::make_unique<test_instance>(
+      "entry-2", mStore.Address(), incarnation{ number }));
+    ASSERT_TRUE(AwaitSilentPeers(0)) << number;
+  }
+}
+
 }
 
 }
--- a/Tests/LibFleet/TestPeerRegistry.cpp
+++ b/Tests/LibFleet/TestPeerRegistry.cpp
@@ -268,6 +268,31 @@
   EXPECT_EQ(registry.Unresponsive(kNow + seconds{ 2 }), 3U);
 }
 
+// Guards against an instance that is looked for at the address that it had
+// before it restarted with a clock that had jumped back.
+TEST(TestPeerRegistry, LaterRecordOfAnInstanceReplacesTheOneBefore)
+{
+  for (std::uint64_t const later : { 4, 6 }) {
+    peer_registry registry{ instance_id{ "m" }, kWindow };
+    registry.OnRegistered(kNow, Hello("a", 5));
+    registry.OnUnreachable(kNow, instance_id{ "a" });
+    registry.OnRegistered(kNow, Hello("a", later));
+    ASSERT_EQ(registry.Known().Reachable().size(), 1U);
+    EXPECT_EQ(registry.Known().Reachable()[0], Hello("a", later));
+  }
+}
+
+TEST(TestPeerRegistry, RecordOfTheStoreDoesNotReplaceWhatALinkShows)
+{
+  for (std::uint64_t const recorded : { 4, 6 }) {
+    peer_registry registry{ instance_id{ "m" }, kWindow };
+    registry.OnUp(kNow, Hello("a", 5));
+    registry.OnRegistered(kNow, Hello("a", recorded));
+    ASSERT_EQ(registry.Known().Reachable().size(), 1U);
+    EXPECT_EQ(registry.Known().Reachable()[0], Hello("a", 5));
+  }
+}
+
 TEST(TestPeerRegistry, EntriesStayWhileAParentIsReplaced)
 {
   peer_registry registry{ instance_id{ "m" }, kWindow };
--- a/Tests/LibPeer/HubPeer.h
+++ b/Tests/LibPeer/HubPeer.h
@@ -75,6 +75,11 @@
     mReplaced.push_back(aHello.mIdentity);
   }
 
+  void OnHelloRefused(peer_hello const& aHello, link_close_reason)
+  {
+    mRefused.push_back(aHello.mIdentity);
+  }
+
   void OnPeerMessage(instance_identity const&, peer_message& aMessage)
   {
     if (!std::holds_alternative<peer_heartbeat>(aMessage))
@@ -89,6 +94,7 @@
 
   std::vector<instance_identity> mUp;
   std::vector<instance_identity> mReplaced;
+  std::vector<instance_identity> mRefused;
   std::vector<instance_identity> mDown;
   std::vector<link_close_reason> mDownReasons;
   std::vector<peer_message> mMessages;
--- a/Tests/LibPeer/TestPeerHub.cpp
+++ b/Tests/LibPeer/TestPeerHub.cpp
@@ -170,6 +170,26 @@
   EXPECT_TRUE(first.mMessages.empty());
 }
 
+// Guards against a link that closes as soon as it opens, over and over: the
+// clock of the peer was ahead at its start before.
+TEST_F(peer_hub_test, RestartedPeerWithALowerNumberStaysLinked)
+{
+  hub_peer first{ mContext, "a", 1 };
+  std::unique_ptr<hub_peer> second =
+    std::make_unique<hub_peer>(mContext, "b", 5);
+  Link(first, *second);
+  second->mHub.Stop();
+  ASSERT_TRUE(RunUntil(mContext, [&]() { return !first.mDown.empty(); }));
+  hub_peer restarted{ mContext, "b", 4 };
+  restarted.SetPeer(first.Contact());
+  ASSERT_TRUE(RunUntil(mContext, [&]() { return first.mUp.size() == 2; }));
+  EXPECT_EQ(first.mUp[1].mIncarnation, incarnation{ 4 });
+  RunUntil(mContext,
+           [&]() { return first.mHub.Counters().mFramesReceived > 20; });
+  EXPECT_TRUE(restarted.mDown.empty());
+  EXPECT_TRUE(first.mRefused.empty());
+}
+
 TEST_F(peer_hub_test, ClosesTheLinkOfAnUnresponsivePeer)
 {
   hub_peer first{ mContext, "a", 1 };
