LibFleet: Leave the lease to a holder that no peer reports

Cause: an instance that found another one's record in place of its own took the lease on orders again 0.6 s later, unless a peer reported that holder. Two instances without a link took it from each other, and the wait after a takeover, which keeps orders of two holders apart, never ended for either.

Change: after a conflict the lease is left to the other holder for a term from when its record was read. A holder with something to order renews within half of that. Once a peer reports the lease, the end of the link to the holder decides as before, so that nothing waits longer for a holder that has failed.

--- a/Libraries/LibFleet/OrderDriver.h
+++ b/Libraries/LibFleet/OrderDriver.h
@@ -136,7 +136,9 @@
 
   void Acquire()
   {
-    if (mClock.Now() < mNextCallAt || std::exchange(mIsStoreBusy, true))
+    instant const now = mClock.Now();
+    if (now < mNextCallAt || mLease.IsLeftToOther(now) ||
+        std::exchange(mIsStoreBusy, true))
       return;
     if (mLease.AppendPosition())
       return Append();
@@ -183,17 +185,17 @@
   {
     if (aResult.mStatus == store_append_status::Done)
       return mLease.OnAppended(aResult.mPosition);
-    if (aResult.mStatus != store_append_status::Refused)
-      return OnLeaseLost();
     instant const now = mClock.Now();
-    mLease.OnRefused(now);
-    mNextCallAt = now + kRetryDelay;
-  }
-
-  void OnLeaseLost()
-  {
-    mLease.Invalidate();
-    mVacantSince = mClock.Now();
+    if (aResult.mStatus == store_append_status::Refused) {
+      mLease.OnRefused(now);
+      mNextCallAt = now + kRetryDelay;
+      return;
+    }
+    if (aResult.mStatus == store_append_status::Conflict)
+      mLease.OnConflict();
+    else
+      mLease.Invalidate();
+    mVacantSince = now;
   }
 
   void SendOrder(instant aNow,
--- a/Libraries/LibFleet/OrderLease.cpp
+++ b/Libraries/LibFleet/OrderLease.cpp
@@ -52,6 +52,20 @@
   if (isTakeover)
     mNotBefore = mOtherSince + mTerm;
   mIsOtherNewest = false;
+  mHasConflict = false;
+}
+
+void
+order_lease::OnConflict()
+{
+  Invalidate();
+  mHasConflict = true;
+}
+
+bool
+order_lease::IsLeftToOther(instant aNow) const
+{
+  return mHasConflict && mIsOtherNewest && aNow < mOtherSince + mTerm;
 }
 
 void
@@ -93,6 +107,8 @@
 order_lease::OnPeerLease(instant aNow, std::uint64_t aNumber)
 {
   RecordOther(aNow, aNumber);
+  // From now on the link to the holder shows when it ends.
+  mHasConflict = false;
   if (aNumber > mHeldNumber.value_or(0))
     Invalidate();
 }
--- a/Libraries/LibFleet/OrderLease.h
+++ b/Libraries/LibFleet/OrderLease.h
@@ -21,6 +21,11 @@
 /// and an idle holder, whose term is long over, is succeeded at once. A store
 /// that comes back from an older copy may lack the newest record; no orders are
 /// given then until the term of a lease that was granted before is over.
+///
+/// A record that another instance has put in the place of this one's shows a
+/// holder that no peer reports. This instance leaves the lease to it for a
+/// term: if both took it at once again, neither would hold it for long enough
+/// to give orders.
 class order_lease
 {
 public:
@@ -41,8 +46,11 @@
   /// back from an older copy of itself.
   void OnStoreEra(instant aNow, store_era aEra);
 
-  /// Another record is at the position of this instance's, or it isn't known
-  /// whether the append succeeded: the topic must be read again.
+  /// Another record is at the position of this instance's: the topic must be
+  /// read again.
+  void OnConflict();
+
+  /// It isn't known whether the append succeeded: the topic must be read again.
   void Invalidate();
 
   /// The store refused to append the record that was sent last.
@@ -66,6 +74,9 @@
     return mTopicEnd;
   }
 
+  /// True while the lease must be left to another holder.
+  [[nodiscard]] bool IsLeftToOther(instant aNow) const;
+
   /// True when this instance holds the lease, even if its term is over.
   [[nodiscard]] bool IsHeld() const noexcept { return mHeldNumber.has_value(); }
 
@@ -108,6 +119,9 @@
   instant mOtherSince{};
   /// True while the newest record is another instance's.
   bool mIsOtherNewest = false;
+  /// True after a conflict, until a peer reports the lease of the other holder
+  /// or this instance has appended a record.
+  bool mHasConflict = false;
 };
 
 }
--- a/Tests/LibFleet/TestOrderLease.cpp
+++ b/Tests/LibFleet/TestOrderLease.cpp
@@ -117,6 +117,43 @@
   EXPECT_EQ(lease.FencingNumber(kNow), 1U);
 }
 
+// Guards against two instances that take the lease from each other in turn.
+TEST(TestOrderLease, LeaseIsLeftToAHolderThatNoPeerReportsForATerm)
+{
+  order_lease lease = HeldLease();
+  lease.OnConflict();
+  EXPECT_FALSE(lease.IsHeld());
+  lease.OnRead(kNow, lease_record{ .mNumber = 1, .mHolder = kOther }, At(2));
+  EXPECT_TRUE(lease.IsLeftToOther(kNow + kTerm - milliseconds{ 1 }));
+  EXPECT_FALSE(lease.IsLeftToOther(kNow + kTerm));
+  // The other has renewed it meanwhile.
+  lease.OnSend(kNow + kTerm);
+  lease.OnConflict();
+  instant const later = kNow + kTerm + milliseconds{ 600 };
+  lease.OnRead(later, lease_record{ .mNumber = 3, .mHolder = kOther }, At(4));
+  EXPECT_TRUE(lease.IsLeftToOther(later + kTerm - milliseconds{ 1 }));
+  EXPECT_FALSE(lease.IsLeftToOther(later + kTerm));
+}
+
+// The end of the link to a holder shows at once that it has failed.
+TEST(TestOrderLease, LeaseOfAHolderThatAPeerReportedIsTakenWithoutAWait)
+{
+  order_lease lease = HeldLease();
+  lease.OnConflict();
+  lease.OnRead(kNow, lease_record{ .mNumber = 1, .mHolder = kOther }, At(2));
+  lease.OnPeerLease(kNow + milliseconds{ 100 }, 1);
+  EXPECT_FALSE(lease.IsLeftToOther(kNow + milliseconds{ 100 }));
+}
+
+// The append before had succeeded, but its answer was lost.
+TEST(TestOrderLease, OwnRecordAfterAConflictIsNoOtherHolder)
+{
+  order_lease lease = HeldLease();
+  lease.OnConflict();
+  lease.OnRead(kNow, lease_record{ .mNumber = 1, .mHolder = kSelf }, At(2));
+  EXPECT_FALSE(lease.IsLeftToOther(kNow));
+}
+
 // Guards against orders of two holders: the log that came back from a copy
 // lacks the record of the one that still gives orders.
 TEST(TestOrderLease, NobodyOrdersUntilTheTermOfALostLeaseIsOver)
