LibFleet: Take no age of the stored usage from the time of day

Seen by callers: after a restart of all instances a limit counts as used up for a quota window, when the time of day has jumped by more than 8 s since the usage was written; when it has jumped back, an old record counts as a recent one, and the limit may be given again.

Cause: the record has its writer's time of day, and a starting instance compared it with its own.

Change: no age is computed; what can make the newest record an old one is known without a clock. The record names the era of the store, so that one from a restored copy isn't taken. Without a record the limit counts as used up, as before. Records of older builds, which name no era, aren't taken; they still find their time of day in new ones.

--- a/Libraries/LibFleet/FleetControl.h
+++ b/Libraries/LibFleet/FleetControl.h
@@ -192,7 +192,8 @@
     mRegistration.Tick(now);
     mFollower.Tick(now, mLinks.Registry().HasReader(now));
     if (IsReader(now))
-      mUsageWriter.Write(now, mWindowUsage);
+      mUsageWriter.Write(
+        now, mFollower.ServersEnd().Era(), KnownWindowUsage(now));
     mObservations.Tick(now, IsReader(now));
     mLinks.Tick(now);
     // Pages are passed on only when they have records, so their absence shows
@@ -235,6 +236,15 @@
            !mLinks.Registry().HasReader(aNow);
   }
 
+  // What all instances admitted in the last quota window. One that has just
+  // started knows it from peers.
+  [[nodiscard]] std::vector<workspace_usage> KnownWindowUsage(
+    instant aNow) const
+  {
+    return mWindowUsage.empty() ? mLinks.Registry().WindowUsage(aNow)
+                                : mWindowUsage;
+  }
+
   void OnStoreEra(std::optional<store_era> aBefore, store_era aEra)
   {
     mOrderDriver.OnStoreEra(aEra);
--- a/Libraries/LibFleet/QuotaUsage.h
+++ b/Libraries/LibFleet/QuotaUsage.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibDispatch/WorkspaceUsage.h>
+#include <LibStore/StoreEra.h>
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 namespace lycheeseam {
@@ -11,9 +13,12 @@
 /// case that all of them restart at once.
 struct quota_usage
 {
-  /// The time of day at the window's end, by the clock of the instance that
-  /// wrote it.
+  /// The time of day when it was written. Only builds that take the age of a
+  /// record from it read it.
   std::chrono::milliseconds mWrittenAt{};
+  /// The era of the store in which it was written; empty when it is withdrawn,
+  /// or an older build wrote it.
+  std::optional<store_era> mEra;
   std::vector<workspace_usage> mUsed;
 };
 
--- a/Tests/LibFleet/RestorableStore.cpp
+++ b/Tests/LibFleet/RestorableStore.cpp
@@ -75,6 +75,13 @@
   mReadsToRefuse[aTopic] = aCount;
 }
 
+void
+restorable_store::RefuseAppends(std::string const& aTopic, int aCount)
+{
+  std::lock_guard const lock{ mMutex };
+  mAppendsToRefuse[aTopic] = aCount;
+}
+
 void
 restorable_store::DropHistory(std::string const& aTopic, int aRefusedReads)
 {
@@ -105,6 +112,10 @@
   if (target.starts_with("/api/log-read"))
     return AnswerToRead(
       records, mFirst[topic], std::stoull(Parameter(target, "from")));
+  if (target.starts_with("/api/log-append") && mAppendsToRefuse[topic] > 0) {
+    --mAppendsToRefuse[topic];
+    return Format("503 Service Unavailable", "{}");
+  }
   if (target.starts_with("/api/log-append"))
     return AnswerToAppend(
       records, target, aRequest.substr(aRequest.find("\r\n\r\n") + 4));
--- a/Tests/LibFleet/RestorableStore.h
+++ b/Tests/LibFleet/RestorableStore.h
@@ -36,6 +36,9 @@
   /// Refuses the next reads of a topic.
   void RefuseReads(std::string const& aTopic, int aCount);
 
+  /// Refuses the next appends to a topic.
+  void RefuseAppends(std::string const& aTopic, int aCount);
+
   /// Forgets the records so far but for the newest of each key, and refuses the
   /// next reads of those.
   void DropHistory(std::string const& aTopic, int aRefusedReads);
@@ -64,6 +67,7 @@
   topics mCopy;
   std::uint64_t mEra = 1;
   std::map<std::string, int> mReadsToRefuse;
+  std::map<std::string, int> mAppendsToRefuse;
   std::map<std::string, int> mNewestToRefuse;
   /// The offset of the first record of each topic that isn't forgotten.
   std::map<std::string, std::uint64_t> mFirst;
--- a/Tests/Platform/TestMutatedInput.cpp
+++ b/Tests/Platform/TestMutatedInput.cpp
@@ -108,6 +108,7 @@
     });
   ExpectValueOrInvalidInput(
     store_dialect::FormatUsage({ .mWrittenAt = std::chrono::milliseconds{ 7 },
+                                 .mEra = store_era{ 3 },
                                  .mUsed = { { workspace_id{ "w" }, 1.5 } } }),
     [](std::string const& aText) { store_dialect::ReadUsage(aText); });
 }
--- a/Tests/Platform/TestStoreDialect.cpp
+++ b/Tests/Platform/TestStoreDialect.cpp
@@ -247,11 +247,17 @@
 {
   quota_usage const usage = store_dialect::ReadUsage(
     store_dialect::FormatUsage({ .mWrittenAt = std::chrono::milliseconds{ 7 },
+                                 .mEra = store_era{ 3 },
                                  .mUsed = { { workspace_id{ "w" }, 1.5 } } }));
   EXPECT_EQ(usage.mWrittenAt, std::chrono::milliseconds{ 7 });
+  EXPECT_EQ(usage.mEra, store_era{ 3 });
   ASSERT_EQ(usage.mUsed.size(), 1U);
   EXPECT_EQ(usage.mUsed[0].mUnits, 1.5);
   EXPECT_THROW(store_dialect::ReadUsage("{}"), invalid_input);
+  // Older builds write no era.
+  EXPECT_EQ(
+    store_dialect::ReadUsage(R"({"written_at_ms": 7, "used": {}})").mEra,
+    std::nullopt);
 }
 
 TEST(TestStoreDialect, OrdersCarryFenceAndExpectedOrders)
