LibFleet: Take a server's later entry for that of the later process

Seen by callers: a server that restarts under its id with a lower number than before (born, its start by its own clock) is used at the address and with the weights of the process before, or not at all, for as long as the instances run. Its rate limit isn't passed on.

Cause: server_registry ignored entries with a lower number, limit_rule limits of a lower number.

Change: entries of one era of the store arrive in the order in which they were written, so the later entry is that of the later process. Only a restored store shows earlier entries again; there the number decides until the server writes its next entry. Limits are kept for each incarnation.

--- a/Libraries/LibFleet/FleetRecords.h
+++ b/Libraries/LibFleet/FleetRecords.h
@@ -94,7 +94,7 @@
         Dialect::ReadServer(aRecord.mKey, *aRecord.mValue);
       if (IsOfRemoved(aRecord, server))
         return mServers.OnEarlierEntry(server);
-      if (mServers.OnEntry(server))
+      if (mServers.OnEntry(server, aRecord.mPosition.Era()))
         LogServer(aRecord, server, aSource);
     } catch (invalid_input const& fault) {
       // Other programs may write to the topic; an entry that can't be read
--- a/Libraries/LibFleet/LimitRule.h
+++ b/Libraries/LibFleet/LimitRule.h
@@ -6,18 +6,19 @@
 
 namespace lycheeseam {
 
-/// The observation_rule of rate limits.
+/// The observation_rule of rate limits. A limit belongs to one incarnation of
+/// its server; which incarnation runs is known from the server's entry.
 struct limit_rule
 {
   using observation = observed_limit;
-  using server_key = backend_server_id;
+  using server_key = server_identity;
 
   // Instances with requests for a limited server repeat its limit each second.
   static constexpr std::chrono::seconds kKeptTime{ 60 };
 
   static server_key const& ServerOf(observed_limit const& aLimit)
   {
-    return aLimit.mServer.mServer;
+    return aLimit.mServer;
   }
   static instant ObservedAt(observed_limit const& aLimit)
   {
--- a/Libraries/LibFleet/ServerRegistry.cpp
+++ b/Libraries/LibFleet/ServerRegistry.cpp
@@ -29,19 +29,32 @@
          aServer.mEntries < aKnown.mEntries;
 }
 
+// True when an entry of another incarnation than the known one may be a copy
+// from before it, which a restored store shows again. aKnownEra is the era of
+// the server's entry before.
+bool
+MayBeCopy(incarnation aIncarnation,
+          store_era aEra,
+          incarnation aKnown,
+          store_era aKnownEra)
+{
+  return aEra != aKnownEra && aIncarnation < aKnown;
+}
+
 }
 
 bool
-server_registry::OnEntry(registered_server aServer)
+server_registry::OnEntry(registered_server aServer, store_era aEra)
 {
-  if (IsOfRemoved(aServer))
+  if (IsOfRemoved(aServer, aEra))
     return false;
   mRemoved.erase(aServer.mId);
-  entry& known = mEntries[aServer.mId];
-  if (IsEarlier(aServer, known.mServer))
-    return false;
-  // A late entry of an earlier incarnation says nothing about the current one.
-  if (aServer.mIncarnation < known.mServer.mIncarnation)
+  entry& known =
+    mEntries.try_emplace(aServer.mId, entry{ .mEra = aEra }).first->second;
+  store_era const knownEra = std::exchange(known.mEra, aEra);
+  if (IsEarlier(aServer, known.mServer) ||
+      MayBeCopy(
+        aServer.mIncarnation, aEra, known.mServer.mIncarnation, knownEra))
     return false;
   if (aServer.mIncarnation == known.mServer.mIncarnation)
     aServer.KeepNewerVersions(known.mServer);
@@ -89,14 +102,16 @@
 }
 
 bool
-server_registry::IsOfRemoved(registered_server const& aServer) const
+server_registry::IsOfRemoved(registered_server const& aServer, store_era aEra)
 {
   auto const found = mRemoved.find(aServer.mId);
   if (found == mRemoved.end())
     return false;
-  removed_server const& removed = found->second;
+  removed_server& removed = found->second;
+  store_era const knownEra = std::exchange(removed.mEra, aEra);
   if (aServer.mIncarnation != removed.mIncarnation)
-    return aServer.mIncarnation < removed.mIncarnation;
+    return MayBeCopy(
+      aServer.mIncarnation, aEra, removed.mIncarnation, knownEra);
   return removed.mMayReappear && aServer.mEntries > 0 &&
          aServer.mEntries <= removed.mEntries;
 }
@@ -114,6 +129,7 @@
 {
   registered_server const& server = aEntry->second.mServer;
   mRemoved[server.mId] = { .mIncarnation = server.mIncarnation,
+                           .mEra = aEntry->second.mEra,
                            .mEntries = server.mEntries,
                            .mRemovedAt = aNow };
   mEntries.erase(aEntry);
--- a/Libraries/LibFleet/ServerRegistry.h
+++ b/Libraries/LibFleet/ServerRegistry.h
@@ -4,6 +4,7 @@
 #include <LibCore/ServerIdentity.h>
 #include <LibDispatch/ObservedWeights.h>
 #include <LibDispatch/RegisteredServer.h>
+#include <LibStore/StoreEra.h>
 
 #include <chrono>
 #include <map>
@@ -23,14 +24,19 @@
 ///
 /// A store that comes back from an older copy of itself shows earlier entries
 /// again, of servers that have announced since that they are leaving or have
-/// been dropped, and lacks those of servers that have registered since. Entries
-/// are therefore ordered by what their servers counted, not by the store.
+/// been dropped, and lacks those of servers that have registered since. The
+/// entries of an incarnation are therefore ordered by what their server
+/// counted. Of two incarnations the later one wrote the later entry, as far as
+/// both entries are of one era. In a restored store an entry with a lower
+/// number, the server's start by its own clock, is taken for an earlier one
+/// until the server writes the next.
 class server_registry
 {
 public:
-  /// A server has written its entry; true when the server, its incarnation or
-  /// its stage is new.
-  bool OnEntry(registered_server aServer);
+  /// A server has written its entry, which the store holds in aEra; true when
+  /// the server, its incarnation or its stage is new. Entries of a server that
+  /// the store holds in one era arrive in the order of the store.
+  bool OnEntry(registered_server aServer, store_era aEra);
 
   /// A server's entry has been dropped from the store. Returns how long the
   /// server stays in use.
@@ -78,6 +84,8 @@
   struct entry
   {
     registered_server mServer;
+    /// The era of the server's newest entry, taken over or not.
+    store_era mEra;
     /// When the grace period of a dropped entry ends; empty for other entries.
     std::optional<instant> mGracePeriodEnd;
   };
@@ -86,6 +94,8 @@
   struct removed_server
   {
     incarnation mIncarnation;
+    /// The era of its newest entry.
+    store_era mEra;
     /// How many entries it had written.
     std::uint64_t mEntries = 0;
     instant mRemovedAt{};
@@ -95,7 +105,7 @@
   using entries = std::map<backend_server_id, entry>;
 
   // True for an entry that a removed server had written before.
-  [[nodiscard]] bool IsOfRemoved(registered_server const& aServer) const;
+  bool IsOfRemoved(registered_server const& aServer, store_era aEra);
   void Remove(instant aNow, entries::iterator aEntry);
 
   entries mEntries;
