LibMembership, LibOnce, LibLimits: Order processes by observation

Seen behind the own interface: an instance that restarts with a lower number, as its clock was ahead at the start before, isn't given to callers any more; such an engine counts as unresponsive; the budget slots of the instance's process before lend nothing; and repeats of its bookings wait until their deadline.

Change: member_table goes by links, and by the list where there is no link; backend_membership by reports. Both keep which incarnations were replaced (incarnation_history), so that late lists and reports change nothing; one that is still observed 30 s later runs, so that a wrong order doesn't last. slot_takeover and once_gate take any other number of their own instance for an ended process. block_map, which only benchmarks use, still compares numbers.

Before, with the comparisons by number: RestartIsUsableWhateverItsNumber in both tables, ListShowsARestartWithoutALinkWhateverItsNumber, IncarnationsMayRunUntilAnotherOneIsKnown, SlotsOfAnEarlierProcessOfThisInstanceAreClaimed and ClaimOfAnEarlierProcessOfThisInstanceHasEnded failed.

--- a/Libraries/LibLimits/SlotTakeover.cpp
+++ b/Libraries/LibLimits/SlotTakeover.cpp
@@ -84,9 +84,10 @@
     return aNow >=
            mStartedAt + mTiming.mFirstClaimDelay + rankDelay +
              static_cast<int>(ClaimedSlots(aSlots)) * mTiming.mNextClaimDelay;
-  // An earlier incarnation of this instance no longer runs.
+  // An earlier incarnation of this instance no longer runs. Its number may be
+  // higher, as it comes from the time of day.
   if (holder->mInstance == mSelf.mInstance)
-    return holder->mIncarnation < mSelf.mIncarnation;
+    return holder->mIncarnation != mSelf.mIncarnation;
   auto const missingSince = mMissingSince.find(holder->mInstance);
   if (missingSince == mMissingSince.end())
     return MayRebalance(aNow - rankDelay, holder->mInstance, aSlots);
--- a/Libraries/LibMembership/BackendMembership.cpp
+++ b/Libraries/LibMembership/BackendMembership.cpp
@@ -30,15 +30,17 @@
   if (found == mServers.end())
     return false;
   server_state& known = found->second;
-  if (known.mIncarnation && aReport.mIncarnation < *known.mIncarnation)
+  if (known.mHistory.MayBeLate(aNow, aReport.mIncarnation))
     return false;
   bool const isNewIncarnation = known.mIncarnation != aReport.mIncarnation;
+  if (isNewIncarnation && known.mIncarnation)
+    known.mHistory.OnReplaced(aNow, *known.mIncarnation);
   bool const wasLeaving =
     !isNewIncarnation && known.mState == member_state::Leaving;
   // Leaving is final for an incarnation, even if reports arrive out of order.
-  known = { .mIncarnation = aReport.mIncarnation,
-            .mState = wasLeaving ? member_state::Leaving : aReport.mState,
-            .mReportedAt = aNow };
+  known.mIncarnation = aReport.mIncarnation;
+  known.mState = wasLeaving ? member_state::Leaving : aReport.mState;
+  known.mReportedAt = aNow;
   return isNewIncarnation;
 }
 
--- a/Libraries/LibMembership/BackendMembership.h
+++ b/Libraries/LibMembership/BackendMembership.h
@@ -6,6 +6,7 @@
 #include <LibMembership/BackendAvailability.h>
 #include <LibMembership/BackendMembershipOptions.h>
 #include <LibMembership/BackendReport.h>
+#include <LibMembership/IncarnationHistory.h>
 
 #include <map>
 #include <optional>
@@ -23,9 +24,9 @@
   /// Sets the pools in force; discards the state of servers in none of them.
   void SetPools(std::span<pool_row const> aPools);
 
-  /// Records a server's report; ignores one of a server in no pool or of an
-  /// incarnation older than the newest known. Returns true for the first report
-  /// of a new incarnation.
+  /// Records a server's report; ignores one of a server in no pool, and a late
+  /// one of an incarnation that another has replaced. Returns true for the
+  /// first report of a new incarnation.
   bool OnReport(backend_report const& aReport, instant aNow);
 
   /// The newest known incarnation; nothing before the first report.
@@ -51,6 +52,7 @@
     std::optional<incarnation> mIncarnation;
     member_state mState = member_state::Live;
     instant mReportedAt{};
+    incarnation_history mHistory;
   };
 
   backend_membership_options mOptions;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -17,21 +17,22 @@
   for (auto& [name, known] : mEntries)
     known.mIsListed = false;
   for (member const& listed : aListed) {
-    Update(listed);
+    UpdateFromList(listed, aNow);
     mEntries.at(listed.mIdentity.mInstance).mIsListed = true;
   }
   DropUnlisted(aNow);
 }
 
 void
-member_table::OnPeerUp(member const& aPeer)
+member_table::OnPeerUp(member const& aPeer, instant aNow)
 {
-  Update(aPeer);
-  entry* const known = FindIdentity(aPeer.mIdentity);
-  if (!known)
-    return;
-  known->mIsLinked = true;
-  known->mLinkClosedAt.reset();
+  entry& known =
+    mEntries.try_emplace(aPeer.mIdentity.mInstance, entry{ .mMember = aPeer })
+      .first->second;
+  if (known.mMember.mIdentity != aPeer.mIdentity)
+    Replace(known, aPeer, aNow);
+  known.mIsLinked = true;
+  known.mLinkClosedAt.reset();
 }
 
 void
@@ -79,6 +80,18 @@
   return usable;
 }
 
+bool
+member_table::MayRun(instance_identity const& aIdentity) const
+{
+  auto const found = mEntries.find(aIdentity.mInstance);
+  if (found == mEntries.end())
+    return false;
+  entry const& known = found->second;
+  if (known.mMember.mIdentity == aIdentity)
+    return true;
+  return !known.mIsLinked && !known.mHistory.HasEnded(aIdentity.mIncarnation);
+}
+
 std::optional<instance_identity>
 member_table::IdentityOf(instance_id const& aInstance) const
 {
@@ -97,23 +110,36 @@
   return &found->second;
 }
 
-// A newer incarnation replaces the entry. For the same incarnation only leaving
-// is taken over, which is final; a list that doesn't show it yet lags.
+// For the same incarnation only leaving is taken over, which is final; a list
+// that doesn't show it yet lags.
 void
-member_table::Update(member const& aMember)
+member_table::UpdateFromList(member const& aListed, instant aNow)
 {
-  instance_id const& name = aMember.mIdentity.mInstance;
+  instance_id const& name = aListed.mIdentity.mInstance;
   auto const [found, isNew] =
-    mEntries.try_emplace(name, entry{ .mMember = aMember });
+    mEntries.try_emplace(name, entry{ .mMember = aListed });
   if (isNew || name == mSelf)
     return;
   entry& known = found->second;
-  incarnation const newest = known.mMember.mIdentity.mIncarnation;
-  if (aMember.mIdentity.mIncarnation > newest)
-    known = { .mMember = aMember, .mIsListed = known.mIsListed };
-  else if (aMember.mIdentity.mIncarnation == newest &&
-           aMember.mState == member_state::Leaving)
-    known.mMember.mState = member_state::Leaving;
+  if (aListed.mIdentity == known.mMember.mIdentity) {
+    if (aListed.mState == member_state::Leaving)
+      known.mMember.mState = member_state::Leaving;
+    return;
+  }
+  bool const isOutdated =
+    known.mIsLinked ||
+    known.mHistory.MayBeLate(aNow, aListed.mIdentity.mIncarnation);
+  if (!isOutdated)
+    Replace(known, aListed, aNow);
+}
+
+void
+member_table::Replace(entry& aEntry, member const& aMember, instant aNow)
+{
+  aEntry.mHistory.OnReplaced(aNow, aEntry.mMember.mIdentity.mIncarnation);
+  aEntry.mMember = aMember;
+  aEntry.mIsLinked = false;
+  aEntry.mLinkClosedAt.reset();
 }
 
 void
--- a/Libraries/LibOnce/OnceGate.h
+++ b/Libraries/LibOnce/OnceGate.h
@@ -169,8 +169,9 @@
 {
   if (!IsOwn(aWaiting, aEntry)) {
     instance_identity const& owner = aEntry.mClaim.mOwner;
+    // Its number may be higher, as it comes from the time of day.
     bool const isEarlierIncarnation = owner.mInstance == mSelf.mInstance &&
-                                      owner.mIncarnation < mSelf.mIncarnation;
+                                      owner.mIncarnation != mSelf.mIncarnation;
     return SettleByOwner(
       aWaiting, aEntry, !isEarlierIncarnation && aIsAlive(owner));
   }
--- a/Libraries/LibPlacement/BlockMap.cpp
+++ b/Libraries/LibPlacement/BlockMap.cpp
@@ -49,6 +49,8 @@
 block_map::OnIncarnation(backend_server_id const& aServer,
                          incarnation aIncarnation)
 {
+  // FIXME: An engine that restarts after its clock has jumped back has a lower
+  // number and is ignored. Only benchmarks use this map so far.
   auto const [found, isNew] = mServers.try_emplace(aServer);
   cached_server& server = found->second;
   if (!isNew && server.mIncarnation >= aIncarnation)
--- a/Libraries/LibRouter/ControlCorePeers.cpp
+++ b/Libraries/LibRouter/ControlCorePeers.cpp
@@ -30,7 +30,8 @@
   mStatus.Members().OnPeerUp({ .mIdentity = aHello.mIdentity,
                                .mFailureDomain = aHello.mFailureDomain,
                                .mCallers = aHello.mCallers,
-                               .mPeers = aHello.mPeers });
+                               .mPeers = aHello.mPeers },
+                             mClock.Now());
   RequestSnapshot(aHello.mIdentity.mInstance);
   PublishInstances();
 }
--- a/Libraries/LibRouter/InstanceStatus.cpp
+++ b/Libraries/LibRouter/InstanceStatus.cpp
@@ -52,9 +52,7 @@
 bool
 instance_status::IsAlive(instance_identity const& aIdentity) const
 {
-  std::optional<instance_identity> const newest =
-    mMembers.IdentityOf(aIdentity.mInstance);
-  return newest && newest->mIncarnation <= aIdentity.mIncarnation;
+  return mMembers.MayRun(aIdentity);
 }
 
 void
--- a/Tests/LibLimits/TestSlotTakeover.cpp
+++ b/Tests/LibLimits/TestSlotTakeover.cpp
@@ -101,6 +101,29 @@
   }
 }
 
+// Guards against slots that lend nothing: they stay with this instance's
+// process before, whose number is higher as its clock was ahead.
+TEST(TestSlotTakeover, SlotsOfAnEarlierProcessOfThisInstanceAreClaimed)
+{
+  instance_id const self{ "entry-1" };
+  slot_claim const before{ .mOrigin = { .mInstance = self,
+                                        .mIncarnation = incarnation{ 5 },
+                                        .mLastOffset = log_offset{ 100 } },
+                           .mSlot = slot_id{ 1 } };
+  for (std::uint64_t const number : { 4, 6 }) {
+    slot_fold slots{ { .mSlots = 1 } };
+    slots.Apply({ .mOffset = log_offset{ 1 }, .mRecord = before });
+    slot_takeover takeover{ { self, incarnation{ number } }, {} };
+    takeover.OnInstanceList(kStart, std::span{ &self, 1 });
+    EXPECT_EQ(takeover.DueClaims(kStart, slots, log_offset{ 1 }).size(), 1U);
+  }
+  slot_fold slots{ { .mSlots = 1 } };
+  slots.Apply({ .mOffset = log_offset{ 1 }, .mRecord = before });
+  slot_takeover takeover{ { self, incarnation{ 5 } }, {} };
+  takeover.OnInstanceList(kStart, std::span{ &self, 1 });
+  EXPECT_TRUE(takeover.DueClaims(kStart, slots, log_offset{ 1 }).empty());
+}
+
 TEST(TestSlotTakeover, SingleInstanceClaimsAllSlots)
 {
   starting_fleet fleet{ 1, {} };
--- a/Tests/LibMembership/TestBackendMembership.cpp
+++ b/Tests/LibMembership/TestBackendMembership.cpp
@@ -61,6 +61,24 @@
   EXPECT_EQ(mServers.IncarnationOf(kServer), incarnation{ 2 });
 }
 
+// Guards against a server that counts as unresponsive for good: it restarted
+// after its clock had jumped back.
+TEST_F(backend_membership_test, RestartIsUsableWhateverItsNumber)
+{
+  for (std::uint64_t const number : { 4, 6 }) {
+    backend_membership servers{ {} };
+    servers.SetPools(Pools());
+    servers.OnReport(Report(5), mNow);
+    EXPECT_TRUE(servers.OnReport(Report(number), mNow + seconds{ 20 }));
+    EXPECT_EQ(servers.IncarnationOf(kServer), incarnation{ number });
+    EXPECT_EQ(servers.Availability(kServer, mNow + seconds{ 20 }),
+              backend_availability::Usable);
+    // A late report of the process before changes nothing.
+    EXPECT_FALSE(servers.OnReport(Report(5), mNow + seconds{ 21 }));
+    EXPECT_EQ(servers.IncarnationOf(kServer), incarnation{ number });
+  }
+}
+
 TEST_F(backend_membership_test, DispatchDetectsARestartSinceTheChoice)
 {
   mServers.OnReport(Report(1), mNow);
--- a/Tests/LibMembership/TestMemberTable.cpp
+++ b/Tests/LibMembership/TestMemberTable.cpp
@@ -23,10 +23,11 @@
       });
   }
 
-  [[nodiscard]] member Restarted(std::size_t aInstance) const
+  [[nodiscard]] member Restarted(std::size_t aInstance,
+                                 std::uint64_t aNumber = 2) const
   {
     member next = mMembers[aInstance];
-    next.mIdentity.mIncarnation = incarnation{ 2 };
+    next.mIdentity.mIncarnation = incarnation{ aNumber };
     return next;
   }
 
@@ -45,21 +46,21 @@
 TEST_F(member_table_test, LinkStateTakesPrecedenceOverALaggingList)
 {
   mTable.SetList(mMembers, mNow);
-  mTable.OnPeerUp(mMembers[1]);
+  mTable.OnPeerUp(mMembers[1], mNow);
   mTable.OnLeaving(mMembers[1].mIdentity);
   mTable.SetList(mMembers, mNow);
   EXPECT_FALSE(IsUsable(1));
-  mTable.OnPeerUp(mMembers[2]);
+  mTable.OnPeerUp(mMembers[2], mNow);
   mTable.OnPeerDown(mMembers[2].mIdentity, mNow);
   mTable.SetList(mMembers, mNow);
   EXPECT_FALSE(IsUsable(2));
-  mTable.OnPeerUp(mMembers[2]);
+  mTable.OnPeerUp(mMembers[2], mNow);
   EXPECT_TRUE(IsUsable(2));
 }
 
 TEST_F(member_table_test, ReportsOfAnOlderIncarnationAreIgnored)
 {
-  mTable.OnPeerUp(Restarted(1));
+  mTable.OnPeerUp(Restarted(1), mNow);
   mTable.OnPeerDown(mMembers[1].mIdentity, mNow);
   mTable.OnLeaving(mMembers[1].mIdentity);
   mTable.SetList(mMembers, mNow);
@@ -68,18 +69,76 @@
             Restarted(1).mIdentity);
 }
 
+// Guards against a restarted instance that callers aren't sent to any more, as
+// its clock has jumped back and its number is lower.
+TEST_F(member_table_test, RestartIsUsableWhateverItsNumber)
+{
+  for (std::uint64_t const number : { 0, 2 }) {
+    member_table table{ mMembers[0], {} };
+    table.OnPeerUp(mMembers[1], mNow);
+    table.OnPeerDown(mMembers[1].mIdentity, mNow);
+    table.OnPeerUp(Restarted(1, number), mNow);
+    EXPECT_EQ(table.Usable().size(), 2u);
+    EXPECT_EQ(table.IdentityOf(mMembers[1].mIdentity.mInstance),
+              Restarted(1, number).mIdentity);
+  }
+}
+
+TEST_F(member_table_test, ListShowsARestartWithoutALinkWhateverItsNumber)
+{
+  for (std::uint64_t const number : { 0, 2 }) {
+    member_table table{ mMembers[0], {} };
+    table.SetList(mMembers, mNow);
+    std::vector<member> restarted = mMembers;
+    restarted[1] = Restarted(1, number);
+    table.SetList(restarted, mNow);
+    EXPECT_EQ(table.IdentityOf(mMembers[1].mIdentity.mInstance),
+              restarted[1].mIdentity);
+    // A list that lags further behind shows the process before again.
+    table.SetList(mMembers, mNow + seconds{ 1 });
+    EXPECT_EQ(table.IdentityOf(mMembers[1].mIdentity.mInstance),
+              restarted[1].mIdentity);
+    // One that still does after that is right.
+    table.SetList(mMembers, mNow + seconds{ 40 });
+    EXPECT_EQ(table.IdentityOf(mMembers[1].mIdentity.mInstance),
+              mMembers[1].mIdentity);
+  }
+}
+
+// Guards against repeats that wait until their deadline for an owner that has
+// ended, and against ones that are refused while it runs.
+TEST_F(member_table_test, IncarnationsMayRunUntilAnotherOneIsKnown)
+{
+  for (std::uint64_t const number : { 0, 2 }) {
+    member_table table{ mMembers[0], {} };
+    instance_identity const before = mMembers[1].mIdentity;
+    instance_identity const after = Restarted(1, number).mIdentity;
+    EXPECT_FALSE(table.MayRun(before));
+    table.SetList(mMembers, mNow);
+    EXPECT_TRUE(table.MayRun(before));
+    // The list may not show it yet.
+    EXPECT_TRUE(table.MayRun(after));
+    table.OnPeerUp(Restarted(1, number), mNow);
+    EXPECT_FALSE(table.MayRun(before));
+    EXPECT_TRUE(table.MayRun(after));
+    table.OnPeerDown(after, mNow);
+    EXPECT_FALSE(table.MayRun(before));
+    EXPECT_TRUE(table.MayRun(after));
+  }
+}
+
 TEST_F(member_table_test, ARestartEndsLeaving)
 {
   mTable.SetList(mMembers, mNow);
   mTable.OnLeaving(mMembers[1].mIdentity);
-  mTable.OnPeerUp(Restarted(1));
+  mTable.OnPeerUp(Restarted(1), mNow);
   EXPECT_TRUE(IsUsable(1));
 }
 
 TEST_F(member_table_test, UnlistedInstancesStayWhileLinkedAndForTheGracePeriod)
 {
   std::vector<member> const others(mMembers.begin(), mMembers.begin() + 3);
-  mTable.OnPeerUp(mMembers[3]);
+  mTable.OnPeerUp(mMembers[3], mNow);
   mTable.SetList(others, mNow);
   EXPECT_TRUE(IsUsable(3));
   mTable.OnPeerDown(mMembers[3].mIdentity, mNow);
--- a/Tests/LibOnce/TestOnceGate.cpp
+++ b/Tests/LibOnce/TestOnceGate.cpp
@@ -281,5 +281,32 @@
             once_action::RefuseLogUnreachable);
 }
 
+// Guards against a repeat that waits until its deadline for this instance's own
+// process before, whose number is higher as its clock was ahead.
+TEST(TestOnceGate, ClaimOfAnEarlierProcessOfThisInstanceHasEnded)
+{
+  request_key const key{ workspace_id{ "w" }, idempotency_key{ "k" } };
+  auto const everybody = [](instance_identity const&) { return true; };
+  for (std::uint64_t const number : { 4, 6 }) {
+    once_gate gate{ { instance_id{ "a" }, incarnation{ number } }, {}, {} };
+    request_claim_batch claims{ .mOrigin = { .mInstance = instance_id{ "a" },
+                                             .mIncarnation = incarnation{ 5 },
+                                             .mLastOffset =
+                                               log_offset{ 100 } } };
+    claims.mClaims.push_back({ .mKey = key, .mNumber = claim_number{ 1 } });
+    gate.OnEntry({ .mOffset = log_offset{ 1 }, .mRecord = claims });
+    gate.Begin(instant{ seconds{ 1 } },
+               { .mId = request_id{ "r" },
+                 .mIdempotency = idempotency::NonIdempotent,
+                 .mKey = key,
+                 .mDeadline = instant{ seconds{ 9 } } },
+               log_state::Reachable,
+               everybody);
+    std::vector<once_decision> const decisions = gate.TakeDecisions();
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].mAction, once_action::RefuseMayHaveRun);
+  }
+}
+
 }
 }
